--- /dev/null
+++ b/supervise/duty.go
@@ -0,0 +1,65 @@
+// Package supervise runs the duties of a process as a tree of supervisors.
+//
+// A duty is one long-lived goroutine that alone owns its state. A supervisor
+// starts its children, restarts those that end with an error, and gives up when
+// they end more often than its policy allows; its own parent then treats it as
+// a failed child. Outside tests this package has the only go statement of the
+// module, so every goroutine of the module belongs to the tree.
+package supervise
+
+import (
+	"context"
+	"errors"
+	"runtime"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("supervise")
+
+// Duty is a long-lived activity with state of its own.
+//
+// Run returns when ctx ends, when the duty is finished (nil error), or when it
+// has failed. The supervisor calls Run again after a failure, so Run must
+// rebuild its state from the state's owner and not from what the failed run
+// left in memory.
+type Duty interface {
+	Run(ctx context.Context) error
+}
+
+// Func adapts a function to Duty.
+type Func func(ctx context.Context) error
+
+// Run calls f.
+func (f Func) Run(ctx context.Context) error { return f(ctx) }
+
+// OnThread returns a duty that keeps an operating system thread for itself.
+// Duties that block in system calls use it.
+func OnThread(d Duty) Duty {
+	return Func(func(ctx context.Context) error {
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		return d.Run(ctx)
+	})
+}
+
+type fatalError struct{ err error }
+
+func (e fatalError) Error() string { return e.err.Error() }
+func (e fatalError) Unwrap() error { return e.err }
+
+// Fatal marks err so that no supervisor restarts the duty that returned it and
+// the root ends.
+func Fatal(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fatalError{err}
+}
+
+// IsFatal reports whether err was marked by Fatal.
+func IsFatal(err error) bool {
+	var fatal fatalError
+	return errors.As(err, &fatal)
+}
--- /dev/null
+++ b/supervise/supervisor.go
@@ -0,0 +1,293 @@
+package supervise
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"github.com/ibispier/ibispier/ring"
+)
+
+// Strategy says which children a supervisor restarts when one of them fails.
+type Strategy int
+
+const (
+	// OneForOne restarts only the failed child.
+	OneForOne Strategy = iota
+	// OneForAll ends and restarts all children, for children that share state.
+	OneForAll
+	// EndTogether ends the supervisor, with the error of the child, as soon as
+	// any child ends. Children are never restarted.
+	EndTogether
+)
+
+// Unlimited as Policy.Intensity means that failures never escalate, for
+// children such as links whose loss is normal.
+const Unlimited = -1
+
+const (
+	defaultIntensity = 5
+	defaultPeriod    = time.Minute
+	defaultDelay     = 10 * time.Millisecond
+	eventCapacity    = 256
+)
+
+// Policy is the restart policy of a supervisor.
+type Policy struct {
+	Strategy  Strategy
+	Intensity int           // failures allowed within Period before the supervisor itself fails
+	Period    time.Duration // window in which failures count
+	Delay     time.Duration // pause before a restart
+}
+
+// Observer is told about failures of children.
+type Observer func(supervisor, child string, err error)
+
+// Supervisor is a Duty that runs children.
+//
+// Invariant: when Run returns, no child of that run is running.
+type Supervisor struct {
+	name     string
+	policy   Policy
+	observer Observer
+	children []*child
+	added    *ring.Ring[*child]
+}
+
+type child struct {
+	name      string
+	duty      Duty
+	temporary bool
+	cancel    context.CancelFunc
+	running   bool
+}
+
+type exit struct {
+	child *child
+	err   error
+}
+
+// New returns a supervisor without children.
+func New(name string, policy Policy, observer Observer) *Supervisor {
+	if policy.Intensity == 0 {
+		policy.Intensity = defaultIntensity
+	}
+	if policy.Period == 0 {
+		policy.Period = defaultPeriod
+	}
+	if policy.Delay == 0 {
+		policy.Delay = defaultDelay
+	}
+	if observer == nil {
+		observer = func(string, string, error) {}
+	}
+	return &Supervisor{
+		name:     name,
+		policy:   policy,
+		observer: observer,
+		added:    ring.New[*child](name+".added", eventCapacity),
+	}
+}
+
+// Add registers a permanent child. It must be called before Run.
+func (s *Supervisor) Add(name string, d Duty) {
+	s.children = append(s.children, &child{name: name, duty: d})
+}
+
+// Start hands a temporary child to a supervisor that may already run. A
+// temporary child is not restarted: when it ends it is forgotten.
+func (s *Supervisor) Start(ctx context.Context, name string, d Duty) error {
+	return s.added.Put(ctx, &child{name: name, duty: d, temporary: true})
+}
+
+// Run starts the children and returns when ctx ends, when all children have
+// finished, or when the policy is exceeded.
+func (s *Supervisor) Run(ctx context.Context) error {
+	r := &run{
+		supervisor: s,
+		exits:      make(chan exit, eventCapacity),
+		children:   append([]*child(nil), s.children...),
+	}
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, c := range r.children {
+		r.start(runCtx, c)
+	}
+	err := r.loop(runCtx)
+	cancel()
+	r.awaitAll()
+	return err
+}
+
+// run is the state of one call of Supervisor.Run.
+type run struct {
+	supervisor *Supervisor
+	exits      chan exit
+	children   []*child
+	active     int
+	failures   []time.Time
+}
+
+func (r *run) loop(ctx context.Context) error {
+	for {
+		if r.active == 0 && len(r.supervisor.children) > 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-r.supervisor.added.C():
+			r.children = append(r.children, c)
+			r.start(ctx, c)
+		case e := <-r.exits:
+			if err := r.handleExit(ctx, e); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (r *run) start(ctx context.Context, c *child) {
+	childCtx, cancel := context.WithCancel(ctx)
+	c.cancel = cancel
+	c.running = true
+	r.active++
+	go func() {
+		r.exits <- exit{child: c, err: runRecovered(childCtx, c.duty)}
+	}()
+}
+
+// runRecovered turns a panic of the duty into an error, so that a fault in one
+// duty restarts only the subtree that owns its state.
+func runRecovered(ctx context.Context, d Duty) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = Error.New("panic: %v stack=%q", p, debug.Stack())
+		}
+	}()
+	return d.Run(ctx)
+}
+
+func (r *run) handleExit(ctx context.Context, e exit) error {
+	r.markStopped(e.child)
+	if e.err != nil && ctx.Err() == nil {
+		r.supervisor.observer(r.supervisor.name, e.child.name, e.err)
+	}
+	switch {
+	case IsFatal(e.err):
+		return e.err
+	case r.supervisor.policy.Strategy == EndTogether:
+		return endOf(e)
+	case e.child.temporary:
+		r.forget(e.child)
+		return nil
+	case e.err == nil || ctx.Err() != nil:
+		return nil
+	}
+	if r.exceeded(time.Now()) {
+		return Error.New("step=restart child=%s: more than %d failures in %s: %w",
+			e.child.name, r.supervisor.policy.Intensity, r.supervisor.policy.Period, e.err)
+	}
+	return r.restart(ctx, e.child)
+}
+
+// errEnded is the error of an EndTogether supervisor whose child ended without
+// one, so that the loop of the supervisor stops.
+var errEnded = Error.New("child ended")
+
+func endOf(e exit) error {
+	if e.err != nil {
+		return e.err
+	}
+	return errEnded
+}
+
+func (r *run) markStopped(c *child) {
+	c.running = false
+	c.cancel()
+	r.active--
+}
+
+func (r *run) forget(c *child) {
+	for i, other := range r.children {
+		if other == c {
+			r.children = append(r.children[:i], r.children[i+1:]...)
+			return
+		}
+	}
+}
+
+func (r *run) exceeded(now time.Time) bool {
+	policy := r.supervisor.policy
+	if policy.Intensity == Unlimited {
+		return false
+	}
+	recent := r.failures[:0]
+	for _, t := range r.failures {
+		if now.Sub(t) < policy.Period {
+			recent = append(recent, t)
+		}
+	}
+	r.failures = append(recent, now)
+	return len(r.failures) > policy.Intensity
+}
+
+func (r *run) restart(ctx context.Context, failed *child) error {
+	if r.supervisor.policy.Strategy == OneForAll {
+		if err := r.stopOthers(); err != nil {
+			return err
+		}
+	}
+	if !Sleep(ctx, r.supervisor.policy.Delay) {
+		return nil
+	}
+	if r.supervisor.policy.Strategy == OneForOne {
+		r.start(ctx, failed)
+		return nil
+	}
+	for _, c := range r.children {
+		r.start(ctx, c)
+	}
+	return nil
+}
+
+// stopOthers ends all running children. It returns the error of a child that
+// fails fatally meanwhile.
+func (r *run) stopOthers() error {
+	for _, c := range r.children {
+		if c.running {
+			c.cancel()
+		}
+	}
+	var fatal error
+	for r.active > 0 {
+		e := <-r.exits
+		r.markStopped(e.child)
+		if IsFatal(e.err) {
+			fatal = e.err
+		}
+		if e.child.temporary {
+			r.forget(e.child)
+		}
+	}
+	return fatal
+}
+
+func (r *run) awaitAll() {
+	for r.active > 0 {
+		e := <-r.exits
+		r.markStopped(e.child)
+	}
+}
+
+// Sleep waits for d and reports whether it passed before ctx ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/supervise/supervisor_test.go
@@ -0,0 +1,116 @@
+package supervise
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var errTest = errors.New("test failure")
+
+func failing(runs *atomic.Int32, times int32) Duty {
+	return Func(func(ctx context.Context) error {
+		if runs.Add(1) <= times {
+			return errTest
+		}
+		<-ctx.Done()
+		return nil
+	})
+}
+
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatal("condition not met within 10 s")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a failed duty that is not restarted, or that takes healthy
+// siblings down under OneForOne.
+func TestOneForOneRestartsOnlyTheFailedChild(t *testing.T) {
+	var failed, healthy atomic.Int32
+	s := New("test", Policy{Delay: time.Millisecond}, nil)
+	s.Add("failing", failing(&failed, 2))
+	s.Add("healthy", failing(&healthy, 0))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	waitFor(t, func() bool { return failed.Load() == 3 })
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if healthy.Load() != 1 {
+		t.Fatalf("healthy child ran %d times, want 1", healthy.Load())
+	}
+}
+
+// Guards against children with shared state that keep running on stale state.
+func TestOneForAllRestartsEveryChild(t *testing.T) {
+	var failed, sibling atomic.Int32
+	s := New("test", Policy{Strategy: OneForAll, Delay: time.Millisecond}, nil)
+	s.Add("failing", failing(&failed, 1))
+	s.Add("sibling", failing(&sibling, 0))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	waitFor(t, func() bool { return failed.Load() == 2 && sibling.Load() == 2 })
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a process that restarts a broken duty for ever.
+func TestIntensityEscalates(t *testing.T) {
+	var runs atomic.Int32
+	s := New("test", Policy{Intensity: 3, Delay: time.Millisecond}, nil)
+	s.Add("failing", failing(&runs, 1000))
+	if err := s.Run(context.Background()); !errors.Is(err, errTest) {
+		t.Fatalf("got %v, want %v", err, errTest)
+	}
+	if runs.Load() != 4 {
+		t.Fatalf("child ran %d times, want 4", runs.Load())
+	}
+}
+
+// Guards against a fatal error, such as a failed fsync, being retried.
+func TestFatalErrorEndsTheTree(t *testing.T) {
+	var runs atomic.Int32
+	inner := New("inner", Policy{Intensity: Unlimited}, nil)
+	inner.Add("fatal", Func(func(context.Context) error {
+		runs.Add(1)
+		return Fatal(errTest)
+	}))
+	root := New("root", Policy{}, nil)
+	root.Add("inner", inner)
+	if err := root.Run(context.Background()); !IsFatal(err) || runs.Load() != 1 {
+		t.Fatalf("got %v after %d runs, want a fatal error after 1", err, runs.Load())
+	}
+}
+
+// Guards against a panic that ends the process instead of the duty.
+func TestPanicIsAFailure(t *testing.T) {
+	s := New("test", Policy{Intensity: 1, Delay: time.Millisecond}, nil)
+	s.Add("panics", Func(func(context.Context) error { panic("test") }))
+	if err := s.Run(context.Background()); err == nil {
+		t.Fatal("no error after repeated panics")
+	}
+}
+
+// Guards against half a link surviving the other half.
+func TestEndTogether(t *testing.T) {
+	var healthy atomic.Int32
+	s := New("test", Policy{Strategy: EndTogether}, nil)
+	s.Add("healthy", failing(&healthy, 0))
+	s.Add("ends", Func(func(context.Context) error { return nil }))
+	if err := s.Run(context.Background()); err == nil {
+		t.Fatal("supervisor did not end with an error")
+	}
+}
