wire, link, settings: add messages, links between processes and checked settings

Cause: processes need framed protobuf over yamux with a deadline on silence, and settings that fail before anything starts.

--- /dev/null
+++ b/link/conn.go
@@ -0,0 +1,272 @@
+package link
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("link")
+
+// Protocol is the version of the messages that this build speaks.
+const Protocol = 1
+
+// Defaults of Options.
+const (
+	DefaultHeartbeatInterval = 150 * time.Millisecond
+	DefaultSilenceTimeout    = 600 * time.Millisecond
+	DefaultHandshakeTimeout  = 2 * time.Second
+	DefaultRingCapacity      = 1024
+	maxBatch                 = 128
+)
+
+// Identity describes one end of a link.
+type Identity struct {
+	Role        wire.Role
+	ID          string
+	Zone        string
+	Incarnation uint64
+}
+
+// Options configure the local end of links.
+type Options struct {
+	Local             Identity
+	Accept            []wire.Role   // roles accepted at the other end
+	HeartbeatInterval time.Duration // default DefaultHeartbeatInterval
+	SilenceTimeout    time.Duration // default DefaultSilenceTimeout
+	HandshakeTimeout  time.Duration // default DefaultHandshakeTimeout
+	RingCapacity      int           // frames queued for each stream
+	ConfigRevision    func() uint64 // revision sent in heartbeats; may be nil
+	Observer          supervise.Observer
+}
+
+func (o Options) withDefaults() Options {
+	if o.HeartbeatInterval == 0 {
+		o.HeartbeatInterval = DefaultHeartbeatInterval
+	}
+	if o.SilenceTimeout == 0 {
+		o.SilenceTimeout = DefaultSilenceTimeout
+	}
+	if o.HandshakeTimeout == 0 {
+		o.HandshakeTimeout = DefaultHandshakeTimeout
+	}
+	if o.RingCapacity == 0 {
+		o.RingCapacity = DefaultRingCapacity
+	}
+	if o.ConfigRevision == nil {
+		o.ConfigRevision = func() uint64 { return 0 }
+	}
+	return o
+}
+
+func (o Options) accepts(role wire.Role) bool {
+	for _, r := range o.Accept {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+// Handler is told about the life of links. Its methods are called by the
+// duties of the link and must only hand the event to a ring.
+type Handler interface {
+	// Up reports an established link. An error closes it.
+	Up(ctx context.Context, c *Conn) error
+	// Frame reports a received frame. An error closes the link.
+	Frame(ctx context.Context, c *Conn, f *wire.Frame) error
+	// Down reports that the link has ended; nothing follows for c.
+	Down(c *Conn, err error)
+}
+
+// Conn is an established link.
+type Conn struct {
+	peer     Identity
+	addr     string
+	session  *yamux.Session
+	control  *stream
+	data     *stream
+	options  Options
+	revision atomic.Uint64
+}
+
+type stream struct {
+	raw *yamux.Stream
+	out *ring.Ring[*wire.Frame]
+	w   *wire.Writer
+	r   *wire.Reader
+}
+
+func newStream(raw *yamux.Stream, name string, capacity int) *stream {
+	return &stream{
+		raw: raw,
+		out: ring.New[*wire.Frame](name, capacity),
+		w:   wire.NewWriter(raw),
+		r:   wire.NewReader(raw),
+	}
+}
+
+// Peer returns the identity that the other end announced.
+func (c *Conn) Peer() Identity { return c.peer }
+
+// Addr returns the address of the other end.
+func (c *Conn) Addr() string { return c.addr }
+
+// PeerRevision returns the configuration revision in the last heartbeat.
+func (c *Conn) PeerRevision() uint64 { return c.revision.Load() }
+
+// Send queues a frame on the control stream. It fails at once when the ring is
+// full or the link has ended.
+func (c *Conn) Send(f *wire.Frame) error {
+	return c.wrap("send", c.control.out.Offer(f))
+}
+
+// SendData queues a frame on the data stream. It fails at once when the ring is
+// full or the link has ended.
+func (c *Conn) SendData(f *wire.Frame) error {
+	return c.wrap("send", c.data.out.Offer(f))
+}
+
+// Close ends the link.
+func (c *Conn) Close() { _ = c.session.Close() }
+
+func (c *Conn) wrap(step string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return Error.New("step=%s peer=%s addr=%s: %w", step, c.peer.ID, c.addr, err)
+}
+
+// run drives the duties of the link until one of them ends.
+func (c *Conn) run(ctx context.Context, h Handler) error {
+	if err := h.Up(ctx, c); err != nil {
+		c.close()
+		return c.wrap("up", err)
+	}
+	s := supervise.New("link."+c.peer.ID, supervise.Policy{Strategy: supervise.EndTogether}, nil)
+	s.Add("control.sender", c.closing(supervise.Func(c.sendControl)))
+	s.Add("control.receiver", c.closing(c.receiver(c.control, h)))
+	s.Add("data.sender", c.closing(supervise.Func(c.sendData)))
+	s.Add("data.receiver", c.closing(c.receiver(c.data, h)))
+	s.Add("closer", supervise.Func(c.closeOnCancel))
+	err := s.Run(ctx)
+	c.close()
+	h.Down(c, err)
+	return err
+}
+
+func (c *Conn) close() {
+	c.control.out.Close()
+	c.data.out.Close()
+	_ = c.session.Close()
+}
+
+// closing closes the session when d ends, which unblocks the other duties.
+func (c *Conn) closing(d supervise.Duty) supervise.Duty {
+	return supervise.Func(func(ctx context.Context) error {
+		defer c.session.Close()
+		return d.Run(ctx)
+	})
+}
+
+// closeOnCancel unblocks reads and writes when the link is cancelled.
+func (c *Conn) closeOnCancel(ctx context.Context) error {
+	<-ctx.Done()
+	return c.session.Close()
+}
+
+func (c *Conn) sendControl(ctx context.Context) error {
+	ticker := time.NewTicker(c.options.HeartbeatInterval)
+	defer ticker.Stop()
+	var sequence uint64
+	batch := make([]*wire.Frame, 0, maxBatch)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			sequence++
+			batch = append(batch[:0], c.heartbeat(sequence))
+		case f := <-c.control.out.C():
+			batch = append(batch[:0], f)
+		}
+		batch = c.control.out.Drain(batch, maxBatch)
+		if err := c.writeBatch(c.control, batch); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) heartbeat(sequence uint64) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{
+		Sequence:       sequence,
+		ConfigRevision: c.options.ConfigRevision(),
+	}}}
+}
+
+func (c *Conn) sendData(ctx context.Context) error {
+	batch := make([]*wire.Frame, 0, maxBatch)
+	for {
+		f, err := c.data.out.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		batch = c.data.out.Drain(append(batch[:0], f), maxBatch)
+		if err := c.writeBatch(c.data, batch); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) writeBatch(s *stream, batch []*wire.Frame) error {
+	for i, f := range batch {
+		if err := s.w.Write(f); err != nil {
+			return c.wrap("write", err)
+		}
+		batch[i] = nil
+	}
+	return c.wrap("flush", s.w.Flush())
+}
+
+// receiver returns the duty that reads one stream. Only the control stream has
+// heartbeats, so only it has a read deadline.
+func (c *Conn) receiver(s *stream, h Handler) supervise.Duty {
+	return supervise.Func(func(ctx context.Context) error {
+		for {
+			if s == c.control {
+				_ = s.raw.SetReadDeadline(time.Now().Add(c.options.SilenceTimeout))
+			}
+			f, err := s.r.Read()
+			if err != nil {
+				return c.wrap("read", err)
+			}
+			if hb := f.GetHeartbeat(); hb != nil {
+				c.revision.Store(hb.GetConfigRevision())
+				continue
+			}
+			if err := h.Frame(ctx, c, f); err != nil {
+				return c.wrap("handle", err)
+			}
+		}
+	})
+}
+
+func newConn(session *yamux.Session, raw net.Conn, o Options, peer Identity, control, data *yamux.Stream) *Conn {
+	return &Conn{
+		peer:    peer,
+		addr:    raw.RemoteAddr().String(),
+		session: session,
+		control: newStream(control, "link."+peer.ID+".control", o.RingCapacity),
+		data:    newStream(data, "link."+peer.ID+".data", o.RingCapacity),
+		options: o,
+	}
+}
--- /dev/null
+++ b/link/handshake.go
@@ -0,0 +1,168 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/ibispier/ibispier/wire"
+)
+
+// ErrRefused is the cause of a handshake that the other end refused, or whose
+// other end is not acceptable here.
+var ErrRefused = Error.New("refused")
+
+func sessionConfig(o Options) *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false // the heartbeats of the link replace it
+	cfg.LogOutput = io.Discard
+	cfg.ConnectionWriteTimeout = o.HandshakeTimeout
+	return cfg
+}
+
+// connect performs the dialing side of the handshake.
+func connect(raw net.Conn, o Options) (*Conn, error) {
+	session, err := yamux.Client(raw, sessionConfig(o))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	c, err := connectStreams(session, raw, o)
+	if err != nil {
+		_ = session.Close()
+		return nil, Error.New("step=handshake peer=%s: %w", raw.RemoteAddr(), err)
+	}
+	return c, nil
+}
+
+func connectStreams(session *yamux.Session, raw net.Conn, o Options) (*Conn, error) {
+	control, peer, err := openStream(session, o, wire.StreamKind_STREAM_CONTROL)
+	if err != nil {
+		return nil, err
+	}
+	data, _, err := openStream(session, o, wire.StreamKind_STREAM_DATA)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(session, raw, o, peer, control, data), nil
+}
+
+func openStream(session *yamux.Session, o Options, kind wire.StreamKind) (*yamux.Stream, Identity, error) {
+	s, err := session.OpenStream()
+	if err != nil {
+		return nil, Identity{}, err
+	}
+	_ = s.SetDeadline(time.Now().Add(o.HandshakeTimeout))
+	if err := writeFrame(s, hello(o.Local, kind)); err != nil {
+		return nil, Identity{}, err
+	}
+	peer, err := readHello(s, o, kind)
+	if err != nil {
+		return nil, Identity{}, err
+	}
+	return s, peer, s.SetDeadline(time.Time{})
+}
+
+// accept performs the listening side of the handshake.
+func accept(ctx context.Context, raw net.Conn, o Options) (*Conn, error) {
+	session, err := yamux.Server(raw, sessionConfig(o))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.HandshakeTimeout)
+	defer cancel()
+	c, err := acceptStreams(ctx, session, raw, o)
+	if err != nil {
+		_ = session.Close()
+		return nil, Error.New("step=handshake peer=%s: %w", raw.RemoteAddr(), err)
+	}
+	return c, nil
+}
+
+func acceptStreams(ctx context.Context, session *yamux.Session, raw net.Conn, o Options) (*Conn, error) {
+	control, peer, err := acceptStream(ctx, session, o, wire.StreamKind_STREAM_CONTROL)
+	if err != nil {
+		return nil, err
+	}
+	data, _, err := acceptStream(ctx, session, o, wire.StreamKind_STREAM_DATA)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(session, raw, o, peer, control, data), nil
+}
+
+func acceptStream(ctx context.Context, session *yamux.Session, o Options, kind wire.StreamKind) (*yamux.Stream, Identity, error) {
+	s, err := session.AcceptStreamWithContext(ctx)
+	if err != nil {
+		return nil, Identity{}, err
+	}
+	_ = s.SetDeadline(time.Now().Add(o.HandshakeTimeout))
+	peer, err := readHello(s, o, kind)
+	if err != nil {
+		refuse(s, err)
+		return nil, Identity{}, err
+	}
+	if err := writeFrame(s, hello(o.Local, kind)); err != nil {
+		return nil, Identity{}, err
+	}
+	return s, peer, s.SetDeadline(time.Time{})
+}
+
+// refuse tells the other end why it is not accepted. Closing only the stream
+// lets the frame leave before the session ends.
+func refuse(s *yamux.Stream, cause error) {
+	f := &wire.Frame{Body: &wire.Frame_Refusal{Refusal: &wire.Refusal{Reason: cause.Error()}}}
+	if writeFrame(s, f) == nil {
+		_ = s.Close()
+		_, _ = io.Copy(io.Discard, s)
+	}
+}
+
+func hello(local Identity, kind wire.StreamKind) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{
+		Protocol:    Protocol,
+		Role:        local.Role,
+		Id:          local.ID,
+		Zone:        local.Zone,
+		Incarnation: local.Incarnation,
+		Stream:      kind,
+	}}}
+}
+
+func readHello(s *yamux.Stream, o Options, kind wire.StreamKind) (Identity, error) {
+	f, err := readFrame(s)
+	if err != nil {
+		return Identity{}, err
+	}
+	if r := f.GetRefusal(); r != nil {
+		return Identity{}, Error.New("reason=%q: %w", r.GetReason(), ErrRefused)
+	}
+	h := f.GetHello()
+	switch {
+	case h == nil:
+		return Identity{}, Error.New("first frame is not hello: %w", ErrRefused)
+	case h.GetProtocol() != Protocol:
+		return Identity{}, Error.New("protocol %d, want %d: %w", h.GetProtocol(), Protocol, ErrRefused)
+	case h.GetStream() != kind:
+		return Identity{}, Error.New("stream %s, want %s: %w", h.GetStream(), kind, ErrRefused)
+	case !o.accepts(h.GetRole()):
+		return Identity{}, Error.New("role %s not accepted by %s: %w", h.GetRole(), o.Local.Role, ErrRefused)
+	}
+	return Identity{Role: h.GetRole(), ID: h.GetId(), Zone: h.GetZone(), Incarnation: h.GetIncarnation()}, nil
+}
+
+func writeFrame(s *yamux.Stream, f *wire.Frame) error {
+	w := wire.NewWriter(s)
+	if err := w.Write(f); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// readFrame reads one frame without reading ahead, because the stream is given
+// to another reader afterwards.
+func readFrame(s *yamux.Stream) (*wire.Frame, error) {
+	return wire.ReadUnbuffered(s)
+}
--- /dev/null
+++ b/settings/keys.go
@@ -0,0 +1,56 @@
+package settings
+
+// Keys returns the specification of every setting, bound to the fields of s.
+func Keys(s *Settings) []Key {
+	return []Key{
+		{"daemon", "id", "", "", "name of this process, unique in the deployment", text(&s.Daemon.ID)},
+		{"daemon", "roles", "list", "", "entry, control, agent", list(&s.Daemon.Roles, RoleEntry, RoleControl, RoleAgent)},
+		{"daemon", "zone", "", "", "availability zone of this process", text(&s.Daemon.Zone)},
+		{"daemon", "data", "", "data", "data folder", text(&s.Daemon.Data)},
+		{"daemon", "grace", "duration", "3s", "time a stopping process keeps serving while it is not ready", duration(&s.Daemon.Grace, 0, 60)},
+		{"daemon", "drain_timeout", "duration", "30s", "bound on finishing work in flight at a planned stop", duration(&s.Daemon.DrainTimeout, 0, 600)},
+
+		{"cluster", "entries", "list", "", "link addresses (ip:port) of the entry instances", addresses(&s.Cluster.Entries)},
+		{"cluster", "control", "list", "", "control members as id@ip:port", members(&s.Cluster.Control)},
+
+		{"entry", "listen", "ip:port", "127.0.0.1:8080", "address for callers", address(&s.Entry.Listen)},
+		{"entry", "agent_listen", "ip:port", "127.0.0.1:7070", "address for links from agents", address(&s.Entry.AgentListen)},
+		{"entry", "max_body", "bytes", "1048576", "largest request or answer body", integer(&s.Entry.MaxBody, 1, 4<<20)},
+		{"entry", "max_header", "bytes", "65536", "largest request header", integer(&s.Entry.MaxHeader, 1024, 1<<20)},
+		{"entry", "max_in_flight", "requests", "4096", "requests in flight in this process", integer(&s.Entry.MaxInFlight, 1, 1<<20)},
+
+		{"control", "listen", "ip:port", "127.0.0.1:7071", "address for links from control members and clients", address(&s.Control.Listen)},
+		{"control", "tick", "duration", "50ms", "unit of the election and heartbeat timers", duration(&s.Control.TickInterval, 0.001, 1)},
+		{"control", "election_ticks", "ticks", "10", "ticks without a leader before an election", integer(&s.Control.ElectionTicks, 4, 100)},
+		{"control", "snapshot_entries", "entries", "50000", "log entries between snapshots", integer(&s.Control.SnapshotEntries, 100, 10_000_000)},
+
+		{"agent", "target", "url", "", "base URL of the target", text(&s.Agent.Target)},
+		{"agent", "service", "", "", "service that the target serves", text(&s.Agent.Service)},
+		{"agent", "slots", "requests", "8", "requests at work in the target", integer(&s.Agent.Slots, 1, 1024)},
+		{"agent", "connections", "connections", "64", "connections open to the target", integer(&s.Agent.Connections, 1, 4096)},
+		{"agent", "queue", "requests", "64", "admitted requests that wait for a slot", integer(&s.Agent.Queue, 0, 4096)},
+		{"agent", "worker", "url", "", "base URL of the worker's task interface", text(&s.Agent.Worker)},
+		{"agent", "rack", "", "", "rack of the worker", text(&s.Agent.Rack)},
+		{"agent", "cpu_milli", "millicores", "0", "processors of the worker", integer(&s.Agent.CPUMilli, 0, 10_000_000)},
+		{"agent", "memory_mib", "MiB", "0", "memory of the worker", integer(&s.Agent.MemoryMiB, 0, 100_000_000)},
+		{"agent", "accelerators", "devices", "0", "accelerators of the worker", integer(&s.Agent.Accelerators, 0, 1024)},
+		{"agent", "probe_interval", "duration", "500ms", "time between health probes of the target", duration(&s.Agent.ProbeInterval, 0.01, 60)},
+
+		{"routing", "policy", "", "choice_of_two", "choice_of_two or round_robin", choice(&s.Routing.Policy, "choice_of_two", "round_robin")},
+		{"routing", "hedging", "bool", "true", "second attempt for late idempotent requests", boolean(&s.Routing.Hedging)},
+		{"routing", "retry_percent", "percent", "10", "retries as a share of requests", integer(&s.Routing.RetryPercent, 0, 100)},
+		{"routing", "hedge_percent", "percent", "5", "hedges as a share of requests", integer(&s.Routing.HedgePercent, 0, 100)},
+
+		{"permit", "scope", "", "starts", "what needs a zone permit: starts (of tasks) or all (requests too)", choice(&s.Permit.Scope, "starts", "all")},
+		{"permit", "ttl", "duration", "2s", "length of a zone permit", duration(&s.Permit.TTL, 0.1, 3)},
+
+		{"admin", "listen", "ip:port", "127.0.0.1:8081", "address for operators", address(&s.Admin.Listen)},
+
+		{"log", "level", "", "info", "debug, info, warn or error", choice(&s.Log.Level, "debug", "info", "warn", "error")},
+
+		{"trace", "exporter", "", "none", "none, file or otlp", choice(&s.Trace.Exporter, "none", "file", "otlp")},
+		{"trace", "file", "", "traces.jsonl", "file of the exporter file", text(&s.Trace.File)},
+		{"trace", "endpoint", "ip:port", "127.0.0.1:4318", "address of the exporter otlp", address(&s.Trace.Endpoint)},
+		{"trace", "ratio", "share", "1", "share of the traces that are recorded", fraction(&s.Trace.Ratio)},
+	}
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,244 @@
+package settings
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+	"gopkg.in/ini.v1"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("settings")
+
+// Key is the specification of one setting.
+type Key struct {
+	Section     string
+	Name        string
+	Unit        string
+	Default     string
+	Description string
+	value       value
+}
+
+// Range describes the accepted values.
+func (k Key) Range() string { return k.value.accepted }
+
+// value parses the text of a setting into its field.
+type value struct {
+	accepted string
+	parse    func(text string) error
+}
+
+// Load reads the settings file at path.
+func Load(path string) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{
+		Insensitive:         false,
+		IgnoreInlineComment: true,
+	}, path)
+	if err != nil {
+		return nil, Error.New("file=%s: %w", path, err)
+	}
+	return fromFile(path, file)
+}
+
+// Default returns the settings of an empty file.
+func Default() *Settings {
+	s, err := fromFile("", ini.Empty())
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+func fromFile(path string, file *ini.File) (*Settings, error) {
+	s := new(Settings)
+	keys := Keys(s)
+	if err := rejectUnknown(path, file, keys); err != nil {
+		return nil, err
+	}
+	for _, k := range keys {
+		text := k.Default
+		if section := file.Section(k.Section); section.HasKey(k.Name) {
+			text = section.Key(k.Name).String()
+		}
+		if err := k.value.parse(text); err != nil {
+			return nil, Error.New("file=%s section=%s key=%s: %w", path, k.Section, k.Name, err)
+		}
+	}
+	return s, nil
+}
+
+func rejectUnknown(path string, file *ini.File, keys []Key) error {
+	known := map[string]map[string]bool{ini.DefaultSection: {}}
+	for _, k := range keys {
+		if known[k.Section] == nil {
+			known[k.Section] = map[string]bool{}
+		}
+		known[k.Section][k.Name] = true
+	}
+	for _, section := range file.Sections() {
+		names, ok := known[section.Name()]
+		if !ok {
+			return Error.New("file=%s section=%s: unknown section", path, section.Name())
+		}
+		for _, key := range section.Keys() {
+			if !names[key.Name()] {
+				return Error.New("file=%s section=%s key=%s: unknown key", path, section.Name(), key.Name())
+			}
+		}
+	}
+	return nil
+}
+
+func text(field *string) value {
+	return value{"text", func(s string) error {
+		*field = s
+		return nil
+	}}
+}
+
+func choice(field *string, options ...string) value {
+	return value{strings.Join(options, ", "), func(s string) error {
+		if !contains(options, s) {
+			return errs.New("%q is none of %s", s, strings.Join(options, ", "))
+		}
+		*field = s
+		return nil
+	}}
+}
+
+func list(field *[]string, options ...string) value {
+	return value{"any of " + strings.Join(options, ", "), func(s string) error {
+		*field = split(s)
+		for _, item := range *field {
+			if !contains(options, item) {
+				return errs.New("%q is none of %s", item, strings.Join(options, ", "))
+			}
+		}
+		return nil
+	}}
+}
+
+func integer[T int | int64](field *T, low, high T) value {
+	accepted := strconv.FormatInt(int64(low), 10) + ".." + strconv.FormatInt(int64(high), 10)
+	return value{accepted, func(s string) error {
+		n, err := strconv.ParseInt(s, 10, 64)
+		if err != nil {
+			return errs.New("%q is not a whole number", s)
+		}
+		if n < int64(low) || n > int64(high) {
+			return errs.New("%d is outside %s", n, accepted)
+		}
+		*field = T(n)
+		return nil
+	}}
+}
+
+func fraction(field *float64) value {
+	return value{"0..1", func(s string) error {
+		f, err := strconv.ParseFloat(s, 64)
+		if err != nil || f < 0 || f > 1 {
+			return errs.New("%q is not a number in 0..1", s)
+		}
+		*field = f
+		return nil
+	}}
+}
+
+func boolean(field *bool) value {
+	return value{"true, false", func(s string) error {
+		b, err := strconv.ParseBool(s)
+		if err != nil {
+			return errs.New("%q is not true or false", s)
+		}
+		*field = b
+		return nil
+	}}
+}
+
+func duration(field *time.Duration, lowSeconds, highSeconds float64) value {
+	low := time.Duration(lowSeconds * float64(time.Second))
+	high := time.Duration(highSeconds * float64(time.Second))
+	accepted := low.String() + ".." + high.String()
+	return value{accepted, func(s string) error {
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			return errs.New("%q is not a duration with a unit, such as 500ms", s)
+		}
+		if d < low || d > high {
+			return errs.New("%s is outside %s", d, accepted)
+		}
+		*field = d
+		return nil
+	}}
+}
+
+func address(field *string) value {
+	return value{"ip:port", func(s string) error {
+		if err := checkAddress(s); err != nil {
+			return err
+		}
+		*field = s
+		return nil
+	}}
+}
+
+func addresses(field *[]string) value {
+	return value{"ip:port, ...", func(s string) error {
+		*field = split(s)
+		for _, item := range *field {
+			if err := checkAddress(item); err != nil {
+				return err
+			}
+		}
+		return nil
+	}}
+}
+
+func members(field *[]Member) value {
+	return value{"id@ip:port, ...", func(s string) error {
+		*field = nil
+		for _, item := range split(s) {
+			id, addr, found := strings.Cut(item, "@")
+			if !found || id == "" {
+				return errs.New("%q is not id@ip:port", item)
+			}
+			if err := checkAddress(addr); err != nil {
+				return err
+			}
+			*field = append(*field, Member{ID: id, Address: addr})
+		}
+		return nil
+	}}
+}
+
+// checkAddress accepts IP numbers only, because processes do not depend on a
+// name service.
+func checkAddress(s string) error {
+	if _, err := netip.ParseAddrPort(s); err != nil {
+		return errs.New("%q is not ip:port", s)
+	}
+	return nil
+}
+
+func split(s string) []string {
+	var items []string
+	for _, item := range strings.Split(s, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+func contains(options []string, s string) bool {
+	for _, o := range options {
+		if o == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,124 @@
+// Package settings reads and checks the INI settings of a process.
+package settings
+
+import (
+	"time"
+)
+
+// Roles of a process.
+const (
+	RoleEntry   = "entry"
+	RoleControl = "control"
+	RoleAgent   = "agent"
+)
+
+// Settings holds the effective settings of one process.
+type Settings struct {
+	Daemon  Daemon
+	Cluster Cluster
+	Entry   Entry
+	Control Control
+	Agent   Agent
+	Routing Routing
+	Permit  Permit
+	Admin   Admin
+	Log     Log
+	Trace   Trace
+}
+
+// Daemon describes the process itself.
+type Daemon struct {
+	ID           string
+	Roles        []string
+	Zone         string
+	Data         string
+	Grace        time.Duration
+	DrainTimeout time.Duration
+}
+
+// Cluster lists the addresses of the other processes.
+type Cluster struct {
+	Entries []string // link addresses of the entry instances
+	Control []Member
+}
+
+// Member is one control member.
+type Member struct {
+	ID      string
+	Address string
+}
+
+// Entry configures the role entry.
+type Entry struct {
+	Listen      string // address for callers
+	AgentListen string // address for links from agents
+	MaxBody     int64
+	MaxHeader   int
+	MaxInFlight int
+}
+
+// Control configures the role control.
+type Control struct {
+	Listen          string
+	TickInterval    time.Duration
+	ElectionTicks   int
+	SnapshotEntries int
+}
+
+// Agent configures the role agent.
+type Agent struct {
+	Target        string // base URL of the target
+	Service       string
+	Slots         int
+	Connections   int
+	Queue         int
+	Worker        string // base URL of the worker's task interface; empty without one
+	Rack          string
+	CPUMilli      int64
+	MemoryMiB     int64
+	Accelerators  int64
+	ProbeInterval time.Duration
+}
+
+// Routing selects the policy for requests. The baseline policies stay
+// available for comparison.
+type Routing struct {
+	Policy       string
+	Hedging      bool
+	RetryPercent int
+	HedgePercent int
+}
+
+// Permit says what needs a permit of the zone.
+type Permit struct {
+	Scope string
+	TTL   time.Duration
+}
+
+// Admin configures the operators' interface.
+type Admin struct {
+	Listen string
+}
+
+// Log configures logging.
+type Log struct {
+	Level string
+}
+
+// Trace configures the export of spans.
+type Trace struct {
+	Exporter string
+	File     string
+	Endpoint string
+	Ratio    float64
+}
+
+// HasRole reports whether the process has the role.
+func (s *Settings) HasRole(role string) bool {
+	for _, r := range s.Daemon.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/wire/convert/convert.go
@@ -0,0 +1,150 @@
+// Package convert translates between the messages of package wire and the
+// types of the packages that decide.
+package convert
+
+import (
+	"hash/crc32"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/request"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("convert")
+
+// ErrDamaged is returned for a body that does not have the declared length or
+// checksum.
+var ErrDamaged = Error.New("body does not match its length or checksum")
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// AttemptToFrame encodes an attempt that is sent at now.
+func AttemptToFrame(a *request.Attempt, now time.Time) *wire.Frame {
+	r := a.Request
+	return &wire.Frame{Body: &wire.Frame_Request{Request: &wire.Request{
+		RequestId:      r.ID,
+		Attempt:        a.Number,
+		Customer:       r.Customer,
+		Service:        r.Service,
+		Target:         a.Target,
+		Idempotent:     r.Idempotent,
+		Key:            r.Key,
+		ClaimEpoch:     a.ClaimEpoch,
+		DeadlineMicros: r.Deadline.Sub(now).Microseconds(),
+		Method:         r.Method,
+		Path:           r.Path,
+		Headers:        headersToWire(r.Header),
+		Body:           r.Body,
+		BodyCrc:        crc32.Checksum(r.Body, castagnoli),
+		TraceParent:    r.TraceParent,
+	}}}
+}
+
+// AttemptFromWire decodes an attempt that was received at now.
+func AttemptFromWire(m *wire.Request, now time.Time) (*request.Attempt, error) {
+	if crc32.Checksum(m.GetBody(), castagnoli) != m.GetBodyCrc() {
+		return nil, ErrDamaged
+	}
+	return &request.Attempt{
+		Number:     m.GetAttempt(),
+		Target:     m.GetTarget(),
+		ClaimEpoch: m.GetClaimEpoch(),
+		Request: &request.Request{
+			ID:          m.GetRequestId(),
+			Customer:    m.GetCustomer(),
+			Service:     m.GetService(),
+			Idempotent:  m.GetIdempotent(),
+			Key:         m.GetKey(),
+			Deadline:    now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
+			Method:      m.GetMethod(),
+			Path:        m.GetPath(),
+			Header:      headersFromWire(m.GetHeaders()),
+			Body:        m.GetBody(),
+			TraceParent: m.GetTraceParent(),
+		},
+	}, nil
+}
+
+// ResponseToFrame encodes the response to an attempt.
+func ResponseToFrame(a *request.Attempt, r *request.Response, load request.Load) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Response{Response: &wire.Response{
+		RequestId:  a.Request.ID,
+		Attempt:    a.Number,
+		Outcome:    outcomeToWire(r.Outcome),
+		Reason:     string(r.Reason),
+		Status:     int32(r.Status),
+		Headers:    headersToWire(r.Header),
+		Body:       r.Body,
+		BodyLength: int64(len(r.Body)),
+		BodyCrc:    crc32.Checksum(r.Body, castagnoli),
+		InFlight:   uint32(load.InFlight),
+		Queued:     uint32(load.Queued),
+	}}}
+}
+
+// ResponseFromWire decodes a response. A damaged body gives ErrDamaged.
+func ResponseFromWire(m *wire.Response) (*request.Response, request.Load, error) {
+	load := request.Load{InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued())}
+	whole := int64(len(m.GetBody())) == m.GetBodyLength() &&
+		crc32.Checksum(m.GetBody(), castagnoli) == m.GetBodyCrc()
+	if !whole {
+		return nil, load, ErrDamaged
+	}
+	return &request.Response{
+		Outcome: outcomeFromWire(m.GetOutcome()),
+		Reason:  request.Reason(m.GetReason()),
+		Status:  int(m.GetStatus()),
+		Header:  headersFromWire(m.GetHeaders()),
+		Body:    m.GetBody(),
+	}, load, nil
+}
+
+func outcomeToWire(o request.Outcome) wire.Outcome {
+	switch o {
+	case request.Done:
+		return wire.Outcome_OUTCOME_DONE
+	case request.NotRun:
+		return wire.Outcome_OUTCOME_NOT_RUN
+	default:
+		return wire.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+func outcomeFromWire(o wire.Outcome) request.Outcome {
+	switch o {
+	case wire.Outcome_OUTCOME_DONE:
+		return request.Done
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		return request.NotRun
+	default:
+		return request.Unknown
+	}
+}
+
+func headersToWire(fields []request.Field) []*wire.Header {
+	if len(fields) == 0 {
+		return nil
+	}
+	block := make([]wire.Header, len(fields))
+	headers := make([]*wire.Header, len(fields))
+	for i, f := range fields {
+		block[i].Name = f.Name
+		block[i].Value = f.Value
+		headers[i] = &block[i]
+	}
+	return headers
+}
+
+func headersFromWire(headers []*wire.Header) []request.Field {
+	if len(headers) == 0 {
+		return nil
+	}
+	fields := make([]request.Field, len(headers))
+	for i, h := range headers {
+		fields[i] = request.Field{Name: h.GetName(), Value: h.GetValue()}
+	}
+	return fields
+}
--- /dev/null
+++ b/wire/framing.go
@@ -0,0 +1,97 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("wire")
+
+// MaxFrameBytes bounds one frame, so that a broken length prefix cannot make
+// the reader allocate without limit.
+const MaxFrameBytes = 8 << 20
+
+// ErrFrameTooLarge is returned for frames above MaxFrameBytes.
+var ErrFrameTooLarge = Error.New("frame too large")
+
+const lengthBytes = 4
+
+// Writer writes length-delimited frames. It is not safe for concurrent use.
+type Writer struct {
+	w   *bufio.Writer
+	buf []byte
+}
+
+// NewWriter returns a Writer on w.
+func NewWriter(w io.Writer) *Writer {
+	return &Writer{w: bufio.NewWriterSize(w, 64<<10)}
+}
+
+// Write queues one frame. Flush sends what is queued.
+func (w *Writer) Write(f *Frame) error {
+	buf, err := proto.MarshalOptions{}.MarshalAppend(append(w.buf[:0], 0, 0, 0, 0), f)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	w.buf = buf
+	size := len(buf) - lengthBytes
+	if size > MaxFrameBytes {
+		return ErrFrameTooLarge
+	}
+	binary.BigEndian.PutUint32(buf, uint32(size))
+	_, err = w.w.Write(buf)
+	return Error.Wrap(err)
+}
+
+// Flush sends the queued frames.
+func (w *Writer) Flush() error { return Error.Wrap(w.w.Flush()) }
+
+// Reader reads length-delimited frames. It is not safe for concurrent use.
+type Reader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+// NewReader returns a Reader on r.
+func NewReader(r io.Reader) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, 64<<10)}
+}
+
+// Read returns the next frame. The frame does not share memory with the Reader.
+func (r *Reader) Read() (*Frame, error) {
+	return readFrom(r.r, &r.buf)
+}
+
+// ReadUnbuffered reads one frame from r without reading ahead.
+func ReadUnbuffered(r io.Reader) (*Frame, error) {
+	return readFrom(r, new([]byte))
+}
+
+// readFrom reads one frame into *scratch, which it grows as needed.
+func readFrom(r io.Reader, scratch *[]byte) (*Frame, error) {
+	var prefix [lengthBytes]byte
+	if _, err := io.ReadFull(r, prefix[:]); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	size := binary.BigEndian.Uint32(prefix[:])
+	if size > MaxFrameBytes {
+		return nil, ErrFrameTooLarge
+	}
+	if cap(*scratch) < int(size) {
+		*scratch = make([]byte, size)
+	}
+	buf := (*scratch)[:size]
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	frame := new(Frame)
+	if err := proto.Unmarshal(buf, frame); err != nil {
+		return nil, Error.New("malformed frame of %d bytes: %w", size, err)
+	}
+	return frame, nil
+}
