--- /dev/null
+++ b/daemon/agent/admission/links.go
@@ -0,0 +1,36 @@
+package admission
+
+import (
+	"context"
+
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// Up implements link.Handler.
+func (d *Duty) Up(ctx context.Context, c *link.Conn) error {
+	return d.put(ctx, event{conn: c, up: true})
+}
+
+// Frame implements link.Handler.
+func (d *Duty) Frame(ctx context.Context, c *link.Conn, f *wire.Frame) error {
+	switch body := f.GetBody().(type) {
+	case *wire.Frame_Request:
+		return d.put(ctx, event{conn: c, request: body.Request})
+	case *wire.Frame_CancelRequest:
+		return d.put(ctx, event{conn: c, cancel: body.CancelRequest})
+	default:
+		return link.Error.New("step=admit peer=%s: unexpected frame %T", c.Peer().ID, body)
+	}
+}
+
+// Down implements link.Handler.
+func (d *Duty) Down(c *link.Conn, _ error) {
+	_ = d.put(context.Background(), event{conn: c, down: true})
+}
+
+func (d *Duty) put(ctx context.Context, e event) error {
+	ctx, cancel := context.WithTimeout(ctx, eventPatience)
+	defer cancel()
+	return d.events.Put(ctx, e)
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,98 @@
+// Package daemon is the root supervisor of a process. It builds the tree of
+// duties that the roles of the process need.
+package daemon
+
+import (
+	"context"
+	"os"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/daemon/admin"
+	"github.com/ibispier/ibispier/daemon/agent"
+	"github.com/ibispier/ibispier/daemon/entry"
+	"github.com/ibispier/ibispier/settings"
+	"github.com/ibispier/ibispier/supervise"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("daemon")
+
+// rootPolicy ends the process when roles keep failing.
+var rootPolicy = supervise.Policy{Intensity: 3}
+
+// drainer is a role that finishes its work in flight at a planned stop.
+type drainer interface {
+	Drain(ctx context.Context) error
+}
+
+// Daemon is one process.
+type Daemon struct {
+	settings  *settings.Settings
+	log       *zap.Logger
+	root      *supervise.Supervisor
+	readiness *admin.Readiness
+	drainers  []drainer
+	signals   <-chan os.Signal
+}
+
+// New builds the tree of the process. The first signal starts a graceful
+// shutdown, the second ends it.
+func New(s *settings.Settings, log *zap.Logger, signals <-chan os.Signal) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, readiness: new(admin.Readiness), signals: signals}
+	d.root = supervise.New("root", rootPolicy, d.observe)
+	if err := d.build(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) build() error {
+	operators, err := admin.New(d.settings.Admin.Listen, d.readiness)
+	if err != nil {
+		return err
+	}
+	if d.settings.HasRole(settings.RoleEntry) {
+		role, err := entry.New(d.settings, d.log, d.observe)
+		if err != nil {
+			return err
+		}
+		d.addRole("entry", role, role)
+	}
+	if d.settings.HasRole(settings.RoleAgent) {
+		role := agent.New(d.settings, d.log, d.observe)
+		d.addRole("agent", role, role)
+	}
+	d.root.Add("admin", operators)
+	return nil
+}
+
+func (d *Daemon) addRole(name string, duty supervise.Duty, drain drainer) {
+	d.root.Add(name, duty)
+	d.drainers = append(d.drainers, drain)
+}
+
+// Add adds a duty beside the roles. It must be called before Run.
+func (d *Daemon) Add(name string, duty supervise.Duty) { d.root.Add(name, duty) }
+
+// Run runs the process until a signal has stopped it or it has failed.
+func (d *Daemon) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.root.Add("stop", &stopper{daemon: d, cancel: cancel})
+	d.readiness.Set(true)
+	d.log.Info("started", zap.Strings("roles", d.settings.Daemon.Roles), zap.String("zone", d.settings.Daemon.Zone))
+	err := d.root.Run(ctx)
+	if err != nil {
+		d.log.Error("process failed", zap.Error(err))
+		return Error.Wrap(err)
+	}
+	d.log.Info("stopped")
+	return nil
+}
+
+// observe logs the failure of a child.
+func (d *Daemon) observe(supervisor, child string, err error) {
+	d.log.Warn("child failed", zap.String("supervisor", supervisor), zap.String("child", child), zap.Error(err))
+}
--- /dev/null
+++ b/daemon/entry/frontend/codec.go
@@ -0,0 +1,174 @@
+package frontend
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ibispier/ibispier/request"
+)
+
+// Header fields of the callers' interface.
+const (
+	HeaderCustomer   = "Ibispier-Customer"
+	HeaderDeadline   = "Ibispier-Deadline-Ms"
+	HeaderIdempotent = "Ibispier-Idempotent"
+	HeaderKey        = "Idempotency-Key"
+	HeaderOutcome    = "Ibispier-Outcome"
+	HeaderReason     = "Ibispier-Reason"
+	HeaderRequestID  = "Ibispier-Request-Id"
+)
+
+const (
+	defaultDeadline = time.Second
+	maxDeadline     = 5 * time.Minute
+	maxKeyBytes     = 128
+)
+
+// parse reads a caller's request. A second result is the refusal of a request
+// that cannot be accepted.
+func (d *Duty) parse(w http.ResponseWriter, r *http.Request, now time.Time) (*request.Request, *request.Response) {
+	req := &request.Request{
+		ID:          requestID(r),
+		Customer:    r.Header.Get(HeaderCustomer),
+		Service:     r.PathValue("service"),
+		Key:         r.Header.Get(HeaderKey),
+		Method:      r.Method,
+		Path:        targetPath(r),
+		Header:      forwardedHeader(r.Header),
+		TraceParent: r.Header.Get("Traceparent"),
+	}
+	deadline, ok := parseDeadline(r.Header.Get(HeaderDeadline))
+	idempotent, known := parseIdempotent(r.Header.Get(HeaderIdempotent), r.Method)
+	if !ok || !known || req.Customer == "" {
+		return nil, request.Refused(request.ReasonBadRequest)
+	}
+	req.Deadline, req.Idempotent = now.Add(deadline), idempotent
+	if !idempotent && (req.Key == "" || len(req.Key) > maxKeyBytes) {
+		return nil, request.Refused(request.ReasonBadRequest)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.settings.MaxBody))
+	if err != nil {
+		return nil, refusedBody(err)
+	}
+	req.Body = body
+	return req, nil
+}
+
+func refusedBody(err error) *request.Response {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return request.Refused(request.ReasonTooLarge)
+	}
+	return request.Refused(request.ReasonBadRequest)
+}
+
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(HeaderRequestID); id != "" && len(id) <= maxKeyBytes {
+		return id
+	}
+	return strconv.FormatUint(rand.Uint64(), 36)
+}
+
+func targetPath(r *http.Request) string {
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+func parseDeadline(text string) (time.Duration, bool) {
+	if text == "" {
+		return defaultDeadline, true
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	deadline := time.Duration(millis) * time.Millisecond
+	return deadline, err == nil && millis > 0 && deadline <= maxDeadline
+}
+
+func parseIdempotent(text, method string) (idempotent, ok bool) {
+	switch text {
+	case "true":
+		return true, true
+	case "false":
+		return false, true
+	case "":
+		safe := method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+		return safe, true
+	default:
+		return false, false
+	}
+}
+
+// forwardedHeader returns the end-to-end fields of a caller's header.
+func forwardedHeader(h http.Header) []request.Field {
+	fields := make([]request.Field, 0, len(h))
+	for name, values := range h {
+		if isHopByHop(name) || strings.HasPrefix(name, "Ibispier-") {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, request.Field{Name: name, Value: v})
+		}
+	}
+	return fields
+}
+
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length":
+		return true
+	}
+	return false
+}
+
+func writeResponse(w http.ResponseWriter, id string, resp *request.Response) {
+	h := w.Header()
+	for _, f := range resp.Header {
+		if !isHopByHop(f.Name) {
+			h.Add(f.Name, f.Value)
+		}
+	}
+	h.Set(HeaderRequestID, id)
+	h.Set(HeaderOutcome, resp.Outcome.String())
+	if resp.Reason != request.ReasonNone {
+		h.Set(HeaderReason, string(resp.Reason))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	w.WriteHeader(statusOf(resp))
+	_, _ = w.Write(resp.Body)
+}
+
+// statusOf maps an outcome to the HTTP status that docs/api.md documents.
+func statusOf(resp *request.Response) int {
+	switch {
+	case resp.Outcome == request.Done:
+		return resp.Status
+	case resp.Outcome == request.Unknown:
+		return http.StatusBadGateway
+	}
+	switch resp.Reason {
+	case request.ReasonBadRequest:
+		return http.StatusBadRequest
+	case request.ReasonUnknownCustomer, request.ReasonNotPermitted:
+		return http.StatusForbidden
+	case request.ReasonUnknownService:
+		return http.StatusNotFound
+	case request.ReasonKeyConflict, request.ReasonDuplicateExpired:
+		return http.StatusConflict
+	case request.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case request.ReasonOverLimit:
+		return http.StatusTooManyRequests
+	case request.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/daemon/entry/router/links.go
@@ -0,0 +1,44 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// eventPatience bounds how long a link waits for the router. A router that is
+// slower than this has failed, and the link is closed.
+const eventPatience = time.Second
+
+// Up implements link.Handler.
+func (d *Duty) Up(ctx context.Context, c *link.Conn) error {
+	return d.put(ctx, event{conn: c, up: true})
+}
+
+// Frame implements link.Handler.
+func (d *Duty) Frame(ctx context.Context, c *link.Conn, f *wire.Frame) error {
+	switch body := f.GetBody().(type) {
+	case *wire.Frame_Response:
+		return d.put(ctx, event{conn: c, response: body.Response})
+	case *wire.Frame_Announce:
+		return d.put(ctx, event{conn: c, announce: body.Announce})
+	default:
+		return link.Error.New("step=route peer=%s: unexpected frame %T", c.Peer().ID, body)
+	}
+}
+
+// Down implements link.Handler.
+func (d *Duty) Down(c *link.Conn, _ error) {
+	_ = d.put(context.Background(), event{conn: c, down: true})
+}
+
+func (d *Duty) put(ctx context.Context, e event) error {
+	if err := d.events.Offer(e); err == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, eventPatience)
+	defer cancel()
+	return d.events.Put(ctx, e)
+}
--- /dev/null
+++ b/daemon/stop.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/supervise"
+)
+
+// stopper is the duty that carries out a planned stop: not ready, serve while
+// the balancer notices, drain the roles, end the tree.
+type stopper struct {
+	daemon *Daemon
+	cancel context.CancelFunc
+}
+
+// Run waits for a signal and stops the process.
+func (s *stopper) Run(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case sig := <-s.daemon.signals:
+		s.daemon.log.Info("stopping", zap.Stringer("signal", sig))
+	}
+	s.daemon.readiness.Set(false)
+	drainCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	second := supervise.New("drain", supervise.Policy{Strategy: supervise.EndTogether}, nil)
+	second.Add("signal", supervise.Func(s.awaitSignal))
+	second.Add("roles", supervise.Func(s.drainRoles))
+	_ = second.Run(drainCtx)
+	s.cancel()
+	return nil
+}
+
+// awaitSignal ends the drain at a second signal.
+func (s *stopper) awaitSignal(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case sig := <-s.daemon.signals:
+		s.daemon.log.Warn("drain interrupted", zap.Stringer("signal", sig))
+	}
+	return nil
+}
+
+func (s *stopper) drainRoles(ctx context.Context) error {
+	supervise.Sleep(ctx, s.daemon.settings.Daemon.Grace)
+	ctx, cancel := context.WithTimeout(ctx, s.daemon.settings.Daemon.DrainTimeout)
+	defer cancel()
+	for _, role := range s.daemon.drainers {
+		if err := role.Drain(ctx); err != nil {
+			s.daemon.log.Warn("drain incomplete", zap.Error(err))
+		}
+	}
+	supervise.Sleep(ctx, flushDelay)
+	return nil
+}
+
+// flushDelay lets the last answers leave through their links before the tree
+// ends.
+const flushDelay = 50 * time.Millisecond
+
+// Signals returns the channel type that New takes, with room for both signals.
+func Signals() chan os.Signal { return make(chan os.Signal, 2) }
