--- /dev/null
+++ b/consensus/change.go
@@ -0,0 +1,121 @@
+package consensus
+
+import "slices"
+
+// ChangeMembership proposes one change. Another one is refused until it is
+// committed, and until an entry of the leader's own term is committed: without
+// that the memberships of two leaders could have quorums that do not overlap.
+func (n *Node) ChangeMembership(c Change) (uint64, error) {
+	switch {
+	case n.role != Leader:
+		return 0, ErrNotLeader
+	case !n.leading.transfer.IsZero():
+		return 0, ErrTransferring
+	case n.commit < n.leading.firstOwn, n.commit < n.log.lastConfigIndex():
+		return 0, ErrChangePending
+	case c.Kind == Remove && c.Replica == n.self():
+		return 0, Error.New("step=remove peer=%s: the leader must hand over first", c.Replica)
+	}
+	next, err := n.log.membership().apply(c)
+	if err != nil {
+		return 0, err
+	}
+	n.appendAsLeader(EntryMembership, next.encode())
+	n.leading.follow(next, n.log.lastIndex())
+	n.broadcastAppend()
+	n.advanceLeaderCommit()
+	return n.log.lastIndex(), nil
+}
+
+// IsCaughtUp reports whether a replica has synced everything that was committed
+// one tick ago.
+func (n *Node) IsCaughtUp(id ReplicaID) bool {
+	if n.role != Leader || n.leading.progress[id] == nil {
+		return false
+	}
+	p := n.leading.progress[id]
+	return p.active && p.state == replicating && p.match >= n.leading.stableLag && n.leading.stableLag > 0
+}
+
+// Transfer hands leadership to a voter as soon as its log is complete. New
+// commands are refused meanwhile, for one election timeout at most.
+func (n *Node) Transfer(to ReplicaID) error {
+	switch {
+	case n.role != Leader:
+		return ErrNotLeader
+	case to == n.self():
+		return nil
+	case !n.log.membership().IsVoter(to):
+		return ErrNoSuchMember
+	}
+	n.leading.transfer = to
+	n.leading.patience = n.config.ElectionTicks
+	n.tryTransfer()
+	return nil
+}
+
+// IsTransferring reports whether a transfer is under way.
+func (n *Node) IsTransferring() bool { return n.leading != nil && !n.leading.transfer.IsZero() }
+
+func (n *Node) tryTransfer() {
+	if n.leading == nil || n.leading.transfer.IsZero() {
+		return
+	}
+	to := n.leading.transfer
+	p := n.leading.progress[to]
+	if p != nil && p.match == n.log.lastIndex() {
+		n.send(Message{Type: MsgTimeoutNow, To: to})
+	}
+}
+
+func (n *Node) tickTransfer() {
+	l := n.leading
+	if l.transfer.IsZero() {
+		return
+	}
+	l.patience--
+	if l.patience <= 0 || !n.log.membership().IsVoter(l.transfer) {
+		l.transfer = ReplicaID{}
+	}
+}
+
+// Successor returns the voter with the longest synced log among those that
+// answer.
+func (n *Node) Successor() (ReplicaID, bool) {
+	if n.role != Leader {
+		return ReplicaID{}, false
+	}
+	var best ReplicaID
+	var match uint64
+	for _, id := range n.log.membership().Voters() {
+		p := n.leading.progress[id]
+		if id != n.self() && p.active && p.match >= match {
+			best, match = id, p.match
+		}
+	}
+	return best, !best.IsZero()
+}
+
+// Progress is what the leader knows about a member.
+type Progress struct {
+	Member
+	Match  uint64
+	Active bool
+}
+
+// Members returns the members with the progress that this replica knows.
+func (n *Node) Members() []Progress {
+	members := slices.Clone(n.log.membership().Members)
+	list := make([]Progress, 0, len(members))
+	for _, m := range members {
+		p := Progress{Member: m}
+		switch {
+		case m.ID == n.self():
+			p.Match, p.Active = n.persist.stable, true
+		case n.leading != nil:
+			p.Match, p.Active = n.leading.progress[m.ID].match, n.leading.progress[m.ID].active
+		}
+		list = append(list, p)
+	}
+	return list
+}
--- /dev/null
+++ b/consensus/election.go
@@ -0,0 +1,128 @@
+package consensus
+
+// startPreVote asks the voters whether they would vote for this replica. It
+// does not raise the term, so a replica that cannot win disturbs no leader.
+func (n *Node) startPreVote() {
+	n.becomeFollower(n.hard.Term, ReplicaID{})
+	n.role = PreCandidate
+	n.votes = map[ReplicaID]bool{n.self(): true}
+	n.retryElectionSoon()
+	if n.hasWon() {
+		n.startElection(0)
+		return
+	}
+	n.requestVotes(MsgPreVote, n.hard.Term+1, 0)
+}
+
+// retryElectionSoon sets a timeout below the usual one: a pre-vote refused
+// because a voter heard the dead leader slightly later costs only this much.
+func (n *Node) retryElectionSoon() {
+	n.electionElapsed = 0
+	n.electionTimeout = 2 + n.random.IntN(n.config.ElectionTicks/2+1)
+}
+
+func (n *Node) startElection(context uint64) {
+	n.becomeFollower(n.hard.Term+1, ReplicaID{})
+	n.hard.Vote = n.self()
+	n.role = Candidate
+	n.votes = map[ReplicaID]bool{n.self(): true}
+	n.resetElectionTimer()
+	if n.hasWon() {
+		n.becomeLeader()
+		return
+	}
+	n.requestVotes(MsgVote, n.hard.Term, context)
+}
+
+func (n *Node) requestVotes(kind MessageType, term, context uint64) {
+	for _, voter := range n.log.membership().Voters() {
+		if voter == n.self() {
+			continue
+		}
+		n.send(Message{
+			Type:     kind,
+			To:       voter,
+			Term:     term,
+			LogIndex: n.log.lastIndex(),
+			LogTerm:  n.log.lastTerm(),
+			Context:  context,
+		})
+	}
+}
+
+// hasWon counts the votes of the voters of the membership in effect.
+func (n *Node) hasWon() bool {
+	membership := n.log.membership()
+	granted := 0
+	for _, voter := range membership.Voters() {
+		if n.votes[voter] {
+			granted++
+		}
+	}
+	return granted >= membership.Quorum()
+}
+
+// isUpToDate reports whether the log of the candidate contains all entries that
+// may be committed as far as this replica knows.
+func (n *Node) isUpToDate(m Message) bool {
+	if m.LogTerm != n.log.lastTerm() {
+		return m.LogTerm > n.log.lastTerm()
+	}
+	return m.LogIndex >= n.log.lastIndex()
+}
+
+func (n *Node) handlePreVote(m Message) {
+	grant := m.Term > n.hard.Term && !n.hasLiveLeader() && n.isUpToDate(m)
+	reply := Message{Type: MsgPreVoteReply, To: m.From, Reject: !grant}
+	if grant {
+		reply.Term = m.Term
+	}
+	n.send(reply)
+}
+
+func (n *Node) handlePreVoteReply(m Message) {
+	if n.role != PreCandidate || m.Reject || m.Term != n.hard.Term+1 {
+		return
+	}
+	n.votes[m.From] = true
+	if n.hasWon() {
+		n.startElection(0)
+	}
+}
+
+func (n *Node) handleVote(m Message) {
+	free := n.hard.Vote.IsZero() || n.hard.Vote == m.From
+	grant := free && n.leader.IsZero() && n.isUpToDate(m)
+	if grant {
+		n.hard.Vote = m.From
+		n.resetElectionTimer()
+	}
+	n.send(Message{Type: MsgVoteReply, To: m.From, Reject: !grant})
+}
+
+func (n *Node) handleVoteReply(m Message) {
+	if n.role != Candidate || m.Reject {
+		return
+	}
+	n.votes[m.From] = true
+	if n.hasWon() {
+		n.becomeLeader()
+	}
+}
+
+// handleTimeoutNow starts an election at once, because the leader has chosen
+// this replica as its successor.
+func (n *Node) handleTimeoutNow(m Message) {
+	if n.role == Leader || m.From != n.leader || !n.log.membership().IsVoter(n.self()) {
+		return
+	}
+	n.startElection(contextTransfer)
+}
+
+func (n *Node) becomeLeader() {
+	n.role = Leader
+	n.leader = n.self()
+	n.leading = newLeadership(n)
+	n.appendAsLeader(EntryEmpty, nil)
+	n.broadcastAppend()
+}
--- /dev/null
+++ b/consensus/log.go
@@ -0,0 +1,150 @@
+package consensus
+
+import (
+	"slices"
+)
+
+// entryLog is the part of the log that is in memory.
+//
+// Invariants: entries are consecutive and follow base; a slice that was handed
+// out is never written again, because other duties may still read it.
+type entryLog struct {
+	base     uint64 // index before the first entry
+	baseTerm uint64
+	entries  []Entry
+	configs  []config // memberships in effect, in order of index
+}
+
+// config is the membership from the entry with index on.
+type config struct {
+	index      uint64
+	membership Membership
+}
+
+func newEntryLog(s State) (*entryLog, error) {
+	l := &entryLog{base: s.Snapshot.Index, baseTerm: s.Snapshot.Term}
+	l.configs = []config{{index: s.Snapshot.Index, membership: s.Snapshot.Membership}}
+	if len(s.Entries) == 0 {
+		return l, nil
+	}
+	first := s.Entries[0].Index
+	if first > s.Snapshot.Index+1 {
+		return nil, Error.New("step=recover: log starts at %d, snapshot ends at %d", first, s.Snapshot.Index)
+	}
+	skip := int(s.Snapshot.Index + 1 - first)
+	if skip >= len(s.Entries) {
+		return l, nil
+	}
+	return l, l.append(s.Entries[skip:])
+}
+
+func (l *entryLog) lastIndex() uint64 { return l.base + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+// term returns the term of the entry at index, if it is known.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.lastIndex():
+		return 0, false
+	}
+	return l.entries[index-l.base-1].Term, true
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, known := l.term(index)
+	return known && t == term
+}
+
+// slice returns the entries from low to high inclusive.
+func (l *entryLog) slice(low, high uint64) []Entry {
+	if low > high {
+		return nil
+	}
+	return slices.Clip(l.entries[low-l.base-1 : high-l.base])
+}
+
+// batch returns entries from low on within the limits, at least one if any.
+func (l *entryLog) batch(low uint64, maxEntries, maxBytes int) []Entry {
+	if low > l.lastIndex() {
+		return nil
+	}
+	rest := l.entries[low-l.base-1:]
+	size, n := 0, 0
+	for n < len(rest) && n < maxEntries {
+		size += len(rest[n].Data)
+		if n > 0 && size > maxBytes {
+			break
+		}
+		n++
+	}
+	return slices.Clip(rest[:n])
+}
+
+// append adds consecutive entries at the end.
+func (l *entryLog) append(entries []Entry) error {
+	for _, e := range entries {
+		if e.Index != l.lastIndex()+1 {
+			return Error.New("step=append: entry %d after %d", e.Index, l.lastIndex())
+		}
+		if e.Kind == EntryMembership {
+			m, err := DecodeMembership(e.Data)
+			if err != nil {
+				return err
+			}
+			l.configs = append(l.configs, config{index: e.Index, membership: m})
+		}
+		l.entries = append(l.entries, e)
+	}
+	return nil
+}
+
+// truncate drops the entries from index on.
+func (l *entryLog) truncate(index uint64) {
+	l.entries = slices.Clip(l.entries[:index-l.base-1])
+	l.configs = slices.DeleteFunc(slices.Clone(l.configs), func(c config) bool { return c.index >= index })
+}
+
+// compact drops the entries up to index from memory.
+func (l *entryLog) compact(index uint64) {
+	if index <= l.base {
+		return
+	}
+	term, known := l.term(index)
+	if !known {
+		return
+	}
+	l.configs = append([]config{l.configAt(index)}, slices.DeleteFunc(slices.Clone(l.configs), func(c config) bool {
+		return c.index <= index
+	})...)
+	l.entries = slices.Clone(l.entries[index-l.base:])
+	l.base, l.baseTerm = index, term
+}
+
+// reset replaces the log by a snapshot.
+func (l *entryLog) reset(s *Snapshot) {
+	l.base, l.baseTerm = s.Index, s.Term
+	l.entries = nil
+	l.configs = []config{{index: s.Index, membership: s.Membership}}
+}
+
+func (l *entryLog) membership() Membership { return l.configs[len(l.configs)-1].membership }
+
+// lastConfigIndex returns the index of the last membership entry.
+func (l *entryLog) lastConfigIndex() uint64 { return l.configs[len(l.configs)-1].index }
+
+// configAt returns the configuration in effect at index.
+func (l *entryLog) configAt(index uint64) config {
+	at := l.configs[0]
+	for _, c := range l.configs {
+		if c.index <= index {
+			at = c
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/consensus/node.go
@@ -0,0 +1,259 @@
+package consensus
+
+import (
+	"math/rand/v2"
+)
+
+// Defaults of Config.
+const (
+	DefaultElectionTicks = 10
+	DefaultMaxInFlight   = 64
+	DefaultMaxEntries    = 1024
+	DefaultMaxBytes      = 512 << 10
+	DefaultTrailing      = 4096
+)
+
+// Config configures a Node.
+type Config struct {
+	Self          ReplicaID
+	ElectionTicks int    // ticks without a leader before an election
+	MaxInFlight   int    // appends sent to a replica and not acknowledged
+	MaxEntries    int    // entries in one append
+	MaxBytes      int    // bytes of entries in one append
+	Trailing      uint64 // entries kept in memory before a snapshot, for slow followers
+	Seed          uint64 // of the randomized election timeout
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.ElectionTicks, DefaultElectionTicks)
+	setDefault(&c.MaxInFlight, DefaultMaxInFlight)
+	setDefault(&c.MaxEntries, DefaultMaxEntries)
+	setDefault(&c.MaxBytes, DefaultMaxBytes)
+	if c.Trailing == 0 {
+		c.Trailing = DefaultTrailing
+	}
+	return c
+}
+
+func setDefault(field *int, value int) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Node is the state of one replica. Its methods are the inputs of the step
+// function; Take returns what they ask of the driver. It is not safe for
+// concurrent use.
+type Node struct {
+	config Config
+	random *rand.Rand
+
+	hard     HardState
+	log      *entryLog
+	snapshot Snapshot // newest snapshot, sent to replicas that are too far behind
+	role     Role
+	leader   ReplicaID
+	commit   uint64
+
+	electionElapsed int
+	electionTimeout int
+	votes           map[ReplicaID]bool // replies of this election
+
+	matched uint64 // follower: the log matches the leader's up to here
+	acked   uint64 // follower: last index acknowledged to the leader
+
+	leading *leadership // nil unless leader
+
+	persist persistence
+	pending Output // messages, reads and installs not yet taken
+	emitted uint64 // last committed entry handed out
+}
+
+// New returns a node with the recovered state.
+func New(c Config, s State) (*Node, error) {
+	log, err := newEntryLog(s)
+	if err != nil {
+		return nil, err
+	}
+	c = c.withDefaults()
+	n := &Node{
+		config:   c,
+		random:   rand.New(rand.NewPCG(c.Seed, c.Self.Incarnation)),
+		hard:     s.Hard,
+		log:      log,
+		snapshot: s.Snapshot,
+		commit:   s.Snapshot.Index,
+		emitted:  s.Snapshot.Index,
+	}
+	n.persist.recovered(n.hard, log.lastIndex())
+	n.resetElectionTimer()
+	return n, nil
+}
+
+// Membership returns the membership in effect. It is empty on a replica that
+// has no state yet.
+func (n *Node) Membership() Membership { return n.log.membership() }
+
+// Role returns the role in the current term.
+func (n *Node) Role() Role { return n.role }
+
+// Leader returns the leader of the term, or a zero id when it is unknown.
+func (n *Node) Leader() ReplicaID { return n.leader }
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.hard.Term }
+
+// Commit returns the index of the last entry known to be committed.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// Applied returns the index of the last entry handed out by Take.
+func (n *Node) Applied() uint64 { return n.emitted }
+
+// LastIndex returns the index of the last entry.
+func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
+
+// FirstIndex returns the index of the first entry in memory.
+func (n *Node) FirstIndex() uint64 { return n.log.base + 1 }
+
+// SnapshotIndex returns the last index that the newest snapshot covers.
+func (n *Node) SnapshotIndex() uint64 { return n.snapshot.Index }
+
+func (n *Node) self() ReplicaID { return n.config.Self }
+
+func (n *Node) isBlank() bool { return len(n.log.membership().Members) == 0 }
+
+// Tick advances the timers by one unit.
+func (n *Node) Tick() {
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	n.electionElapsed++
+	if n.electionElapsed < n.electionTimeout {
+		return
+	}
+	if !n.log.membership().IsVoter(n.self()) {
+		n.leader = ReplicaID{}
+		return
+	}
+	n.startPreVote()
+}
+
+// resetElectionTimer starts the timer again with a random timeout between one
+// and one and a half times the election timeout. The spread separates
+// candidates and keeps the time without a leader short.
+func (n *Node) resetElectionTimer() {
+	n.electionElapsed = 0
+	n.electionTimeout = n.config.ElectionTicks + n.random.IntN(n.config.ElectionTicks/2+1)
+}
+
+// Step takes a message from another replica.
+func (n *Node) Step(m Message) {
+	if !n.accepts(m) {
+		return
+	}
+	if m.Term > n.hard.Term && !n.enterTerm(m) {
+		return
+	}
+	if m.Term < n.hard.Term {
+		n.answerOldTerm(m)
+		return
+	}
+	n.dispatch(m)
+}
+
+// accepts reports whether m comes from a replica that counts. Only a leader may
+// be unknown here: it was elected by replicas that know it, and this replica
+// may lag behind the entry that added it.
+func (n *Node) accepts(m Message) bool {
+	if m.To != n.self() || m.From.IsZero() || m.From == n.self() {
+		return false
+	}
+	membership := n.log.membership()
+	if m.Group != 0 && membership.Group != 0 && m.Group != membership.Group {
+		return false
+	}
+	switch m.Type {
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		return m.Group != 0
+	}
+	return membership.Contains(m.From)
+}
+
+// enterTerm adopts the higher term of m. It reports whether m is to be handled.
+func (n *Node) enterTerm(m Message) bool {
+	switch {
+	case m.Type == MsgPreVote, m.Type == MsgPreVoteReply && !m.Reject:
+		return true
+	case m.Type == MsgVote && m.Context != contextTransfer && n.hasLiveLeader():
+		// Leader stickiness: a replica that lost contact must not depose a
+		// leader that this replica still hears.
+		return false
+	}
+	n.becomeFollower(m.Term, ReplicaID{})
+	return true
+}
+
+func (n *Node) hasLiveLeader() bool {
+	if n.role == Leader {
+		return true
+	}
+	return !n.leader.IsZero() && n.electionElapsed < n.config.ElectionTicks
+}
+
+// answerOldTerm tells the sender about the current term, so that a leader or
+// candidate of an old term steps down.
+func (n *Node) answerOldTerm(m Message) {
+	switch m.Type {
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		n.send(Message{Type: MsgAppendReply, To: m.From, Reject: true})
+	case MsgPreVote:
+		n.send(Message{Type: MsgPreVoteReply, To: m.From, Reject: true})
+	}
+}
+
+func (n *Node) dispatch(m Message) {
+	switch m.Type {
+	case MsgPreVote:
+		n.handlePreVote(m)
+	case MsgPreVoteReply:
+		n.handlePreVoteReply(m)
+	case MsgVote:
+		n.handleVote(m)
+	case MsgVoteReply:
+		n.handleVoteReply(m)
+	case MsgAppend:
+		n.handleAppend(m)
+	case MsgHeartbeat:
+		n.handleHeartbeat(m)
+	case MsgSnapshot:
+		n.handleSnapshot(m)
+	case MsgTimeoutNow:
+		n.handleTimeoutNow(m)
+	case MsgAppendReply, MsgHeartbeatReply:
+		n.handleProgress(m)
+	}
+}
+
+func (n *Node) becomeFollower(term uint64, leader ReplicaID) {
+	if term > n.hard.Term {
+		n.hard = HardState{Term: term}
+	}
+	if n.role == Leader || n.leader != leader {
+		n.resetElectionTimer()
+	}
+	n.role = Follower
+	n.leader = leader
+	n.leading = nil
+	n.votes = nil
+	n.matched, n.acked = 0, 0
+}
+
+func (n *Node) send(m Message) {
+	m.From = n.self()
+	m.Group = n.log.membership().Group
+	if m.Term == 0 {
+		m.Term = n.hard.Term
+	}
+	n.pending.Messages = append(n.pending.Messages, m)
+}
--- /dev/null
+++ b/daemon/control/control.go
@@ -0,0 +1,177 @@
+// Package control is the supervisor of the role control: the log writer, the
+// replica and the applier, which share state rebuilt from disk, and the links to
+// the other control members and to clients.
+package control
+
+import (
+	"context"
+	"net"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/daemon/control/logwriter"
+	"github.com/ibispier/ibispier/daemon/control/peers"
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/datafolder"
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/settings"
+	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("control")
+
+// policy of the role and of its core.
+var (
+	rolePolicy = supervise.Policy{Intensity: 3}
+	corePolicy = supervise.Policy{Strategy: supervise.OneForAll, Intensity: 3}
+)
+
+// Role is the role control of a process.
+type Role struct {
+	// Inputs goes to the replica. Producers offer and handle a refusal.
+	Inputs *ring.Ring[replica.Input]
+	// Updates comes from the replica. The applier takes from it.
+	Updates *ring.Ring[replica.Update]
+
+	settings *settings.Settings
+	log      *zap.Logger
+	observer supervise.Observer
+
+	folder  *datafolder.Folder
+	socket  net.Listener
+	writer  *logwriter.Duty
+	replica *replica.Duty
+	clients link.Handler
+	core    []namedDuty
+}
+
+type namedDuty struct {
+	name string
+	duty supervise.Duty
+}
+
+// New locks the data folder, opens the socket and returns the role.
+func New(s *settings.Settings, log *zap.Logger, observer supervise.Observer) (*Role, error) {
+	r := &Role{settings: s, log: log, observer: observer}
+	if err := r.open(); err != nil {
+		return nil, err
+	}
+	r.writer = logwriter.New(logwriter.Options{
+		Files:       datafolder.OS{},
+		Dir:         r.folder.Path,
+		Incarnation: r.folder.Incarnation,
+		Log:         log,
+	})
+	r.replica = replica.New(replica.Options{
+		Self:            r.Self(),
+		Members:         memberIDs(s.Cluster.Control),
+		Tick:            s.Control.TickInterval,
+		ElectionTicks:   s.Control.ElectionTicks,
+		SnapshotEntries: s.Control.SnapshotEntries,
+		Log:             log,
+	}, r.writer.Requests)
+	r.Inputs, r.Updates = r.replica.Inputs, r.replica.Updates
+	return r, nil
+}
+
+func memberIDs(members []settings.Member) []string {
+	ids := make([]string, 0, len(members))
+	for _, m := range members {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+func (r *Role) open() error {
+	folder, err := datafolder.Open(r.settings.Daemon.Data)
+	if err != nil {
+		return Error.New("step=open: %w", err)
+	}
+	if r.folder != nil && r.folder.Incarnation != folder.Incarnation {
+		_ = folder.Close()
+		return supervise.Fatal(Error.New("step=open path=%s: data folder was replaced while running", folder.Path))
+	}
+	socket, err := net.Listen("tcp", r.settings.Control.Listen)
+	if err != nil {
+		_ = folder.Close()
+		return Error.New("step=listen addr=%s: %w", r.settings.Control.Listen, err)
+	}
+	r.folder, r.socket = folder, socket
+	return nil
+}
+
+// Self returns the identity of this replica.
+func (r *Role) Self() consensus.ReplicaID {
+	return consensus.ReplicaID{ID: r.settings.Daemon.ID, Incarnation: r.folder.Incarnation}
+}
+
+// AddCore adds a duty that shares the fate of the replica, such as the applier.
+// It must be called before Run.
+func (r *Role) AddCore(name string, d supervise.Duty) {
+	r.core = append(r.core, namedDuty{name, d})
+}
+
+// HandleClients sets the handler of the links from entry instances, agents and
+// operators. It must be called before Run. Without it they are refused.
+func (r *Role) HandleClients(h link.Handler) { r.clients = h }
+
+// Drain hands leadership over.
+func (r *Role) Drain(ctx context.Context) error { return r.replica.Drain(ctx) }
+
+// Run runs the role until ctx ends. The folder and the socket are closed at the
+// end and opened again when the role is restarted.
+func (r *Role) Run(ctx context.Context) error {
+	if r.socket == nil {
+		if err := r.open(); err != nil {
+			return err
+		}
+	}
+	defer r.close()
+	return r.supervisor().Run(ctx)
+}
+
+func (r *Role) close() {
+	_ = r.socket.Close()
+	_ = r.folder.Close()
+	r.socket = nil
+}
+
+func (r *Role) supervisor() *supervise.Supervisor {
+	core := supervise.New("control.core", corePolicy, r.observer)
+	core.Add("logwriter", supervise.OnThread(r.writer))
+	core.Add("replica", r.replica)
+	for _, d := range r.core {
+		core.Add(d.name, d.duty)
+	}
+	others := peers.New(peers.Options{
+		Self:     r.Self(),
+		Zone:     r.settings.Daemon.Zone,
+		Members:  r.settings.Cluster.Control,
+		Observer: r.observer,
+		Log:      r.log,
+	}, r.replica)
+	role := supervise.New("control", rolePolicy, r.observer)
+	role.Add("core", core)
+	role.Add("peers", others)
+	role.Add("server", r.listener(others))
+	return role
+}
+
+func (r *Role) listener(others *peers.Peers) *supervise.Supervisor {
+	handler := &roleHandler{peers: others, clients: r.clients}
+	return link.NewListener("control.server", r.socket, link.Options{
+		Local: link.Identity{
+			Role:        wire.Role_ROLE_CONTROL,
+			ID:          r.settings.Daemon.ID,
+			Zone:        r.settings.Daemon.Zone,
+			Incarnation: r.folder.Incarnation,
+		},
+		Accept:   handler.accepted(),
+		Observer: r.observer,
+	}, handler)
+}
--- /dev/null
+++ b/daemon/control/control_test.go
@@ -0,0 +1,307 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/settings"
+)
+
+const bound = 30 * time.Second
+
+// applier is a state machine that lists the commands it has applied.
+type applier struct {
+	inputs  *ring.Ring[replica.Input]
+	updates *ring.Ring[replica.Update]
+
+	mu        sync.Mutex
+	commands  []string
+	applied   uint64
+	snapshots int
+	status    replica.Status
+	results   map[uint64]error
+	reads     map[uint64]uint64
+}
+
+func (a *applier) Run(ctx context.Context) error {
+	for {
+		u, err := a.updates.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		a.apply(u)
+	}
+}
+
+func (a *applier) apply(u replica.Update) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if u.Snapshot != nil {
+		a.commands, a.applied = nil, u.Snapshot.Index
+		a.snapshots++
+		_ = json.Unmarshal(u.Snapshot.Data, &a.commands)
+	}
+	for _, e := range u.Entries {
+		if e.Index != a.applied+1 {
+			panic(fmt.Sprintf("entry %d after %d", e.Index, a.applied))
+		}
+		a.applied = e.Index
+		if e.Kind == consensus.EntryNormal {
+			a.commands = append(a.commands, string(e.Data))
+		}
+	}
+	for _, r := range u.Reads {
+		a.reads[r.Context] = r.Index
+	}
+	for _, r := range u.MemberResults {
+		a.results[r.Context] = r.Err
+	}
+	if u.Status != nil {
+		a.status = *u.Status
+	}
+	if u.SnapshotWanted {
+		data, _ := json.Marshal(a.commands)
+		_ = a.inputs.Offer(replica.Input{Snapshot: &replica.SnapshotData{Index: a.applied, Data: data}})
+	}
+}
+
+func (a *applier) view(f func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f()
+}
+
+func (a *applier) has(command string) (found bool) {
+	a.view(func() { found = slices.Contains(a.commands, command) })
+	return found
+}
+
+// process is one control member that can be stopped, started and wiped.
+type process struct {
+	settings *settings.Settings
+	role     *Role
+	applier  *applier
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+type cluster struct {
+	t         testing.TB
+	processes []*process
+	contexts  uint64
+	commands  int
+}
+
+func newCluster(t testing.TB, n int, adjust func(*settings.Settings)) *cluster {
+	c := &cluster{t: t}
+	var members []settings.Member
+	for i := range n {
+		members = append(members, settings.Member{ID: fmt.Sprintf("c%d", i), Address: freeAddress(t)})
+	}
+	for i := range n {
+		s := settings.Default()
+		s.Daemon.ID = members[i].ID
+		s.Daemon.Data = filepath.Join(t.TempDir(), members[i].ID)
+		s.Control.Listen = members[i].Address
+		s.Cluster.Control = members
+		if adjust != nil {
+			adjust(s)
+		}
+		c.processes = append(c.processes, &process{settings: s})
+	}
+	t.Cleanup(func() {
+		for _, p := range c.processes {
+			p.stop(t)
+		}
+	})
+	return c
+}
+
+func freeAddress(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (p *process) start(t testing.TB) {
+	t.Helper()
+	role, err := New(p.settings, zap.NewNop(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.role = role
+	p.applier = &applier{
+		inputs:  role.Inputs,
+		updates: role.Updates,
+		results: map[uint64]error{},
+		reads:   map[uint64]uint64{},
+	}
+	role.AddCore("applier", p.applier)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	p.cancel, p.done = cancel, done
+	go func() { done <- role.Run(ctx) }()
+}
+
+// stop ends the tree without a drain, as a crash does for the other members.
+func (p *process) stop(t testing.TB) {
+	if p.cancel == nil {
+		return
+	}
+	p.cancel()
+	p.cancel = nil
+	if err := <-p.done; err != nil {
+		t.Errorf("member %s: %v", p.settings.Daemon.ID, err)
+	}
+}
+
+func (p *process) wipe(t testing.TB) {
+	if err := os.RemoveAll(p.settings.Daemon.Data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (p *process) status() (s replica.Status) {
+	p.applier.view(func() { s = p.applier.status })
+	return s
+}
+
+func (c *cluster) waitFor(what string, condition func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(bound)
+	for !condition() {
+		if time.Now().After(deadline) {
+			for _, p := range c.processes {
+				if p.cancel != nil {
+					c.t.Logf("%s: %+v", p.settings.Daemon.ID, p.status())
+				}
+			}
+			c.t.Fatalf("no %s within %s", what, bound)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// change asks p for a membership change and returns its result.
+func (c *cluster) change(p *process, action, id string) error {
+	c.t.Helper()
+	c.contexts++
+	context := c.contexts
+	if err := p.role.Inputs.Offer(replica.Input{
+		Member: &replica.MemberChange{Action: action, ID: id, Context: context},
+	}); err != nil {
+		c.t.Fatal(err)
+	}
+	var result error
+	c.waitFor("result of "+action, func() (found bool) {
+		p.applier.view(func() { result, found = p.applier.results[context] })
+		return found
+	})
+	return result
+}
+
+func (c *cluster) startAll() {
+	for _, p := range c.processes {
+		p.start(c.t)
+	}
+	if err := c.change(c.processes[0], replica.ActionBootstrap, ""); err != nil {
+		c.t.Fatal(err)
+	}
+	c.waitForVoters(len(c.processes))
+}
+
+// leader returns the running member that leads the highest term.
+func (c *cluster) leader() *process {
+	var leader *process
+	c.waitFor("leader", func() bool {
+		var term uint64
+		leader = nil
+		for _, p := range c.processes {
+			if p.cancel == nil {
+				continue
+			}
+			if s := p.status(); s.IsLeader && s.Term > term {
+				leader, term = p, s.Term
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
+
+// waitForVoters waits until the leader has n voters, of the incarnations that
+// run now.
+func (c *cluster) waitForVoters(n int) {
+	c.t.Helper()
+	c.waitFor(fmt.Sprintf("%d voters", n), func() bool {
+		voters := 0
+		for _, m := range c.leader().status().Members {
+			for _, p := range c.processes {
+				if m.Voter && p.cancel != nil && m.ID == p.role.Self() {
+					voters++
+				}
+			}
+		}
+		return voters == n
+	})
+}
+
+// commit proposes a new command until the member that leads has applied it.
+func (c *cluster) commit() string {
+	c.t.Helper()
+	c.commands++
+	command := fmt.Sprintf("command-%d", c.commands)
+	deadline := time.Now().Add(bound)
+	for time.Now().Before(deadline) {
+		p := c.leader()
+		_ = p.role.Inputs.Offer(replica.Input{Propose: []byte(command)})
+		for range 200 {
+			if p.applier.has(command) {
+				return command
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	c.t.Fatalf("%s not committed within %s", command, bound)
+	return ""
+}
+
+func (c *cluster) waitForAll(command string) {
+	c.t.Helper()
+	for _, p := range c.processes {
+		if p.cancel != nil {
+			c.waitFor(command+" at "+p.settings.Daemon.ID, func() bool { return p.applier.has(command) })
+		}
+	}
+}
+
+// Guards against a command that is lost when the leader ends, or that a
+// restarted member does not apply.
+func TestLeaderChangeAndRestart(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.startAll()
+	first := c.commit()
+	c.waitForAll(first)
+	old := c.leader()
+	old.stop(t)
+	second := c.commit()
+	old.start(t)
+	c.waitForAll(first)
+	c.waitForAll(second)
+}
--- /dev/null
+++ b/daemon/control/handler.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"context"
+
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// roleHandler gives the links of one listener to the part that serves the role
+// at the other end.
+type roleHandler struct {
+	peers   link.Handler
+	clients link.Handler // may be nil
+}
+
+func (h *roleHandler) accepted() []wire.Role {
+	if h.clients == nil {
+		return []wire.Role{wire.Role_ROLE_CONTROL}
+	}
+	return []wire.Role{
+		wire.Role_ROLE_CONTROL, wire.Role_ROLE_ENTRY, wire.Role_ROLE_ADMIN, wire.Role_ROLE_AGENT,
+	}
+}
+
+func (h *roleHandler) of(c *link.Conn) link.Handler {
+	if c.Peer().Role == wire.Role_ROLE_CONTROL {
+		return h.peers
+	}
+	return h.clients
+}
+
+// Up implements link.Handler.
+func (h *roleHandler) Up(ctx context.Context, c *link.Conn) error { return h.of(c).Up(ctx, c) }
+
+// Frame implements link.Handler.
+func (h *roleHandler) Frame(ctx context.Context, c *link.Conn, f *wire.Frame) error {
+	return h.of(c).Frame(ctx, c, f)
+}
+
+// Down implements link.Handler.
+func (h *roleHandler) Down(c *link.Conn, err error) { h.of(c).Down(c, err) }
--- /dev/null
+++ b/daemon/control/peers/sender.go
@@ -0,0 +1,173 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/wire"
+	"github.com/ibispier/ibispier/wire/convert"
+)
+
+const (
+	// chunkBytes is the size of the parts of a snapshot. One part is in flight
+	// at a time, so that appends and snapshots share the data stream fairly.
+	chunkBytes = 256 << 10
+	// chunkPatience is how long the sender waits for the answer to a part before
+	// it sends the part again.
+	chunkPatience = 500 * time.Millisecond
+	// chunkAttempts without an answer end a transfer.
+	chunkAttempts = 10
+)
+
+// sender is the duty that sends to one member.
+type sender struct {
+	member *member
+	log    *zap.Logger
+}
+
+// Run sends until ctx ends.
+func (s *sender) Run(ctx context.Context) error {
+	r := &sending{sender: s}
+	ticker := time.NewTicker(chunkPatience)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-s.member.links.C():
+			r.link(e)
+		case out := <-s.member.out.C():
+			r.send(out)
+		case ack := <-s.member.acks.C():
+			r.acknowledged(ack)
+		case <-ticker.C:
+			r.resend()
+		}
+	}
+}
+
+// sending is the state of one run of a sender.
+type sending struct {
+	*sender
+	conn     *link.Conn
+	transfer *transfer
+}
+
+// transfer is a snapshot on its way.
+type transfer struct {
+	message  *consensus.Message
+	crc      uint32
+	offset   int
+	attempts int
+	sentAt   time.Time
+}
+
+func (r *sending) link(e linkEvent) {
+	switch {
+	case e.up:
+		r.conn = e.conn
+	case r.conn == e.conn:
+		r.conn = nil
+	}
+}
+
+// send sends one message. Without a link it is dropped: consensus sends again.
+func (r *sending) send(out replica.Outgoing) {
+	if r.conn == nil {
+		return
+	}
+	switch {
+	case out.State != nil:
+		_ = r.conn.Send(stateFrame(out.State))
+		return
+	case out.ChunkAck != nil:
+		_ = r.conn.Send(ackFrame(out.ChunkAck))
+		return
+	}
+	m := out.Message
+	switch m.Type {
+	case consensus.MsgSnapshot:
+		r.startTransfer(m)
+	case consensus.MsgAppend:
+		_ = r.conn.SendData(frame(convert.MessageToWire(m)))
+	default:
+		_ = r.conn.Send(frame(convert.MessageToWire(m)))
+	}
+}
+
+// startTransfer starts to send the snapshot of m. A transfer that is under way
+// goes on: the receiver can use an older snapshot too.
+func (r *sending) startTransfer(m *consensus.Message) {
+	if t := r.transfer; t != nil && t.message.To == m.To && t.message.Term == m.Term {
+		return
+	}
+	r.transfer = &transfer{message: m, crc: convert.SnapshotCRC(m.Snapshot.Data)}
+	r.log.Info("snapshot transfer started", zap.Stringer("peer", m.To),
+		zap.Uint64("index", m.Snapshot.Index), zap.Int("bytes", len(m.Snapshot.Data)))
+	r.sendChunk()
+}
+
+func (r *sending) sendChunk() {
+	t := r.transfer
+	t.sentAt = time.Now()
+	if r.conn != nil {
+		_ = r.conn.SendData(frame(convert.Chunk(t.message, t.offset, chunkBytes, t.crc)))
+	}
+}
+
+func (r *sending) acknowledged(ack *wire.SnapshotChunk) {
+	t := r.transfer
+	if t == nil || ack.GetIndex() != t.message.Snapshot.Index || ack.GetTerm() != t.message.Snapshot.Term {
+		return
+	}
+	t.attempts = 0
+	if ack.GetOffset() >= uint64(len(t.message.Snapshot.Data)) {
+		r.transfer = nil
+		return
+	}
+	t.offset = int(ack.GetOffset())
+	r.sendChunk()
+}
+
+func (r *sending) resend() {
+	t := r.transfer
+	if t == nil || time.Since(t.sentAt) < chunkPatience {
+		return
+	}
+	if t.attempts++; t.attempts >= chunkAttempts {
+		r.log.Warn("snapshot transfer given up", zap.Stringer("peer", t.message.To), zap.Int("offset", t.offset))
+		r.transfer = nil
+		return
+	}
+	r.sendChunk()
+}
+
+func frame(r *wire.Replication) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Replication{Replication: r}}
+}
+
+func stateFrame(s *replica.PeerState) *wire.Frame {
+	r := &wire.Replication{
+		Type:   convert.ReplicationState,
+		From:   convert.ReplicaToWire(s.ID),
+		Group:  s.Group,
+		Reject: s.Bootstrapping,
+	}
+	if s.Ask {
+		r.Context = 1
+	}
+	return frame(r)
+}
+
+func ackFrame(a *replica.ChunkAck) *wire.Frame {
+	return frame(&wire.Replication{
+		Type:     convert.ReplicationChunkAck,
+		From:     convert.ReplicaToWire(a.From),
+		Snapshot: &wire.SnapshotChunk{Index: a.Index, Term: a.Term, Offset: a.Offset},
+	})
+}
--- a/daemon/control/replica/api.go
+++ b/daemon/control/replica/api.go
@@ -54,6 +54,7 @@
 	IsLeader bool
 	Term     uint64
 	Members  []MemberStatus
+	ReadOnly bool // the disk is full: proposals are refused, reads go on
 }
 
 // MemberStatus is one member as the replica sees it.
--- /dev/null
+++ b/daemon/control/replica/replica.go
@@ -0,0 +1,141 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/daemon/control/logwriter"
+	"github.com/ibispier/ibispier/ring"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("replica")
+
+// Capacities of the rings.
+const (
+	inputCapacity    = 4096
+	updateCapacity   = 1024
+	eventCapacity    = 4096
+	outgoingCapacity = 1024
+	drainCapacity    = 4
+	// maxDrain bounds the inputs that share one step, so that a flood of them
+	// does not delay heartbeats.
+	maxDrain = 1024
+)
+
+// PeerState is what a control member tells about itself.
+type PeerState struct {
+	ID            consensus.ReplicaID
+	Group         uint64 // 0 when it has no state
+	Bootstrapping bool
+	Ask           bool // the sender wants the state of the receiver
+}
+
+// Outgoing is sent to another member. Exactly one field is set.
+type Outgoing struct {
+	Message  *consensus.Message
+	State    *PeerState
+	ChunkAck *ChunkAck
+}
+
+// ChunkAck asks for the part of a snapshot that starts at Offset.
+type ChunkAck struct {
+	From   consensus.ReplicaID
+	Index  uint64
+	Term   uint64
+	Offset uint64
+}
+
+// Event comes from another member. Exactly one field is set.
+type Event struct {
+	Message *consensus.Message
+	State   *PeerState
+	Up      *consensus.ReplicaID // a link to this replica is established
+}
+
+// Options configure the duty.
+type Options struct {
+	Self            consensus.ReplicaID
+	Members         []string // ids of the control members in the settings, with this one
+	Tick            time.Duration
+	ElectionTicks   int
+	SnapshotEntries int
+	Log             *zap.Logger
+}
+
+// Duty drives the consensus state machine. It alone owns the node.
+type Duty struct {
+	Inputs  *ring.Ring[Input]
+	Updates *ring.Ring[Update]
+	Events  *ring.Ring[Event]
+
+	options Options
+	writer  *ring.Ring[logwriter.Request]
+	peers   map[string]*ring.Ring[Outgoing]
+	drains  *ring.Ring[*ring.Ring[error]]
+}
+
+// New returns the duty. It hands batches to the ring of the log writer.
+func New(o Options, writer *ring.Ring[logwriter.Request]) *Duty {
+	d := &Duty{
+		Inputs:  ring.New[Input]("replica.in", inputCapacity),
+		Updates: ring.New[Update]("applier.committed", updateCapacity),
+		Events:  ring.New[Event]("replica.events", eventCapacity),
+		options: o,
+		writer:  writer,
+		peers:   map[string]*ring.Ring[Outgoing]{},
+		drains:  ring.New[*ring.Ring[error]]("replica.drains", drainCapacity),
+	}
+	for _, id := range o.Members {
+		if id != o.Self.ID {
+			d.peers[id] = ring.New[Outgoing]("peer."+id+".out", outgoingCapacity)
+		}
+	}
+	return d
+}
+
+// Outgoing returns the ring of messages to the member. The replica drops the
+// oldest message when it is full.
+func (d *Duty) Outgoing(id string) *ring.Ring[Outgoing] { return d.peers[id] }
+
+// Drain hands leadership over and returns when this replica does not lead.
+func (d *Duty) Drain(ctx context.Context) error {
+	reply := ring.New[error]("replica.drain", 1)
+	if err := d.drains.Put(ctx, reply); err != nil {
+		return Error.New("step=drain: %w", err)
+	}
+	err, takeErr := reply.Take(ctx)
+	if takeErr != nil {
+		return Error.New("step=drain: leadership not handed over: %w", takeErr)
+	}
+	return err
+}
+
+// Run recovers the state and drives the node until ctx ends.
+//
+// Updates that the applier has not taken when the run ends are dropped: the
+// next run starts with a snapshot that replaces the state of the applier.
+func (d *Duty) Run(ctx context.Context) error {
+	defer d.Updates.Drain(nil, updateCapacity)
+	session := logwriter.NewSession()
+	if err := d.writer.Put(ctx, logwriter.Request{Open: session}); err != nil {
+		return nil
+	}
+	recovered, err := session.Recovered.Take(ctx)
+	if err != nil {
+		return nil
+	}
+	r := &run{
+		duty:    d,
+		session: session,
+		seen:    map[string]uint64{},
+	}
+	if err := r.start(ctx, recovered.State); err != nil {
+		return err
+	}
+	return r.loop(ctx)
+}
--- /dev/null
+++ b/daemon/control/replica/run.go
@@ -0,0 +1,238 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/daemon/control/logwriter"
+	"github.com/ibispier/ibispier/ring"
+)
+
+// run is the state of one run of the duty.
+type run struct {
+	duty      *Duty
+	session   *logwriter.Session
+	node      *consensus.Node
+	proposals [][]byte
+	updates   Update // for the applier, not sent yet
+	inFlight  uint64 // last batch handed to the log writer
+	synced    uint64 // last batch that is synced
+	readOnly  bool
+	ticks     int
+
+	seen      map[string]uint64 // newest incarnation of each other member
+	bootstrap *bootstrap        // nil unless a bootstrap is under way
+	changes   []openChange      // requests that wait for their entry to be committed
+	draining  []*ring.Ring[error]
+
+	status       Status // as last sent
+	statusAge    int    // ticks since it was sent
+	snapshotAsk  uint64 // index at which a snapshot was last asked for
+	lastSnapshot uint64
+}
+
+// start makes the recovered state that of the node and of the applier.
+func (r *run) start(ctx context.Context, s consensus.State) error {
+	o := r.duty.options
+	node, err := consensus.New(consensus.Config{
+		Self:          o.Self,
+		ElectionTicks: o.ElectionTicks,
+		Trailing:      uint64(max(o.SnapshotEntries/4, 1)),
+		Seed:          rand.Uint64(),
+	}, s)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	r.node = node
+	r.inFlight, r.synced = 0, 0
+	r.lastSnapshot = s.Snapshot.Index
+	r.updates = Update{Snapshot: &SnapshotData{Index: s.Snapshot.Index, Data: s.Snapshot.Data}}
+	return r.flush(ctx)
+}
+
+func (r *run) loop(ctx context.Context) error {
+	ticker := time.NewTicker(r.duty.options.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			r.tick()
+		case in := <-r.duty.Inputs.C():
+			r.input(in)
+		case e := <-r.duty.Events.C():
+			r.event(e)
+		case done := <-r.session.Done.C():
+			r.done(done)
+		case reply := <-r.duty.drains.C():
+			r.draining = append(r.draining, reply)
+		}
+		r.drainRings()
+		if err := r.step(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// drainRings takes what else has arrived, so that it shares one batch.
+func (r *run) drainRings() {
+	for _, done := range r.session.Done.Drain(nil, maxDrain) {
+		r.done(done)
+	}
+	for _, e := range r.duty.Events.Drain(nil, maxDrain) {
+		r.event(e)
+	}
+	for _, in := range r.duty.Inputs.Drain(nil, maxDrain) {
+		r.input(in)
+	}
+}
+
+// step carries out what the inputs ask for.
+func (r *run) step(ctx context.Context) error {
+	r.propose()
+	if err := r.advanceBootstrap(ctx); err != nil {
+		return err
+	}
+	r.answerDrains()
+	return r.flush(ctx)
+}
+
+func (r *run) tick() {
+	r.ticks++
+	r.statusAge++
+	r.node.Tick()
+	if r.ticks%reconcileTicks == 0 {
+		r.reconcile()
+		r.askForState()
+	}
+}
+
+func (r *run) input(in Input) {
+	switch {
+	case in.Propose != nil:
+		r.proposals = append(r.proposals, in.Propose)
+	case in.Read != 0:
+		if err := r.node.Read(in.Read); err != nil {
+			r.duty.options.Log.Debug("read refused", zap.Error(err))
+		}
+	case in.Snapshot != nil:
+		r.takeSnapshot(in.Snapshot)
+	case in.Member != nil:
+		r.changeMembers(*in.Member)
+	}
+}
+
+// propose appends the commands that have arrived as one group.
+func (r *run) propose() {
+	if len(r.proposals) == 0 {
+		return
+	}
+	if !r.readOnly {
+		if err := r.node.Propose(r.proposals...); err != nil {
+			r.duty.options.Log.Debug("proposals refused", zap.Int("count", len(r.proposals)), zap.Error(err))
+		}
+	}
+	r.proposals = nil
+}
+
+func (r *run) event(e Event) {
+	switch {
+	case e.Message != nil:
+		r.node.Step(*e.Message)
+	case e.State != nil:
+		r.peerState(*e.State)
+	case e.Up != nil:
+		r.seen[e.Up.ID] = e.Up.Incarnation
+	}
+}
+
+func (r *run) done(d logwriter.Done) {
+	r.readOnly = d.Full
+	if d.Full {
+		return
+	}
+	r.synced = d.Sequence
+	r.node.Synced(d.Sequence)
+}
+
+func (r *run) takeSnapshot(s *SnapshotData) {
+	if err := r.node.TakeSnapshot(s.Index, s.Data); err != nil {
+		r.duty.options.Log.Warn("snapshot refused", zap.Error(err))
+	}
+}
+
+// flush hands on what the node asks for: batches to the log writer, messages to
+// the peers and updates to the applier.
+func (r *run) flush(ctx context.Context) error {
+	for r.inFlight-r.synced < logwriter.MaxInFlight {
+		out := r.node.Take()
+		if out.Batch != nil {
+			r.inFlight = out.Batch.Sequence
+			if err := r.duty.writer.Offer(logwriter.Request{Batch: out.Batch}); err != nil {
+				return Error.New("step=write: %w", err)
+			}
+		}
+		r.sendAll(out.Messages)
+		if done, err := r.handOn(ctx, out); done || err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) sendAll(messages []consensus.Message) {
+	for i := range messages {
+		r.send(messages[i].To.ID, Outgoing{Message: &messages[i]})
+	}
+}
+
+func (r *run) send(id string, out Outgoing) {
+	if to := r.duty.peers[id]; to != nil {
+		_ = to.PutLatest(out)
+	}
+}
+
+// handOn sends an update to the applier. It reports true when there was
+// nothing to send.
+func (r *run) handOn(ctx context.Context, out consensus.Output) (bool, error) {
+	u := r.updates
+	r.updates = Update{}
+	if out.Install != nil {
+		u.Snapshot = &SnapshotData{Index: out.Install.Index, Data: out.Install.Data}
+		r.lastSnapshot = out.Install.Index
+	}
+	u.Entries = out.Committed
+	for _, read := range out.Reads {
+		u.Reads = append(u.Reads, ReadReady(read))
+	}
+	u.MemberResults = append(u.MemberResults, r.finishedChanges()...)
+	u.Status = r.changedStatus()
+	u.SnapshotWanted = r.wantsSnapshot()
+	if isEmpty(u) {
+		return true, nil
+	}
+	if err := r.duty.Updates.Put(ctx, u); err != nil {
+		return true, nil // ctx has ended
+	}
+	return false, nil
+}
+
+func isEmpty(u Update) bool {
+	return u.Snapshot == nil && len(u.Entries) == 0 && len(u.Reads) == 0 &&
+		len(u.MemberResults) == 0 && u.Status == nil && !u.SnapshotWanted
+}
+
+// wantsSnapshot reports once that the log has grown enough.
+func (r *run) wantsSnapshot() bool {
+	last := max(r.node.SnapshotIndex(), r.snapshotAsk)
+	if r.node.Applied() < last+uint64(r.duty.options.SnapshotEntries) {
+		return false
+	}
+	r.snapshotAsk = r.node.Applied()
+	return true
+}
--- /dev/null
+++ b/datafolder/files.go
@@ -0,0 +1,115 @@
+package datafolder
+
+import (
+	"os"
+	"path/filepath"
+)
+
+// File is an open file for appending.
+type File interface {
+	Write(p []byte) (int, error)
+	Sync() error
+	Truncate(size int64) error
+	Close() error
+}
+
+// FileSystem holds the operations that the log and the snapshots need.
+type FileSystem interface {
+	Create(path string) (File, error) // empty, replaces an existing file
+	Append(path string) (File, error)
+	ReadFile(path string) ([]byte, error)
+	List(dir string) ([]string, error) // names in order
+	Rename(from, to string) error
+	Remove(path string) error
+	SyncDir(dir string) error
+}
+
+// OS is the FileSystem of the operating system.
+type OS struct{}
+
+// Create implements FileSystem.
+func (OS) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o640)
+}
+
+// Append implements FileSystem.
+func (OS) Append(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_APPEND, 0o640)
+}
+
+// ReadFile implements FileSystem.
+func (OS) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+// List implements FileSystem.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// Rename implements FileSystem.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FileSystem.
+func (OS) Remove(path string) error { return os.Remove(path) }
+
+// SyncDir implements FileSystem. A created or renamed file is durable only once
+// its directory is synced.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+const temporarySuffix = ".tmp"
+
+// WriteFile makes a file with the content appear whole or not at all: it
+// writes and syncs a temporary file, renames it and syncs the directory. After
+// a lack of space nothing is left behind; any other error is not to be retried.
+func WriteFile(files FileSystem, dir, name string, content []byte) error {
+	temporary := filepath.Join(dir, name+temporarySuffix)
+	if err := writeSynced(files, temporary, content); err != nil {
+		return err
+	}
+	if err := files.Rename(temporary, filepath.Join(dir, name)); err != nil {
+		return Error.New("step=rename file=%s: %w", name, err)
+	}
+	if err := files.SyncDir(dir); err != nil {
+		return Error.New("step=sync-directory file=%s: %w", name, err)
+	}
+	return nil
+}
+
+func writeSynced(files FileSystem, path string, content []byte) error {
+	f, err := files.Create(path)
+	if err != nil {
+		return spaceError("create", path, err)
+	}
+	defer f.Close()
+	if _, err := f.Write(content); err != nil {
+		_ = files.Remove(path)
+		return spaceError("write", path, err)
+	}
+	if err := f.Sync(); err != nil {
+		// Not %w: a sync that failed for lack of space is as fatal as any other.
+		return Error.New("step=sync path=%s: %v", path, err)
+	}
+	return nil
+}
+
+// spaceError turns a lack of space into ErrDiskFull.
+func spaceError(step, path string, err error) error {
+	if IsDiskFull(err) {
+		return Error.New("step=%s path=%s cause=%q: %w", step, path, err, ErrDiskFull)
+	}
+	return Error.New("step=%s path=%s: %w", step, path, err)
+}
--- /dev/null
+++ b/wal/recover.go
@@ -0,0 +1,168 @@
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/datafolder"
+)
+
+// Recovered is what the log holds.
+type Recovered struct {
+	Hard    consensus.HardState
+	Entries []consensus.Entry
+	// ResetIndex and ResetTerm name the last snapshot that replaced the log. A
+	// snapshot at least as new must exist.
+	ResetIndex uint64
+	ResetTerm  uint64
+	// TornBytes is the size of the torn tail that was cut off.
+	TornBytes int
+}
+
+// segment is one file of the log.
+type segment struct {
+	number uint64
+	last   uint64 // highest index in it; 0 if none
+	size   int64
+}
+
+const (
+	namePrefix = "wal-"
+	nameSuffix = ".log"
+)
+
+func (s segment) name() string { return fmt.Sprintf("%s%016x%s", namePrefix, s.number, nameSuffix) }
+
+func parseName(name string) (segment, bool) {
+	if !strings.HasPrefix(name, namePrefix) || !strings.HasSuffix(name, nameSuffix) {
+		return segment{}, false
+	}
+	digits := strings.TrimSuffix(strings.TrimPrefix(name, namePrefix), nameSuffix)
+	number, err := strconv.ParseUint(digits, 16, 64)
+	return segment{number: number}, err == nil
+}
+
+// reader replays segments.
+type reader struct {
+	files       datafolder.FileSystem
+	dir         string
+	incarnation uint64
+	state       Recovered
+	segments    []segment
+}
+
+func (r *reader) readAll() error {
+	names, err := r.files.List(r.dir)
+	if err != nil {
+		return Error.New("step=list dir=%s: %w", r.dir, err)
+	}
+	for _, name := range names {
+		if s, ok := parseName(name); ok {
+			r.segments = append(r.segments, s)
+		}
+	}
+	for i := range r.segments {
+		s := &r.segments[i]
+		if i > 0 && s.number != r.segments[i-1].number+1 {
+			return Error.New("step=recover segment=%s: the one before it is missing: %w", s.name(), ErrDamaged)
+		}
+		if err := r.readSegment(s, i == len(r.segments)-1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *reader) readSegment(s *segment, isLast bool) error {
+	data, err := r.files.ReadFile(filepath.Join(r.dir, s.name()))
+	if err != nil {
+		return Error.New("step=read segment=%s: %w", s.name(), err)
+	}
+	offset := 0
+	for offset < len(data) {
+		payload, size, valid := nextRecord(data[offset:])
+		if !valid {
+			return r.tail(s, data[offset:], offset, isLast)
+		}
+		if err := r.replay(s, payload, offset == 0); err != nil {
+			return Error.New("step=recover segment=%s offset=%d: %w", s.name(), offset, err)
+		}
+		offset += size
+	}
+	s.size = int64(offset)
+	return nil
+}
+
+// tail accepts an invalid record only where a crash can have torn it: at the
+// end of the last segment, with no valid record after it.
+func (r *reader) tail(s *segment, rest []byte, offset int, isLast bool) error {
+	if !isLast || hasRecord(rest[1:]) {
+		return Error.New("step=recover segment=%s offset=%d: %w", s.name(), offset, ErrDamaged)
+	}
+	s.size = int64(offset)
+	r.state.TornBytes = len(rest)
+	return nil
+}
+
+func (r *reader) replay(s *segment, payload []byte, isFirst bool) error {
+	d := &decoder{data: payload}
+	if isFirst {
+		if err := r.checkSegment(d); err != nil {
+			return err
+		}
+	}
+	for len(d.data) > 0 && !d.failed {
+		switch d.item() {
+		case itemHard:
+			r.state.Hard = d.hard()
+		case itemEntry:
+			e := d.entry()
+			s.last = max(s.last, e.Index)
+			if err := r.addEntry(e); err != nil {
+				return err
+			}
+		case itemReset:
+			r.state.ResetIndex, r.state.ResetTerm = d.uint(), d.uint()
+			r.state.Entries = nil
+		default:
+			return Error.New("unknown item: %w", ErrDamaged)
+		}
+	}
+	if d.failed {
+		return Error.New("short item: %w", ErrDamaged)
+	}
+	return nil
+}
+
+func (r *reader) checkSegment(d *decoder) error {
+	if len(d.data) == 0 || d.item() != itemSegment {
+		return Error.New("no segment header: %w", ErrDamaged)
+	}
+	if v := d.uint(); v != version {
+		return Error.New("version %d, want %d", v, version)
+	}
+	if i := d.uint(); i != r.incarnation {
+		return Error.New("log of incarnation %x in a folder of %x", i, r.incarnation)
+	}
+	return nil
+}
+
+func (r *reader) addEntry(e consensus.Entry) error {
+	entries := r.state.Entries
+	if len(entries) == 0 {
+		if r.state.ResetIndex != 0 && e.Index != r.state.ResetIndex+1 {
+			return Error.New("entry %d after a reset to %d: %w", e.Index, r.state.ResetIndex, ErrDamaged)
+		}
+		r.state.Entries = append(entries, e)
+		return nil
+	}
+	first, last := entries[0].Index, entries[len(entries)-1].Index
+	if e.Index > last+1 || e.Index < first {
+		return Error.New("entry %d after %d..%d: %w", e.Index, first, last, ErrDamaged)
+	}
+	r.state.Entries = append(entries[:e.Index-first], e)
+	return nil
+}
