consensus: test with a model; resume restarted followers; guard removals

Cause: the pure nodes had no test of their own. A model test over a faulty network found three faults: a follower restarted within a term never learned the commit index while nothing new was appended; a learner whose last probe was lost was never promoted; a removal could be proposed that the remaining voters cannot commit.

Change: the leader probes when a heartbeat reply shows less than it knows; promotion depends only on what is synced; a removal needs a quorum of the remaining voters that answers. NextChange moves to package consensus, where the model drives it.

--- a/consensus/change.go
+++ b/consensus/change.go
@@ -20,6 +20,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if c.Kind == Remove && !n.canCommitWith(next) {
+		return 0, Error.New("step=remove peer=%s: %w", c.Replica, ErrNoQuorumLeft)
+	}
 	n.appendAsLeader(EntryMembership, next.encode())
 	n.leading.follow(next, n.log.lastIndex())
 	n.broadcastAppend()
@@ -27,6 +30,18 @@
 	return n.log.lastIndex(), nil
 }
 
+// canCommitWith reports whether a quorum of the next membership answers now. A
+// removal that it cannot commit would leave the group without a leader.
+func (n *Node) canCommitWith(next Membership) bool {
+	count := 0
+	for _, id := range next.Voters() {
+		if id == n.self() || n.leading.progress[id].isRecent() {
+			count++
+		}
+	}
+	return count >= next.Quorum()
+}
+
 // IsCaughtUp reports whether a replica has synced everything that was committed
 // one tick ago.
 func (n *Node) IsCaughtUp(id ReplicaID) bool {
@@ -34,7 +49,7 @@
 		return false
 	}
 	p := n.leading.progress[id]
-	return p.active && p.state == replicating && p.match >= n.leading.stableLag && n.leading.stableLag > 0
+	return p.isRecent() && p.match >= n.leading.lagged && n.leading.lagged >= n.leading.firstOwn
 }
 
 // Transfer hands leadership to a voter as soon as its log is complete. New
@@ -89,7 +104,7 @@
 	var match uint64
 	for _, id := range n.log.membership().Voters() {
 		p := n.leading.progress[id]
-		if id != n.self() && p.active && p.match >= match {
+		if id != n.self() && p.isRecent() && p.match >= match {
 			best, match = id, p.match
 		}
 	}
@@ -113,7 +128,7 @@
 		case m.ID == n.self():
 			p.Match, p.Active = n.persist.stable, true
 		case n.leading != nil:
-			p.Match, p.Active = n.leading.progress[m.ID].match, n.leading.progress[m.ID].active
+			p.Match, p.Active = n.leading.progress[m.ID].match, n.leading.progress[m.ID].isRecent()
 		}
 		list = append(list, p)
 	}
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -13,7 +13,7 @@
 func (n *Node) tickLeader() {
 	l := n.leading
 	l.elapsed++
-	l.stableLag = n.commit
+	l.lagged = n.commit
 	if l.elapsed >= n.config.ElectionTicks {
 		l.elapsed = 0
 		if !n.hasActiveQuorum() {
@@ -38,7 +38,7 @@
 		}
 	}
 	for _, p := range n.leading.progress {
-		p.active = false
+		p.before, p.active = p.active, false
 	}
 	return count >= membership.Quorum()
 }
@@ -204,11 +204,13 @@
 func (n *Node) handleHeartbeatReply(m Message, p *progress) {
 	p.round = max(p.round, m.Context)
 	n.confirmReads()
-	if p.match >= n.log.lastIndex() || p.state == snapshotting {
+	isDone := p.match >= n.log.lastIndex() && m.LogIndex >= p.match
+	if isDone || p.state == snapshotting {
 		p.idle = 0
 		return
 	}
-	// Appends or their answers may be lost. The leader then probes from what it
+	// Appends or their answers may be lost, or the replica was restarted and no
+	// longer knows that its log matches. The leader then probes from what it
 	// knows to be synced.
 	if p.idle++; p.idle >= idleHeartbeats {
 		p.probe(p.match + 1)
--- /dev/null
+++ b/consensus/network_test.go
@@ -0,0 +1,333 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"hash/crc64"
+	"math/rand/v2"
+	"slices"
+
+	"pgregory.net/rapid"
+)
+
+// simulated is one replica with its disk. Only what is on the disk survives a
+// crash.
+type simulated struct {
+	id      ReplicaID
+	node    *Node // nil while it is down
+	paused  bool
+	disk    State
+	writing []*Batch // handed out by the node and not synced
+	applied uint64
+	hash    uint64 // of the applied entries: the state of the state machine
+}
+
+// network is a group of replicas with a network that delays, reorders,
+// duplicates and loses messages, and the oracle that watches them.
+type network struct {
+	t        *rapid.T
+	random   *rand.Rand
+	replicas []*simulated
+	messages []Message
+	blocked  map[[2]string]bool // from, to
+	nextInc  uint64
+	oracle   oracle
+}
+
+// oracle knows what must hold: committed entries never change, a term has one
+// leader, and reads see everything committed before them.
+type oracle struct {
+	committed []Entry  // by index-1
+	hashes    []uint64 // of the committed entries up to each index
+	leaders   map[uint64]ReplicaID
+	reads     map[uint64]uint64 // context to the least index it may return
+	context   uint64
+	commands  uint64
+}
+
+var table = crc64.MakeTable(crc64.ECMA)
+
+func hashEntry(hash uint64, e Entry) uint64 {
+	buf := binary.LittleEndian.AppendUint64(nil, hash)
+	buf = binary.LittleEndian.AppendUint64(buf, e.Term)
+	return crc64.Update(hash, table, append(append(buf, byte(e.Kind)), e.Data...))
+}
+
+func newNetwork(t *rapid.T, size int, seed uint64) *network {
+	w := &network{
+		t:       t,
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		blocked: map[[2]string]bool{},
+		oracle:  oracle{leaders: map[uint64]ReplicaID{}, reads: map[uint64]uint64{}},
+	}
+	for i := range size {
+		w.replicas = append(w.replicas, &simulated{id: ReplicaID{ID: string(rune('a' + i))}})
+		w.wipe(w.replicas[i])
+	}
+	w.replicas[0].disk = Bootstrap(w.replicas[0].id)
+	for _, r := range w.replicas {
+		w.restart(r)
+	}
+	return w
+}
+
+func (w *network) wipe(r *simulated) {
+	w.nextInc++
+	r.node = nil
+	r.id.Incarnation = w.nextInc
+	r.disk = State{}
+	r.writing = nil
+}
+
+// crash stops the replica. Some of the batches that it was writing may have
+// reached the disk.
+func (w *network) crash(r *simulated) {
+	if r.node == nil {
+		return
+	}
+	for range w.random.IntN(len(r.writing) + 1) {
+		r.write(r.writing[0])
+		r.writing = r.writing[1:]
+	}
+	r.node, r.writing = nil, nil
+}
+
+func (w *network) restart(r *simulated) {
+	if r.node != nil {
+		return
+	}
+	node, err := New(Config{
+		Self:          r.id,
+		ElectionTicks: 6,
+		MaxInFlight:   4,
+		MaxEntries:    4,
+		Trailing:      1 + w.random.Uint64N(8),
+		Seed:          w.random.Uint64(),
+	}, r.disk)
+	if err != nil {
+		w.t.Fatalf("replica %s does not restart: %v", r.id, err)
+	}
+	r.node, r.paused = node, false
+	r.applied, r.hash = r.disk.Snapshot.Index, stateOf(r.disk.Snapshot.Data)
+}
+
+func stateOf(data []byte) uint64 {
+	if len(data) == 0 {
+		return 0
+	}
+	return binary.LittleEndian.Uint64(data)
+}
+
+// write puts a batch on the disk, with the rules of package wal.
+func (r *simulated) write(b *Batch) {
+	if b.Hard != nil {
+		r.disk.Hard = *b.Hard
+	}
+	if b.Snapshot != nil {
+		r.disk.Snapshot = *b.Snapshot
+	}
+	if b.Reset {
+		r.disk.Entries = nil
+	}
+	if len(b.Entries) == 0 {
+		return
+	}
+	keep := slices.IndexFunc(r.disk.Entries, func(e Entry) bool { return e.Index == b.Entries[0].Index })
+	if keep >= 0 {
+		r.disk.Entries = r.disk.Entries[:keep]
+	}
+	r.disk.Entries = append(slices.Clip(r.disk.Entries), b.Entries...)
+}
+
+// sync completes the oldest batches.
+func (w *network) sync(r *simulated, count int) {
+	if r.node == nil || r.paused {
+		return
+	}
+	for range min(count, len(r.writing)) {
+		b := r.writing[0]
+		r.writing = r.writing[1:]
+		r.write(b)
+		r.node.Synced(b.Sequence)
+	}
+	w.collect(r)
+}
+
+// collect carries out what the node asks for and checks it with the oracle.
+func (w *network) collect(r *simulated) {
+	out := r.node.Take()
+	if out.Batch != nil {
+		r.writing = append(r.writing, out.Batch)
+	}
+	w.messages = append(w.messages, out.Messages...)
+	if out.Install != nil {
+		r.applied, r.hash = out.Install.Index, stateOf(out.Install.Data)
+		w.checkState(r)
+	}
+	for _, e := range out.Committed {
+		if e.Index != r.applied+1 {
+			w.t.Fatalf("replica %s applies %d after %d", r.id, e.Index, r.applied)
+		}
+		r.applied, r.hash = e.Index, hashEntry(r.hash, e)
+		w.recordCommitted(r, e)
+	}
+	for _, read := range out.Reads {
+		if read.Index < w.oracle.reads[read.Context] {
+			w.t.Fatalf("stale read at %s: index %d, want at least %d", r.id, read.Index, w.oracle.reads[read.Context])
+		}
+	}
+	w.checkLeader(r)
+}
+
+func (w *network) recordCommitted(r *simulated, e Entry) {
+	o := &w.oracle
+	if e.Index == uint64(len(o.committed))+1 {
+		o.committed = append(o.committed, e)
+		o.hashes = append(o.hashes, r.hash)
+	}
+	w.checkState(r)
+}
+
+func (w *network) checkState(r *simulated) {
+	if r.applied > uint64(len(w.oracle.hashes)) || w.oracle.hashes[r.applied-1] != r.hash {
+		w.t.Fatalf("replica %s differs from the committed entries at %d", r.id, r.applied)
+	}
+}
+
+// checkLeader checks that the term has one leader and that the leader has every
+// committed entry.
+func (w *network) checkLeader(r *simulated) {
+	n := r.node
+	if n.Role() != Leader {
+		return
+	}
+	o := &w.oracle
+	if other, known := o.leaders[n.Term()]; known && other != r.id {
+		w.t.Fatalf("term %d has leaders %s and %s", n.Term(), other, r.id)
+	}
+	if _, known := o.leaders[n.Term()]; known {
+		return
+	}
+	o.leaders[n.Term()] = r.id
+	for _, e := range o.committed[min(n.log.base, uint64(len(o.committed))):] {
+		if !n.log.matches(e.Index, e.Term) {
+			w.t.Fatalf("leader %s of term %d lacks committed entry %d", r.id, n.Term(), e.Index)
+		}
+	}
+}
+
+func (w *network) find(id ReplicaID) *simulated {
+	for _, r := range w.replicas {
+		if r.id.ID == id.ID {
+			return r
+		}
+	}
+	return nil
+}
+
+// deliver hands over the message at i. It stays in the network when it is
+// duplicated or when the receiver is paused.
+func (w *network) deliver(i int, duplicate bool) {
+	m := w.messages[i]
+	to := w.find(m.To)
+	if to.paused {
+		return
+	}
+	if !duplicate {
+		w.messages = slices.Delete(w.messages, i, i+1)
+	}
+	if to.node == nil || w.blocked[[2]string{m.From.ID, m.To.ID}] {
+		return
+	}
+	to.node.Step(m)
+	w.collect(to)
+}
+
+func (w *network) tick(r *simulated) {
+	if r.node == nil || r.paused {
+		return
+	}
+	r.node.Tick()
+	w.reconcile(r)
+	w.collect(r)
+}
+
+// reconcile does what the replica duty does with the members of the settings.
+func (w *network) reconcile(r *simulated) {
+	if r.node.Role() != Leader {
+		return
+	}
+	v := View{Self: r.id, Membership: r.node.Membership(), Seen: map[string]uint64{}, Progress: r.node.Members(), IsCaughtUp: r.node.IsCaughtUp}
+	for _, other := range w.replicas {
+		v.Wanted = append(v.Wanted, other.id.ID)
+		if other.node != nil && other != r {
+			v.Seen[other.id.ID] = other.id.Incarnation
+		}
+	}
+	if c, needed := NextChange(v); needed {
+		_, _ = r.node.ChangeMembership(c)
+	}
+}
+
+// round lets time pass: every replica ticks and syncs with the given chance,
+// and messages arrive in random order, some twice and some never.
+func (w *network) round(faults bool) {
+	for _, r := range w.replicas {
+		w.tick(r)
+	}
+	for range 2 + w.random.IntN(4) {
+		for _, r := range w.replicas {
+			if !faults || w.random.IntN(3) > 0 {
+				w.sync(r, 1+w.random.IntN(3))
+			}
+		}
+		for range len(w.messages) {
+			w.deliverOne(faults)
+		}
+	}
+}
+
+func (w *network) deliverOne(faults bool) {
+	if len(w.messages) == 0 {
+		return
+	}
+	if !faults {
+		w.deliver(0, false)
+		return
+	}
+	i := w.random.IntN(len(w.messages))
+	switch chance := w.random.IntN(100); {
+	case chance < 5:
+		w.messages = slices.Delete(w.messages, i, i+1)
+	case chance < 10:
+		w.deliver(i, true)
+	case chance < 80:
+		w.deliver(i, false)
+	}
+}
+
+func (w *network) leader() *simulated {
+	var leader *simulated
+	for _, r := range w.replicas {
+		if r.node != nil && r.node.Role() == Leader && (leader == nil || r.node.Term() > leader.node.Term()) {
+			leader = r
+		}
+	}
+	return leader
+}
+
+// settle runs without faults until done holds.
+func (w *network) settle(what string, done func() bool) {
+	for range 400 {
+		if done() {
+			return
+		}
+		w.round(false)
+	}
+	for _, r := range w.replicas {
+		if r.node != nil {
+			w.t.Logf("%s role=%d term=%d commit=%d last=%d members=%v", r.id, r.node.Role(), r.node.Term(),
+				r.node.Commit(), r.node.LastIndex(), r.node.Membership())
+		}
+	}
+	w.t.Fatalf("no %s after 400 rounds without faults", what)
+}
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -17,6 +17,7 @@
 	inFlight []uint64 // last indexes of unacknowledged appends
 	waiting  bool     // probing: an append is unanswered
 	active   bool     // heard since the last quorum check
+	before   bool     // heard in the period before that
 	round    uint64   // last read round that was answered
 	idle     int      // heartbeat replies since the last progress
 	probed   uint64   // probing: last index of the unanswered append
@@ -58,17 +59,21 @@
 	return advanced
 }
 
+// isRecent reports whether the replica was heard within the last two periods of
+// the quorum check.
+func (p *progress) isRecent() bool { return p.active || p.before }
+
 // leadership is the state that only a leader has.
 type leadership struct {
-	progress  map[ReplicaID]*progress
-	firstOwn  uint64 // index of the first entry of the term
-	elapsed   int    // ticks since the last quorum check
-	round     uint64 // last read round that was sent
-	reads     []openRead
-	newReads  []uint64 // contexts that wait for the next round
-	transfer  ReplicaID
-	patience  int    // ticks until the transfer is given up
-	stableLag uint64 // commit index at the previous tick
+	progress map[ReplicaID]*progress
+	firstOwn uint64 // index of the first entry of the term
+	elapsed  int    // ticks since the last quorum check
+	round    uint64 // last read round that was sent
+	reads    []openRead
+	newReads []uint64 // contexts that wait for the next round
+	transfer ReplicaID
+	patience int    // ticks until the transfer is given up
+	lagged   uint64 // commit index at the previous tick
 }
 
 // openRead is a round of reads that a quorum has not confirmed yet.
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -15,6 +15,7 @@
 	ErrTransferring  = Error.New("leadership transfer in progress")
 	ErrChangePending = Error.New("another membership change is not committed yet")
 	ErrNoSuchMember  = Error.New("no such member")
+	ErrNoQuorumLeft  = Error.New("no quorum of the remaining voters answers")
 )
 
 // ReplicaID names a replica together with the data folder it was formatted in.
--- a/daemon/control/replica/members.go
+++ b/daemon/control/replica/members.go
@@ -150,7 +150,7 @@
 }
 
 func (r *run) nextChange() (consensus.Change, bool) {
-	return NextChange(View{
+	return consensus.NextChange(consensus.View{
 		Self:       r.duty.options.Self,
 		Wanted:     r.duty.options.Members,
 		Membership: r.node.Membership(),
