executor, agent/tasks: run tasks under leases on the instance of an agent

Cause: starts need a committer of capacity beside the worker, fenced against older agents and frozen processes. Change: pure executor (capacity, leases, permit, one call per task), duties that call the worker and exchange reports.

--- /dev/null
+++ b/daemon/agent/tasks/tasks.go
@@ -0,0 +1,206 @@
+// Package tasks is the duty that runs the tasks of an instance: it drives the
+// pure executor with commands from control and results from the worker.
+package tasks
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/bootclock"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/agent/workercalls"
+	"github.com/ibispier/ibispier/executor"
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/settings"
+	"github.com/ibispier/ibispier/wire"
+	"github.com/ibispier/ibispier/workerapi"
+)
+
+const (
+	eventCapacity = 1024
+	jobCapacity   = 1024
+	tick          = 50 * time.Millisecond
+	listInterval  = 200 * time.Millisecond
+)
+
+type event struct {
+	conn     *link.Conn
+	up, down bool
+	response *wire.ControlResponse
+	grant    *wire.PermitGrant
+	drain    bool
+}
+
+// Duty runs the tasks of an instance.
+type Duty struct {
+	Jobs     *ring.Ring[workercalls.Job]
+	Done     *ring.Ring[workercalls.Done]
+	events   *ring.Ring[event]
+	log      *zap.Logger
+	worker   controlapi.Worker
+	revision atomic.Uint64
+
+	executor *executor.Executor
+	adoption adoption
+	uplinks  uplinks
+	reports  exchange
+	permits  exchange
+	listedAt time.Duration
+	listing  bool
+}
+
+// adoption is the progress of taking over the worker after a start.
+type adoption uint8
+
+const (
+	unknown  adoption = iota // the worker has not answered yet
+	fencing                  // the worker was told the epoch of this agent
+	complete                 // the tasks of the worker are known
+)
+
+// New returns the duty.
+func New(s *settings.Settings, log *zap.Logger) *Duty {
+	return &Duty{
+		Jobs:   ring.New[workercalls.Job]("tasks.jobs", jobCapacity),
+		Done:   ring.New[workercalls.Done]("tasks.done", jobCapacity),
+		events: ring.New[event]("tasks.events", eventCapacity),
+		log:    log,
+		worker: controlapi.Worker{
+			Agent: s.Daemon.ID,
+			Rack:  s.Agent.Rack,
+			Zone:  s.Daemon.Zone,
+			Capacity: controlapi.Resources{
+				CPUMilli:     s.Agent.CPUMilli,
+				MemoryMiB:    s.Agent.MemoryMiB,
+				Accelerators: s.Agent.Accelerators,
+			},
+		},
+	}
+}
+
+// Revision returns the configuration revision that this agent knows.
+func (d *Duty) Revision() uint64 { return d.revision.Load() }
+
+// Run runs tasks until ctx ends. Each run first learns from the worker what
+// runs there.
+func (d *Duty) Run(ctx context.Context) error {
+	d.executor = executor.New(d.worker)
+	d.adoption, d.listing, d.listedAt = unknown, false, 0
+	d.reports, d.permits = newExchange(reportInterval), newExchange(permitInterval)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-d.events.C():
+			d.handle(e)
+		case done := <-d.Done.C():
+			d.finished(done)
+		case <-ticker.C:
+			d.onTick()
+		}
+	}
+}
+
+// Drain refuses new starts. Running tasks go on under their leases.
+func (d *Duty) Drain(ctx context.Context) error {
+	return d.events.Put(ctx, event{drain: true})
+}
+
+func (d *Duty) onTick() {
+	now := bootclock.Now()
+	if !d.listing && now-d.listedAt >= listInterval {
+		d.listing = d.offer(workercalls.Job{List: true})
+		d.listedAt = now
+	}
+	if d.adoption != complete {
+		return
+	}
+	d.issue(d.executor.Tick(now))
+	if d.permits.due(now) {
+		d.askPermit(now)
+	}
+	if d.reports.due(now) || d.executor.Changed() && d.reports.idle() {
+		d.report(now)
+	}
+}
+
+func (d *Duty) handle(e event) {
+	now := bootclock.Now()
+	switch {
+	case e.up:
+		d.uplinks.add(e.conn)
+	case e.down:
+		d.uplinks.remove(e.conn)
+	case e.drain:
+		d.executor.Drain()
+	case e.grant != nil:
+		d.granted(now, e.grant)
+	case e.response != nil:
+		d.commanded(now, e.response)
+	}
+}
+
+func (d *Duty) finished(done workercalls.Done) {
+	now := bootclock.Now()
+	switch {
+	case done.Job.List:
+		d.listing = false
+		d.listed(now, done)
+	case done.Job.Fence != nil:
+		d.fenced(done)
+	default:
+		d.issue(d.executor.CallDone(now, done.Result))
+	}
+}
+
+func (d *Duty) listed(now time.Duration, done workercalls.Done) {
+	if done.Err != nil {
+		d.log.Warn("worker unreachable", zap.Error(done.Err))
+		return
+	}
+	switch d.adoption {
+	case unknown:
+		d.fence(done.Tasks.AgentEpoch)
+	case fencing:
+		d.executor.Adopt(now, *done.Tasks)
+		d.adoption = complete
+		d.log.Info("worker adopted", zap.Int("tasks", len(done.Tasks.Tasks)))
+	case complete:
+		d.executor.Observe(now, done.AskedAt, *done.Tasks)
+	}
+}
+
+// fence takes an epoch above that of every earlier agent of this instance. The
+// time keeps it rising even when the worker has lost its state.
+func (d *Duty) fence(highest uint64) {
+	epoch := max(uint64(time.Now().UnixNano()), highest+1)
+	d.executor.SetAgentEpoch(epoch)
+	d.offer(workercalls.Job{Fence: &workerapi.Fence{AgentEpoch: epoch}})
+}
+
+// fenced goes on to adopt the worker's tasks from the next list, which the
+// worker makes after it has fenced the earlier agents.
+func (d *Duty) fenced(done workercalls.Done) {
+	if done.Err == nil && d.adoption == unknown {
+		d.adoption = fencing
+	}
+}
+
+// issue hands calls to the callers. When their ring is full the worker does
+// not keep up, and the call counts as one without an answer.
+func (d *Duty) issue(calls []executor.Call) {
+	for i := range calls {
+		call := calls[i]
+		if !d.offer(workercalls.Job{Call: &call}) {
+			d.executor.CallDone(bootclock.Now(), executor.Result{Call: call, Failed: true})
+		}
+	}
+}
+
+func (d *Duty) offer(job workercalls.Job) bool { return d.Jobs.Offer(job) == nil }
--- /dev/null
+++ b/daemon/agent/workercalls/workercalls.go
@@ -0,0 +1,166 @@
+// Package workercalls is the supervisor of the duties that call the worker's
+// HTTP interface. Each duty performs one call at a time.
+package workercalls
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/bootclock"
+	"github.com/ibispier/ibispier/executor"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/workerapi"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("workercalls")
+
+const (
+	// callers is the number of calls at work. Calls for one task are never
+	// outstanding together, so their order is kept.
+	callers     = 4
+	callTimeout = time.Second
+	maxAnswer   = 4 << 20
+)
+
+// Job is one piece of work. Exactly one field is set.
+type Job struct {
+	Call  *executor.Call
+	List  bool
+	Fence *workerapi.Fence
+}
+
+// Done is a finished job.
+type Done struct {
+	Job     Job
+	AskedAt time.Duration // instance clock when the job started
+	Result  executor.Result
+	Tasks   *workerapi.Tasks // answer to List
+	Err     error
+}
+
+type caller struct {
+	base   string
+	client *http.Client
+	jobs   *ring.Ring[Job]
+	done   *ring.Ring[Done]
+}
+
+// New returns the supervisor of the duties that call the worker at base.
+func New(base string, jobs *ring.Ring[Job], done *ring.Ring[Done], observer supervise.Observer) *supervise.Supervisor {
+	s := supervise.New("workercalls", supervise.Policy{}, observer)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}, Timeout: callTimeout}
+	for i := range callers {
+		s.Add("caller "+strconv.Itoa(i), &caller{base: base, client: client, jobs: jobs, done: done})
+	}
+	return s
+}
+
+// Run performs jobs until ctx ends.
+func (c *caller) Run(ctx context.Context) error {
+	for {
+		job, err := c.jobs.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		if err := c.done.Put(ctx, c.perform(ctx, job)); err != nil {
+			return nil
+		}
+	}
+}
+
+func (c *caller) perform(ctx context.Context, job Job) Done {
+	done := Done{Job: job, AskedAt: bootclock.Now()}
+	switch {
+	case job.List:
+		done.Tasks = new(workerapi.Tasks)
+		_, done.Err = c.do(ctx, http.MethodGet, "/v1/tasks", nil, done.Tasks)
+	case job.Fence != nil:
+		_, done.Err = c.do(ctx, http.MethodPut, "/v1/fence", job.Fence, nil)
+	default:
+		done.Result = c.call(ctx, *job.Call)
+	}
+	return done
+}
+
+func (c *caller) call(ctx context.Context, call executor.Call) executor.Result {
+	path, body := encode(call)
+	// The process may have been frozen since the executor decided. The worker
+	// checks the same bound again.
+	if call.Start != nil && int64(bootclock.Now()) > call.Start.NotAfter {
+		return executor.Result{Call: call, Refused: "start is too late"}
+	}
+	var answer struct {
+		workerapi.Task
+		Refusal string `json:"reason"`
+	}
+	status, err := c.do(ctx, http.MethodPost, path, body, &answer)
+	result := executor.Result{Call: call}
+	switch {
+	case err != nil:
+		result.Failed = true
+	case status == http.StatusConflict:
+		result.Refused = answer.Refusal
+	case status == http.StatusNotFound:
+		result.Gone = true
+	case status == http.StatusOK && call.Kind != executor.Renew:
+		answer.Task.Reason = answer.Refusal
+		result.Task = &answer.Task
+	}
+	return result
+}
+
+func encode(call executor.Call) (path string, body any) {
+	switch call.Kind {
+	case executor.Start:
+		return "/v1/tasks", call.Start
+	case executor.Renew:
+		return "/v1/leases", call.Renew
+	}
+	names := map[executor.CallKind]string{
+		executor.Stop:       "stop",
+		executor.Checkpoint: "checkpoint",
+		executor.Throttle:   "throttle",
+		executor.Forget:     "forget",
+	}
+	return "/v1/tasks/" + call.Task + "/" + names[call.Kind], call.Control
+}
+
+// do performs one HTTP call. Statuses from 500 are errors: their effect is
+// unknown.
+func (c *caller) do(ctx context.Context, method, path string, in, out any) (int, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, Error.New("step=%s %s peer=%s: %w", method, path, c.base, err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, Error.New("step=%s %s peer=%s: %w", method, path, c.base, err)
+	}
+	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusBadRequest {
+		return 0, Error.New("step=%s %s peer=%s: status %d", method, path, c.base, resp.StatusCode)
+	}
+	if out != nil && len(answer) > 0 && json.Valid(answer) {
+		if err := json.Unmarshal(answer, out); err != nil {
+			return 0, Error.Wrap(err)
+		}
+	}
+	return resp.StatusCode, nil
+}
--- /dev/null
+++ b/executor/commands.go
@@ -0,0 +1,238 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/workerapi"
+)
+
+// CallKind tells the calls to the worker apart.
+type CallKind uint8
+
+// Kinds of calls. None is the absence of a call.
+const (
+	None CallKind = iota
+	Start
+	Renew
+	Stop
+	Checkpoint
+	Throttle
+	Forget
+)
+
+// Call is a call to the worker. Start and Renew carry their own message.
+type Call struct {
+	Kind    CallKind
+	Task    string
+	Epoch   uint64
+	Start   *workerapi.Start
+	Renew   *workerapi.Renew
+	Control workerapi.Control
+}
+
+// Result is the result of a Call.
+type Result struct {
+	Call    Call
+	Task    *workerapi.Task // the worker's view after the call, when it succeeded
+	Refused string          // the worker refused the call
+	Gone    bool            // the worker does not know the task
+	Failed  bool            // no answer, so the effect is unknown
+}
+
+// Commands takes the answer to a report that was sent at sentAt. Leases count
+// from sentAt, because control counts them from when it answered, which is
+// later.
+func (e *Executor) Commands(now, sentAt time.Duration, c controlapi.AgentCommands) []Call {
+	e.calls = nil
+	lease := time.Duration(c.LeaseMillis) * time.Millisecond
+	e.renew(sentAt+lease, c.Renewed)
+	for i := range c.Commands {
+		e.command(now, sentAt+lease, &c.Commands[i])
+	}
+	return e.calls
+}
+
+func (e *Executor) renew(deadline time.Duration, leases []controlapi.Lease) {
+	renewal := &workerapi.Renew{AgentEpoch: e.worker.Epoch}
+	for _, l := range leases {
+		t := e.tasks[l.Task]
+		if t == nil || t.epoch != l.Epoch || t.phase == ended || deadline <= t.deadline {
+			continue
+		}
+		t.deadline = deadline
+		renewal.Leases = append(renewal.Leases, workerapi.TaskExpiry{
+			Task: l.Task, Epoch: l.Epoch, Deadline: int64(deadline),
+		})
+	}
+	if len(renewal.Leases) > 0 {
+		e.calls = append(e.calls, Call{Kind: Renew, Renew: renewal})
+	}
+}
+
+func (e *Executor) command(now, deadline time.Duration, c *controlapi.Command) {
+	if c.Action == controlapi.ActionStart {
+		e.start(now, deadline, c)
+		return
+	}
+	t := e.tasks[c.Task.ID]
+	if t == nil || t.epoch != c.Epoch {
+		return
+	}
+	switch c.Action {
+	case controlapi.ActionStop:
+		e.want(t, Stop)
+	case controlapi.ActionCheckpoint:
+		e.want(t, Checkpoint)
+	case controlapi.ActionThrottle:
+		t.throttle = c.ThrottlePercent
+		e.want(t, Throttle)
+	case controlapi.ActionForget:
+		if t.phase == ended {
+			e.want(t, Forget)
+		}
+	}
+}
+
+func (e *Executor) start(now, deadline time.Duration, c *controlapi.Command) {
+	known := e.tasks[c.Task.ID]
+	if known != nil && known.epoch >= c.Epoch {
+		return // a repeated or an outdated command
+	}
+	if known != nil && known.phase != ended {
+		e.want(known, Stop)
+		return // control repeats the command until the task is reported
+	}
+	t := &task{
+		Task:       c.Task,
+		epoch:      c.Epoch,
+		checkpoint: c.Checkpoint,
+		sequence:   c.CheckpointSequence,
+		deadline:   deadline,
+		startedAt:  now,
+	}
+	reason := e.refusal(now, t)
+	e.tasks[t.ID] = t
+	if reason != "" {
+		t.end(controlapi.ReportedRefused, reason)
+		return
+	}
+	t.notAfter = min(e.permit, deadline)
+	e.want(t, Start)
+}
+
+// refusal returns why a task must not start now, or "".
+func (e *Executor) refusal(now time.Duration, t *task) string {
+	switch {
+	case !e.adopted:
+		return ReasonNotAdopted
+	case e.draining:
+		return ReasonDraining
+	case now >= e.permit:
+		return ReasonNoPermit
+	case now >= t.deadline:
+		return ReasonLeaseEnded
+	case !e.Committed().Plus(t.Size).Fits(e.worker.Capacity):
+		return ReasonNoCapacity
+	}
+	return ""
+}
+
+// want issues a call for a task, or remembers it while another call for the
+// same task is outstanding.
+func (e *Executor) want(t *task, kind CallKind) {
+	if t.busy {
+		t.wanted = kind
+		return
+	}
+	t.busy = true
+	e.calls = append(e.calls, e.call(t, kind))
+}
+
+func (e *Executor) call(t *task, kind CallKind) Call {
+	c := Call{Kind: kind, Task: t.ID, Epoch: t.epoch}
+	if kind == Start {
+		c.Start = &workerapi.Start{
+			AgentEpoch:         e.worker.Epoch,
+			Epoch:              t.epoch,
+			Task:               t.Task,
+			Checkpoint:         t.checkpoint,
+			CheckpointSequence: t.sequence,
+			NotAfter:           int64(t.notAfter),
+			Deadline:           int64(t.deadline),
+		}
+		return c
+	}
+	c.Control = workerapi.Control{AgentEpoch: e.worker.Epoch, Epoch: t.epoch, ThrottlePercent: t.throttle}
+	return c
+}
+
+// CallDone takes the result of a call. A call without an answer is repeated by
+// the next Tick, so that an unreachable worker is not called in a tight loop.
+func (e *Executor) CallDone(now time.Duration, r Result) []Call {
+	e.calls = nil
+	t := e.tasks[r.Call.Task]
+	if t == nil || t.epoch != r.Call.Epoch || r.Call.Kind == Renew {
+		return nil
+	}
+	t.busy = false
+	switch {
+	case r.Failed:
+		t.retry(now, r.Call.Kind)
+		return nil
+	case r.Call.Kind == Forget:
+		delete(e.tasks, t.ID)
+		return nil
+	case r.Refused != "":
+		t.refused(r)
+	case r.Gone:
+		t.missing()
+	case r.Task != nil:
+		t.observe(r.Task)
+	}
+	e.issueWanted(t)
+	return e.calls
+}
+
+// issueWanted issues the call that was remembered for a task.
+func (e *Executor) issueWanted(t *task) {
+	if t.wanted == None || t.busy {
+		return
+	}
+	kind := t.wanted
+	t.wanted = None
+	e.want(t, kind)
+}
+
+func (t *task) refused(r Result) {
+	if r.Call.Kind == Start {
+		t.end(controlapi.ReportedRefused, ReasonStartFailed+": "+r.Refused)
+	}
+}
+
+// retry remembers a call whose effect is unknown. A start is repeated only
+// while it may still take effect; after that the lease decides.
+func (t *task) retry(now time.Duration, kind CallKind) {
+	if t.wanted != None || kind == Start && now >= t.notAfter {
+		return
+	}
+	t.wanted = kind
+}
+
+// Tick repeats calls without an answer, stops the tasks whose lease ends and
+// ends those whose lease has passed.
+func (e *Executor) Tick(now time.Duration) []Call {
+	e.calls = nil
+	for _, t := range e.tasks {
+		e.issueWanted(t)
+		switch {
+		case t.phase == ended:
+		case now >= t.deadline:
+			t.end(controlapi.ReportedStopped, ReasonLeaseEnded)
+			t.unconfirmed = true
+		case t.phase == running && now >= t.deadline-stopMargin && !t.busy:
+			e.want(t, Stop)
+		}
+	}
+	return e.calls
+}
--- /dev/null
+++ b/executor/executor.go
@@ -0,0 +1,222 @@
+package executor
+
+import (
+	"sort"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/workerapi"
+)
+
+// Reasons for which a start is refused.
+const (
+	ReasonNotAdopted  = "tasks of the worker are not known yet"
+	ReasonNoPermit    = "no permit to start tasks in the zone"
+	ReasonNoCapacity  = "not enough free capacity"
+	ReasonDraining    = "instance is draining"
+	ReasonOldEpoch    = "an earlier epoch of the task is still present"
+	ReasonLost        = "task is not known to the worker any more"
+	ReasonLeaseEnded  = "lease ended"
+	ReasonStartFailed = "worker refused the start"
+)
+
+// stopMargin is how long before the end of a lease the executor stops a task.
+// The worker stops it at the end of the lease even without the executor.
+const stopMargin = 200 * time.Millisecond
+
+// Executor is the state of the tasks of one instance.
+//
+// Invariant: the sizes of the tasks that are not ended never exceed the
+// capacity, except for tasks that the worker already ran when it was adopted.
+type Executor struct {
+	worker   controlapi.Worker
+	adopted  bool
+	draining bool
+	permit   time.Duration // instance clock at which the zone permit ends
+	tasks    map[string]*task
+	usage    []controlapi.Usage
+	sequence uint64
+	calls    []Call
+}
+
+type phase uint8
+
+const (
+	starting phase = iota
+	running
+	ended
+)
+
+type task struct {
+	controlapi.Task
+	epoch      uint64
+	phase      phase
+	final      controlapi.ReportedState // set when ended
+	reason     string
+	checkpoint string
+	sequence   uint64
+	deadline   time.Duration
+	notAfter   time.Duration
+	startedAt  time.Duration
+	busy       bool // a call for the task is outstanding
+	wanted     CallKind
+	throttle   int
+	// unconfirmed is set when the lease ended before the worker confirmed the
+	// end of the task. Its size stays committed until then.
+	unconfirmed bool
+}
+
+// New returns the executor of a worker. It refuses starts until Adopt.
+func New(w controlapi.Worker) *Executor {
+	return &Executor{worker: w, tasks: map[string]*task{}}
+}
+
+// SetAgentEpoch sets the epoch that this agent has on its worker.
+func (e *Executor) SetAgentEpoch(epoch uint64) { e.worker.Epoch = epoch }
+
+// Drain makes the executor refuse new starts.
+func (e *Executor) Drain() { e.draining = true }
+
+// SetPermit sets until when tasks may start in the zone of the instance.
+// remaining counts from sentAt, when the permit was asked for. A refusal is a
+// remaining time of 0 and takes effect at once.
+func (e *Executor) SetPermit(sentAt, remaining time.Duration) {
+	if remaining <= 0 {
+		e.permit = 0
+		return
+	}
+	e.permit = max(e.permit, sentAt+remaining)
+}
+
+// Adopt takes over what the worker runs, after a start of this agent.
+func (e *Executor) Adopt(now time.Duration, list workerapi.Tasks) {
+	e.adopted = true
+	for i := range list.Tasks {
+		e.adopt(now, &list.Tasks[i])
+	}
+}
+
+func (e *Executor) adopt(now time.Duration, w *workerapi.Task) {
+	t := &task{
+		Task:      controlapi.Task{ID: w.ID, Class: w.Class, Size: w.Size},
+		epoch:     w.Epoch,
+		phase:     running,
+		deadline:  time.Duration(w.Deadline),
+		startedAt: now,
+	}
+	e.tasks[w.ID] = t
+	t.observe(w)
+}
+
+// Observe takes a list of the worker that was asked for at askedAt.
+func (e *Executor) Observe(now, askedAt time.Duration, list workerapi.Tasks) {
+	e.usage = list.Usage
+	present := make(map[string]bool, len(list.Tasks))
+	for i := range list.Tasks {
+		w := &list.Tasks[i]
+		present[w.ID] = true
+		switch t := e.tasks[w.ID]; {
+		case t == nil:
+			e.adopt(now, w)
+		case t.epoch == w.Epoch:
+			t.observe(w)
+		}
+	}
+	for id, t := range e.tasks {
+		if !present[id] && t.startedAt < askedAt {
+			t.missing()
+		}
+	}
+}
+
+// missing handles a task that the worker does not list.
+func (t *task) missing() {
+	t.unconfirmed = false
+	if t.phase == running {
+		t.end(controlapi.ReportedStopped, ReasonLost)
+	}
+}
+
+// observe takes the worker's view of a task with the same epoch.
+func (t *task) observe(w *workerapi.Task) {
+	t.checkpoint, t.sequence = w.Checkpoint, w.CheckpointSequence
+	t.unconfirmed = t.unconfirmed && w.State == workerapi.Running
+	if t.phase == ended {
+		return
+	}
+	switch w.State {
+	case workerapi.Running:
+		t.phase = running
+	case workerapi.Completed:
+		t.end(controlapi.ReportedCompleted, w.Reason)
+	case workerapi.Failed:
+		t.end(controlapi.ReportedFailed, w.Reason)
+	case workerapi.Checkpointed:
+		t.end(controlapi.ReportedCheckpointed, w.Reason)
+	case workerapi.Stopped:
+		t.end(controlapi.ReportedStopped, w.Reason)
+	}
+}
+
+func (t *task) end(state controlapi.ReportedState, reason string) {
+	t.phase, t.final, t.reason = ended, state, reason
+}
+
+// Committed returns the sum of the sizes of the tasks that may still run.
+func (e *Executor) Committed() controlapi.Resources {
+	var sum controlapi.Resources
+	for _, t := range e.tasks {
+		if t.phase != ended || t.unconfirmed {
+			sum = sum.Plus(t.Size)
+		}
+	}
+	return sum
+}
+
+// Report returns the next report to control.
+func (e *Executor) Report() controlapi.AgentReport {
+	e.sequence++
+	r := controlapi.AgentReport{
+		Worker:   e.worker,
+		Sequence: e.sequence,
+		Tasks:    make([]controlapi.ReportedTask, 0, len(e.tasks)),
+		Usage:    e.usage,
+		Draining: e.draining,
+	}
+	for id, t := range e.tasks {
+		r.Tasks = append(r.Tasks, controlapi.ReportedTask{
+			Task:               id,
+			Epoch:              t.epoch,
+			State:              t.reported(),
+			Reason:             t.reason,
+			Checkpoint:         t.checkpoint,
+			CheckpointSequence: t.sequence,
+		})
+	}
+	sort.Slice(r.Tasks, func(i, j int) bool { return r.Tasks[i].Task < r.Tasks[j].Task })
+	return r
+}
+
+// Adopted reports whether the tasks of the worker are known.
+func (e *Executor) Adopted() bool { return e.adopted }
+
+// Changed reports whether a task has ended that control has not confirmed.
+func (e *Executor) Changed() bool {
+	for _, t := range e.tasks {
+		if t.phase == ended {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *task) reported() controlapi.ReportedState {
+	switch t.phase {
+	case starting:
+		return controlapi.ReportedStarting
+	case running:
+		return controlapi.ReportedRunning
+	default:
+		return t.final
+	}
+}
