daemon/controlclient: send operations to the leader of control

Cause: entry instances and operators need one way to reach the leader that survives its loss. Change: supervisor with a link to each member, a duty that owns calls in flight, and a pure tracker that follows hints and resends after a refusal, a lost link or 500 ms of silence.

--- /dev/null
+++ b/daemon/controlclient/client.go
@@ -0,0 +1,151 @@
+package controlclient
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/settings"
+	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("controlclient")
+
+// ErrUnavailable is returned when no leader answered before the deadline. The
+// operation may or may not have taken effect, and can be sent again.
+var ErrUnavailable = Error.New("control is unavailable")
+
+// RefusedError is returned when control has decided against the operation.
+type RefusedError struct {
+	Reason string
+}
+
+// Error returns the reason.
+func (e *RefusedError) Error() string { return "controlclient: refused: " + e.Reason }
+
+// DefaultTimeout bounds a Do whose context has no deadline.
+const DefaultTimeout = 5 * time.Second
+
+// callCapacity is the number of calls that wait for the duty. At 2 ms a call it
+// holds what the rings of the callers hold.
+const callCapacity = 4096
+
+// Call is one operation. Its deadline must be set.
+type Call struct {
+	Operation   controlapi.Operation
+	Payload     []byte // JSON of the operation's request type
+	Deadline    time.Time
+	Hold        time.Duration // time that control may hold the response before silence counts
+	TraceParent string
+	Token       uint64             // returned in Result
+	Reply       *ring.Ring[Result] // must have room for every call of its owner in flight
+}
+
+// Result is the outcome of a call: a payload, or an error that is
+// ErrUnavailable or a *RefusedError.
+type Result struct {
+	Token   uint64
+	Payload []byte // JSON of the operation's response type
+	Err     error
+}
+
+// Options configure a Client.
+type Options struct {
+	Local          link.Identity // the role is entry, agent or admin
+	Members        []settings.Member
+	ConfigRevision func() uint64 // sent in heartbeats; may be nil
+	Observer       supervise.Observer
+}
+
+// Client is the supervisor of the links to the control members and of the duty
+// that owns the calls in flight.
+type Client struct {
+	*supervise.Supervisor
+	duty *duty
+}
+
+// New returns the supervisor.
+func New(o Options) *Client {
+	c := &Client{
+		Supervisor: supervise.New("controlclient", supervise.Policy{}, o.Observer),
+		duty:       newDuty(o.Members),
+	}
+	c.Add("calls", c.duty)
+	links := supervise.New("controlclient.links", supervise.Policy{Intensity: supervise.Unlimited}, o.Observer)
+	for _, m := range o.Members {
+		links.Add("member "+m.ID, link.NewDialer(m.Address, link.Options{
+			Local:          o.Local,
+			Accept:         []wire.Role{wire.Role_ROLE_CONTROL},
+			ConfigRevision: o.ConfigRevision,
+			Observer:       o.Observer,
+		}, &memberHandler{member: m.ID, duty: c.duty}))
+	}
+	if len(o.Members) > 0 {
+		c.Add("links", links)
+	}
+	return c
+}
+
+// Start takes a call without blocking and delivers its result to call.Reply. It
+// fails with ErrUnavailable when too many calls wait.
+func (c *Client) Start(call Call) error {
+	if err := c.duty.calls.Offer(call); err != nil {
+		return Error.New("step=start operation=%s cause=%v: %w", call.Operation, err, ErrUnavailable)
+	}
+	return nil
+}
+
+// Do performs an operation and waits for its result, decoded into out. Handlers
+// of net/http use it; a duty uses Start.
+func (c *Client) Do(ctx context.Context, op controlapi.Operation, in, out any) error {
+	payload, err := json.Marshal(in)
+	if err != nil {
+		return Error.New("step=encode operation=%s: %w", op, err)
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(DefaultTimeout)
+	}
+	reply := ring.New[Result]("controlclient.reply", 1)
+	call := Call{Operation: op, Payload: payload, Deadline: deadline, Hold: HoldOf(in), Reply: reply}
+	if err := c.Start(call); err != nil {
+		return err
+	}
+	return await(ctx, op, reply, out)
+}
+
+func await(ctx context.Context, op controlapi.Operation, reply *ring.Ring[Result], out any) error {
+	result, err := reply.Take(ctx)
+	if err != nil {
+		return Error.New("step=await operation=%s cause=%v: %w", op, err, ErrUnavailable)
+	}
+	if result.Err != nil {
+		return result.Err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(result.Payload, out); err != nil {
+		return Error.New("step=decode operation=%s: %w", op, err)
+	}
+	return nil
+}
+
+// HoldOf returns the time that control may hold the response to a request.
+func HoldOf(in any) time.Duration {
+	switch r := in.(type) {
+	case controlapi.ConfigRequest:
+		return time.Duration(r.WaitMillis) * time.Millisecond
+	case *controlapi.ConfigRequest:
+		return time.Duration(r.WaitMillis) * time.Millisecond
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/daemon/controlclient/duty.go
@@ -0,0 +1,197 @@
+package controlclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/settings"
+	"github.com/ibispier/ibispier/wire"
+)
+
+const (
+	eventCapacity = 4096
+	eventPatience = time.Second // a duty that is slower than this has failed, and the link is closed
+	maxBatch      = 256
+	idleTick      = time.Second
+)
+
+// event is a fact about the link to a member.
+type event struct {
+	member   string
+	conn     *link.Conn
+	up, down bool
+	response *wire.ControlResponse
+}
+
+// duty owns the calls in flight and drives the tracker.
+type duty struct {
+	calls   *ring.Ring[Call]
+	events  *ring.Ring[event]
+	members []string
+
+	tracker *tracker
+	links   map[string]*link.Conn
+}
+
+func newDuty(members []settings.Member) *duty {
+	d := &duty{
+		calls:  ring.New[Call]("controlclient.calls", callCapacity),
+		events: ring.New[event]("controlclient.events", eventCapacity),
+	}
+	for _, m := range members {
+		d.members = append(d.members, m.ID)
+	}
+	return d
+}
+
+// Run sends calls until ctx ends.
+func (d *duty) Run(ctx context.Context) error {
+	d.tracker = newTracker(d.members)
+	d.links = map[string]*link.Conn{}
+	defer d.abandon()
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-d.calls.C():
+			d.startAll(c)
+		case e := <-d.events.C():
+			d.handleAll(e)
+		case now := <-timer.C:
+			d.tracker.tick(now)
+		}
+		d.perform()
+		d.schedule(timer)
+	}
+}
+
+func (d *duty) startAll(first Call) {
+	now := time.Now()
+	d.tracker.start(now, first)
+	for _, c := range d.calls.Drain(nil, maxBatch) {
+		d.tracker.start(now, c)
+	}
+}
+
+func (d *duty) handleAll(first event) {
+	d.handle(first)
+	for _, e := range d.events.Drain(nil, maxBatch) {
+		d.handle(e)
+	}
+}
+
+func (d *duty) handle(e event) {
+	now := time.Now()
+	switch {
+	case e.up:
+		d.links[e.member] = e.conn
+		d.tracker.linkUp(now, e.member)
+	case e.down:
+		if d.links[e.member] == e.conn {
+			delete(d.links, e.member)
+			d.tracker.linkDown(now, e.member)
+		}
+	case e.response != nil:
+		d.tracker.answered(now, e.member, e.response.GetId(), response{
+			status:  e.response.GetStatus(),
+			reason:  e.response.GetReason(),
+			leader:  e.response.GetLeader(),
+			payload: e.response.GetPayload(),
+		})
+	}
+}
+
+// perform carries out what the tracker decided. A failed send comes back to the
+// tracker, which only schedules a later one, so the loop ends.
+func (d *duty) perform() {
+	t := d.tracker
+	for len(t.sends) > 0 {
+		sends := t.sends
+		t.sends = nil
+		for _, s := range sends {
+			if s.call.done || s.call.member != s.member {
+				continue
+			}
+			if !d.send(s) {
+				t.sendFailed(time.Now(), s.call.id)
+			}
+		}
+	}
+	for _, f := range t.finishes {
+		_ = f.call.Reply.Offer(f.result)
+	}
+	t.finishes = t.finishes[:0]
+}
+
+// send uses the data stream, because a payload can hold a recorded response and
+// must not delay heartbeats.
+func (d *duty) send(s send) bool {
+	conn := d.links[s.member]
+	if conn == nil {
+		return false
+	}
+	return conn.SendData(&wire.Frame{Body: &wire.Frame_ControlRequest{ControlRequest: &wire.ControlRequest{
+		Id:            s.call.id,
+		Operation:     string(s.call.Operation),
+		Payload:       s.call.Payload,
+		TimeoutMillis: time.Until(s.call.Deadline).Milliseconds(),
+		TraceParent:   s.call.TraceParent,
+	}}}) == nil
+}
+
+func (d *duty) schedule(timer *time.Timer) {
+	wait := idleTick
+	if next, ok := d.tracker.nextWake(); ok {
+		wait = time.Until(next)
+	}
+	timer.Reset(max(wait, 0))
+}
+
+// abandon answers the calls that a stopping or failing run leaves and closes
+// the links, so that the next run is told about new ones.
+func (d *duty) abandon() {
+	for _, c := range d.tracker.calls {
+		_ = c.Reply.Offer(Result{Token: c.Token, Err: ErrUnavailable})
+	}
+	for _, conn := range d.links {
+		conn.Close()
+	}
+}
+
+// memberHandler tells the duty about the link to one member.
+type memberHandler struct {
+	member string
+	duty   *duty
+}
+
+// Up implements link.Handler.
+func (h *memberHandler) Up(ctx context.Context, c *link.Conn) error {
+	return h.put(ctx, event{member: h.member, conn: c, up: true})
+}
+
+// Frame implements link.Handler.
+func (h *memberHandler) Frame(ctx context.Context, c *link.Conn, f *wire.Frame) error {
+	r := f.GetControlResponse()
+	if r == nil {
+		return link.Error.New("step=control peer=%s: unexpected frame %T", c.Peer().ID, f.GetBody())
+	}
+	return h.put(ctx, event{member: h.member, conn: c, response: r})
+}
+
+// Down implements link.Handler.
+func (h *memberHandler) Down(c *link.Conn, _ error) {
+	_ = h.put(context.Background(), event{member: h.member, conn: c, down: true})
+}
+
+func (h *memberHandler) put(ctx context.Context, e event) error {
+	if err := h.duty.events.Offer(e); err == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, eventPatience)
+	defer cancel()
+	return h.duty.events.Put(ctx, e)
+}
--- /dev/null
+++ b/daemon/controlclient/tracker.go
@@ -0,0 +1,250 @@
+package controlclient
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/ibispier/ibispier/wire"
+)
+
+const (
+	// silenceLimit is the time without a response after which a call is sent to
+	// another member. It is above a commit across zones and below the time in
+	// which a new leader is elected.
+	silenceLimit = 500 * time.Millisecond
+	// retryDelay is the pause after a member that knows no leader, so that an
+	// election is not met with a stream of calls.
+	retryDelay = 25 * time.Millisecond
+	// maxHops bounds the hints that one call follows without a pause. Two
+	// members with old hints can name each other.
+	maxHops = 2
+)
+
+// response is the answer of a member to a call.
+type response struct {
+	status  wire.ControlStatus
+	reason  string
+	leader  string
+	payload []byte
+}
+
+// send asks the driver to send a call to a member.
+type send struct {
+	member string
+	call   *inFlight
+}
+
+// finish asks the driver to deliver a result.
+type finish struct {
+	call   *inFlight
+	result Result
+}
+
+// inFlight is a call without a result.
+type inFlight struct {
+	Call
+	id     uint64
+	member string // where it was sent last, "" while it waits
+	hops   int
+	wake   time.Time // next resend or the deadline
+	done   bool
+}
+
+// tracker decides where calls are sent and when they are sent again. It has no
+// clock and no links.
+type tracker struct {
+	members  []string
+	up       map[string]bool
+	leader   string
+	next     int // member that is tried when no leader is known
+	id       uint64
+	calls    map[uint64]*inFlight
+	wakes    wakeQueue
+	sends    []send
+	finishes []finish
+}
+
+func newTracker(members []string) *tracker {
+	return &tracker{members: members, up: map[string]bool{}, calls: map[uint64]*inFlight{}}
+}
+
+// start takes a new call.
+func (t *tracker) start(now time.Time, call Call) {
+	t.id++
+	c := &inFlight{Call: call, id: t.id}
+	t.calls[c.id] = c
+	t.dispatch(now, c)
+}
+
+// linkUp sends the calls that wait for a member.
+func (t *tracker) linkUp(now time.Time, member string) {
+	t.up[member] = true
+	for _, c := range t.calls {
+		if c.member == "" {
+			t.dispatch(now, c)
+		}
+	}
+}
+
+// linkDown sends the calls of a lost link again.
+func (t *tracker) linkDown(now time.Time, member string) {
+	delete(t.up, member)
+	if t.leader == member {
+		t.leader = ""
+	}
+	for _, c := range t.calls {
+		if c.member == member {
+			t.dispatch(now, c)
+		}
+	}
+}
+
+// answered handles the response of a member. A late refusal by a member that is
+// no longer asked is dropped; a late success is a success.
+func (t *tracker) answered(now time.Time, member string, id uint64, r response) {
+	c := t.calls[id]
+	if c == nil {
+		return
+	}
+	switch r.status {
+	case wire.ControlStatus_CONTROL_STATUS_OK:
+		t.leader = member
+		t.end(c, Result{Payload: r.payload})
+	case wire.ControlStatus_CONTROL_STATUS_REFUSED:
+		t.end(c, Result{Err: &RefusedError{Reason: r.reason}})
+	default:
+		if c.member == member {
+			t.redirect(now, c, r.leader)
+		}
+	}
+}
+
+// redirect follows a hint to the leader, or waits before the next member.
+func (t *tracker) redirect(now time.Time, c *inFlight, hint string) {
+	from := c.member
+	if t.leader == from {
+		t.leader = ""
+	}
+	if hint != "" && hint != from && t.up[hint] && c.hops < maxHops {
+		c.hops++
+		t.leader = hint
+		t.dispatch(now, c)
+		return
+	}
+	t.skip(from)
+	t.pause(now, c)
+}
+
+// sendFailed handles a call that the link did not take.
+func (t *tracker) sendFailed(now time.Time, id uint64) {
+	if c := t.calls[id]; c != nil {
+		t.skip(c.member)
+		t.pause(now, c)
+	}
+}
+
+// tick ends calls at their deadline and sends silent calls to another member.
+func (t *tracker) tick(now time.Time) {
+	for len(t.wakes) > 0 && !t.wakes[0].at.After(now) {
+		w := heap.Pop(&t.wakes).(wake)
+		c := w.call
+		if c.done || !c.wake.Equal(w.at) {
+			continue
+		}
+		if !c.Deadline.After(now) {
+			t.end(c, Result{Err: ErrUnavailable})
+			continue
+		}
+		if c.member != "" {
+			t.skip(c.member)
+		}
+		t.dispatch(now, c)
+	}
+}
+
+// nextWake returns when tick has something to do.
+func (t *tracker) nextWake() (time.Time, bool) {
+	for len(t.wakes) > 0 && (t.wakes[0].call.done || !t.wakes[0].call.wake.Equal(t.wakes[0].at)) {
+		heap.Pop(&t.wakes)
+	}
+	if len(t.wakes) == 0 {
+		return time.Time{}, false
+	}
+	return t.wakes[0].at, true
+}
+
+// dispatch sends a call to the believed leader, or to the next linked member.
+func (t *tracker) dispatch(now time.Time, c *inFlight) {
+	c.member = t.choose()
+	if c.member == "" {
+		t.wakeAt(c, c.Deadline)
+		return
+	}
+	t.sends = append(t.sends, send{member: c.member, call: c})
+	t.wakeAt(c, now.Add(silenceLimit+c.Hold))
+}
+
+func (t *tracker) choose() string {
+	if t.leader != "" && t.up[t.leader] {
+		return t.leader
+	}
+	for i := range t.members {
+		if m := t.members[(t.next+i)%len(t.members)]; t.up[m] {
+			return m
+		}
+	}
+	return ""
+}
+
+// skip makes the member after m the next one to try.
+func (t *tracker) skip(m string) {
+	if t.leader == m {
+		t.leader = ""
+	}
+	for i, other := range t.members {
+		if other == m {
+			t.next = i + 1
+		}
+	}
+}
+
+func (t *tracker) pause(now time.Time, c *inFlight) {
+	c.member = ""
+	c.hops = 0
+	t.wakeAt(c, now.Add(retryDelay))
+}
+
+func (t *tracker) wakeAt(c *inFlight, at time.Time) {
+	if c.Deadline.Before(at) {
+		at = c.Deadline
+	}
+	c.wake = at
+	heap.Push(&t.wakes, wake{at: at, call: c})
+}
+
+func (t *tracker) end(c *inFlight, r Result) {
+	c.done = true
+	delete(t.calls, c.id)
+	r.Token = c.Token
+	t.finishes = append(t.finishes, finish{call: c, result: r})
+}
+
+// wake is a scheduled look at a call. It is void when the call has a later one.
+type wake struct {
+	at   time.Time
+	call *inFlight
+}
+
+type wakeQueue []wake
+
+func (q wakeQueue) Len() int           { return len(q) }
+func (q wakeQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q wakeQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *wakeQueue) Push(x any)        { *q = append(*q, x.(wake)) }
+func (q *wakeQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = wake{}
+	*q = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/daemon/controlclient/tracker_test.go
@@ -0,0 +1,126 @@
+package controlclient
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/wire"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func after(d time.Duration) time.Time { return epoch.Add(d) }
+
+func linked(members ...string) *tracker {
+	t := newTracker(members)
+	for _, m := range members {
+		t.linkUp(epoch, m)
+	}
+	return t
+}
+
+func (t *tracker) takeSend(test *testing.T) send {
+	test.Helper()
+	if len(t.sends) != 1 {
+		test.Fatalf("%d sends, want 1", len(t.sends))
+	}
+	s := t.sends[0]
+	t.sends = nil
+	return s
+}
+
+func notLeader(hint string) response {
+	return response{status: wire.ControlStatus_CONTROL_STATUS_NOT_LEADER, leader: hint}
+}
+
+// Guards against a call that stays with a member that does not lead.
+func TestCallFollowsHint(t *testing.T) {
+	tr := linked("a", "b", "c")
+	tr.start(epoch, Call{Deadline: after(time.Second), Token: 7})
+	s := tr.takeSend(t)
+	tr.answered(epoch, s.member, s.call.id, notLeader("c"))
+	if s = tr.takeSend(t); s.member != "c" {
+		t.Fatalf("sent to %s, want the hinted member c", s.member)
+	}
+	tr.answered(epoch, "c", s.call.id, response{status: wire.ControlStatus_CONTROL_STATUS_OK, payload: []byte("x")})
+	if len(tr.finishes) != 1 || tr.finishes[0].result.Token != 7 || tr.leader != "c" {
+		t.Fatalf("finishes %v, leader %q", tr.finishes, tr.leader)
+	}
+}
+
+// Guards against two members with old hints that pass a call back and forth
+// without a pause.
+func TestHintsInACircleArePaced(t *testing.T) {
+	tr := linked("a", "b")
+	tr.start(epoch, Call{Deadline: after(time.Second)})
+	for sends := 0; ; sends++ {
+		if sends > maxHops+1 {
+			t.Fatalf("%d sends without a pause", sends)
+		}
+		if len(tr.sends) == 0 {
+			break
+		}
+		s := tr.takeSend(t)
+		tr.answered(epoch, s.member, s.call.id, notLeader(map[string]string{"a": "b", "b": "a"}[s.member]))
+	}
+	if wake, ok := tr.nextWake(); !ok || !wake.Equal(after(retryDelay)) {
+		t.Fatalf("next wake %v", wake)
+	}
+}
+
+// Guards against a call that is lost with a silent member or a lost link.
+func TestSilenceAndLostLinkMoveTheCall(t *testing.T) {
+	tr := linked("a", "b", "c")
+	tr.start(epoch, Call{Deadline: after(3 * time.Second)})
+	first := tr.takeSend(t)
+	tr.tick(after(silenceLimit - 1))
+	if len(tr.sends) != 0 {
+		t.Fatal("sent again before the limit of silence")
+	}
+	tr.tick(after(silenceLimit))
+	second := tr.takeSend(t)
+	tr.linkDown(after(silenceLimit), second.member)
+	third := tr.takeSend(t)
+	if first.member == second.member || second.member == third.member {
+		t.Fatalf("sent to %s, %s, %s", first.member, second.member, third.member)
+	}
+}
+
+// Guards against a held response, as of a long poll, that counts as silence.
+func TestHoldExtendsTheLimitOfSilence(t *testing.T) {
+	tr := linked("a", "b")
+	tr.start(epoch, Call{Deadline: after(time.Minute), Hold: 10 * time.Second})
+	tr.takeSend(t)
+	tr.tick(after(10 * time.Second))
+	if len(tr.sends) != 0 {
+		t.Fatal("a held call was sent again")
+	}
+}
+
+// Guards against a caller that waits beyond its deadline when no member is
+// linked, and against results after the end.
+func TestDeadlineEndsTheCall(t *testing.T) {
+	tr := newTracker([]string{"a"})
+	tr.start(epoch, Call{Deadline: after(time.Second)})
+	tr.tick(after(time.Second))
+	if len(tr.finishes) != 1 || !errors.Is(tr.finishes[0].result.Err, ErrUnavailable) {
+		t.Fatalf("finishes %v, want one ErrUnavailable", tr.finishes)
+	}
+	tr.answered(after(time.Second), "a", 1, response{status: wire.ControlStatus_CONTROL_STATUS_OK})
+	if len(tr.finishes) != 1 || len(tr.calls) != 0 {
+		t.Fatal("the call ended twice")
+	}
+}
+
+// Guards against a refusal that is sent again although control has decided.
+func TestRefusalEndsTheCall(t *testing.T) {
+	tr := linked("a")
+	tr.start(epoch, Call{Deadline: after(time.Second)})
+	s := tr.takeSend(t)
+	tr.answered(epoch, "a", s.call.id, response{status: wire.ControlStatus_CONTROL_STATUS_REFUSED, reason: "why"})
+	var refused *RefusedError
+	if len(tr.finishes) != 1 || !errors.As(tr.finishes[0].result.Err, &refused) || refused.Reason != "why" {
+		t.Fatalf("finishes %v", tr.finishes)
+	}
+}
