entry/relay, agent: connect agents with control through any entry instance

Cause: agents need permits, commands and the configuration without a link to every control member. Change: relay duty (forwarding, delegated zone permits, configuration watch, announced targets), link.Fanout, wiring in both roles.

--- a/daemon/agent/admission/links.go
+++ b/daemon/agent/admission/links.go
@@ -7,6 +7,15 @@
 	"github.com/ibispier/ibispier/wire"
 )
 
+// Handles reports whether the duty takes frames of this kind.
+func (d *Duty) Handles(f *wire.Frame) bool {
+	switch f.GetBody().(type) {
+	case *wire.Frame_Request, *wire.Frame_CancelRequest:
+		return true
+	}
+	return false
+}
+
 // Up implements link.Handler.
 func (d *Duty) Up(ctx context.Context, c *link.Conn) error {
 	return d.put(ctx, event{conn: c, up: true})
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -9,6 +9,8 @@
 
 	"github.com/ibispier/ibispier/daemon/agent/admission"
 	"github.com/ibispier/ibispier/daemon/agent/slots"
+	"github.com/ibispier/ibispier/daemon/agent/tasks"
+	"github.com/ibispier/ibispier/daemon/agent/workercalls"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
@@ -19,14 +21,16 @@
 type Role struct {
 	*supervise.Supervisor
 	admission *admission.Duty
+	tasks     *tasks.Duty
 }
 
 // New returns the role.
 func New(s *settings.Settings, log *zap.Logger, observer supervise.Observer) *Role {
 	admit := admission.New(s, log)
 	role := &Role{
-		Supervisor: supervise.New("agent", supervise.Policy{}, observer),
+		Supervisor: supervise.New("agent", supervise.Policy{Strategy: supervise.OneForAll}, observer),
 		admission:  admit,
+		tasks:      tasks.New(s, log),
 	}
 	role.Add("admission", admit)
 	role.Add("slots", slots.New(slots.Options{
@@ -35,21 +39,31 @@
 		Connections: s.Agent.Connections,
 		MaxBody:     s.Entry.MaxBody,
 	}, admit.Work, admit.Results, observer))
-	role.Add("uplinks", newUplinks(s, admit, observer))
+	role.Add("tasks", role.tasks)
+	if s.Agent.Worker != "" {
+		role.Add("workercalls", workercalls.New(s.Agent.Worker, role.tasks.Jobs, role.tasks.Done, observer))
+	}
+	role.Add("uplinks", newUplinks(s, link.Fanout(admit, role.tasks), role.tasks.Revision, observer))
 	return role
 }
 
-func newUplinks(s *settings.Settings, h link.Handler, observer supervise.Observer) *supervise.Supervisor {
+func newUplinks(s *settings.Settings, h link.Handler, revision func() uint64, observer supervise.Observer) *supervise.Supervisor {
 	uplinks := supervise.New("uplinks", supervise.Policy{Intensity: supervise.Unlimited}, observer)
 	for _, address := range s.Cluster.Entries {
 		uplinks.Add("entry "+address, link.NewDialer(address, link.Options{
-			Local:    link.Identity{Role: wire.Role_ROLE_AGENT, ID: s.Daemon.ID, Zone: s.Daemon.Zone},
-			Accept:   []wire.Role{wire.Role_ROLE_ENTRY},
-			Observer: observer,
+			Local:          link.Identity{Role: wire.Role_ROLE_AGENT, ID: s.Daemon.ID, Zone: s.Daemon.Zone},
+			Accept:         []wire.Role{wire.Role_ROLE_ENTRY},
+			Observer:       observer,
+			ConfigRevision: revision,
 		}, h))
 	}
 	return uplinks
 }
 
 // Drain announces that the target leaves and waits for the requests in flight.
-func (r *Role) Drain(ctx context.Context) error { return r.admission.Drain(ctx) }
+func (r *Role) Drain(ctx context.Context) error {
+	if err := r.tasks.Drain(ctx); err != nil {
+		return err
+	}
+	return r.admission.Drain(ctx)
+}
--- a/daemon/agent/tasks/links.go
+++ b/daemon/agent/tasks/links.go
@@ -11,6 +11,15 @@
 // eventPatience bounds how long a link waits for this duty.
 const eventPatience = time.Second
 
+// Handles reports whether the duty takes frames of this kind.
+func (d *Duty) Handles(f *wire.Frame) bool {
+	switch f.GetBody().(type) {
+	case *wire.Frame_ControlResponse, *wire.Frame_PermitGrant, *wire.Frame_ConfigUpdate:
+		return true
+	}
+	return false
+}
+
 // Up implements link.Handler.
 func (d *Duty) Up(ctx context.Context, c *link.Conn) error {
 	return d.put(ctx, event{conn: c, up: true})
--- a/daemon/agent/tasks/tasks.go
+++ b/daemon/agent/tasks/tasks.go
@@ -37,12 +37,14 @@
 
 // Duty runs the tasks of an instance.
 type Duty struct {
-	Jobs     *ring.Ring[workercalls.Job]
-	Done     *ring.Ring[workercalls.Done]
-	events   *ring.Ring[event]
-	log      *zap.Logger
-	worker   controlapi.Worker
-	revision atomic.Uint64
+	Jobs   *ring.Ring[workercalls.Job]
+	Done   *ring.Ring[workercalls.Done]
+	events *ring.Ring[event]
+	log    *zap.Logger
+	worker controlapi.Worker
+	// hasWorker is false for an instance that only serves requests.
+	hasWorker bool
+	revision  atomic.Uint64
 
 	executor *executor.Executor
 	adoption adoption
@@ -65,10 +67,11 @@
 // New returns the duty.
 func New(s *settings.Settings, log *zap.Logger) *Duty {
 	return &Duty{
-		Jobs:   ring.New[workercalls.Job]("tasks.jobs", jobCapacity),
-		Done:   ring.New[workercalls.Done]("tasks.done", jobCapacity),
-		events: ring.New[event]("tasks.events", eventCapacity),
-		log:    log,
+		Jobs:      ring.New[workercalls.Job]("tasks.jobs", jobCapacity),
+		Done:      ring.New[workercalls.Done]("tasks.done", jobCapacity),
+		events:    ring.New[event]("tasks.events", eventCapacity),
+		log:       log,
+		hasWorker: s.Agent.Worker != "",
 		worker: controlapi.Worker{
 			Agent: s.Daemon.ID,
 			Rack:  s.Agent.Rack,
@@ -89,6 +92,7 @@
 // runs there.
 func (d *Duty) Run(ctx context.Context) error {
 	d.executor = executor.New(d.worker)
+	d.uplinks = uplinks{}
 	d.adoption, d.listing, d.listedAt = unknown, false, 0
 	d.reports, d.permits = newExchange(reportInterval), newExchange(permitInterval)
 	ticker := time.NewTicker(tick)
@@ -114,7 +118,7 @@
 
 func (d *Duty) onTick() {
 	now := bootclock.Now()
-	if !d.listing && now-d.listedAt >= listInterval {
+	if d.hasWorker && !d.listing && now-d.listedAt >= listInterval {
 		d.listing = d.offer(workercalls.Job{List: true})
 		d.listedAt = now
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -9,7 +9,10 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/controlclient"
 	"github.com/ibispier/ibispier/daemon/entry/frontend"
+	"github.com/ibispier/ibispier/daemon/entry/relay"
 	"github.com/ibispier/ibispier/daemon/entry/router"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/routing"
@@ -25,6 +28,7 @@
 type Role struct {
 	*supervise.Supervisor
 	frontend *frontend.Duty
+	relay    *relay.Duty
 }
 
 // New opens the sockets and returns the role.
@@ -43,20 +47,35 @@
 		Zone:   s.Daemon.Zone,
 		Seed:   seedOf(s.Daemon.ID),
 	}, log)
+	local := link.Identity{Role: wire.Role_ROLE_ENTRY, ID: s.Daemon.ID, Zone: s.Daemon.Zone}
+	control := controlclient.New(controlclient.Options{Local: local, Members: s.Cluster.Control, Observer: observer})
 	role := &Role{
 		Supervisor: supervise.New("entry", supervise.Policy{}, observer),
 		frontend:   frontend.New(callers, s.Entry, requests, log),
+		relay: relay.New(relay.Options{
+			Entry:    s.Daemon.ID,
+			Zone:     s.Daemon.Zone,
+			Control:  control,
+			OnConfig: func(controlapi.Config) {},
+			Log:      log,
+		}),
 	}
 	role.Add("router", requests)
 	role.Add("frontend", role.frontend)
+	role.Add("controlclient", control)
+	role.Add("relay", role.relay)
 	role.Add("agents", link.NewListener("agents", agents, link.Options{
-		Local:    link.Identity{Role: wire.Role_ROLE_ENTRY, ID: s.Daemon.ID, Zone: s.Daemon.Zone},
-		Accept:   []wire.Role{wire.Role_ROLE_AGENT},
-		Observer: observer,
-	}, requests))
+		Local:          local,
+		Accept:         []wire.Role{wire.Role_ROLE_AGENT},
+		ConfigRevision: role.relay.Revision,
+		Observer:       observer,
+	}, link.Fanout(requests, role.relay)))
 	return role, nil
 }
 
+// Ready reports whether the role may get requests.
+func (r *Role) Ready() bool { return r.relay.Ready() }
+
 // Drain finishes the requests in flight.
 func (r *Role) Drain(ctx context.Context) error { return r.frontend.Drain(ctx) }
 
--- a/daemon/entry/router/links.go
+++ b/daemon/entry/router/links.go
@@ -12,6 +12,15 @@
 // slower than this has failed, and the link is closed.
 const eventPatience = time.Second
 
+// Handles reports whether the duty takes frames of this kind.
+func (d *Duty) Handles(f *wire.Frame) bool {
+	switch f.GetBody().(type) {
+	case *wire.Frame_Response, *wire.Frame_Announce:
+		return true
+	}
+	return false
+}
+
 // Up implements link.Handler.
 func (d *Duty) Up(ctx context.Context, c *link.Conn) error {
 	return d.put(ctx, event{conn: c, up: true})
--- a/link/conn.go
+++ b/link/conn.go
@@ -150,6 +150,7 @@
 func (c *Conn) run(ctx context.Context, h Handler) error {
 	if err := h.Up(ctx, c); err != nil {
 		c.close()
+		h.Down(c, err) // a part of the handler may have taken the link
 		return c.wrap("up", err)
 	}
 	s := supervise.New("link."+c.peer.ID, supervise.Policy{Strategy: supervise.EndTogether}, nil)
--- /dev/null
+++ b/link/fanout.go
@@ -0,0 +1,56 @@
+package link
+
+import (
+	"context"
+
+	"github.com/ibispier/ibispier/wire"
+)
+
+// FrameHandler is a Handler that takes some kinds of frames.
+type FrameHandler interface {
+	Handler
+	// Handles reports whether the handler takes frames of this kind.
+	Handles(f *wire.Frame) bool
+}
+
+// Fanout returns a handler that tells all handlers about the life of links and
+// gives each frame to every handler that takes it. A frame that nobody takes
+// closes the link.
+func Fanout(handlers ...FrameHandler) Handler { return fanout(handlers) }
+
+type fanout []FrameHandler
+
+// Up implements Handler.
+func (h fanout) Up(ctx context.Context, c *Conn) error {
+	for _, handler := range h {
+		if err := handler.Up(ctx, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Frame implements Handler.
+func (h fanout) Frame(ctx context.Context, c *Conn, f *wire.Frame) error {
+	taken := false
+	for _, handler := range h {
+		if !handler.Handles(f) {
+			continue
+		}
+		taken = true
+		if err := handler.Frame(ctx, c, f); err != nil {
+			return err
+		}
+	}
+	if !taken {
+		return Error.New("step=handle peer=%s: unexpected frame %T", c.Peer().ID, f.GetBody())
+	}
+	return nil
+}
+
+// Down implements Handler.
+func (h fanout) Down(c *Conn, err error) {
+	for _, handler := range h {
+		handler.Down(c, err)
+	}
+}
