executor: test against a model worker

Cause: capacity, permit and adoption rules need a proof that fails without them. Change: rapid state machine with a model worker, delayed lists, lost answers and agent restarts; the end of a lease frees capacity only when the worker confirms it.

--- a/executor/commands.go
+++ b/executor/commands.go
@@ -99,7 +99,7 @@
 	if known != nil && known.epoch >= c.Epoch {
 		return // a repeated or an outdated command
 	}
-	if known != nil && known.phase != ended {
+	if known != nil && (known.phase != ended || known.unconfirmed) {
 		e.want(known, Stop)
 		return // control repeats the command until the task is reported
 	}
--- /dev/null
+++ b/executor/executor_test.go
@@ -0,0 +1,289 @@
+package executor
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/internal/testseed"
+	"github.com/ibispier/ibispier/workerapi"
+)
+
+func TestMain(m *testing.M) {
+	testseed.Fix()
+	os.Exit(m.Run())
+}
+
+var capacity = controlapi.Resources{CPUMilli: 4000, MemoryMiB: 4000}
+
+// modelWorker is the oracle's worker: a map of what runs, with lease deadlines.
+type modelWorker struct {
+	tasks map[string]*workerapi.Task
+}
+
+// expire stops the tasks whose deadline passed more than lag ago.
+func (w *modelWorker) expire(now, lag time.Duration) {
+	for _, t := range w.tasks {
+		if t.State == workerapi.Running && int64(now-lag) >= t.Deadline {
+			t.State = workerapi.Stopped
+		}
+	}
+}
+
+func (w *modelWorker) running() controlapi.Resources {
+	var sum controlapi.Resources
+	for _, t := range w.tasks {
+		if t.State == workerapi.Running {
+			sum = sum.Plus(t.Size)
+		}
+	}
+	return sum
+}
+
+func (w *modelWorker) list() workerapi.Tasks {
+	var l workerapi.Tasks
+	for _, t := range w.tasks {
+		l.Tasks = append(l.Tasks, *t)
+	}
+	return l
+}
+
+// perform carries out a call and returns its result.
+func (w *modelWorker) perform(now time.Duration, c Call) Result {
+	r := Result{Call: c}
+	t := w.tasks[c.Task]
+	switch {
+	case c.Kind == Start:
+		return w.start(now, c)
+	case c.Kind == Renew:
+		for _, l := range c.Renew.Leases {
+			if t := w.tasks[l.Task]; t != nil && t.Epoch == l.Epoch {
+				t.Deadline = max(t.Deadline, l.Deadline)
+			}
+		}
+		return r
+	case t == nil:
+		r.Gone = true
+		return r
+	case t.Epoch != c.Epoch:
+		r.Refused = "epoch"
+		return r
+	case c.Kind == Forget:
+		delete(w.tasks, c.Task)
+	case t.State == workerapi.Running && c.Kind == Stop:
+		t.State = workerapi.Stopped
+	case t.State == workerapi.Running && c.Kind == Checkpoint:
+		t.State = workerapi.Checkpointed
+	}
+	copied := *t
+	r.Task = &copied
+	return r
+}
+
+func (w *modelWorker) start(now time.Duration, c Call) Result {
+	t := w.tasks[c.Task]
+	switch {
+	case t != nil && t.Epoch == c.Epoch:
+	case t != nil && (t.Epoch > c.Epoch || t.State == workerapi.Running):
+		return Result{Call: c, Refused: "present"}
+	case int64(now) > c.Start.NotAfter:
+		return Result{Call: c, Refused: "late"}
+	default:
+		t = &workerapi.Task{
+			ID: c.Task, Epoch: c.Epoch, State: workerapi.Running,
+			Size: c.Start.Task.Size, Deadline: c.Start.Deadline,
+		}
+		w.tasks[c.Task] = t
+	}
+	copied := *t
+	return Result{Call: c, Task: &copied}
+}
+
+// machine runs an executor against the model in virtual time.
+type machine struct {
+	now      time.Duration
+	permit   time.Duration // the latest time at which control allows a start
+	worker   *modelWorker
+	executor *Executor
+	calls    []Call
+	results  []Result
+	epochs   map[string]uint64
+	listed   workerapi.Tasks
+	askedAt  time.Duration
+	refused  map[string]bool // task and epoch that were reported as refused
+}
+
+const (
+	lease = 3 * time.Second
+	// enforcementLag is how late the worker may stop a task whose lease ended.
+	enforcementLag = 500 * time.Millisecond
+)
+
+func (m *machine) take(calls []Call) { m.calls = append(m.calls, calls...) }
+
+func taskKey(id string, epoch uint64) string { return fmt.Sprintf("%s/%d", id, epoch) }
+
+func (m *machine) StartTask(t *rapid.T) {
+	id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "task")
+	size := rapid.Int64Range(500, 3000).Draw(t, "size")
+	m.epochs[id]++
+	task := controlapi.Task{ID: id, Size: controlapi.Resources{CPUMilli: size, MemoryMiB: size}}
+	m.take(m.executor.Commands(m.now, m.now, controlapi.AgentCommands{
+		LeaseMillis: lease.Milliseconds(),
+		Commands:    []controlapi.Command{{Action: controlapi.ActionStart, Epoch: m.epochs[id], Task: task}},
+	}))
+}
+
+func (m *machine) Renew(t *rapid.T) {
+	sentAt := m.now - time.Duration(rapid.IntRange(0, 1000).Draw(t, "age"))*time.Millisecond
+	var renewed []controlapi.Lease
+	for id, epoch := range m.epochs {
+		renewed = append(renewed, controlapi.Lease{Task: id, Epoch: epoch})
+	}
+	m.take(m.executor.Commands(m.now, sentAt, controlapi.AgentCommands{
+		LeaseMillis: lease.Milliseconds(), Renewed: renewed,
+	}))
+}
+
+func (m *machine) Command(t *rapid.T) {
+	id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "task")
+	action := rapid.SampledFrom([]controlapi.CommandAction{
+		controlapi.ActionStop, controlapi.ActionCheckpoint, controlapi.ActionForget,
+	}).Draw(t, "action")
+	m.take(m.executor.Commands(m.now, m.now, controlapi.AgentCommands{
+		Commands: []controlapi.Command{{Action: action, Epoch: m.epochs[id], Task: controlapi.Task{ID: id}}},
+	}))
+}
+
+func (m *machine) Permit(t *rapid.T) {
+	remaining := time.Duration(rapid.IntRange(0, 2000).Draw(t, "remaining")) * time.Millisecond
+	m.executor.SetPermit(m.now, remaining)
+	m.permit = max(m.permit, m.now+remaining)
+}
+
+func (m *machine) Advance(t *rapid.T) {
+	m.now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "millis")) * time.Millisecond
+	m.worker.expire(m.now, enforcementLag)
+	m.take(m.executor.Tick(m.now))
+}
+
+// WorkerTick lets the worker enforce the deadlines without delay.
+func (m *machine) WorkerTick(*rapid.T) { m.worker.expire(m.now, 0) }
+
+// PerformCall lets the worker carry out any outstanding call, or loses it.
+func (m *machine) PerformCall(t *rapid.T) {
+	if len(m.calls) == 0 {
+		t.Skip("no call")
+	}
+	i := rapid.IntRange(0, len(m.calls)-1).Draw(t, "call")
+	c := m.calls[i]
+	m.calls = append(m.calls[:i:i], m.calls[i+1:]...)
+	lost := rapid.IntRange(0, 9).Draw(t, "loss")
+	r := Result{Call: c, Failed: true}
+	if lost > 0 {
+		before := m.worker.running()
+		r = m.worker.perform(m.now, c)
+		if c.Kind == Start && m.worker.running() != before && m.now > m.permit {
+			t.Fatalf("task %s started at %s, permit ended at %s", c.Task, m.now, m.permit)
+		}
+	}
+	if lost == 1 {
+		r = Result{Call: c, Failed: true} // carried out, but the answer is lost
+	}
+	m.results = append(m.results, r)
+}
+
+func (m *machine) DeliverResult(t *rapid.T) {
+	if len(m.results) == 0 {
+		t.Skip("no result")
+	}
+	r := m.results[0]
+	m.results = m.results[1:]
+	m.take(m.executor.CallDone(m.now, r))
+}
+
+// AskList takes a list that DeliverList hands to the executor later.
+func (m *machine) AskList(*rapid.T) {
+	m.listed, m.askedAt = m.worker.list(), m.now
+}
+
+func (m *machine) DeliverList(*rapid.T) {
+	m.executor.Observe(m.now, m.askedAt, m.listed)
+}
+
+// Restart replaces the agent: calls in flight of the old one are fenced.
+func (m *machine) Restart(t *rapid.T) {
+	m.calls, m.results, m.listed, m.askedAt = nil, nil, workerapi.Tasks{}, 0
+	m.executor = New(controlapi.Worker{Capacity: capacity})
+	m.executor.Adopt(m.now, m.worker.list())
+}
+
+// Check guards against overcommitment and against a refusal that is not true.
+func (m *machine) Check(t *rapid.T) {
+	if used := m.worker.running(); !used.Fits(capacity) {
+		t.Fatalf("worker runs %+v of %+v", used, capacity)
+	}
+	for _, r := range m.executor.Report().Tasks {
+		if r.State == controlapi.ReportedRefused {
+			m.refused[taskKey(r.Task, r.Epoch)] = true
+		}
+	}
+	for _, w := range m.worker.tasks {
+		if m.refused[taskKey(w.ID, w.Epoch)] {
+			t.Fatalf("task %s epoch %d was reported as refused but started", w.ID, w.Epoch)
+		}
+	}
+}
+
+// Guards against overcommitted instances, starts without a permit, and tasks
+// that run although their start was reported as refused.
+func TestExecutorAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{
+			now:      time.Minute,
+			worker:   &modelWorker{tasks: map[string]*workerapi.Task{}},
+			executor: New(controlapi.Worker{Capacity: capacity}),
+			epochs:   map[string]uint64{},
+			refused:  map[string]bool{},
+		}
+		m.executor.Adopt(m.now, m.worker.list())
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
+// Guards against starts before the agent knows what its worker already runs.
+func TestStartIsRefusedBeforeAdoption(t *testing.T) {
+	e := New(controlapi.Worker{Capacity: capacity})
+	e.SetPermit(0, time.Hour)
+	calls := e.Commands(0, 0, controlapi.AgentCommands{
+		LeaseMillis: 3000,
+		Commands:    []controlapi.Command{{Action: controlapi.ActionStart, Epoch: 1, Task: controlapi.Task{ID: "a"}}},
+	})
+	if len(calls) != 0 {
+		t.Fatalf("unexpected calls %+v", calls)
+	}
+	if r := e.Report().Tasks[0]; r.State != controlapi.ReportedRefused || r.Reason != ReasonNotAdopted {
+		t.Fatalf("unexpected report %+v", r)
+	}
+}
+
+// Guards against overcommitment while the worker has not yet stopped a task
+// whose lease ended.
+func TestCapacityIsHeldUntilTheEndIsConfirmed(t *testing.T) {
+	e := New(controlapi.Worker{Capacity: capacity})
+	held := workerapi.Task{ID: "a", Epoch: 1, State: workerapi.Running, Size: capacity, Deadline: int64(time.Second)}
+	e.Adopt(0, workerapi.Tasks{Tasks: []workerapi.Task{held}})
+	e.Tick(2 * time.Second)
+	if e.Committed() != capacity {
+		t.Fatalf("committed %+v after the lease ended, want %+v", e.Committed(), capacity)
+	}
+	held.State = workerapi.Stopped
+	e.Observe(2*time.Second, 2*time.Second, workerapi.Tasks{Tasks: []workerapi.Task{held}})
+	if e.Committed() != (controlapi.Resources{}) {
+		t.Fatalf("committed %+v after the end was confirmed", e.Committed())
+	}
+}
