--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,210 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/wire"
+)
+
+const bound = 10 * time.Second
+
+// recorder is a handler that hands its events to the test.
+type recorder struct {
+	up     chan *Conn
+	down   chan error
+	frames chan *wire.Frame
+}
+
+func newRecorder() *recorder {
+	return &recorder{up: make(chan *Conn, 16), down: make(chan error, 16), frames: make(chan *wire.Frame, 4096)}
+}
+
+func (r *recorder) Up(_ context.Context, c *Conn) error {
+	r.up <- c
+	return nil
+}
+
+func (r *recorder) Frame(_ context.Context, _ *Conn, f *wire.Frame) error {
+	r.frames <- f
+	return nil
+}
+
+func (r *recorder) Down(_ *Conn, err error) { r.down <- err }
+
+func receive[T any](t *testing.T, c <-chan T, what string) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(bound):
+		t.Fatalf("no %s within %s", what, bound)
+		panic("unreachable")
+	}
+}
+
+func run(t *testing.T, d supervise.Duty) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		receive(t, done, "end of the duty")
+	})
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return socket
+}
+
+func options(role wire.Role, id string, accepts ...wire.Role) Options {
+	return Options{Local: Identity{Role: role, ID: id, Zone: "zone-a"}, Accept: accepts}
+}
+
+// pair starts a listener and a dialer that connects to address, or directly
+// when address is empty.
+func pair(t *testing.T, through func(string) string) (server, client *recorder) {
+	t.Helper()
+	server, client = newRecorder(), newRecorder()
+	socket := listen(t)
+	run(t, NewListener("test", socket, options(wire.Role_ROLE_ENTRY, "entry-1", wire.Role_ROLE_AGENT), server))
+	address := through(socket.Addr().String())
+	run(t, NewDialer(address, options(wire.Role_ROLE_AGENT, "agent-1", wire.Role_ROLE_ENTRY), client))
+	return server, client
+}
+
+func direct(address string) string { return address }
+
+func leave(name string) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Leave{Leave: &wire.Leave{Target: name}}}
+}
+
+// Guards against lost or reordered frames and against a wrong peer identity.
+func TestFramesArriveInOrder(t *testing.T) {
+	server, client := pair(t, direct)
+	accepted, dialed := receive(t, server.up, "link"), receive(t, client.up, "link")
+	if accepted.Peer().ID != "agent-1" || accepted.Peer().Zone != "zone-a" || dialed.Peer().ID != "entry-1" {
+		t.Fatalf("peers are %+v and %+v", accepted.Peer(), dialed.Peer())
+	}
+	const count = 500
+	for i := range count {
+		if err := dialed.SendData(leave(string(rune('a' + i%26)))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range count {
+		f := receive(t, server.frames, "frame")
+		if got, want := f.GetLeave().GetTarget(), string(rune('a'+i%26)); got != want {
+			t.Fatalf("frame %d is %q, want %q", i, got, want)
+		}
+	}
+}
+
+// Guards against a process of the wrong role at the other end.
+func TestWrongRoleIsRefused(t *testing.T) {
+	server := newRecorder()
+	socket := listen(t)
+	run(t, NewListener("test", socket, options(wire.Role_ROLE_ENTRY, "entry-1", wire.Role_ROLE_AGENT), server))
+	refused := make(chan error, 64)
+	o := options(wire.Role_ROLE_CONTROL, "control-1", wire.Role_ROLE_ENTRY)
+	o.Observer = func(_, _ string, err error) {
+		select {
+		case refused <- err:
+		default:
+		}
+	}
+	run(t, NewDialer(socket.Addr().String(), o, newRecorder()))
+	if err := receive(t, refused, "refusal"); !Error.Has(err) {
+		t.Fatalf("unexpected error %v", err)
+	}
+	if len(server.up) != 0 {
+		t.Fatal("a link with the wrong role came up")
+	}
+}
+
+// silentRelay forwards connections until it is told to swallow what the first
+// ones send. New connections work.
+type silentRelay struct {
+	target string
+	silent atomic.Int64 // connections below this number are silent
+	count  atomic.Int64
+}
+
+func startRelay(t *testing.T, target string) (*silentRelay, string) {
+	r := &silentRelay{target: target}
+	socket := listen(t)
+	t.Cleanup(func() { _ = socket.Close() })
+	go func() {
+		for {
+			in, err := socket.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", r.target)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			number := r.count.Add(1)
+			go r.copy(out, in, number)
+			go r.copy(in, out, number)
+		}
+	}()
+	return r, socket.Addr().String()
+}
+
+// copy forwards, and drops what it reads while the connection is silent.
+func (r *silentRelay) copy(to, from net.Conn, number int64) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if number <= r.silent.Load() {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil && err != io.EOF {
+			return
+		}
+	}
+}
+
+// Guards against an open connection that stays silent for good while new ones
+// work: the link must be replaced well under a second after the silence began.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	var relay *silentRelay
+	server, client := pair(t, func(address string) string {
+		var through string
+		relay, through = startRelay(t, address)
+		return through
+	})
+	receive(t, client.up, "link")
+	receive(t, server.up, "link")
+	relay.silent.Store(relay.count.Load())
+	start := time.Now()
+	receive(t, client.down, "end of the silent link")
+	fresh := receive(t, client.up, "new link")
+	t.Logf("replaced after %s", time.Since(start))
+	if err := fresh.SendData(leave("after")); err != nil {
+		t.Fatal(err)
+	}
+	for f := receive(t, server.frames, "frame"); f.GetLeave().GetTarget() != "after"; {
+		f = receive(t, server.frames, "frame")
+	}
+}
