--- a/controlapi/controlapi.go
+++ b/controlapi/controlapi.go
@@ -288,6 +288,7 @@
 	Evictions          int       `json:"evictions"`
 	Failures           int       `json:"failures"`
 	SubmittedAt        time.Time `json:"submitted_at"`
+	Resent             bool      `json:"resent,omitempty"` // this submission was recorded before
 }
 
 // TaskQuery names a task.
--- a/daemon/entry/frontend/frontend.go
+++ b/daemon/entry/frontend/frontend.go
@@ -29,6 +29,7 @@
 // Duty serves callers.
 type Duty struct {
 	server   *http.Server
+	mux      *http.ServeMux
 	socket   net.Listener
 	calls    *router.Duty
 	settings settings.Entry
@@ -39,6 +40,7 @@
 func New(socket net.Listener, s settings.Entry, calls *router.Duty, logger *zap.Logger) *Duty {
 	d := &Duty{socket: socket, calls: calls, settings: s, log: logger}
 	mux := http.NewServeMux()
+	d.mux = mux
 	mux.HandleFunc("/v1/services/{service}/{path...}", d.serveRequest)
 	d.server = &http.Server{
 		Handler:           mux,
--- /dev/null
+++ b/daemon/entry/frontend/tasks.go
@@ -0,0 +1,92 @@
+package frontend
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/operations"
+)
+
+// tasks serves the callers' task interface.
+type tasks struct{ control operations.Control }
+
+// ServeTasks adds the callers' task interface. It must be called before Run.
+func (d *Duty) ServeTasks(control operations.Control) {
+	registerTasks(d.mux, control)
+}
+
+func registerTasks(mux *http.ServeMux, control operations.Control) {
+	t := &tasks{control: control}
+	mux.HandleFunc("POST /v1/tasks", t.submit)
+	mux.HandleFunc("GET /v1/tasks", t.list)
+	mux.HandleFunc("GET /v1/tasks/{id}", t.status)
+	mux.HandleFunc("DELETE /v1/tasks/{id}", t.cancel)
+}
+
+func (t *tasks) submit(w http.ResponseWriter, r *http.Request) {
+	var task controlapi.Task
+	err := operations.Read(w, r, &task)
+	if err == nil {
+		err = checkTask(task)
+	}
+	var status controlapi.TaskStatus
+	if err == nil {
+		err = operations.Do(r, t.control, controlapi.OpSubmit, task, &status)
+	}
+	if err != nil {
+		operations.WriteError(w, controlapi.OpSubmit, err)
+		return
+	}
+	code := http.StatusCreated
+	if status.Resent {
+		code = http.StatusOK
+	}
+	operations.Write(w, code, status)
+}
+
+// checkTask finds what is wrong with a submission without asking control.
+// Control checks sizes against the plan of the customer.
+func checkTask(t controlapi.Task) error {
+	message := ""
+	switch {
+	case t.ID == "" || len(t.ID) > maxKeyBytes:
+		message = "id must have 1.." + strconv.Itoa(maxKeyBytes) + " bytes"
+	case t.Customer == "":
+		message = "customer is missing"
+	case t.Kind != controlapi.KindBatch && t.Kind != controlapi.KindWatcher:
+		message = "kind must be batch or watcher"
+	case t.Size.CPUMilli < 0 || t.Size.MemoryMiB < 0 || t.Size.Accelerators < 0:
+		message = "a size is negative"
+	case t.Size == controlapi.Resources{}:
+		message = "size is missing"
+	}
+	if message == "" {
+		return nil
+	}
+	return &controlapi.Error{Reason: controlapi.ReasonBadRequest, Step: "check", Message: message}
+}
+
+func (t *tasks) status(w http.ResponseWriter, r *http.Request) {
+	operations.Serve(w, r, t.control, controlapi.OpTask, controlapi.TaskQuery{ID: r.PathValue("id")}, new(controlapi.TaskStatus))
+}
+
+func (t *tasks) cancel(w http.ResponseWriter, r *http.Request) {
+	operations.Serve(w, r, t.control, controlapi.OpCancelTask, controlapi.TaskQuery{ID: r.PathValue("id")}, new(controlapi.TaskStatus))
+}
+
+func (t *tasks) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	in := controlapi.TasksQuery{Customer: q.Get("customer"), State: controlapi.TaskState(q.Get("state"))}
+	if text := q.Get("limit"); text != "" {
+		limit, err := strconv.Atoi(text)
+		if err != nil || limit < 1 {
+			operations.WriteError(w, controlapi.OpTasks, &controlapi.Error{
+				Reason: controlapi.ReasonBadRequest, Step: "check", Message: "limit must be a whole number from 1",
+			})
+			return
+		}
+		in.Limit = limit
+	}
+	operations.Serve(w, r, t.control, controlapi.OpTasks, in, new(controlapi.TasksResponse))
+}
