client: add a client of the HTTP interfaces that resends safely

Operators and callers need calls that survive a lost answer, a lost leader and a dead process. The client sends a call again to the next address until its timeout, with the same body and so the same change id or task id; a typed refusal is final.

--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,187 @@
+// Package client calls the HTTP interfaces of ibispier.
+//
+// A call is sent again, to the next address, when its answer is lost or the
+// process has no quorum. That is safe because every operation that changes
+// state carries a change id, a task id or a name.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/supervise"
+)
+
+// ErrorClass is the class of all errors of this package that are not an *Error.
+var ErrorClass = errs.Class("client")
+
+const (
+	// DefaultTimeout bounds a call with all its resends. It is longer than an
+	// election, so that a call survives the loss of the leader.
+	DefaultTimeout = 10 * time.Second
+	// attemptsPerTimeout leaves time for other addresses when one is silent.
+	attemptsPerTimeout = 4
+	resendDelay        = 200 * time.Millisecond
+	maxAnswer          = 64 << 20
+)
+
+// Options configure a Client.
+type Options struct {
+	Admin   []string // admin addresses, ip:port
+	Entry   []string // entry addresses, ip:port
+	Timeout time.Duration
+}
+
+// Client calls the operators' and the callers' task interface.
+type Client struct {
+	options Options
+	http    *http.Client
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	return &Client{options: o, http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Error is a failed call.
+type Error struct {
+	Status int // 0 when no answer arrived
+	Detail controlapi.Error
+}
+
+// Error returns the text of the error.
+func (e *Error) Error() string {
+	if e.Status == 0 {
+		return e.Detail.Error()
+	}
+	return "status=" + strconv.Itoa(e.Status) + " " + e.Detail.Error()
+}
+
+// Unavailable reports whether the call can be sent again: no answer arrived, or
+// the process could not reach the quorum.
+func (e *Error) Unavailable() bool {
+	switch e.Status {
+	case 0, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusBadGateway:
+		return true
+	}
+	return false
+}
+
+// call is one call with its resends.
+type call struct {
+	addresses []string
+	method    string
+	path      string
+	body      []byte
+}
+
+func (c *Client) admin(ctx context.Context, method, path string, in, out any) error {
+	return c.do(ctx, c.options.Admin, method, path, in, out)
+}
+
+func (c *Client) entry(ctx context.Context, method, path string, in, out any) error {
+	return c.do(ctx, c.options.Entry, method, path, in, out)
+}
+
+func (c *Client) do(ctx context.Context, addresses []string, method, path string, in, out any) error {
+	if len(addresses) == 0 {
+		return ErrorClass.New("step=call path=%s: no address", path)
+	}
+	call := call{addresses: addresses, method: method, path: path}
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return ErrorClass.Wrap(err)
+		}
+		call.body = body
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	defer cancel()
+	return c.resend(ctx, call, out)
+}
+
+// resend sends the call to one address after the other until one answers or ctx
+// ends. It returns the last error.
+func (c *Client) resend(ctx context.Context, call call, out any) error {
+	for i := 0; ; i++ {
+		address := call.addresses[i%len(call.addresses)]
+		err := c.send(ctx, address, call, out)
+		var failed *Error
+		if err == nil || !errors.As(err, &failed) || !failed.Unavailable() {
+			return err
+		}
+		if !supervise.Sleep(ctx, resendDelay) {
+			return err
+		}
+	}
+}
+
+func (c *Client) send(ctx context.Context, address string, call call, out any) error {
+	patience := c.options.Timeout / attemptsPerTimeout
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+address+call.path, bytes.NewReader(call.body))
+	if err != nil {
+		return ErrorClass.Wrap(err)
+	}
+	req.Header.Set("Ibispier-Deadline-Ms", strconv.FormatInt(max(patience.Milliseconds(), 1), 10))
+	if call.body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return lost("send", address, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return lost("read", address, err)
+	}
+	return decode(address, resp.StatusCode, body, out)
+}
+
+func decode(address string, status int, body []byte, out any) error {
+	if status >= 300 {
+		return refusal(address, status, body)
+	}
+	if out == nil || len(body) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return ErrorClass.New("step=decode peer=%s: %w", address, err)
+	}
+	return nil
+}
+
+// refusal returns the typed error of an answer. An answer that is not from
+// ibispier keeps its status.
+func refusal(address string, status int, body []byte) error {
+	var typed struct {
+		Error controlapi.Error `json:"error"`
+	}
+	if err := json.Unmarshal(body, &typed); err != nil || typed.Error.Reason == "" {
+		typed.Error = controlapi.Error{Reason: "http_status", Message: http.StatusText(status)}
+	}
+	if typed.Error.Peer == "" {
+		typed.Error.Peer = address
+	}
+	return &Error{Status: status, Detail: typed.Error}
+}
+
+func lost(step, address string, err error) error {
+	return &Error{Detail: controlapi.Error{
+		Reason: controlapi.ReasonUnavailable, Step: step, Peer: address, Message: err.Error(),
+	}}
+}
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,110 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+)
+
+// server answers with the given handlers in turn, the last one for good, and
+// records the bodies.
+func server(t *testing.T, bodies chan string, handlers ...http.HandlerFunc) string {
+	t.Helper()
+	turns := make(chan http.HandlerFunc, len(handlers))
+	for _, h := range handlers {
+		turns <- h
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		bodies <- string(body)
+		h := handlers[len(handlers)-1]
+		select {
+		case h = <-turns:
+		default:
+		}
+		h(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func answer(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+// loseAnswer closes the connection after the request was read.
+func loseAnswer(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// Guards against a proposal that is sent again with another change id after a
+// lost answer, which would change the configuration twice.
+func TestResendKeepsTheChangeID(t *testing.T) {
+	bodies := make(chan string, 4)
+	address := server(t, bodies, loseAnswer, answer(503, `{"error":{"reason":"unavailable","message":"no leader"}}`), answer(200, `{"change_id":"c1","state":"open"}`))
+	c := New(Options{Admin: []string{address}, Timeout: 10 * time.Second})
+	p, err := c.Propose(context.Background(), controlapi.ProposeRequest{ChangeID: "c1", Base: 7})
+	if err != nil || p.State != controlapi.ProposalOpen {
+		t.Fatalf("proposal %+v, error %v", p, err)
+	}
+	first := <-bodies
+	for range 2 {
+		if again := <-bodies; again != first || !strings.Contains(again, `"c1"`) {
+			t.Errorf("resent %s after %s", again, first)
+		}
+	}
+}
+
+// Guards against a client that gives up although another address answers.
+func TestNextAddressAfterLostOne(t *testing.T) {
+	bodies := make(chan string, 4)
+	good := server(t, bodies, answer(200, `{"leader":"c1"}`))
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	c := New(Options{Admin: []string{strings.TrimPrefix(dead.URL, "http://"), good}})
+	status, err := c.Status(context.Background())
+	if err != nil || status.Leader != "c1" {
+		t.Fatalf("status %+v, error %v", status, err)
+	}
+}
+
+// Guards against a final refusal that is sent again, and against one that loses
+// its reason.
+func TestRefusalIsFinal(t *testing.T) {
+	bodies := make(chan string, 4)
+	address := server(t, bodies, answer(409, `{"error":{"reason":"conflict","message":"lost against c2","step":"propose"}}`))
+	c := New(Options{Admin: []string{address}})
+	_, err := c.Propose(context.Background(), controlapi.ProposeRequest{ChangeID: "c1"})
+	var failed *Error
+	if !errors.As(err, &failed) || failed.Unavailable() || failed.Detail.Reason != "conflict" || failed.Detail.Step != "propose" {
+		t.Fatalf("error %v", err)
+	}
+	if len(bodies) != 1 {
+		t.Errorf("sent %d times", len(bodies))
+	}
+}
+
+// Guards against a call without bound when no process answers.
+func TestUnavailableAfterTimeout(t *testing.T) {
+	bodies := make(chan string, 64)
+	address := server(t, bodies, answer(503, `{"error":{"reason":"no_quorum","message":"no leader"}}`))
+	c := New(Options{Admin: []string{address}, Timeout: 300 * time.Millisecond})
+	_, err := c.Status(context.Background())
+	var failed *Error
+	if !errors.As(err, &failed) || !failed.Unavailable() {
+		t.Fatalf("error %v", err)
+	}
+}
