load: add the open-loop load generator

Performance claims need a generator that does not slow down with the system. A pacer duty hands out a seeded Poisson schedule with waves, sender duties send it through a bounded ring, and a collector duty owns the counts and the HdrHistograms. Latency counts from the intended send time. Answers are checked against the echo of the stand-in target.

--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,82 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/supervise"
+)
+
+// Capacities of the rings.
+const (
+	// shotCapacity holds what the senders cannot take at once. It bounds the
+	// memory of a run against a system that has stopped; what does not fit
+	// counts as unsent.
+	shotCapacity    = 16384
+	outcomeCapacity = 4096
+)
+
+// Run sends the load and returns the result. It ends after the duration of the
+// run and the last answer, or when ctx ends.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	o = o.withDefaults()
+	if err := o.Validate(); err != nil {
+		return nil, err
+	}
+	start := time.Now()
+	shots := ring.New[shot]("load.shots", shotCapacity)
+	outcomes := ring.New[outcome]("load.outcomes", outcomeCapacity)
+	transport := &http.Transport{MaxIdleConns: o.Senders, MaxIdleConnsPerHost: o.Senders}
+	defer transport.CloseIdleConnections()
+	c := newCollector(o, start, outcomes)
+
+	s := supervise.New("load", supervise.Policy{}, nil)
+	s.Add("collector", c)
+	s.Add("pacer", &pacer{
+		schedule: newSchedule(o, strconv.FormatUint(rand.Uint64(), 36)+"-"),
+		start:    start, shots: shots, outcomes: outcomes,
+	})
+	for i := range o.Senders {
+		s.Add("sender "+strconv.Itoa(i), &sender{
+			options: o, start: start, client: &http.Client{Transport: transport},
+			shots: shots, outcomes: outcomes,
+		})
+	}
+	if err := s.Run(ctx); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return c.result(), nil
+}
+
+// pacer is the duty that hands out the schedule at the intended times.
+type pacer struct {
+	schedule *schedule
+	start    time.Time
+	shots    *ring.Ring[shot]
+	outcomes *ring.Ring[outcome]
+}
+
+// Run hands out the schedule and closes the ring of shots.
+func (p *pacer) Run(ctx context.Context) error {
+	defer p.shots.Close()
+	for {
+		next, ok := p.schedule.next()
+		if !ok {
+			return nil
+		}
+		wait := time.Until(p.start.Add(next.offset))
+		if wait > 0 && !supervise.Sleep(ctx, wait) || ctx.Err() != nil {
+			return nil
+		}
+		if err := p.shots.Offer(next); err == nil {
+			continue
+		}
+		if err := p.outcomes.Put(ctx, outcome{shot: next, kind: "unsent"}); err != nil {
+			return nil
+		}
+	}
+}
