cli: add the command-line tool

Operators had no tool. cmd/ibispier is a table of subcommands over the client package: status, plan, zone, key, control, task, quarantine, load and version, each with -h, -json, a timeout and exit codes 0 to 4. The lists are edited as one INI file, like the settings. Owner keys are Ed25519 in files of mode 0600. Change ids and task ids are printed before the call, so that a call whose answer is lost can be sent again.

--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,233 @@
+// Package cli is the command-line tool: a table of subcommands over the client
+// package.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/client"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("cli")
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitRefused     = 3 // the deployment refused; sending again does not help
+	ExitUnavailable = 4 // no answer from the deployment; the same call can be sent again
+)
+
+// Environment is what a command gets from its process.
+type Environment struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	Getenv func(name string) string
+}
+
+// usageError is a mistake on the command line.
+type usageError struct{ err error }
+
+func (e usageError) Error() string { return e.err.Error() }
+
+func usagef(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
+
+// action carries out a command. args are the words that are no flags.
+type action func(ctx context.Context, s *session, args []string) error
+
+// command is one subcommand.
+type command struct {
+	path    string // the words that select it
+	args    string // the words that follow, for the usage line
+	count   int    // number of words that follow
+	summary string
+	example string
+	setup   func(f *flag.FlagSet) action
+}
+
+// session is one run of a command.
+type session struct {
+	env     Environment
+	client  *client.Client
+	entries []string
+	json    bool
+}
+
+// print writes v as JSON with -json, and otherwise calls text.
+func (s *session) print(v any, text func(w io.Writer) error) error {
+	if !s.json {
+		return text(s.env.Stdout)
+	}
+	encoder := json.NewEncoder(s.env.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
+
+// note writes a line for the operator that is no part of the result.
+func (s *session) note(format string, args ...any) {
+	fmt.Fprintf(s.env.Stderr, format+"\n", args...)
+}
+
+// common are the flags of every command.
+type common struct {
+	admin   string
+	entry   string
+	timeout time.Duration
+	json    bool
+}
+
+func (c *common) register(f *flag.FlagSet, getenv func(string) string) {
+	f.StringVar(&c.admin, "admin", either(getenv("IBISPIER_ADMIN"), "127.0.0.1:8081"), "admin addresses, ip:port separated by commas (IBISPIER_ADMIN)")
+	f.StringVar(&c.entry, "entry", either(getenv("IBISPIER_ENTRY"), "127.0.0.1:8080"), "entry addresses, ip:port separated by commas (IBISPIER_ENTRY)")
+	f.DurationVar(&c.timeout, "timeout", client.DefaultTimeout, "bound on each call with its resends")
+	f.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+func (c *common) session(env Environment) (*session, error) {
+	if c.timeout <= 0 {
+		return nil, usagef("-timeout must be above 0")
+	}
+	entries := words(c.entry)
+	return &session{
+		env:     env,
+		client:  client.New(client.Options{Admin: words(c.admin), Entry: entries, Timeout: c.timeout}),
+		entries: entries,
+		json:    c.json,
+	}, nil
+}
+
+// Run carries out the command line args and returns the exit code.
+func Run(ctx context.Context, args []string, env Environment) int {
+	c, rest := find(args)
+	if c == nil {
+		return overview(args, env)
+	}
+	flags := flag.NewFlagSet("ibispier "+c.path, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	shared := new(common)
+	shared.register(flags, env.Getenv)
+	run := c.setup(flags)
+	positional, err := parse(flags, rest)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		help(env.Stdout, c, flags)
+		return ExitOK
+	case err == nil && len(positional) != c.count:
+		err = usagef("want %q after the flags, got %q", c.args, strings.Join(positional, " "))
+	}
+	var s *session
+	if err == nil {
+		s, err = shared.session(env)
+	} else {
+		err = usageError{err}
+	}
+	if err == nil {
+		err = run(ctx, s, positional)
+	}
+	return report(env, c, err)
+}
+
+// parse accepts flags before and after the other words.
+func parse(f *flag.FlagSet, args []string) ([]string, error) {
+	var positional []string
+	for {
+		if err := f.Parse(args); err != nil {
+			return nil, err
+		}
+		if f.NArg() == 0 {
+			return positional, nil
+		}
+		positional = append(positional, f.Arg(0))
+		args = f.Args()[1:]
+	}
+}
+
+// find returns the command that args select and the rest of args.
+func find(args []string) (*command, []string) {
+	for length := min(2, len(args)); length > 0; length-- {
+		path := strings.Join(args[:length], " ")
+		for i := range commands {
+			if commands[i].path == path {
+				return &commands[i], args[length:]
+			}
+		}
+	}
+	return nil, nil
+}
+
+func report(env Environment, c *command, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(env.Stderr, "ibispier %s: %v\n", c.path, err)
+	code := exitCode(err)
+	if code == ExitUsage {
+		fmt.Fprintf(env.Stderr, "run \"ibispier %s -h\" for help\n", c.path)
+	}
+	return code
+}
+
+func exitCode(err error) int {
+	var failed *client.Error
+	var usage usageError
+	switch {
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &failed) && failed.Unavailable():
+		return ExitUnavailable
+	case errors.As(err, &failed):
+		return ExitRefused
+	default:
+		return ExitFailed
+	}
+}
+
+// overview prints the commands. Only a request for help is a success.
+func overview(args []string, env Environment) int {
+	asked := len(args) > 0 && (args[0] == "-h" || args[0] == "-help" || args[0] == "--help" || args[0] == "help")
+	w, code := env.Stderr, ExitUsage
+	if asked {
+		w, code = env.Stdout, ExitOK
+	} else if len(args) > 0 {
+		fmt.Fprintf(w, "ibispier: unknown command %q\n", strings.Join(args[:min(2, len(args))], " "))
+	}
+	fmt.Fprintln(w, "usage: ibispier COMMAND [flags] [words]; -h after a command explains it")
+	for i := range commands {
+		fmt.Fprintf(w, "  %-34s %s\n", strings.TrimSpace(commands[i].path+" "+commands[i].args), commands[i].summary)
+	}
+	return code
+}
+
+func help(w io.Writer, c *command, f *flag.FlagSet) {
+	fmt.Fprintf(w, "usage: ibispier %s [flags] %s\n%s\n\nexample:\n  %s\n\nflags:\n", c.path, c.args, c.summary, c.example)
+	f.SetOutput(w)
+	f.PrintDefaults()
+}
+
+func either(text, fallback string) string {
+	if text != "" {
+		return text
+	}
+	return fallback
+}
+
+func words(s string) []string {
+	var items []string
+	for _, item := range strings.Split(s, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/cli/keys/keys.go
@@ -0,0 +1,85 @@
+// Package keys creates the Ed25519 keys of owners and signs proposals with them.
+package keys
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/pem"
+	"os"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("keys")
+
+const (
+	fileMode = 0o600
+	pemType  = "PRIVATE KEY"
+)
+
+// Generate writes a new private key to path, which must not exist, and returns
+// the public key in base64.
+func Generate(path string) (string, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	der, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, fileMode)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	err = pem.Encode(file, &pem.Block{Type: pemType, Bytes: der})
+	if err := errs.Combine(err, file.Sync(), file.Close()); err != nil {
+		return "", Error.Wrap(err)
+	}
+	return base64.StdEncoding.EncodeToString(public), nil
+}
+
+// Load reads a private key. A file that others may read is refused.
+func Load(path string) (ed25519.PrivateKey, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, Error.New("file=%s: mode %04o lets others read the key; want %04o", path, info.Mode().Perm(), fileMode)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	block, _ := pem.Decode(data)
+	if block == nil || block.Type != pemType {
+		return nil, Error.New("file=%s: no PEM block %q", path, pemType)
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, Error.New("file=%s: %w", path, err)
+	}
+	key, ok := parsed.(ed25519.PrivateKey)
+	if !ok {
+		return nil, Error.New("file=%s: not an Ed25519 key", path)
+	}
+	return key, nil
+}
+
+// Approve returns the signature that approves the proposal with digest.
+func Approve(key ed25519.PrivateKey, digest string) string {
+	return sign(key, digest)
+}
+
+// Reject returns the signature that rejects the proposal with digest.
+func Reject(key ed25519.PrivateKey, digest string) string {
+	return sign(key, "reject:"+digest)
+}
+
+func sign(key ed25519.PrivateKey, text string) string {
+	return base64.StdEncoding.EncodeToString(ed25519.Sign(key, []byte(text)))
+}
--- /dev/null
+++ b/cli/keys/keys_test.go
@@ -0,0 +1,43 @@
+package keys
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// Guards against a key that cannot be read back, is readable by others, or
+// overwrites another key.
+func TestKeyFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ada.key")
+	public, err := Generate(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("mode %v, error %v", info.Mode(), err)
+	}
+	if _, err := Generate(path); err == nil {
+		t.Error("an existing key was overwritten")
+	}
+	key, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, _ := base64.StdEncoding.DecodeString(public)
+	approved, _ := base64.StdEncoding.DecodeString(Approve(key, "digest"))
+	if !ed25519.Verify(raw, []byte("digest"), approved) {
+		t.Error("the public key does not verify an approval")
+	}
+	if Approve(key, "digest") == Reject(key, "digest") {
+		t.Error("a rejection can be used as an approval")
+	}
+	if err := os.Chmod(path, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); err == nil {
+		t.Error("a key that others may read was accepted")
+	}
+}
--- /dev/null
+++ b/cli/lists/lists.go
@@ -0,0 +1,229 @@
+// Package lists reads and writes the two lists of operators as one INI file.
+//
+// INI is the format because the settings of the processes use it too, operators
+// can comment a line, and two versions compare line by line.
+package lists
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/zeebo/errs"
+	"gopkg.in/ini.v1"
+
+	"github.com/ibispier/ibispier/controlapi"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("lists")
+
+const (
+	customersSection = "customers"
+	ownersSection    = "owners"
+	planPrefix       = "plan "
+	maxName          = 128
+)
+
+// Lists are the two lists: the plans that customers have bought, and what each
+// plan may use.
+type Lists struct {
+	Customers []controlapi.Subscription
+	Plans     []controlapi.Plan
+}
+
+// Load reads the lists in the file at path.
+func Load(path string) (*Lists, error) {
+	file, err := open(path)
+	if err != nil {
+		return nil, err
+	}
+	l := new(Lists)
+	for _, section := range file.Sections() {
+		if err := l.read(path, section); err != nil {
+			return nil, err
+		}
+	}
+	if len(l.Plans) == 0 {
+		return nil, Error.New("file=%s: no section [plan NAME]", path)
+	}
+	return l, l.check(path)
+}
+
+// LoadOwners reads the owners' public keys in the file at path.
+func LoadOwners(path string) (map[string]string, error) {
+	file, err := open(path)
+	if err != nil {
+		return nil, err
+	}
+	owners := map[string]string{}
+	for _, section := range file.Sections() {
+		if section.Name() != ownersSection && len(section.Keys()) > 0 {
+			return nil, Error.New("file=%s section=%s: unknown section", path, section.Name())
+		}
+		for _, key := range section.Keys() {
+			owners[key.Name()] = key.String()
+		}
+	}
+	if len(owners) < 2 {
+		return nil, Error.New("file=%s section=%s: two owners are needed to sign a change", path, ownersSection)
+	}
+	return owners, nil
+}
+
+func open(path string) (*ini.File, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true, KeyValueDelimiters: "="}, path)
+	if err != nil {
+		return nil, Error.New("file=%s: %w", path, err)
+	}
+	return file, nil
+}
+
+func (l *Lists) read(path string, section *ini.Section) error {
+	name := section.Name()
+	switch {
+	case name == customersSection:
+		for _, key := range section.Keys() {
+			l.Customers = append(l.Customers, controlapi.Subscription{Customer: key.Name(), Plan: key.String()})
+		}
+		return nil
+	case strings.HasPrefix(name, planPrefix):
+		plan, err := readPlan(path, section)
+		l.Plans = append(l.Plans, plan)
+		return err
+	case name == ini.DefaultSection && len(section.Keys()) == 0:
+		return nil
+	default:
+		return Error.New("file=%s section=%s: unknown section", path, name)
+	}
+}
+
+// limit is one key of a plan.
+type limit struct {
+	name  string
+	parse func(text string) error
+	text  func() string
+}
+
+// limits returns the keys of a plan, bound to the fields of p.
+func limits(p *controlapi.Plan) []limit {
+	return []limit{
+		{"services", func(s string) error { p.Services = split(s); return nil }, func() string { return strings.Join(p.Services, ", ") }},
+		{"requests_per_second", float(&p.RequestsPerSecond), func() string { return strconv.FormatFloat(p.RequestsPerSecond, 'f', -1, 64) }},
+		{"concurrency", whole(&p.Concurrency), func() string { return strconv.Itoa(p.Concurrency) }},
+		{"burst", whole(&p.Burst), func() string { return strconv.Itoa(p.Burst) }},
+		{"priority", whole(&p.Priority), func() string { return strconv.Itoa(p.Priority) }},
+		{"cpu_milli", whole(&p.CPUMilli), func() string { return strconv.FormatInt(p.CPUMilli, 10) }},
+		{"memory_mib", whole(&p.MemoryMiB), func() string { return strconv.FormatInt(p.MemoryMiB, 10) }},
+		{"accelerators", whole(&p.Accelerators), func() string { return strconv.FormatInt(p.Accelerators, 10) }},
+		{"tasks", whole(&p.Tasks), func() string { return strconv.Itoa(p.Tasks) }},
+	}
+}
+
+// readPlan reads one plan. Every limit must be stated, because a missing one
+// would mean none.
+func readPlan(path string, section *ini.Section) (controlapi.Plan, error) {
+	p := controlapi.Plan{Name: strings.TrimPrefix(section.Name(), planPrefix)}
+	known := map[string]bool{}
+	for _, l := range limits(&p) {
+		known[l.name] = true
+		if !section.HasKey(l.name) {
+			return p, Error.New("file=%s section=%s key=%s: missing", path, section.Name(), l.name)
+		}
+		if err := l.parse(section.Key(l.name).String()); err != nil {
+			return p, Error.New("file=%s section=%s key=%s: %w", path, section.Name(), l.name, err)
+		}
+	}
+	for _, key := range section.Keys() {
+		if !known[key.Name()] {
+			return p, Error.New("file=%s section=%s key=%s: unknown key", path, section.Name(), key.Name())
+		}
+	}
+	return p, nil
+}
+
+// check finds names that cannot be used and customers without a plan.
+func (l *Lists) check(path string) error {
+	plans := map[string]bool{}
+	for _, p := range l.Plans {
+		if !validName(p.Name) {
+			return Error.New("file=%s section=plan %s: a name has 1..%d of A-Z a-z 0-9 . _ -", path, p.Name, maxName)
+		}
+		plans[p.Name] = true
+	}
+	for _, c := range l.Customers {
+		if !validName(c.Customer) {
+			return Error.New("file=%s section=customers key=%s: a name has 1..%d of A-Z a-z 0-9 . _ -", path, c.Customer, maxName)
+		}
+		if !plans[c.Plan] {
+			return Error.New("file=%s section=customers key=%s: no section [plan %s]", path, c.Customer, c.Plan)
+		}
+	}
+	return nil
+}
+
+// Write writes the lists in the form that Load reads, sorted by name.
+func Write(w io.Writer, customers []controlapi.Subscription, plans []controlapi.Plan) error {
+	var b strings.Builder
+	b.WriteString("# Plans that customers have bought: customer = plan.\n[customers]\n")
+	sort.Slice(customers, func(i, j int) bool { return customers[i].Customer < customers[j].Customer })
+	for _, c := range customers {
+		fmt.Fprintf(&b, "%s = %s\n", c.Customer, c.Plan)
+	}
+	sort.Slice(plans, func(i, j int) bool { return plans[i].Name < plans[j].Name })
+	for i := range plans {
+		fmt.Fprintf(&b, "\n[plan %s]\n", plans[i].Name)
+		for _, l := range limits(&plans[i]) {
+			fmt.Fprintf(&b, "%s = %s\n", l.name, l.text())
+		}
+	}
+	_, err := io.WriteString(w, b.String())
+	return Error.Wrap(err)
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > maxName {
+		return false
+	}
+	for _, r := range s {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !letter && !strings.ContainsRune("._-", r) {
+			return false
+		}
+	}
+	return true
+}
+
+func whole[T int | int64](field *T) func(string) error {
+	return func(s string) error {
+		n, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || n < 0 {
+			return errs.New("%q is not a whole number from 0", s)
+		}
+		*field = T(n)
+		return nil
+	}
+}
+
+func float(field *float64) func(string) error {
+	return func(s string) error {
+		f, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(f >= 0 && f <= 1e9) {
+			return errs.New("%q is not a number in 0..1e9", s)
+		}
+		*field = f
+		return nil
+	}
+}
+
+func split(s string) []string {
+	var items []string
+	for _, item := range strings.Split(s, ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/cli/plan.go
@@ -0,0 +1,238 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/ibispier/ibispier/cli/keys"
+	"github.com/ibispier/ibispier/cli/lists"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/internal/table"
+)
+
+func planList(f *flag.FlagSet) action {
+	asINI := f.Bool("ini", false, "print the lists as the INI file that plan propose takes")
+	return func(ctx context.Context, s *session, _ []string) error {
+		config, err := s.client.Config(ctx)
+		if err != nil {
+			return err
+		}
+		if *asINI {
+			fmt.Fprintf(s.env.Stdout, "# revision %d\n", config.Revision)
+			return lists.Write(s.env.Stdout, config.Customers, config.Plans)
+		}
+		return s.print(config, func(w io.Writer) error { return printConfig(w, config) })
+	}
+}
+
+func printConfig(w io.Writer, c *controlapi.Config) error {
+	fmt.Fprintf(w, "revision %d  zones out: %s\n\n", c.Revision, either(strings.Join(c.ZonesOut, ", "), "none"))
+	customers := table.New("CUSTOMER", "PLAN")
+	for _, customer := range c.Customers {
+		customers.Row(customer.Customer, customer.Plan)
+	}
+	plans := table.New("PLAN", "SERVICES", "REQUESTS/S", "CONCURRENCY", "BURST", "PRIORITY", "CPU MILLI", "MEMORY MIB", "ACCELERATORS", "TASKS")
+	for _, p := range c.Plans {
+		plans.Row(p.Name, strings.Join(p.Services, ","), p.RequestsPerSecond, p.Concurrency, p.Burst, p.Priority,
+			p.CPUMilli, p.MemoryMiB, p.Accelerators, p.Tasks)
+	}
+	owners := table.New("OWNER", "PUBLIC KEY")
+	for owner, key := range c.Owners {
+		owners.Row(owner, key)
+	}
+	for i, t := range []*table.Table{customers, plans, owners} {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		if err := t.Print(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// proposeFlags identify a proposal, so that it can be sent again by hand.
+type proposeFlags struct {
+	id   string
+	base int64
+}
+
+func (p *proposeFlags) register(f *flag.FlagSet) {
+	f.StringVar(&p.id, "id", "", "change id; the same id gets the first answer (default: a random one)")
+	f.Int64Var(&p.base, "base", -1, "revision that the change is based on (default: the one in force)")
+}
+
+// propose prints the change id before it sends the proposal, so that a proposal
+// whose answer is lost can be sent again.
+func (p *proposeFlags) propose(ctx context.Context, s *session, change controlapi.Change) error {
+	in := controlapi.ProposeRequest{ChangeID: p.id, Base: uint64(max(p.base, 0)), Change: change}
+	if in.ChangeID == "" {
+		in.ChangeID = newID()
+	}
+	if p.base < 0 {
+		config, err := s.client.Config(ctx)
+		if err != nil {
+			return err
+		}
+		in.Base = config.Revision
+	}
+	s.note("change %s base %d", in.ChangeID, in.Base)
+	proposal, err := s.client.Propose(ctx, in)
+	if err != nil {
+		return err
+	}
+	return s.print(proposal, func(w io.Writer) error { return printProposal(w, proposal) })
+}
+
+func planPropose(f *flag.FlagSet) action {
+	p := new(proposeFlags)
+	p.register(f)
+	return func(ctx context.Context, s *session, args []string) error {
+		l, err := lists.Load(args[0])
+		if err != nil {
+			return usageError{err}
+		}
+		return p.propose(ctx, s, controlapi.Change{Kind: controlapi.ChangeLists, Customers: l.Customers, Plans: l.Plans})
+	}
+}
+
+func planOwners(f *flag.FlagSet) action {
+	p := new(proposeFlags)
+	p.register(f)
+	return func(ctx context.Context, s *session, args []string) error {
+		owners, err := lists.LoadOwners(args[0])
+		if err != nil {
+			return usageError{err}
+		}
+		return p.propose(ctx, s, controlapi.Change{Kind: controlapi.ChangeOwners, Owners: owners})
+	}
+}
+
+func zone(direction string) func(f *flag.FlagSet) action {
+	kind := controlapi.ChangeZoneOut
+	if direction == "in" {
+		kind = controlapi.ChangeZoneIn
+	}
+	return func(f *flag.FlagSet) action {
+		p := new(proposeFlags)
+		p.register(f)
+		return func(ctx context.Context, s *session, args []string) error {
+			return p.propose(ctx, s, controlapi.Change{Kind: kind, Zone: args[0]})
+		}
+	}
+}
+
+func planShow(*flag.FlagSet) action {
+	return func(ctx context.Context, s *session, args []string) error {
+		p, err := s.client.Proposal(ctx, args[0])
+		if err != nil {
+			return err
+		}
+		return s.print(p, func(w io.Writer) error { return printProposal(w, p) })
+	}
+}
+
+// planSign signs the digest of the proposal that it fetched and prints, so that
+// the owner sees what was signed.
+func planSign(reject bool) func(f *flag.FlagSet) action {
+	return func(f *flag.FlagSet) action {
+		owner := f.String("owner", "", "name of the owner who signs")
+		path := f.String("key", "", "file of the owner's private key")
+		return func(ctx context.Context, s *session, args []string) error {
+			if *owner == "" || *path == "" {
+				return usagef("-owner and -key are needed")
+			}
+			key, err := keys.Load(*path)
+			if err != nil {
+				return err
+			}
+			p, err := s.client.Proposal(ctx, args[0])
+			if err != nil {
+				return err
+			}
+			signature := keys.Approve(key, p.Digest)
+			if reject {
+				signature = keys.Reject(key, p.Digest)
+			}
+			p, err = s.client.Sign(ctx, controlapi.SignRequest{
+				ChangeID: args[0], Owner: *owner, Reject: reject, Signature: signature,
+			})
+			if err != nil {
+				return err
+			}
+			return s.print(p, func(w io.Writer) error { return printProposal(w, p) })
+		}
+	}
+}
+
+func planPending(f *flag.FlagSet) action {
+	return func(ctx context.Context, s *session, _ []string) error {
+		all, err := s.client.Proposals(ctx, 0)
+		if err != nil {
+			return err
+		}
+		open := []controlapi.Proposal{}
+		for _, p := range all {
+			if p.State == controlapi.ProposalOpen {
+				open = append(open, p)
+			}
+		}
+		return s.print(open, func(w io.Writer) error { return proposalTable(open).Print(w) })
+	}
+}
+
+func planHistory(f *flag.FlagSet) action {
+	limit := f.Int("limit", 0, "largest number of proposals; 0 for all")
+	return func(ctx context.Context, s *session, _ []string) error {
+		decided, err := s.client.History(ctx, *limit)
+		if err != nil {
+			return err
+		}
+		return s.print(decided, func(w io.Writer) error { return proposalTable(decided).Print(w) })
+	}
+}
+
+func proposalTable(proposals []controlapi.Proposal) *table.Table {
+	t := table.New("CHANGE", "KIND", "STATE", "BASE", "REVISION", "SIGNERS", "IN FORCE", "REASON")
+	for _, p := range proposals {
+		t.Row(p.ChangeID, p.Change.Kind, p.State, p.Base, p.Revision, strings.Join(p.Signers, ","), p.InForce, reasonOf(p))
+	}
+	return t
+}
+
+func reasonOf(p controlapi.Proposal) string {
+	if p.Winner != "" {
+		return "lost against " + p.Winner
+	}
+	return p.Reason
+}
+
+func printProposal(w io.Writer, p *controlapi.Proposal) error {
+	if err := proposalTable([]controlapi.Proposal{*p}).Print(w); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "digest %s\n", p.Digest)
+	if p.Change.Zone != "" {
+		fmt.Fprintf(w, "zone %s\n", p.Change.Zone)
+	}
+	for _, line := range p.Diff {
+		fmt.Fprintln(w, line)
+	}
+	if len(p.LaggingBy) > 0 {
+		fmt.Fprintf(w, "not yet in force at: %s\n", strings.Join(p.LaggingBy, ", "))
+	}
+	return nil
+}
+
+// newID returns a random id of 80 bits: collisions among ids of one deployment
+// are out of the question.
+func newID() string {
+	id := make([]byte, 10)
+	_, _ = rand.Read(id)
+	return hex.EncodeToString(id)
+}
