--- /dev/null
+++ b/plan/promise.go
@@ -0,0 +1,96 @@
+package plan
+
+import (
+	"sort"
+
+	"github.com/ibispier/ibispier/controlapi"
+)
+
+// AllServices in the services of a plan stands for every service.
+const AllServices = "*"
+
+// Offer is what the announced targets and workers have.
+type Offer struct {
+	Slots   map[string]int // by service
+	Workers controlapi.Resources
+}
+
+// CheckPromises refuses lists that promise more than is offered: for each
+// service, the concurrency of all customers that may call it against the slots
+// of its targets, and the task resources of all customers against the workers.
+// Every customer counts with its whole concurrency for each service it may
+// call, because it may use all of it there.
+func CheckPromises(customers []controlapi.Subscription, plans []controlapi.Plan, offer Offer) error {
+	byName := make(map[string]controlapi.Plan, len(plans))
+	for _, p := range plans {
+		byName[p.Name] = p
+	}
+	promised, slots := promisesOf(customers, byName, offer)
+	for _, service := range sortedServices(slots) {
+		if slots[service] > offer.Slots[service] {
+			return Error.New("service %q: %d requests at once are promised, the targets have %d slots",
+				service, slots[service], offer.Slots[service])
+		}
+	}
+	return checkResources(promised, offer.Workers)
+}
+
+func promisesOf(customers []controlapi.Subscription, plans map[string]controlapi.Plan, offer Offer) (controlapi.Resources, map[string]int) {
+	var promised controlapi.Resources
+	slots := map[string]int{}
+	for _, s := range customers {
+		p := plans[s.Plan]
+		promised.CPUMilli += p.CPUMilli
+		promised.MemoryMiB += p.MemoryMiB
+		promised.Accelerators += p.Accelerators
+		for _, service := range servicesOf(p, offer) {
+			slots[service] += p.Concurrency
+		}
+	}
+	return promised, slots
+}
+
+// servicesOf returns the services that count for a plan. A plan for all services
+// without any target promises slots of a service that does not exist.
+func servicesOf(p controlapi.Plan, offer Offer) []string {
+	var services []string
+	seen := map[string]bool{}
+	for _, s := range p.Services {
+		if s == AllServices {
+			return allServices(offer)
+		}
+		if !seen[s] {
+			services = append(services, s)
+		}
+		seen[s] = true
+	}
+	return services
+}
+
+func allServices(offer Offer) []string {
+	if len(offer.Slots) == 0 {
+		return []string{AllServices}
+	}
+	return sortedServices(offer.Slots)
+}
+
+func sortedServices(m map[string]int) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func checkResources(promised, have controlapi.Resources) error {
+	switch {
+	case promised.CPUMilli > have.CPUMilli:
+		return Error.New("%d millicores are promised to tasks, the workers have %d", promised.CPUMilli, have.CPUMilli)
+	case promised.MemoryMiB > have.MemoryMiB:
+		return Error.New("%d MiB are promised to tasks, the workers have %d", promised.MemoryMiB, have.MemoryMiB)
+	case promised.Accelerators > have.Accelerators:
+		return Error.New("%d accelerators are promised to tasks, the workers have %d", promised.Accelerators, have.Accelerators)
+	}
+	return nil
+}
