--- /dev/null
+++ b/permit/permit.go
@@ -0,0 +1,90 @@
+// Package permit decides who may start tasks in a zone, and when a zone is
+// surely out of service. An entry instance holds a permit for each zone and
+// passes the remaining time to agents. A zone that operators have taken out of
+// service gets no more permits, and is out "in force" once every permit that
+// was granted has run out or was revoked.
+//
+// The package is pure. A Table lives with a leader: a new leader first waits a
+// whole permit time, because its predecessor may have granted permits until
+// then.
+package permit
+
+import "time"
+
+// Terms are the times of a permit.
+type Terms struct {
+	TTL          time.Duration // given to the holder, counted from when it sent the request
+	DriftPercent int           // of TTL, by which two clocks may differ
+	DriftFixed   time.Duration
+}
+
+// DefaultTerms returns the terms of zone permits: 2 s, 1% and 50 ms.
+func DefaultTerms() Terms {
+	return Terms{TTL: 2 * time.Second, DriftPercent: 1, DriftFixed: 50 * time.Millisecond}
+}
+
+// Fence returns the time after an answer during which the permit may be used.
+func (t Terms) Fence() time.Duration {
+	return t.TTL + t.TTL*time.Duration(t.DriftPercent)/100 + t.DriftFixed
+}
+
+// Table holds the permits that a leader has granted.
+//
+// Invariant: while a zone is out, no permit of it is granted.
+type Table struct {
+	terms   Terms
+	started time.Time
+	out     map[string]bool
+	granted map[string]map[string]time.Time // zone -> holder -> answered
+}
+
+// NewTable returns the Table of a leader that starts at now.
+func NewTable(now time.Time, terms Terms) *Table {
+	return &Table{terms: terms, started: now, out: map[string]bool{}, granted: map[string]map[string]time.Time{}}
+}
+
+// SetOut sets the zones that are out of service.
+func (t *Table) SetOut(zones []string) {
+	t.out = make(map[string]bool, len(zones))
+	for _, z := range zones {
+		t.out[z] = true
+	}
+}
+
+// Grant grants the holder a permit that it is answered at now, and returns how
+// long it lasts: 0 when the zone is out.
+func (t *Table) Grant(now time.Time, zone, holder string) time.Duration {
+	if t.out[zone] {
+		return 0
+	}
+	if t.granted[zone] == nil {
+		t.granted[zone] = map[string]time.Time{}
+	}
+	if t.granted[zone][holder].Before(now) {
+		t.granted[zone][holder] = now
+	}
+	return t.terms.TTL
+}
+
+// Revoke forgets the permit of a holder that has confirmed that neither it nor
+// any agent will use it again.
+func (t *Table) Revoke(zone, holder string) { delete(t.granted[zone], holder) }
+
+// InForce reports whether a zone is out and nobody can hold a permit of it.
+func (t *Table) InForce(now time.Time, zone string) bool {
+	if !t.out[zone] || now.Sub(t.started) < t.terms.Fence() {
+		return false
+	}
+	return t.holders(now, zone) == 0
+}
+
+// holders counts the holders whose permit may still be used, and forgets the
+// others.
+func (t *Table) holders(now time.Time, zone string) int {
+	for holder, answered := range t.granted[zone] {
+		if now.Sub(answered) >= t.terms.Fence() {
+			delete(t.granted[zone], holder)
+		}
+	}
+	return len(t.granted[zone])
+}
--- /dev/null
+++ b/permit/permit_test.go
@@ -0,0 +1,164 @@
+package permit
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ibispier/ibispier/internal/testseed"
+)
+
+func TestMain(m *testing.M) {
+	testseed.Fix()
+	os.Exit(m.Run())
+}
+
+func Example() {
+	start := time.Unix(0, 0)
+	table := NewTable(start, DefaultTerms())
+	fmt.Println(table.Grant(start.Add(3*time.Second), "nl-west-a", "entry-1"))
+	table.SetOut([]string{"nl-west-a"})
+	fmt.Println(table.Grant(start.Add(4*time.Second), "nl-west-a", "entry-2"))
+	fmt.Println(table.InForce(start.Add(5*time.Second), "nl-west-a"), table.InForce(start.Add(5070*time.Millisecond), "nl-west-a"))
+	// Output:
+	// 2s
+	// 0s
+	// false true
+}
+
+// request is a permit request on its way; held is when the permit really ends.
+type request struct {
+	holder string
+	sent   time.Duration
+}
+
+// simulation is one zone with its holders and successive leaders in real time.
+// It is the oracle: it knows until when each holder really uses its permit.
+type simulation struct {
+	real    time.Duration
+	rate    float64 // of the leader's clock
+	rates   map[string]float64
+	table   *Table
+	out     bool
+	waiting []request
+	granted []request // answers on their way; a cut-off holder gets them late
+	until   map[string]time.Duration
+	outAt   time.Duration
+	leadAt  time.Duration
+}
+
+func (s *simulation) now() time.Time {
+	return time.Unix(0, 0).Add(time.Duration(float64(s.real) * s.rate))
+}
+
+func (s *simulation) setOut() {
+	s.table.SetOut(nil)
+	if s.out {
+		s.table.SetOut([]string{"z"})
+	}
+}
+
+func (s *simulation) answer(t *rapid.T) {
+	if len(s.waiting) == 0 {
+		return
+	}
+	r := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	ttl := s.table.Grant(s.now(), "z", r.holder)
+	if s.out && ttl > 0 {
+		t.Fatal("a permit was granted for a zone that is out")
+	}
+	if ttl > 0 {
+		s.granted = append(s.granted, r)
+	}
+}
+
+// deliver gives a permit to its holder, which counts from when it sent the
+// request, on its own clock.
+func (s *simulation) deliver(t *rapid.T) {
+	if len(s.granted) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(s.granted)-1).Draw(t, "answer")
+	r := s.granted[i]
+	s.granted = append(s.granted[:i:i], s.granted[i+1:]...)
+	ends := r.sent + time.Duration(float64(DefaultTerms().TTL)/s.rates[r.holder])
+	s.until[r.holder] = max(s.until[r.holder], ends)
+}
+
+func (s *simulation) check(t *rapid.T) {
+	if !s.table.InForce(s.now(), "z") {
+		settled := max(s.outAt, s.leadAt) + 3*time.Second
+		if s.out && s.real >= settled {
+			t.Fatalf("not in force %s after the zone went out", s.real-s.outAt)
+		}
+		return
+	}
+	if !s.out {
+		t.Fatal("in force although the zone is in service")
+	}
+	for holder, until := range s.until {
+		if s.real < until {
+			t.Fatalf("in force while %s may use its permit for another %s", holder, until-s.real)
+		}
+	}
+	for _, r := range s.granted {
+		if ends := r.sent + time.Duration(float64(DefaultTerms().TTL)/s.rates[r.holder]); s.real < ends {
+			t.Fatalf("in force while a permit on its way to %s is good for another %s", r.holder, ends-s.real)
+		}
+	}
+}
+
+// Guards against a zone that is called out of service while a task can start in
+// it (a holder that is cut off, a new leader that does not know the permits of
+// its predecessor, clocks that drift), and against one that never gets there.
+func TestInForceOnlyWithoutPermits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drift := func(name string) float64 { return 1 + rapid.Float64Range(-0.005, 0.005).Draw(t, name) }
+		s := &simulation{rate: drift("leader"), rates: map[string]float64{"e1": drift("e1"), "e2": drift("e2")},
+			until: map[string]time.Duration{}}
+		s.table = NewTable(s.now(), DefaultTerms())
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(t *rapid.T) {
+				s.waiting = append(s.waiting, request{rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "holder"), s.real})
+			},
+			"answer":  s.answer,
+			"deliver": s.deliver,
+			"pass": func(t *rapid.T) {
+				s.real += time.Duration(rapid.Int64Range(0, int64(1500*time.Millisecond)).Draw(t, "time"))
+			},
+			"zone": func(t *rapid.T) {
+				s.out = !s.out
+				s.outAt = s.real
+				s.setOut()
+			},
+			"leader": func(t *rapid.T) {
+				s.leadAt = s.real
+				s.waiting = nil // the old leader answers no more
+				s.rate = drift("new leader")
+				s.table = NewTable(s.now(), DefaultTerms())
+				s.setOut()
+			},
+			"": s.check,
+		})
+	})
+}
+
+// Guards against a revoked permit that keeps a zone from being out in force.
+func TestRevoke(t *testing.T) {
+	start := time.Unix(0, 0)
+	table := NewTable(start, DefaultTerms())
+	now := start.Add(time.Minute)
+	table.Grant(now, "z", "e")
+	table.SetOut([]string{"z"})
+	if table.InForce(now, "z") {
+		t.Fatal("in force while a permit is held")
+	}
+	table.Revoke("z", "e")
+	if !table.InForce(now, "z") {
+		t.Fatal("not in force after the last permit was revoked")
+	}
+}
