bench: compare the request path with one reverse proxy hop

The path had no figures. The comparison runs target, proxy, entry and agent as processes of their own and drives each from 64 callers in turn.

--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,276 @@
+// Package bench compares the request path with one hop of the standard
+// library's reverse proxy.
+package bench
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"regexp"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/internal/testproc"
+)
+
+// Environment variables. Run asks for the comparison, which is not part of CI
+// because its verdict depends on the load of the machine; Proxy turns the test
+// program into the baseline.
+const (
+	runVariable   = "IBISPIER_BENCH"
+	proxyVariable = "IBISPIER_BENCH_PROXY"
+)
+
+const (
+	callers       = 64
+	rounds        = 5
+	roundLength   = 2 * time.Second
+	maxP99Ratio   = 2.0 // design page, 1.8
+	minThroughput = 0.6 // design page, 1.8
+)
+
+var binaries string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	if spec := os.Getenv(proxyVariable); spec != "" {
+		return serveProxy(spec)
+	}
+	if os.Getenv(runVariable) == "" {
+		return m.Run()
+	}
+	dir, err := testproc.Build("ibispierd", "ibispier-standin")
+	defer os.RemoveAll(dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+// serveProxy is one hop of httputil.ReverseProxy. spec is "listen target".
+func serveProxy(spec string) int {
+	var listen, target string
+	if _, err := fmt.Sscan(spec, &listen, &target); err != nil {
+		return 2
+	}
+	base, err := url.Parse("http://" + target)
+	if err != nil {
+		return 2
+	}
+	proxy := httputil.NewSingleHostReverseProxy(base)
+	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: callers, DisableCompression: true}
+	fmt.Fprintln(os.Stderr, http.ListenAndServe(listen, proxy))
+	return 1
+}
+
+// TestRequestPath guards against a request path that is slower than the stated
+// multiple of one proxy hop in the same run.
+func TestRequestPath(t *testing.T) {
+	if os.Getenv(runVariable) == "" {
+		t.Skip("set " + runVariable + "=1 to run the comparison")
+	}
+	a := testproc.Addresses(t, 6)
+	target, proxy, entry, agents, entryAdmin, agentAdmin := a[0], a[1], a[2], a[3], a[4], a[5]
+	startAll(t, target, proxy, entry, agents, entryAdmin, agentAdmin)
+	routes := []route{
+		{"direct", target, "/lots/1"},
+		{"proxy", proxy, "/lots/1"},
+		{"ibispier", entry, "/v1/services/price-check/lots/1"},
+	}
+	for _, r := range routes {
+		testproc.Eventually(t, r.name, func() bool { return ok(r) })
+		measure(r, roundLength/4) // opens connections and warms caches
+	}
+	results := map[string][]result{}
+	var mallocs, requests float64
+	for range rounds {
+		for _, r := range routes {
+			before := mallocsOf(t, entryAdmin) + mallocsOf(t, agentAdmin)
+			res := measure(r, roundLength)
+			if r.name == "ibispier" {
+				mallocs += mallocsOf(t, entryAdmin) + mallocsOf(t, agentAdmin) - before
+				requests += float64(res.requests)
+			}
+			results[r.name] = append(results[r.name], res)
+		}
+	}
+	report(t, routes, results, mallocs/requests)
+}
+
+func startAll(t *testing.T, target, proxy, entry, agents, entryAdmin, agentAdmin string) {
+	standin := exec.Command(binaries+"/ibispier-standin", "target", "-listen", target, "-record=false")
+	testproc.Start(t, "target", standin)
+	baseline := exec.Command(os.Args[0])
+	baseline.Env = append(os.Environ(), proxyVariable+"="+proxy+" "+target)
+	testproc.Start(t, "proxy", baseline)
+	daemon(t, "entry", "[daemon]", "id = entry-1", "roles = entry", "zone = a", "[entry]", "listen = "+entry,
+		"agent_listen = "+agents, "[admin]", "listen = "+entryAdmin)
+	daemon(t, "agent", "[daemon]", "id = target-1", "roles = agent", "zone = a", "[cluster]", "entries = "+agents,
+		"[agent]", "target = http://"+target, "service = price-check", "slots = 64", "[admin]", "listen = "+agentAdmin)
+}
+
+func daemon(t *testing.T, name string, lines ...string) {
+	testproc.Start(t, name, exec.Command(binaries+"/ibispierd", "-config", testproc.Settings(t, lines...)))
+}
+
+type route struct{ name, address, path string }
+
+type result struct {
+	requests, failed int
+	perSecond        float64
+	p50, p99         time.Duration
+}
+
+func ok(r route) bool {
+	c, err := dial(r)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	return c.call() == nil
+}
+
+// measure drives a route from all callers for d.
+func measure(r route, d time.Duration) result {
+	var group sync.WaitGroup
+	latencies := make([][]time.Duration, callers)
+	failed := make([]int, callers)
+	start := time.Now()
+	for i := range callers {
+		group.Go(func() { latencies[i], failed[i] = drive(r, start.Add(d)) })
+	}
+	group.Wait()
+	elapsed := time.Since(start).Seconds()
+	all := slices.Concat(latencies...)
+	slices.Sort(all)
+	res := result{requests: len(all)}
+	for _, f := range failed {
+		res.failed += f
+	}
+	if len(all) > 0 {
+		res.perSecond = float64(len(all)) / elapsed
+		res.p50, res.p99 = all[len(all)/2], all[len(all)*99/100]
+	}
+	return res
+}
+
+func drive(r route, until time.Time) (latencies []time.Duration, failed int) {
+	c, err := dial(r)
+	if err != nil {
+		return nil, 1
+	}
+	defer c.Close()
+	for time.Now().Before(until) {
+		start := time.Now()
+		if err := c.call(); err != nil {
+			return latencies, failed + 1
+		}
+		latencies = append(latencies, time.Since(start))
+	}
+	return latencies, failed
+}
+
+// caller is one keep-alive connection. It is lighter than http.Client, so that
+// the load generator takes less of the machine from what it measures.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+	text   []byte
+}
+
+func dial(r route) (*caller, error) {
+	conn, err := net.Dial("tcp", r.address)
+	if err != nil {
+		return nil, err
+	}
+	text := "GET " + r.path + " HTTP/1.1\r\nHost: bench\r\nIbispier-Customer: demo\r\n\r\n"
+	return &caller{Conn: conn, reader: bufio.NewReader(conn), text: []byte(text)}, nil
+}
+
+func (c *caller) call() error {
+	if _, err := c.Write(c.text); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+var mallocsLine = regexp.MustCompile(`(?m)^# Mallocs = (\d+)$`)
+
+// mallocsOf reads the allocation count of a process from its profiles.
+func mallocsOf(t *testing.T, admin string) float64 {
+	resp, err := http.Get("http://" + admin + "/debug/pprof/allocs?debug=1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	match := mallocsLine.FindSubmatch(text)
+	if match == nil {
+		t.Fatalf("no allocation count in the profile of %s", admin)
+	}
+	n, _ := strconv.ParseFloat(string(match[1]), 64)
+	return n
+}
+
+func report(t *testing.T, routes []route, results map[string][]result, mallocs float64) {
+	medians := map[string]result{}
+	for _, r := range routes {
+		m := median(results[r.name])
+		medians[r.name] = m
+		t.Logf("%-9s %8.0f/s p50 %8s p99 %8s failed %d", r.name, m.perSecond, m.p50, m.p99, m.failed)
+		if m.failed > 0 {
+			t.Errorf("%s: %d callers failed", r.name, m.failed)
+		}
+	}
+	p99 := float64(medians["ibispier"].p99) / float64(medians["proxy"].p99)
+	throughput := medians["ibispier"].perSecond / medians["proxy"].perSecond
+	t.Logf("ibispier/proxy: p99 %.2f throughput %.2f; allocations per request in entry and agent %.1f", p99, throughput, mallocs)
+	if p99 > maxP99Ratio || throughput < minThroughput {
+		t.Errorf("p99 ratio %.2f (at most %.1f), throughput ratio %.2f (at least %.1f)", p99, maxP99Ratio, throughput, minThroughput)
+	}
+}
+
+// median returns the median of each figure over the rounds.
+func median(rounds []result) result {
+	var m result
+	by := func(f func(result) float64) float64 {
+		var values []float64
+		for _, r := range rounds {
+			values = append(values, f(r))
+		}
+		slices.Sort(values)
+		return values[len(values)/2]
+	}
+	m.perSecond = by(func(r result) float64 { return r.perSecond })
+	m.p50 = time.Duration(by(func(r result) float64 { return float64(r.p50) }))
+	m.p99 = time.Duration(by(func(r result) float64 { return float64(r.p99) }))
+	for _, r := range rounds {
+		m.failed += r.failed
+	}
+	return m
+}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -17,6 +17,7 @@
 // Options configure a stand-in target.
 type Options struct {
 	ServiceTime time.Duration // time that each request takes
+	Discard     bool          // keep no record of the requests that ran
 }
 
 // Run is the record of one request that ran.
@@ -107,7 +108,9 @@
 func (t *Target) begin(run Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.runs = append(t.runs, run)
+	if !t.options.Discard {
+		t.runs = append(t.runs, run)
+	}
 	t.working++
 	t.peak = max(t.peak, t.working)
 }
