fairqueue, interference, resource: order pending tasks and estimate slowdowns

Cause: placement needs a fair order of pending tasks and the expected harm of neighbours. Change: a queue by dominant share with aging; a Kalman filter per victim class over lagged reports; an action ladder with hysteresis and a budget of evictions; the vector of resources. Result: rapid state machines against simple oracles pass, also with -race. A filter with a diagonal covariance missed coefficients by up to 0.24 at a stated deviation of 0.03, so the covariance is kept whole.

--- /dev/null
+++ b/fairqueue/fairqueue_test.go
@@ -0,0 +1,209 @@
+package fairqueue
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ibispier/ibispier/internal/testseed"
+	"github.com/ibispier/ibispier/resource"
+)
+
+func TestMain(m *testing.M) {
+	testseed.Fix()
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func cpu(milli int64) resource.Vector { return resource.Vector{CPUMilli: milli} }
+
+func ExampleQueue() {
+	q := New(Options{})
+	q.SetTotal(cpu(10_000))
+	q.Charge("busy", cpu(4_000))
+	q.Add(Item{ID: "first", Customer: "busy", Size: cpu(1_000), Since: epoch})
+	q.Add(Item{ID: "second", Customer: "idle", Size: cpu(1_000), Since: epoch})
+	q.Add(Item{ID: "third", Customer: "busy", Size: cpu(1_000), Since: epoch, Urgent: true})
+	q.Begin(epoch)
+	for item, ok := q.Next(); ok; item, ok = q.Next() {
+		fmt.Println(item.ID)
+		q.Take()
+	}
+	// Output:
+	// third
+	// second
+	// first
+}
+
+// Guards against an order that breaks the rules of the package: a simple list
+// is the oracle for every offer, under arrivals, cancellations and releases.
+func TestOrderAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{queue: New(Options{AgingBound: time.Minute}), now: epoch, inUse: map[string]int64{}}
+		m.queue.SetTotal(cpu(100_000))
+		t.Repeat(map[string]func(*rapid.T){
+			"add":    m.add,
+			"remove": m.remove,
+			"pass":   m.runPass,
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "seconds")) * time.Second)
+			},
+		})
+	})
+}
+
+type machine struct {
+	queue   *Queue
+	now     time.Time
+	pending []Item
+	inUse   map[string]int64
+	next    int
+	streak  int // urgent offers in a row while an aged task waited
+}
+
+func (m *machine) add(t *rapid.T) {
+	m.next++
+	item := Item{
+		ID:       fmt.Sprint(m.next),
+		Customer: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"),
+		Urgent:   rapid.IntRange(0, 3).Draw(t, "urgent") == 0,
+		Size:     cpu(int64(rapid.IntRange(1, 5_000).Draw(t, "size"))),
+		Since:    m.now,
+	}
+	m.queue.Add(item)
+	m.pending = append(m.pending, item)
+}
+
+func (m *machine) remove(t *rapid.T) {
+	if len(m.pending) == 0 {
+		t.Skip("nothing pending")
+	}
+	m.delete(rapid.IntRange(0, len(m.pending)-1).Draw(t, "index"), m.queue.Remove)
+}
+
+func (m *machine) delete(i int, remove func(string) bool) {
+	remove(m.pending[i].ID)
+	m.pending = append(m.pending[:i:i], m.pending[i+1:]...)
+}
+
+func (m *machine) runPass(t *rapid.T) {
+	m.queue.Begin(m.now)
+	offered := map[string]bool{}
+	for item, ok := m.queue.Next(); ok; item, ok = m.queue.Next() {
+		i := m.check(t, item, offered)
+		offered[item.ID] = true
+		if rapid.Bool().Draw(t, "take") {
+			m.inUse[item.Customer] += item.Size.CPUMilli
+			m.delete(i, func(string) bool { m.queue.Take(); return true })
+			continue
+		}
+		m.queue.Skip()
+	}
+	for _, item := range m.pending {
+		if !offered[item.ID] {
+			t.Fatalf("task %s was not offered in the pass", item.ID)
+		}
+	}
+	if m.queue.Len() != len(m.pending) {
+		t.Fatalf("queue has %d tasks, want %d", m.queue.Len(), len(m.pending))
+	}
+}
+
+// check fails unless item is an allowed offer, and returns its index.
+func (m *machine) check(t *rapid.T, item Item, offered map[string]bool) int {
+	index := -1
+	var urgentLeft, agedLeft bool
+	var oldest time.Time
+	best := map[string]float64{}
+	for i, p := range m.pending {
+		if p.ID == item.ID {
+			index = i
+		}
+		if offered[p.ID] {
+			continue
+		}
+		urgentLeft = urgentLeft || p.Urgent
+		if !p.Urgent && m.now.Sub(p.Since) > time.Minute {
+			if !agedLeft || p.Since.Before(oldest) {
+				oldest = p.Since
+			}
+			agedLeft = true
+		}
+		if _, seen := best[p.Customer]; !seen {
+			best[p.Customer] = float64(m.inUse[p.Customer] + p.Size.CPUMilli)
+		}
+	}
+	if index < 0 || offered[item.ID] {
+		t.Fatalf("task %s is not pending or was offered twice", item.ID)
+	}
+	m.checkRank(t, item, urgentLeft, agedLeft, oldest)
+	if !urgentLeft && !agedLeft {
+		for customer, share := range best {
+			if share < best[item.Customer] {
+				t.Fatalf("offered a task of %s although %s has the smaller share", item.Customer, customer)
+			}
+		}
+	}
+	return index
+}
+
+func (m *machine) checkRank(t *rapid.T, item Item, urgentLeft, agedLeft bool, oldest time.Time) {
+	switch {
+	case urgentLeft && agedLeft && item.Urgent:
+		if m.streak++; m.streak >= agedTurn {
+			t.Fatalf("%d urgent tasks in a row passed an aged one", m.streak)
+		}
+	case urgentLeft && !item.Urgent && !agedLeft:
+		t.Fatalf("task %s passed an urgent one", item.ID)
+	case !agedLeft:
+		m.streak = 0
+	case agedLeft && !item.Urgent:
+		m.streak = 0
+		if !item.Since.Equal(oldest) {
+			t.Fatalf("task %s passed one that waits longer", item.ID)
+		}
+	}
+}
+
+// Guards against a wave of cancellations that costs a scan for each task.
+func TestCancellationWaveCostsOnePass(t *testing.T) {
+	const tasks = 200_000
+	q := New(Options{})
+	for i := range tasks {
+		q.Add(Item{ID: fmt.Sprint(i), Customer: "a", Size: cpu(1), Since: epoch})
+	}
+	for i := range tasks - 1 {
+		q.Remove(fmt.Sprint(i))
+	}
+	if c := q.customers["a"]; len(c.normal) != tasks {
+		t.Fatal("entries were dropped before the pass")
+	}
+	q.Begin(epoch)
+	if item, ok := q.Next(); !ok || item.ID != fmt.Sprint(tasks-1) {
+		t.Fatalf("got %q", item.ID)
+	}
+	if c := q.customers["a"]; len(c.normal) != 1 {
+		t.Fatalf("%d entries left after the pass began, want 1", len(c.normal))
+	}
+}
+
+// Guards against the baseline FIFO setting that reorders.
+func TestFIFOKeepsArrivalOrder(t *testing.T) {
+	q := New(Options{Policy: FIFO})
+	q.SetTotal(cpu(100))
+	for i, urgent := range []bool{false, true, false, true} {
+		q.Add(Item{ID: fmt.Sprint(i), Customer: fmt.Sprint(i % 3), Urgent: urgent, Size: cpu(1), Since: epoch})
+	}
+	q.Begin(epoch)
+	for i := range 4 {
+		item, ok := q.Next()
+		if !ok || item.ID != fmt.Sprint(i) {
+			t.Fatalf("offer %d is %q", i, item.ID)
+		}
+		q.Skip()
+	}
+}
--- /dev/null
+++ b/interference/interference_test.go
@@ -0,0 +1,135 @@
+package interference
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ibispier/ibispier/internal/testseed"
+)
+
+func TestMain(m *testing.M) {
+	testseed.Fix()
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func ExampleModel() {
+	m := NewModel(ModelOptions{})
+	for range 50 {
+		m.Observe(Observation{Victim: "quote", Slowdown: 1.5, Neighbours: []Resident{{Class: "scan", Intensity: 0.5}}, MeasuredAt: epoch})
+		m.Observe(Observation{Victim: "quote", Slowdown: 1, Neighbours: []Resident{{Class: "idle", Intensity: 0.5}}, MeasuredAt: epoch})
+	}
+	fmt.Printf("scan %.1f idle %.1f\n", m.Pair("quote", "scan", epoch).Coefficient, m.Pair("quote", "idle", epoch).Coefficient)
+	// Output: scan 1.0 idle 0.0
+}
+
+// Guards against a model that blames the wrong one of several neighbours, or
+// that keeps its certainty for ever.
+func TestModelLearnsPairsAndForgets(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	truth := []float64{0, 0.2, 0.8, 1.6}
+	m := NewModel(ModelOptions{})
+	for range 400 {
+		o := Observation{Victim: "v", Slowdown: 1 + 0.1*random.NormFloat64(), MeasuredAt: epoch}
+		for class, coefficient := range truth {
+			intensity := random.Float64() / 2
+			o.Neighbours = append(o.Neighbours, Resident{Class: fmt.Sprint(class), Intensity: intensity})
+			o.Slowdown += coefficient * intensity
+		}
+		m.Observe(o)
+	}
+	for class, want := range truth {
+		got := m.Pair("v", fmt.Sprint(class), epoch)
+		if math.Abs(got.Coefficient-want) > 0.15 || got.Deviation > 0.15 {
+			t.Errorf("class %d: got %+v, want %.1f", class, got, want)
+		}
+	}
+	later := m.Pair("v", "3", epoch.Add(10*time.Hour))
+	if math.Abs(later.Coefficient-m.options.Prior) > 0.05 || later.Deviation < 0.45 {
+		t.Errorf("after ten hours without reports: %+v, want the prior", later)
+	}
+}
+
+// Guards against two actions at once on a worker, actions before the last has
+// settled, actions without confirmation by several reports, and more evictions
+// per hour than the budget.
+func TestLadderAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const perHour = 3
+		l, budget, now := NewLadder(LadderOptions{}), NewBudget(perHour), epoch
+		throttled := map[string]bool{}
+		var evictions []time.Time
+		var pending Decision
+		var lastEnd time.Time
+		high, low := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 600).Draw(t, "seconds")) * time.Second)
+			},
+			"report": func(t *rapid.T) {
+				slowdown := rapid.SampledFrom([]float64{1, 1.2, 2}).Draw(t, "slowdown")
+				l.Report(slowdown, now)
+				if now.Before(lastEnd.Add(5 * time.Second)) {
+					return
+				}
+				high, low = count(high, slowdown > 1.3), count(low, slowdown < 1.1)
+			},
+			"confirm": func(t *rapid.T) {
+				if pending.Step != None {
+					l.Confirm(pending.Task, now)
+					pending, lastEnd, high, low = Decision{}, now, 0, 0
+				}
+			},
+			"next": func(t *rapid.T) {
+				candidates := []Candidate{{"a", 0.2, throttled["a"]}, {"b", 0.5, throttled["b"]}}
+				d := l.Next(now, candidates, budget.HasRoom(now))
+				if l.Pending().Step == None && pending.Step != None {
+					pending, lastEnd, high, low = Decision{}, now, 0, 0 // given up after the timeout
+				}
+				if d.Step == None {
+					return
+				}
+				isEscalation := d.Step == Stop && pending.Step == Move && pending.Task == d.Task
+				if pending.Step != None && !isEscalation {
+					t.Fatalf("%v while %v is pending", d, pending)
+				}
+				if !isEscalation && now.Before(lastEnd.Add(5*time.Second)) {
+					t.Fatalf("%v before the last action settled", d)
+				}
+				if !isEscalation && high < 3 && low < 3 {
+					t.Fatalf("%v without three reports in a row", d)
+				}
+				if d.Step == Move && !throttled[d.Task] {
+					t.Fatalf("%v of a task that was not throttled first", d)
+				}
+				throttled[d.Task] = d.Step == Throttle
+				if d.Step.IsEviction() && !isEscalation {
+					budget.Spend(now)
+					evictions = append(evictions, now)
+				}
+				pending = d
+			},
+			"": func(t *rapid.T) {
+				for i := perHour; i < len(evictions); i++ {
+					if evictions[i].Sub(evictions[i-perHour]) < time.Hour {
+						t.Fatalf("%d evictions within an hour", perHour+1)
+					}
+				}
+			},
+		})
+	})
+}
+
+func count(n int, more bool) int {
+	if more {
+		return n + 1
+	}
+	return 0
+}
--- /dev/null
+++ b/interference/ladder.go
@@ -0,0 +1,225 @@
+package interference
+
+import "time"
+
+// Step is a rung of the action ladder.
+type Step uint8
+
+// Steps in the order of escalation.
+const (
+	None Step = iota
+	Throttle
+	Move // checkpoint and place elsewhere
+	Stop
+	Restore // end the throttle
+)
+
+// String returns the name of the step.
+func (s Step) String() string {
+	return [...]string{"none", "throttle", "move", "stop", "restore"}[s]
+}
+
+// IsEviction reports whether the step takes the task off its worker.
+func (s Step) IsEviction() bool { return s == Move || s == Stop }
+
+// LadderOptions configure a Ladder.
+type LadderOptions struct {
+	High    float64       // slowdown of a service at which a worker is disturbed
+	Low     float64       // slowdown below which it has recovered; the gap is the hysteresis
+	Confirm int           // reports in a row that confirm either
+	Settle  time.Duration // after an action, until its effect shows in reports
+	Timeout time.Duration // for an action to be confirmed
+}
+
+// withDefaults: three reports in a row ignore a single outlier, and reports lag
+// by one to two seconds, so that an effect shows after five.
+func (o LadderOptions) withDefaults() LadderOptions {
+	if o.High == 0 {
+		o.High = 1.3
+	}
+	if o.Low == 0 {
+		o.Low = 1.1
+	}
+	if o.Confirm == 0 {
+		o.Confirm = 3
+	}
+	if o.Settle == 0 {
+		o.Settle = 5 * time.Second
+	}
+	if o.Timeout == 0 {
+		o.Timeout = 10 * time.Second
+	}
+	return o
+}
+
+// Candidate is a task that may be acted on.
+type Candidate struct {
+	Task      string
+	Blame     float64 // expected part in the slowdown
+	Throttled bool
+}
+
+// Decision is the next action on a worker. Task is empty when Step is None.
+type Decision struct {
+	Step Step
+	Task string
+}
+
+// Ladder escalates the actions on one worker.
+//
+// Invariant: an action starts only when no other of this worker is pending and
+// the last one has settled.
+type Ladder struct {
+	options  LadderOptions
+	high     int // reports in a row above High
+	low      int // reports in a row below Low
+	pending  Decision
+	since    time.Time
+	settled  time.Time
+	timedOut map[string]bool // tasks whose move was not confirmed
+}
+
+// NewLadder returns a ladder at rest.
+func NewLadder(o LadderOptions) *Ladder {
+	return &Ladder{options: o.withDefaults(), timedOut: map[string]bool{}}
+}
+
+// Report takes the slowdown of the most disturbed service of the worker.
+// Reports measured before the last action settled are ignored.
+func (l *Ladder) Report(slowdown float64, measuredAt time.Time) {
+	if measuredAt.Before(l.settled) {
+		return
+	}
+	switch {
+	case slowdown > l.options.High:
+		l.high++
+		l.low = 0
+	case slowdown < l.options.Low:
+		l.low++
+		l.high = 0
+	default:
+		l.high, l.low = 0, 0
+	}
+}
+
+// Pending returns the action that is not confirmed yet.
+func (l *Ladder) Pending() Decision { return l.pending }
+
+// Confirm ends the pending action on the task.
+func (l *Ladder) Confirm(task string, now time.Time) {
+	if l.pending.Task != task || l.pending.Step == None {
+		return
+	}
+	delete(l.timedOut, task)
+	l.finish(now)
+}
+
+func (l *Ladder) finish(now time.Time) {
+	l.pending = Decision{}
+	l.settled = now.Add(l.options.Settle)
+	l.high, l.low = 0, 0
+}
+
+// Next proposes an action at time now. mayEvict says whether the budget of
+// evictions has room. The caller carries the action out and calls Confirm.
+func (l *Ladder) Next(now time.Time, candidates []Candidate, mayEvict bool) Decision {
+	if l.pending.Step != None {
+		return l.escalateOverdue(now, mayEvict)
+	}
+	if now.Before(l.settled) {
+		return Decision{}
+	}
+	switch {
+	case l.high >= l.options.Confirm:
+		return l.start(now, l.choose(candidates, mayEvict))
+	case l.low >= l.options.Confirm:
+		return l.start(now, restoreOne(candidates))
+	}
+	return Decision{}
+}
+
+// escalateOverdue replaces a move that was not confirmed in time by a stop. Any
+// other overdue action is given up.
+func (l *Ladder) escalateOverdue(now time.Time, mayEvict bool) Decision {
+	if now.Sub(l.since) < l.options.Timeout {
+		return Decision{}
+	}
+	if l.pending.Step != Move || !mayEvict {
+		l.finish(now)
+		return Decision{}
+	}
+	l.timedOut[l.pending.Task] = true
+	return l.start(now, Decision{Step: Stop, Task: l.pending.Task})
+}
+
+func (l *Ladder) start(now time.Time, d Decision) Decision {
+	if d.Step != None {
+		l.pending, l.since = d, now
+	}
+	return d
+}
+
+// choose throttles the task with the most blame, and moves it when it is
+// throttled already.
+func (l *Ladder) choose(candidates []Candidate, mayEvict bool) Decision {
+	worst := -1
+	for i, c := range candidates {
+		if c.Throttled && !mayEvict {
+			continue
+		}
+		if worst < 0 || c.Blame > candidates[worst].Blame {
+			worst = i
+		}
+	}
+	switch {
+	case worst < 0:
+		return Decision{}
+	case !candidates[worst].Throttled:
+		return Decision{Step: Throttle, Task: candidates[worst].Task}
+	case l.timedOut[candidates[worst].Task]:
+		return Decision{Step: Stop, Task: candidates[worst].Task}
+	default:
+		return Decision{Step: Move, Task: candidates[worst].Task}
+	}
+}
+
+// restoreOne ends the throttle of the least harmful task.
+func restoreOne(candidates []Candidate) Decision {
+	best := -1
+	for i, c := range candidates {
+		if c.Throttled && (best < 0 || c.Blame < candidates[best].Blame) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Decision{}
+	}
+	return Decision{Step: Restore, Task: candidates[best].Task}
+}
+
+// Budget bounds the evictions in any hour.
+type Budget struct {
+	perHour int
+	recent  []time.Time
+	total   int
+}
+
+// NewBudget returns a budget of perHour evictions.
+func NewBudget(perHour int) *Budget { return &Budget{perHour: perHour} }
+
+// HasRoom reports whether another eviction is allowed at time now.
+func (b *Budget) HasRoom(now time.Time) bool {
+	for len(b.recent) > 0 && now.Sub(b.recent[0]) >= time.Hour {
+		b.recent = b.recent[1:]
+	}
+	return len(b.recent) < b.perHour
+}
+
+// Spend counts an eviction.
+func (b *Budget) Spend(now time.Time) {
+	b.recent = append(b.recent, now)
+	b.total++
+}
+
+// Total returns the number of all evictions.
+func (b *Budget) Total() int { return b.total }
--- /dev/null
+++ b/interference/model.go
@@ -0,0 +1,160 @@
+package interference
+
+import (
+	"math"
+	"time"
+)
+
+// ModelOptions configure a Model.
+type ModelOptions struct {
+	Prior       float64       // coefficient of an unknown pair
+	Uncertainty float64       // standard deviation of an unknown pair
+	Noise       float64       // standard deviation of one measured slowdown
+	HalfLife    time.Duration // of the evidence; afterwards half of the way back to the prior
+	Caution     float64       // standard deviations that Harm adds to an estimate
+	MaxClasses  int           // further classes keep the prior
+}
+
+// withDefaults: the prior says that a worker full of an unknown class costs
+// 30%, and the uncertainty that anything from none to double is plausible.
+func (o ModelOptions) withDefaults() ModelOptions {
+	if o.Prior == 0 {
+		o.Prior = 0.3
+	}
+	if o.Uncertainty == 0 {
+		o.Uncertainty = 0.5
+	}
+	if o.Noise == 0 {
+		o.Noise = 0.15
+	}
+	if o.HalfLife == 0 {
+		o.HalfLife = 30 * time.Minute
+	}
+	if o.Caution == 0 {
+		o.Caution = 0.5
+	}
+	if o.MaxClasses == 0 {
+		o.MaxClasses = 64
+	}
+	return o
+}
+
+// Resident is a class on a worker and the share of the worker that it uses.
+type Resident struct {
+	Class     string
+	Intensity float64 // 1 is a whole worker
+	Weight    float64 // importance of the class when it is the victim; 0 counts as 1
+}
+
+// Observation is a measured slowdown of a task and who was beside it then.
+type Observation struct {
+	Victim     string
+	Slowdown   float64 // 1 is undisturbed
+	Neighbours []Resident
+	MeasuredAt time.Time
+}
+
+// Estimate is the coefficient of a pair.
+type Estimate struct {
+	Coefficient float64
+	Deviation   float64
+}
+
+// Model holds the estimates of all pairs.
+type Model struct {
+	options ModelOptions
+	victims map[string]*victim
+}
+
+// NewModel returns a model that knows only its prior.
+func NewModel(o ModelOptions) *Model {
+	return &Model{options: o.withDefaults(), victims: map[string]*victim{}}
+}
+
+// Observe learns from one report. Reports may arrive late and out of order; a
+// late one is taken as if it were measured at the time of the latest.
+func (m *Model) Observe(o Observation) {
+	if o.Slowdown <= 0 || math.IsNaN(o.Slowdown) || math.IsInf(o.Slowdown, 0) {
+		return
+	}
+	v := m.victims[o.Victim]
+	if v == nil {
+		if len(m.victims) >= m.options.MaxClasses {
+			return
+		}
+		v = &victim{index: map[string]int{}, at: o.MeasuredAt}
+		m.victims[o.Victim] = v
+	}
+	x := m.intensities(v, o.Neighbours)
+	v.decay(m.options, o.MeasuredAt)
+	v.update(x, o.Slowdown-1, m.options.Noise)
+}
+
+// intensities returns the vector of intensities in the order of v.index.
+// Classes beyond the bound are ignored.
+func (m *Model) intensities(v *victim, neighbours []Resident) []float64 {
+	for _, n := range neighbours {
+		if _, known := v.index[n.Class]; !known && n.Intensity > 0 && len(v.index) < m.options.MaxClasses {
+			v.grow(n.Class, m.options)
+		}
+	}
+	x := make([]float64, len(v.mean))
+	for _, n := range neighbours {
+		if i, known := v.index[n.Class]; known {
+			x[i] += max(0, n.Intensity)
+		}
+	}
+	return x
+}
+
+// Pair returns the estimate of a pair at time t.
+func (m *Model) Pair(victim, aggressor string, t time.Time) Estimate {
+	mean, variance := m.estimate(victim, aggressor, t)
+	return Estimate{Coefficient: mean, Deviation: math.Sqrt(variance)}
+}
+
+func (m *Model) estimate(class, aggressor string, t time.Time) (mean, variance float64) {
+	prior := m.options.Uncertainty * m.options.Uncertainty
+	v := m.victims[class]
+	if v == nil {
+		return m.options.Prior, prior
+	}
+	i, known := v.index[aggressor]
+	if !known {
+		return m.options.Prior, prior
+	}
+	kept := v.kept(m.options, t)
+	mean = m.options.Prior + (v.mean[i]-m.options.Prior)*kept
+	return max(0, mean), prior + (v.covariance[i][i]-prior)*kept
+}
+
+// Harm is the expected cost of putting a task beside residents: the weighted
+// slowdown that it causes to them plus the slowdown that it suffers. Caution
+// times the deviation is added, so that an unknown pair costs more than one
+// that is known to be harmless.
+func (m *Model) Harm(task Resident, residents []Resident, t time.Time) float64 {
+	harm := 0.0
+	for _, r := range residents {
+		harm += weight(r) * m.cautious(r.Class, task.Class, t) * task.Intensity
+		harm += weight(task) * m.cautious(task.Class, r.Class, t) * r.Intensity
+	}
+	return harm
+}
+
+// Blame is the slowdown that a task causes to one resident, without caution.
+func (m *Model) Blame(task, victim Resident, t time.Time) float64 {
+	mean, _ := m.estimate(victim.Class, task.Class, t)
+	return mean * task.Intensity
+}
+
+func (m *Model) cautious(victim, aggressor string, t time.Time) float64 {
+	mean, variance := m.estimate(victim, aggressor, t)
+	return mean + m.options.Caution*math.Sqrt(variance)
+}
+
+func weight(r Resident) float64 {
+	if r.Weight == 0 {
+		return 1
+	}
+	return r.Weight
+}
