testcluster, ibispier-standin: run real processes under faults

Cause: the promises are proved over real processes with kills, freezes, wiped folders and cut links. Change: a stand-in program (target, worker), a package for tests that starts child processes and relays; rapid runs 1000 checks with a fixed seed.

--- a/cmd/ibispier-standin/main.go
+++ b/cmd/ibispier-standin/main.go
@@ -1,4 +1,5 @@
-// Command ibispier-standin runs a stand-in of the platform's side: a target.
+// Command ibispier-standin runs the stand-ins of the platform's side: a target
+// or a worker. Tests and local deployments use it.
 package main
 
 import (
@@ -9,8 +10,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/standin/target"
+	"github.com/ibispier/ibispier/standin/worker"
+	"github.com/ibispier/ibispier/supervise"
 )
 
 // Exit codes.
@@ -19,42 +24,65 @@
 	exitUsage  = 2
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+type options struct {
+	kind        string
+	listen      string
+	id          string
+	zone        string
+	serviceTime time.Duration
+	usageLag    time.Duration
+	failAll     bool
+	capacity    controlapi.Resources
+}
 
-func run(args []string) int {
-	if len(args) == 0 {
-		return usage()
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	var err error
-	switch args[0] {
-	case "target":
-		err = runTarget(ctx, args[1:])
-	default:
-		return usage()
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	flag.StringVar(&o.kind, "kind", "target", "target or worker")
+	flag.StringVar(&o.listen, "listen", "127.0.0.1:0", "address (ip:port)")
+	flag.StringVar(&o.id, "id", "standin", "name in the records")
+	flag.StringVar(&o.zone, "zone", "", "availability zone in the records")
+	flag.DurationVar(&o.serviceTime, "service-time", 0, "target: time that each request takes")
+	flag.DurationVar(&o.usageLag, "usage-lag", time.Second, "worker: lag of the usage reports")
+	flag.BoolVar(&o.failAll, "fail-all", false, "worker: every task fails right after its start")
+	flag.Int64Var(&o.capacity.CPUMilli, "cpu-milli", 64_000, "worker: processors in millicores")
+	flag.Int64Var(&o.capacity.MemoryMiB, "memory-mib", 250_000, "worker: memory in MiB")
+	flag.Int64Var(&o.capacity.Accelerators, "accelerators", 0, "worker: accelerators")
+	flag.Parse()
+	if flag.NArg() > 0 || o.kind != "target" && o.kind != "worker" {
+		fmt.Fprintln(os.Stderr, "ibispier-standin: -kind must be target or worker")
+		return exitUsage
 	}
-	if err != nil {
+	if err := serve(o); err != nil {
 		fmt.Fprintln(os.Stderr, "ibispier-standin:", err)
 		return exitFailed
 	}
 	return 0
 }
 
-func usage() int {
-	fmt.Fprintln(os.Stderr, "usage: ibispier-standin target [flags]")
-	return exitUsage
-}
-
-func runTarget(ctx context.Context, args []string) error {
-	flags := flag.NewFlagSet("target", flag.ExitOnError)
-	listen := flags.String("listen", "127.0.0.1:9090", "address to serve on")
-	serviceTime := flags.Duration("service-time", 0, "time that each request takes")
-	record := flags.Bool("record", true, "keep a record of every request that ran")
-	_ = flags.Parse(args)
-	socket, err := net.Listen("tcp", *listen)
+func serve(o options) error {
+	socket, err := net.Listen("tcp", o.listen)
 	if err != nil {
 		return err
 	}
-	return target.New(socket, target.Options{ServiceTime: *serviceTime, Discard: !*record}).Run(ctx)
+	fmt.Println(socket.Addr())
+	root := supervise.New("standin", supervise.Policy{Strategy: supervise.EndTogether}, nil)
+	switch o.kind {
+	case "target":
+		root.Add("target", target.New(socket, target.Options{ServiceTime: o.serviceTime}))
+	case "worker":
+		w := worker.New(socket, worker.Options{
+			ID: o.id, Zone: o.zone, Capacity: o.capacity, UsageLag: o.usageLag, FailAll: o.failAll,
+		})
+		root.Add("worker", w)
+		root.Add("clock", supervise.Func(w.Clock))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err = root.Run(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
 }
--- /dev/null
+++ b/internal/testcluster/process.go
@@ -0,0 +1,185 @@
+package testcluster
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Patience bounds every wait for a condition. It is generous, because the
+// machine is shared.
+const Patience = 60 * time.Second
+
+var build struct {
+	once sync.Once
+	dir  string
+	err  error
+}
+
+// binaries builds the programs once for a test binary.
+func binaries(t testing.TB) string {
+	t.Helper()
+	build.once.Do(func() {
+		build.dir, build.err = os.MkdirTemp("", "ibispier-bin-")
+		if build.err != nil {
+			return
+		}
+		out, err := exec.Command("go", "build", "-o", build.dir+"/", "github.com/ibispier/ibispier/cmd/...").CombinedOutput()
+		if err != nil {
+			build.err = fmt.Errorf("go build: %w: %s", err, out)
+		}
+	})
+	if build.err != nil {
+		t.Fatal(build.err)
+	}
+	return build.dir
+}
+
+// RemoveBinaries deletes the built programs. A TestMain calls it at the end.
+func RemoveBinaries() {
+	if build.dir != "" {
+		_ = os.RemoveAll(build.dir)
+	}
+}
+
+// Process is one child process.
+type Process struct {
+	Name string
+	t    testing.TB
+	path string
+	args []string
+	cmd  *exec.Cmd
+	done chan struct{}
+	out  *output
+}
+
+// output keeps what a process writes.
+type output struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(p)
+}
+
+// String returns what was written so far.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.String()
+}
+
+// StartProcess starts a program of this module. The test ends it at cleanup.
+func StartProcess(t testing.TB, name, program string, args ...string) *Process {
+	t.Helper()
+	p := &Process{Name: name, t: t, path: filepath.Join(binaries(t), program), args: args, out: new(output)}
+	p.Start()
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("output of %s:\n%s", p.Name, tail(p.out.String()))
+		}
+	})
+	return p
+}
+
+const tailBytes = 6000
+
+func tail(s string) string {
+	if len(s) > tailBytes {
+		return "..." + s[len(s)-tailBytes:]
+	}
+	return s
+}
+
+// Start starts the process again after it ended.
+func (p *Process) Start() {
+	p.t.Helper()
+	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	p.done = make(chan struct{})
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatalf("start %s: %v", p.Name, err)
+	}
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.cmd, p.done)
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(sig syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(sig); err != nil && !p.Ended() {
+		p.t.Errorf("signal %s to %s: %v", sig, p.Name, err)
+	}
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	if p.Ended() {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Freeze stops the process until Thaw.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
+
+// Stop ends the process by a planned stop and returns its exit code.
+func (p *Process) Stop() int {
+	p.t.Helper()
+	p.Signal(syscall.SIGTERM)
+	return p.Wait()
+}
+
+// Wait waits for the end of the process and returns its exit code.
+func (p *Process) Wait() int {
+	p.t.Helper()
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(Patience):
+		p.t.Fatalf("%s did not end within %s", p.Name, Patience)
+		return -1
+	}
+}
+
+// Ended reports whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Output returns what the process wrote so far.
+func (p *Process) Output() string { return p.out.String() }
+
+// Eventually waits until the condition holds.
+func Eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(Patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", Patience, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/testcluster/relay.go
@@ -0,0 +1,153 @@
+package testcluster
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Mode is what a relay does with what it reads.
+type Mode int
+
+// Modes of a relay.
+const (
+	Forward Mode = iota
+	Swallow      // keep connections open and forward nothing
+	Refuse       // close connections and accept none
+)
+
+// Relay is a TCP relay between two processes.
+type Relay struct {
+	socket net.Listener
+	target string
+
+	mu     sync.Mutex
+	mode   Mode
+	delay  time.Duration
+	frozen map[net.Conn]bool // connections that stay silent for good
+	open   map[net.Conn]bool
+}
+
+// StartRelay starts a relay to target.
+func StartRelay(t testing.TB, target string) *Relay {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Relay{socket: socket, target: target, frozen: map[net.Conn]bool{}, open: map[net.Conn]bool{}}
+	go r.accept()
+	t.Cleanup(func() {
+		_ = socket.Close()
+		r.SetMode(Refuse)
+	})
+	return r
+}
+
+// Address returns the address that the relay listens on.
+func (r *Relay) Address() string { return r.socket.Addr().String() }
+
+// SetMode changes what the relay does from now on.
+func (r *Relay) SetMode(m Mode) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mode = m
+	if m == Refuse {
+		for c := range r.open {
+			_ = c.Close()
+		}
+	}
+}
+
+// SetDelay delays everything by d from now on.
+func (r *Relay) SetDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// SilenceOpen makes the connections that are open now silent for good. New
+// connections work.
+func (r *Relay) SilenceOpen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		r.frozen[c] = true
+	}
+}
+
+func (r *Relay) accept() {
+	for {
+		in, err := r.socket.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(in)
+	}
+}
+
+func (r *Relay) serve(in net.Conn) {
+	if r.state(in) == Refuse {
+		_ = in.Close()
+		return
+	}
+	out, err := net.DialTimeout("tcp", r.target, time.Second)
+	if err != nil {
+		_ = in.Close()
+		return
+	}
+	r.mu.Lock()
+	r.open[in], r.open[out] = true, true
+	r.mu.Unlock()
+	go r.copy(out, in)
+	r.copy(in, out)
+}
+
+func (r *Relay) copy(to, from net.Conn) {
+	defer r.forget(to, from)
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		switch r.state(from) {
+		case Refuse:
+			return
+		case Swallow:
+			continue
+		}
+		time.Sleep(r.pause())
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// forget closes both ends, except those that stay silent for good.
+func (r *Relay) forget(a, b net.Conn) {
+	if r.state(a) != Swallow {
+		_ = a.Close()
+	}
+	_ = b.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, a)
+	delete(r.open, b)
+}
+
+func (r *Relay) state(c net.Conn) Mode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.frozen[c] {
+		return Swallow
+	}
+	return r.mode
+}
+
+func (r *Relay) pause() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.delay
+}
--- a/internal/testseed/testseed.go
+++ b/internal/testseed/testseed.go
@@ -11,17 +11,30 @@
 // when it is set to 1.
 const FreshSeedsVariable = "IBISPIER_FRESH_SEEDS"
 
-// seed is the fixed seed of rapid.
-const seed = "20261204"
+const (
+	// seed is the fixed seed of rapid.
+	seed = "20261204"
+	// defaultChecks is the default of rapid, and checks replaces it: rare
+	// interleavings need more than a hundred runs.
+	defaultChecks = "100"
+	checks        = "1000"
+)
 
 // Fix sets the seed of rapid unless fresh seeds were asked for. A TestMain
 // calls it before it runs the tests.
 func Fix() {
 	flag.Parse()
-	if os.Getenv(FreshSeedsVariable) == "1" || flag.Lookup("rapid.seed") == nil {
-		return
+	setUnlessGiven("rapid.checks", defaultChecks, checks)
+	if os.Getenv(FreshSeedsVariable) != "1" {
+		setUnlessGiven("rapid.seed", "0", seed)
 	}
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", seed)
+}
+
+// setUnlessGiven sets a flag that still has its default.
+func setUnlessGiven(name, initial, value string) {
+	f := flag.Lookup(name)
+	if f == nil || f.Value.String() != initial {
+		return
 	}
+	_ = flag.Set(name, value)
 }
