daemon: connect the operators' and the task interface with control

The handlers had no control behind them. The admin part becomes a supervisor of the HTTP duty and of a controlclient; the entry front end uses the entry's controlclient. Refusals of control are classified by the word before the colon. The client sends a deadline shorter than its patience, so that the reason of an unavailable control arrives.

--- a/client/client.go
+++ b/client/client.go
@@ -136,7 +136,9 @@
 	if err != nil {
 		return ErrorClass.Wrap(err)
 	}
-	req.Header.Set("Ibispier-Deadline-Ms", strconv.FormatInt(max(patience.Milliseconds(), 1), 10))
+	// The process answers first, so that its reason is not lost to the timeout.
+	deadline := patience * 4 / 5
+	req.Header.Set("Ibispier-Deadline-Ms", strconv.FormatInt(max(deadline.Milliseconds(), 1), 10))
 	if call.body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
--- a/daemon/admin/operators_test.go
+++ b/daemon/admin/operators_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/controlclient"
 	"github.com/ibispier/ibispier/daemon/operations"
 )
 
@@ -84,6 +85,9 @@
 		reason       string
 	}{
 		{"refused", &fakeControl{err: refusal}, "GET", "/v1/status", "", 409, "unknown_owner"},
+		{"refused by control", &fakeControl{err: &controlclient.RefusedError{Reason: "not_found: no member c9"}}, "GET", "/v1/status", "", 404, "not_found"},
+		{"text of control", &fakeControl{err: &controlclient.RefusedError{Reason: "step=sign no such owner"}}, "GET", "/v1/status", "", 409, "refused"},
+		{"no leader", &fakeControl{err: controlclient.ErrUnavailable}, "GET", "/v1/status", "", 503, "unavailable"},
 		{"deadline", &fakeControl{err: context.DeadlineExceeded}, "GET", "/v1/status", "", 504, "deadline"},
 		{"unavailable", &fakeControl{err: errors.New("no leader")}, "GET", "/v1/status", "", 503, "unavailable"},
 		{"no proposal", new(fakeControl), "GET", "/v1/proposals/c9", "", 404, "not_found"},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,7 +49,7 @@
 }
 
 func (d *Daemon) build() error {
-	operators, err := admin.New(d.settings.Admin.Listen, d.readiness)
+	operators, err := admin.NewRole(d.settings, d.readiness, d.observe)
 	if err != nil {
 		return err
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -60,6 +60,7 @@
 			Log:      log,
 		}),
 	}
+	role.frontend.ServeTasks(control)
 	role.Add("router", requests)
 	role.Add("frontend", role.frontend)
 	role.Add("controlclient", control)
--- a/daemon/operations/operations.go
+++ b/daemon/operations/operations.go
@@ -10,9 +10,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/controlclient"
 )
 
 // Control carries out operations of control.
@@ -127,12 +129,26 @@
 	if errors.As(err, &typed) {
 		return *typed
 	}
+	var refused *controlclient.RefusedError
+	if errors.As(err, &refused) {
+		return fromReason(refused.Reason)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return controlapi.Error{Reason: "deadline", Message: "no answer from control before the deadline"}
 	}
 	return controlapi.Error{Reason: controlapi.ReasonUnavailable, Message: err.Error()}
 }
 
+// fromReason splits the reason of a refusal, which is a word that can be
+// followed by a colon and a message.
+func fromReason(text string) controlapi.Error {
+	reason, message, _ := strings.Cut(text, ": ")
+	if reason == "" || strings.ContainsAny(reason, " =") {
+		return controlapi.Error{Reason: "refused", Message: text}
+	}
+	return controlapi.Error{Reason: reason, Message: message}
+}
+
 // StatusOf maps a reason to the HTTP status that docs/api.md documents. Unlisted
 // reasons are refusals by the state machine.
 func StatusOf(reason string) int {
