testcluster: build whole clusters with relays, owners and disk loss

Cause: fault tests need the same set-up of control, entry and agent processes. Change: settings files, stand-ins, bootstrap, two-owner changes, isolation of a node, disk loss with repair.

--- /dev/null
+++ b/internal/testcluster/cluster.go
@@ -0,0 +1,434 @@
+package testcluster
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/ibispier/ibispier/client"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/plan"
+	"github.com/ibispier/ibispier/standin/target"
+	"github.com/ibispier/ibispier/standin/worker"
+)
+
+// Options describe a cluster of processes.
+type Options struct {
+	Controls int
+	Entries  int
+	Agents   int
+	Zones    []string // agent i is in zone i modulo their number
+	Service  string
+	Workers  bool                         // a stand-in worker beside each agent
+	Relays   bool                         // a relay on every link, for cuts
+	Settings map[string]map[string]string // section and key to value, for every process
+}
+
+// Node is one daemon of a cluster.
+type Node struct {
+	*Process
+	ID       string
+	Zone     string
+	Callers  string // address for callers, of an entry instance
+	Links    string // address for links
+	Admin    string // address for operators
+	DataPath string
+	Target   string            // address of the stand-in target of an agent
+	Worker   string            // address of the stand-in worker of an agent
+	Relays   map[string]*Relay // by the id of the process that this one dials
+}
+
+// Cluster is a set of daemons with stand-ins.
+type Cluster struct {
+	t        testing.TB
+	options  Options
+	dir      string
+	Controls []*Node
+	Entries  []*Node
+	Agents   []*Node
+	Client   *client.Client
+	owners   map[string]ed25519.PrivateKey
+}
+
+// Owners of every cluster.
+const (
+	OwnerA = "owner-a"
+	OwnerB = "owner-b"
+)
+
+// Start starts a cluster and waits until it is ready: control has a leader, the
+// owners' keys are set, and every entry instance knows every target.
+func Start(t testing.TB, o Options) *Cluster {
+	t.Helper()
+	c := &Cluster{t: t, options: o, dir: t.TempDir(), owners: map[string]ed25519.PrivateKey{}}
+	for i := range o.Controls {
+		c.Controls = append(c.Controls, c.node("control", i))
+	}
+	for i := range o.Entries {
+		c.Entries = append(c.Entries, c.node("entry", i))
+	}
+	for i := range o.Agents {
+		c.Agents = append(c.Agents, c.node("agent", i))
+	}
+	c.startStandins()
+	for _, n := range c.Nodes() {
+		c.startNode(n)
+	}
+	c.Client = c.newClient()
+	c.bootstrap()
+	c.awaitTargets()
+	return c
+}
+
+// Nodes returns all daemons.
+func (c *Cluster) Nodes() []*Node {
+	var all []*Node
+	all = append(all, c.Controls...)
+	all = append(all, c.Entries...)
+	return append(all, c.Agents...)
+}
+
+func (c *Cluster) node(role string, i int) *Node {
+	id := fmt.Sprintf("%s-%d", role, i+1)
+	return &Node{
+		ID:       id,
+		Zone:     c.options.Zones[i%len(c.options.Zones)],
+		Callers:  freeAddress(c.t),
+		Links:    freeAddress(c.t),
+		Admin:    freeAddress(c.t),
+		DataPath: filepath.Join(c.dir, id),
+		Relays:   map[string]*Relay{},
+	}
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	return socket.Addr().String()
+}
+
+func (c *Cluster) startStandins() {
+	for _, n := range c.Agents {
+		n.Target = freeAddress(c.t)
+		StartProcess(c.t, "target of "+n.ID, "ibispier-standin", "-kind", "target", "-listen", n.Target, "-id", n.ID)
+		if !c.options.Workers {
+			continue
+		}
+		n.Worker = freeAddress(c.t)
+		StartProcess(c.t, "worker of "+n.ID, "ibispier-standin", "-kind", "worker", "-listen", n.Worker,
+			"-id", n.ID, "-zone", n.Zone, "-usage-lag", "300ms")
+	}
+}
+
+func (c *Cluster) startNode(n *Node) {
+	path := filepath.Join(c.dir, n.ID+".ini")
+	if err := c.settings(n).SaveTo(path); err != nil {
+		c.t.Fatal(err)
+	}
+	n.Process = StartProcess(c.t, n.ID, "ibispierd", "-config", path)
+}
+
+func (c *Cluster) settings(n *Node) *ini.File {
+	role, _, _ := strings.Cut(n.ID, "-")
+	file := ini.Empty()
+	set := func(section, key, value string) {
+		file.Section(section).Key(key).SetValue(value)
+	}
+	set("daemon", "id", n.ID)
+	set("daemon", "roles", role)
+	set("daemon", "zone", n.Zone)
+	set("daemon", "data", n.DataPath)
+	set("daemon", "grace", "0s")
+	set("admin", "listen", n.Admin)
+	set("cluster", "control", c.memberList(n))
+	switch role {
+	case "control":
+		set("control", "listen", n.Links)
+	case "entry":
+		set("entry", "listen", n.Callers)
+		set("entry", "agent_listen", n.Links)
+	case "agent":
+		set("cluster", "entries", c.entryList(n))
+		c.setAgent(set, n)
+	}
+	for section, keys := range c.options.Settings {
+		for key, value := range keys {
+			set(section, key, value)
+		}
+	}
+	return file
+}
+
+func (c *Cluster) setAgent(set func(section, key, value string), n *Node) {
+	set("agent", "target", "http://"+n.Target)
+	set("agent", "service", c.options.Service)
+	set("agent", "rack", "rack-"+n.Zone)
+	if n.Worker != "" {
+		set("agent", "worker", "http://"+n.Worker)
+		set("agent", "cpu_milli", "64000")
+		set("agent", "memory_mib", "250000")
+	}
+}
+
+func (c *Cluster) memberList(from *Node) string {
+	var items []string
+	for _, m := range c.Controls {
+		items = append(items, m.ID+"@"+c.address(from, m))
+	}
+	return strings.Join(items, ", ")
+}
+
+func (c *Cluster) entryList(from *Node) string {
+	var items []string
+	for _, e := range c.Entries {
+		items = append(items, c.address(from, e))
+	}
+	return strings.Join(items, ", ")
+}
+
+// address returns where a node reaches another one: through a relay of the pair
+// when the cluster has relays.
+func (c *Cluster) address(from, to *Node) string {
+	if !c.options.Relays || from == to {
+		return to.Links
+	}
+	if from.Relays[to.ID] == nil {
+		from.Relays[to.ID] = StartRelay(c.t, to.Links)
+	}
+	return from.Relays[to.ID].Address()
+}
+
+// Isolate sets the mode of every link between a node and all others.
+func (c *Cluster) Isolate(n *Node, m Mode) {
+	for _, r := range n.Relays {
+		r.SetMode(m)
+	}
+	for _, other := range c.Nodes() {
+		if r := other.Relays[n.ID]; r != nil {
+			r.SetMode(m)
+		}
+	}
+}
+
+func (c *Cluster) newClient() *client.Client {
+	o := client.Options{Timeout: Patience}
+	for _, n := range c.Controls {
+		o.Admin = append(o.Admin, n.Admin)
+	}
+	for _, n := range c.Entries {
+		o.Entry = append(o.Entry, n.Callers)
+	}
+	return client.New(o)
+}
+
+// Context returns a context that ends after Patience.
+func (c *Cluster) Context() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), Patience)
+	c.t.Cleanup(cancel)
+	return ctx
+}
+
+func (c *Cluster) bootstrap() {
+	c.t.Helper()
+	first := client.New(client.Options{Admin: []string{c.Controls[0].Admin}, Timeout: Patience})
+	if _, err := first.Membership(c.Context(), controlapi.MembershipRequest{Action: "bootstrap", ID: c.Controls[0].ID}); err != nil {
+		c.t.Fatalf("bootstrap: %v", err)
+	}
+	c.AwaitVoters(len(c.Controls))
+	c.setOwners()
+}
+
+// AwaitVoters waits until the group has a number of active voters.
+func (c *Cluster) AwaitVoters(want int) {
+	c.t.Helper()
+	Eventually(c.t, fmt.Sprintf("%d active voters", want), func() bool {
+		members, err := c.Client.Members(c.Context())
+		if err != nil {
+			return false
+		}
+		voters := 0
+		for _, m := range members.Members {
+			if m.Voter && m.Active {
+				voters++
+			}
+		}
+		return voters == want
+	})
+}
+
+// Member returns what control says about a member.
+func (c *Cluster) Member(id string) (controlapi.Member, bool) {
+	members, err := c.Client.Members(c.Context())
+	if err != nil {
+		return controlapi.Member{}, false
+	}
+	for _, m := range members.Members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return controlapi.Member{}, false
+}
+
+// LoseDisk kills a control member, deletes its data folder, starts it again and
+// waits until the group has admitted it under a new incarnation.
+func (c *Cluster) LoseDisk(n *Node) {
+	c.t.Helper()
+	before, ok := c.Member(n.ID)
+	if !ok {
+		c.t.Fatalf("%s is not a member", n.ID)
+	}
+	n.Kill()
+	c.Wipe(n)
+	n.Start()
+	Eventually(c.t, n.ID+" repaired", func() bool {
+		now, ok := c.Member(n.ID)
+		return ok && now.Incarnation != before.Incarnation && now.Voter && now.Active
+	})
+	c.AwaitVoters(len(c.Controls))
+}
+
+func (c *Cluster) setOwners() {
+	c.t.Helper()
+	public := map[string]string{}
+	for i, owner := range []string{OwnerA, OwnerB} {
+		seed := bytes.Repeat([]byte{byte(i + 1)}, ed25519.SeedSize)
+		key := ed25519.NewKeyFromSeed(seed)
+		c.owners[owner] = key
+		public[owner] = base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey))
+	}
+	_, err := c.Client.Propose(c.Context(), controlapi.ProposeRequest{
+		ChangeID: "owners", Change: controlapi.Change{Kind: controlapi.ChangeOwners, Owners: public},
+	})
+	if err != nil {
+		c.t.Fatalf("set the owners: %v", err)
+	}
+}
+
+// Propose proposes a change on top of base.
+func (c *Cluster) Propose(id string, base uint64, change controlapi.Change) (*controlapi.Proposal, error) {
+	return c.Client.Propose(c.Context(), controlapi.ProposeRequest{ChangeID: id, Base: base, Change: change, Force: true})
+}
+
+// Sign signs a proposal as an owner.
+func (c *Cluster) Sign(p *controlapi.Proposal, owner string) (*controlapi.Proposal, error) {
+	return c.Client.Sign(c.Context(), controlapi.SignRequest{
+		ChangeID:  p.ChangeID,
+		Owner:     owner,
+		Signature: plan.Signature(c.owners[owner], p.Digest, false),
+	})
+}
+
+// Change proposes a change on the present revision, signs it as both owners and
+// returns the accepted proposal.
+func (c *Cluster) Change(id string, change controlapi.Change) *controlapi.Proposal {
+	c.t.Helper()
+	cfg, err := c.Client.Config(c.Context())
+	if err != nil {
+		c.t.Fatalf("read the configuration: %v", err)
+	}
+	p, err := c.Propose(id, cfg.Revision, change)
+	if err != nil {
+		c.t.Fatalf("propose %s: %v", id, err)
+	}
+	for _, owner := range []string{OwnerA, OwnerB} {
+		if p, err = c.Sign(p, owner); err != nil {
+			c.t.Fatalf("sign %s: %v", id, err)
+		}
+	}
+	if p.State != controlapi.ProposalAccepted {
+		c.t.Fatalf("change %s is %s: %s", id, p.State, p.Reason)
+	}
+	return p
+}
+
+// Lists returns a change with one customer whose plan allows everything.
+func Lists(customer string) controlapi.Change {
+	return controlapi.Change{
+		Kind:      controlapi.ChangeLists,
+		Customers: []controlapi.Subscription{{Customer: customer, Plan: "large"}},
+		Plans: []controlapi.Plan{{
+			Name: "large", Services: []string{"*"}, RequestsPerSecond: 1e6, Concurrency: 1e5, Burst: 1e5,
+			CPUMilli: 1 << 40, MemoryMiB: 1 << 40, Accelerators: 1 << 20, Tasks: 1 << 20,
+		}},
+	}
+}
+
+func (c *Cluster) awaitTargets() {
+	c.t.Helper()
+	for _, n := range c.Entries {
+		c.AwaitReady(n)
+	}
+	if len(c.Agents) == 0 {
+		return
+	}
+	Eventually(c.t, "every target announced", func() bool {
+		status, err := c.Client.Status(c.Context())
+		return err == nil && len(status.Targets) >= len(c.Agents)
+	})
+}
+
+// AwaitReady waits until a daemon is ready.
+func (c *Cluster) AwaitReady(n *Node) {
+	c.t.Helper()
+	Eventually(c.t, n.ID+" ready", func() bool {
+		resp, err := http.Get("http://" + n.Admin + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// Wipe deletes the data folder of a node that is not running.
+func (c *Cluster) Wipe(n *Node) {
+	c.t.Helper()
+	if err := os.RemoveAll(n.DataPath); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Runs returns the record of the target of an agent.
+func (c *Cluster) Runs(n *Node) []target.Run {
+	c.t.Helper()
+	return fetch[[]target.Run](c.t, "http://"+n.Target+"/runs")
+}
+
+// Events returns the record of the worker of an agent.
+func (c *Cluster) Events(n *Node) []worker.Event {
+	c.t.Helper()
+	return fetch[[]worker.Event](c.t, "http://"+n.Worker+"/v1/events")
+}
+
+func fetch[T any](t testing.TB, url string) T {
+	t.Helper()
+	var v T
+	httpClient := http.Client{Timeout: 10 * time.Second}
+	resp, err := httpClient.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
