state: add the replicated state machine of control

Cause: configuration, keys, tasks and quarantine must change in one order on all replicas. Result: go test ./state passes, with a rapid state machine against an oracle of valid leases.

--- /dev/null
+++ b/state/machine_test.go
@@ -0,0 +1,311 @@
+package state
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"sort"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/internal/testseed"
+	"github.com/ibispier/ibispier/lease"
+)
+
+func TestMain(m *testing.M) {
+	testseed.Fix()
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_000_000, 0)
+
+var large = controlapi.Resources{CPUMilli: 1 << 40, MemoryMiB: 1 << 40, Accelerators: 1 << 40}
+
+func task(id, kind string) controlapi.Task {
+	return controlapi.Task{ID: id, Customer: "c", Kind: kind, Class: "k", Size: controlapi.Resources{CPUMilli: 1000}, Payload: []byte("p")}
+}
+
+func Example() {
+	m := New(DefaultOptions())
+	now := time.Unix(0, 0)
+	submit := controlapi.Task{ID: "reconcile-7", Customer: "fleet", Kind: controlapi.KindBatch}
+	m.Apply(&Command{Now: now, Submit: &submit})
+	placed := m.Apply(&Command{Now: now, Place: &Place{Task: "reconcile-7", Agent: "worker-1", Zone: "a"}})
+	fmt.Println(placed.Task.State, placed.Task.Epoch)
+
+	report := func(epoch uint64, s controlapi.ReportedState) controlapi.TaskState {
+		m.Apply(&Command{Now: now, Report: &Report{Agent: "worker-1", Tasks: []controlapi.ReportedTask{{Task: "reconcile-7", Epoch: epoch, State: s}}}})
+		return m.Task("reconcile-7").State
+	}
+	fmt.Println(report(0, controlapi.ReportedCompleted)) // an old epoch
+	fmt.Println(report(1, controlapi.ReportedCompleted))
+	// Output:
+	// placed 1
+	// placed
+	// completed
+}
+
+// Guards against a watcher that is lost silently: it must be queued again at
+// once when it ends, fails or loses its agent, and raise an alarm after 3 s.
+func TestWatcherIsQueuedAgain(t *testing.T) {
+	for _, end := range []controlapi.ReportedState{controlapi.ReportedCompleted, controlapi.ReportedFailed,
+		controlapi.ReportedRefused, controlapi.ReportedStopped, ""} {
+		m := New(DefaultOptions())
+		w := task("w", controlapi.KindWatcher)
+		m.Apply(&Command{Now: start, Submit: &w})
+		m.Apply(&Command{Now: start, Place: &Place{Task: "w", Agent: "a", Capacity: large}})
+		c := &Command{Now: start.Add(time.Minute)}
+		if end == "" {
+			c.Expire = &Expire{Leases: []lease.Lease{{Task: "w", Epoch: 1}}}
+		} else {
+			c.Report = &Report{Agent: "a", Tasks: []controlapi.ReportedTask{{Task: "w", Epoch: 1, State: end}}}
+		}
+		m.Apply(c)
+		got := m.Task("w")
+		if got.State != controlapi.TaskQueued || !got.QueuedAt.Equal(c.Now) || got.Epoch != 2 {
+			t.Errorf("after %q: %s since %s with epoch %d", end, got.State, got.QueuedAt, got.Epoch)
+		}
+		if a := m.Alarms(c.Now.Add(2999 * time.Millisecond)); len(a) != 0 {
+			t.Errorf("alarm before 3 s: %v", a)
+		}
+		if a := m.Alarms(c.Now.Add(3 * time.Second)); len(a) != 1 || a[0].Subject != "w" {
+			t.Errorf("alarms after 3 s: %v", a)
+		}
+	}
+}
+
+// Guards against a placement that breaks a limit: the worker, the plan, a zone
+// out of service, a quarantined worker.
+func TestPlacementLimits(t *testing.T) {
+	m := New(DefaultOptions())
+	for _, id := range []string{"t1", "t2"} {
+		r := task(id, controlapi.KindBatch)
+		r.Zones = []string{"a", "b"}
+		m.Apply(&Command{Now: start, Submit: &r})
+	}
+	room := controlapi.Resources{CPUMilli: 1500}
+	m.Apply(&Command{Now: start, Quarantine: &Quarantine{Kind: QuarantineWorker, Name: "bad"}})
+	for _, c := range []struct {
+		place Place
+		ok    bool
+	}{
+		{Place{Task: "t1", Agent: "bad", Zone: "a", Capacity: room}, false},
+		{Place{Task: "t1", Agent: "w", Zone: "c", Capacity: room}, false},
+		{Place{Task: "t1", Epoch: 1, Agent: "w", Zone: "a", Capacity: room}, false},
+		{Place{Task: "t1", Agent: "w", Zone: "a", Capacity: controlapi.Resources{CPUMilli: 999}}, false},
+		{Place{Task: "t1", Agent: "w", Zone: "a", Capacity: room}, true},
+		{Place{Task: "t2", Agent: "w", Zone: "a", Capacity: room}, false},
+		{Place{Task: "t2", Agent: "v", Zone: "b", Capacity: room}, true},
+	} {
+		if r := m.Apply(&Command{Now: start, Place: &c.place}); (r.Err == nil) != c.ok {
+			t.Errorf("%+v: %v, want accepted %v", c.place, r.Err, c.ok)
+		}
+	}
+}
+
+// Guards against memory that grows with the number of tasks ever run.
+func TestFinishedTasksAreBounded(t *testing.T) {
+	o := DefaultOptions()
+	o.MaxFinished, o.FinishedWindow = 5, time.Hour
+	m := New(o)
+	for i := range 20 {
+		r := task(fmt.Sprint(i), controlapi.KindBatch)
+		m.Apply(&Command{Now: start, Submit: &r})
+		m.Apply(&Command{Now: start, Cancel: &controlapi.TaskQuery{ID: r.ID}})
+	}
+	m.Apply(&Command{Now: start, Quarantine: &Quarantine{Kind: QuarantineJob, Name: "x"}})
+	if got := m.Counts()[string(controlapi.TaskCancelled)]; got != 5 {
+		t.Errorf("%d finished tasks kept, want 5", got)
+	}
+	m.Apply(&Command{Now: start.Add(61 * time.Minute), Quarantine: &Quarantine{Kind: QuarantineJob, Name: "x"}})
+	if got := len(m.Counts()); got != 0 {
+		t.Errorf("%d states after the window, want none", got)
+	}
+}
+
+// model is the oracle of one task: the placement that is valid, if any, and
+// counters of what has happened to it.
+type model struct {
+	body       controlapi.Task
+	agent      string // holder of the valid lease, "" without one
+	epoch      uint64
+	placements int
+	ends       int
+	sequence   uint64
+	final      controlapi.TaskState
+	cancelling bool
+}
+
+type oracle map[string]*model
+
+// Guards against two valid leases of a task, reports of an old epoch that count,
+// work that resumes twice or never, a completion that is recorded twice or lost,
+// a checkpoint that goes back, and a snapshot that forgets any of it.
+func TestTasksAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(DefaultOptions())
+		o := oracle{}
+		id := func(t *rapid.T) string { return rapid.SampledFrom([]string{"t1", "t2", "w1"}).Draw(t, "task") }
+		agent := func(t *rapid.T) string { return rapid.SampledFrom([]string{"a1", "a2"}).Draw(t, "agent") }
+		place := func(t *rapid.T) { o.place(t, m, id(t), agent(t)) }
+		report := func(t *rapid.T) { o.report(t, m, id(t), agent(t)) }
+		t.Repeat(map[string]func(*rapid.T){
+			"submit":  func(t *rapid.T) { o.submit(t, m, id(t)) },
+			"place":   place,
+			"place2":  place,
+			"report":  report,
+			"report2": report,
+			"report3": report,
+			"expire":  func(t *rapid.T) { o.expire(t, m, id(t)) },
+			"cancel":  func(t *rapid.T) { o.cancel(m, id(t)) },
+			"restore": func(t *rapid.T) {
+				img := sorted(m.Image())
+				m = Restore(DefaultOptions(), m.Image())
+				if !reflect.DeepEqual(sorted(m.Image()), img) {
+					t.Fatal("a restored machine differs")
+				}
+			},
+			"": func(t *rapid.T) { o.compare(t, m) },
+		})
+	})
+}
+
+func sorted(img Image) Image {
+	sort.Slice(img.Live, func(i, j int) bool { return img.Live[i].ID < img.Live[j].ID })
+	return img
+}
+
+func (o oracle) submit(t *rapid.T, m *Machine, id string) {
+	body := task(id, map[byte]string{'t': controlapi.KindBatch, 'w': controlapi.KindWatcher}[id[0]])
+	if rapid.IntRange(0, 4).Draw(t, "body") == 0 {
+		body.Payload = []byte("other")
+	}
+	r := m.Apply(&Command{Now: start, Submit: &body})
+	first := o[id]
+	switch {
+	case first == nil:
+		o[id] = &model{body: body}
+		if !r.Created {
+			t.Fatalf("not created: %v", r.Err)
+		}
+	case reflect.DeepEqual(first.body, body):
+		if r.Err != nil || r.Created {
+			t.Fatalf("resent: created %v, error %v", r.Created, r.Err)
+		}
+	case r.Err == nil:
+		t.Fatal("one id was taken for two tasks")
+	}
+}
+
+func (o oracle) place(t *rapid.T, m *Machine, id, agent string) {
+	current := m.Task(id)
+	if current == nil {
+		return
+	}
+	behind := min(rapid.Uint64Range(0, 1).Draw(t, "behind"), current.Epoch)
+	r := m.Apply(&Command{Now: start, Place: &Place{Task: id, Epoch: current.Epoch - behind, Agent: agent, Capacity: large}})
+	k := o[id]
+	want := k.agent == "" && k.final == "" && behind == 0
+	if (r.Err == nil) != want {
+		t.Fatalf("place: %v, want accepted %v (%+v)", r.Err, want, k)
+	}
+	if !want {
+		return
+	}
+	if r.Task.Epoch <= k.epoch {
+		t.Fatalf("placement with epoch %d after %d", r.Task.Epoch, k.epoch)
+	}
+	k.agent, k.epoch = agent, r.Task.Epoch
+	k.placements++
+}
+
+func (o oracle) report(t *rapid.T, m *Machine, id, agent string) {
+	k := o[id]
+	if k == nil {
+		return
+	}
+	r := controlapi.ReportedTask{Task: id,
+		Epoch: k.epoch - min(k.epoch, rapid.SampledFrom([]uint64{0, 0, 0, 1, 2}).Draw(t, "behind")),
+		State: rapid.SampledFrom([]controlapi.ReportedState{controlapi.ReportedStarting, controlapi.ReportedRunning, controlapi.ReportedRunning,
+			controlapi.ReportedCompleted, controlapi.ReportedFailed, controlapi.ReportedRefused, controlapi.ReportedCheckpointed,
+			controlapi.ReportedStopped}).Draw(t, "state"),
+		CheckpointSequence: rapid.Uint64Range(0, 5).Draw(t, "sequence"),
+	}
+	r.Checkpoint = fmt.Sprint("checkpoint ", r.CheckpointSequence)
+	m.Apply(&Command{Now: start, Report: &Report{Agent: agent, Tasks: []controlapi.ReportedTask{r}}})
+	if k.agent != agent || k.epoch != r.Epoch {
+		return // must have no effect; compare checks it
+	}
+	k.sequence = max(k.sequence, r.CheckpointSequence)
+	if !Final(r.State) {
+		return
+	}
+	if r.State == controlapi.ReportedCompleted && k.body.Kind == controlapi.KindBatch {
+		k.agent, k.final = "", controlapi.TaskCompleted
+		k.ends++
+		return
+	}
+	k.end()
+}
+
+func (k *model) end() {
+	k.agent = ""
+	k.ends++
+	if k.cancelling {
+		k.final = controlapi.TaskCancelled
+	}
+}
+
+func (o oracle) expire(t *rapid.T, m *Machine, id string) {
+	k := o[id]
+	if k == nil {
+		return
+	}
+	epoch := k.epoch - min(k.epoch, rapid.Uint64Range(0, 1).Draw(t, "behind"))
+	l := lease.Lease{Task: id, Epoch: epoch}
+	m.Apply(&Command{Now: start, Expire: &Expire{Leases: []lease.Lease{l, l}}})
+	if k.agent != "" && epoch == k.epoch {
+		k.end()
+	}
+}
+
+func (o oracle) cancel(m *Machine, id string) {
+	m.Apply(&Command{Now: start, Cancel: &controlapi.TaskQuery{ID: id}})
+	if k := o[id]; k != nil && k.final == "" {
+		k.cancelling = true
+		if k.agent == "" {
+			k.final = controlapi.TaskCancelled
+		}
+	}
+}
+
+func (o oracle) compare(t *rapid.T, m *Machine) {
+	held := 0
+	for id, k := range o {
+		got := m.Task(id)
+		if k.final != "" && got.State != k.final || k.final == "" && got.Finished() {
+			t.Fatalf("%s is %s, want %q", id, got.State, k.final)
+		}
+		if got.Placed() != (k.agent != "") || got.Agent != k.agent || got.CheckpointSequence != k.sequence {
+			t.Fatalf("%s: %+v, want %+v", id, got.TaskStatus, k)
+		}
+		if got.Placed() {
+			held++
+			if got.Epoch != k.epoch || m.OnAgent(k.agent)[id] != got {
+				t.Fatalf("%s: the valid lease is epoch %d on %s, want %+v", id, got.Epoch, got.Agent, k)
+			}
+		}
+		if open := k.placements - k.ends; open != 0 && open != 1 || (open == 1) != got.Placed() {
+			t.Fatalf("%s: %d placements, %d ends, state %s", id, k.placements, k.ends, got.State)
+		}
+	}
+	if onAgents := len(m.OnAgent("a1")) + len(m.OnAgent("a2")); onAgents != held {
+		t.Fatalf("%d tasks on agents, want %d", onAgents, held)
+	}
+	if u := usageOrNone(m.tasks.customers, "c"); u.tasks != held || u.size.CPUMilli != int64(held)*1000 {
+		t.Fatalf("usage %+v with %d tasks placed", u, held)
+	}
+}
--- /dev/null
+++ b/state/report.go
@@ -0,0 +1,91 @@
+package state
+
+import "github.com/ibispier/ibispier/controlapi"
+
+// Final reports whether an agent repeats a report until control has confirmed
+// it.
+func Final(s controlapi.ReportedState) bool {
+	return s != controlapi.ReportedStarting && s != controlapi.ReportedRunning
+}
+
+// Concerns reports whether a report is about the current placement of a task.
+// Reports of an earlier epoch or another agent are not.
+func (m *Machine) Concerns(agent string, r controlapi.ReportedTask) bool {
+	t := m.tasks.byID[r.Task]
+	return t != nil && t.Placed() && t.Epoch == r.Epoch && t.Agent == agent
+}
+
+// Changes reports whether applying the report of an agent would change the
+// Machine, so that the leader commits only what matters.
+func (m *Machine) Changes(agent string, r controlapi.ReportedTask) bool {
+	if !m.Concerns(agent, r) {
+		return false
+	}
+	t := m.tasks.byID[r.Task]
+	switch {
+	case Final(r.State):
+		return true
+	case r.State == controlapi.ReportedRunning && t.State == controlapi.TaskPlaced:
+		return true
+	default:
+		return r.CheckpointSequence > t.CheckpointSequence
+	}
+}
+
+// report applies what an agent says about its tasks.
+func (m *Machine) report(r Report) Result {
+	var result Result
+	for _, reported := range r.Tasks {
+		if !m.Changes(r.Agent, reported) {
+			continue
+		}
+		t := m.tasks.byID[reported.Task]
+		m.reportTask(t, reported, &result)
+		result.Tasks = append(result.Tasks, t)
+	}
+	return result
+}
+
+// reportTask keeps the checkpoint and moves the task on. Both are part of one
+// entry, so a task is never queued without the checkpoint that it stopped with.
+func (m *Machine) reportTask(t *Task, r controlapi.ReportedTask, result *Result) {
+	if r.CheckpointSequence > t.CheckpointSequence {
+		t.Checkpoint = r.Checkpoint
+		t.CheckpointSequence = r.CheckpointSequence
+	}
+	switch r.State {
+	case controlapi.ReportedRunning:
+		if t.State == controlapi.TaskPlaced {
+			m.tasks.setState(t, controlapi.TaskRunning)
+		}
+	case controlapi.ReportedCompleted:
+		m.completed(t)
+	case controlapi.ReportedFailed:
+		t.Failures++
+		result.Failures = append(result.Failures, Failure{Task: t.ID, Class: t.Class, Agent: t.Agent, Reason: r.Reason})
+		m.end(t, reasonOr(r.Reason, "the task failed"))
+	case controlapi.ReportedRefused:
+		result.Failures = append(result.Failures, Failure{Task: t.ID, Class: t.Class, Agent: t.Agent, Reason: r.Reason, Refused: true})
+		m.end(t, reasonOr(r.Reason, "the agent refused the task"))
+	case controlapi.ReportedCheckpointed, controlapi.ReportedStopped:
+		t.Evictions++
+		m.end(t, reasonOr(r.Reason, t.Reason))
+	}
+}
+
+// completed records the completion of a batch task once. A watcher has no
+// completion: one that ends is queued again at once.
+func (m *Machine) completed(t *Task) {
+	if t.Kind == controlapi.KindWatcher {
+		m.end(t, "the watcher ended")
+		return
+	}
+	m.finish(t, controlapi.TaskCompleted, "")
+}
+
+func reasonOr(reason, otherwise string) string {
+	if reason == "" {
+		return otherwise
+	}
+	return reason
+}
--- /dev/null
+++ b/state/tasks.go
@@ -0,0 +1,294 @@
+package state
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"hash"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+)
+
+// submit adds a task. The same id with the same body gets the task as it
+// stands; with another body it is refused.
+func (m *Machine) submit(r controlapi.Task) Result {
+	digest := bodyDigest(r)
+	if t := m.tasks.byID[r.ID]; t != nil {
+		if t.Digest != digest {
+			return Result{Err: Error.New("task id %q was used for another task", r.ID)}
+		}
+		return statusOf(t)
+	}
+	if err := m.checkTask(r); err != nil {
+		return Result{Err: err}
+	}
+	t := &Task{Digest: digest, QueuedAt: m.now}
+	t.Task = r
+	t.State = controlapi.TaskQueued
+	t.SubmittedAt = m.now
+	if m.isQuarantined(QuarantineJob, r.ID) {
+		t.State = controlapi.TaskQuarantined
+	}
+	m.tasks.add(t)
+	result := statusOf(t)
+	result.Created = true
+	result.Tasks = []*Task{t}
+	return result
+}
+
+func statusOf(t *Task) Result {
+	status := t.TaskStatus
+	return Result{Task: &status}
+}
+
+// checkTask refuses tasks that can not be taken. Before the first accepted
+// change nothing limits customers, so that a new deployment can be tried.
+func (m *Machine) checkTask(r controlapi.Task) error {
+	_, hasPlan := m.plans[r.Customer]
+	switch {
+	case r.ID == "" || len(r.ID) > 128:
+		return Error.New("a task id has 1 to 128 bytes")
+	case r.Kind != controlapi.KindBatch && r.Kind != controlapi.KindWatcher:
+		return Error.New("a task is a batch task or a watcher, not %q", r.Kind)
+	case r.Customer == "" || m.Config().Revision > 0 && !hasPlan:
+		return Error.New("customer %q has no plan", r.Customer)
+	case r.Size.CPUMilli < 0 || r.Size.MemoryMiB < 0 || r.Size.Accelerators < 0:
+		return Error.New("a task has no negative size")
+	case len(r.Payload) > m.options.MaxPayload:
+		return Error.New("the payload has %d bytes, at most %d are taken", len(r.Payload), m.options.MaxPayload)
+	case m.tasks.live() >= m.options.MaxTasks:
+		return Error.New("%d tasks are not finished, which is the maximum", m.options.MaxTasks)
+	}
+	return nil
+}
+
+func bodyDigest(t controlapi.Task) [sha256.Size]byte {
+	h := sha256.New()
+	writeField(h, []byte(t.ID))
+	writeField(h, []byte(t.Customer))
+	writeField(h, []byte(t.Kind))
+	writeField(h, []byte(t.Class))
+	writeField(h, t.Payload)
+	for _, z := range t.Zones {
+		writeField(h, []byte(z))
+	}
+	urgent := int64(0)
+	if t.Urgent {
+		urgent = 1
+	}
+	for _, n := range []int64{urgent, t.Size.CPUMilli, t.Size.MemoryMiB, t.Size.Accelerators, t.MaxRunMilli} {
+		_ = binary.Write(h, binary.BigEndian, n)
+	}
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+func writeField(h hash.Hash, b []byte) {
+	_ = binary.Write(h, binary.BigEndian, uint64(len(b)))
+	h.Write(b)
+}
+
+// cancel ends a task that no agent has, and asks the agent of any other to stop
+// it. A finished task stays as it is.
+func (m *Machine) cancel(id string) Result {
+	t := m.tasks.byID[id]
+	if t == nil {
+		return Result{Err: Error.New("there is no task %q", id)}
+	}
+	if t.Finished() || t.Cancelling {
+		return statusOf(t)
+	}
+	if t.Placed() {
+		t.Cancelling = true
+	} else {
+		m.finish(t, controlapi.TaskCancelled, "cancelled")
+	}
+	result := statusOf(t)
+	result.Tasks = []*Task{t}
+	return result
+}
+
+// place commits a placement. The epoch grows, so that no earlier holder of the
+// task can report on it.
+func (m *Machine) place(p Place) Result {
+	t := m.tasks.byID[p.Task]
+	if err := m.checkPlacement(t, p); err != nil {
+		return Result{Err: err}
+	}
+	t.Epoch++
+	m.tasks.setState(t, controlapi.TaskPlaced)
+	m.tasks.assign(t, p.Agent, p.Zone)
+	t.Reason = ""
+	result := statusOf(t)
+	result.Tasks = []*Task{t}
+	return result
+}
+
+func (m *Machine) checkPlacement(t *Task, p Place) error {
+	switch {
+	case t == nil || t.State != controlapi.TaskQueued:
+		return Error.New("task %q is not queued", p.Task)
+	case t.Epoch != p.Epoch:
+		return Error.New("task %q has epoch %d, not %d", p.Task, t.Epoch, p.Epoch)
+	case p.Agent == "":
+		return Error.New("task %q is placed on no agent", p.Task)
+	case m.ZoneOut(p.Zone):
+		return Error.New("zone %q is out of service", p.Zone)
+	case len(t.Zones) > 0 && !slices.Contains(t.Zones, p.Zone):
+		return Error.New("task %q may not run in zone %q", p.Task, p.Zone)
+	case m.isQuarantined(QuarantineWorker, p.Agent):
+		return Error.New("worker %q is in quarantine", p.Agent)
+	case !usageOrNone(m.tasks.agents, p.Agent).fits(t.Size, p.Capacity):
+		return Error.New("worker %q has no room for task %q", p.Agent, p.Task)
+	}
+	return m.checkQuota(t)
+}
+
+// checkQuota keeps a customer within its plan.
+func (m *Machine) checkQuota(t *Task) error {
+	if m.Config().Revision == 0 {
+		return nil
+	}
+	limit := m.plans[t.Customer]
+	used := usageOrNone(m.tasks.customers, t.Customer)
+	resources := controlapi.Resources{CPUMilli: limit.CPUMilli, MemoryMiB: limit.MemoryMiB, Accelerators: limit.Accelerators}
+	if used.tasks >= limit.Tasks || !used.fits(t.Size, resources) {
+		return Error.New("customer %q has used its plan", t.Customer)
+	}
+	return nil
+}
+
+func usageOrNone(m map[string]*usage, name string) *usage {
+	if u := m[name]; u != nil {
+		return u
+	}
+	return new(usage)
+}
+
+// evict notes that a task is to be checkpointed or stopped.
+func (m *Machine) evict(e Evict) Result {
+	t := m.tasks.byID[e.Task]
+	switch {
+	case t == nil || !t.Placed() || t.Epoch != e.Epoch:
+		return Result{Err: Error.New("task %q is not placed with epoch %d", e.Task, e.Epoch)}
+	case e.Action != controlapi.ActionCheckpoint && e.Action != controlapi.ActionStop:
+		return Result{Err: Error.New("a task is not evicted by %q", e.Action)}
+	}
+	m.tasks.setState(t, controlapi.TaskEvicting)
+	t.Eviction = e.Action
+	t.Reason = e.Reason
+	result := statusOf(t)
+	result.Tasks = []*Task{t}
+	return result
+}
+
+// expire queues tasks whose lease has expired.
+func (m *Machine) expire(x Expire) Result {
+	var result Result
+	for _, l := range x.Leases {
+		t := m.tasks.byID[l.Task]
+		if t == nil || !t.Placed() || t.Epoch != l.Epoch {
+			continue
+		}
+		m.end(t, "the lease has expired")
+		result.Tasks = append(result.Tasks, t)
+	}
+	return result
+}
+
+// end ends a placement that did not complete. One entry holds the new epoch and
+// the queued state, so no report of the old placement is taken afterwards.
+func (m *Machine) end(t *Task, reason string) {
+	m.tasks.unassign(t)
+	t.Eviction = ""
+	if t.Cancelling {
+		m.finish(t, controlapi.TaskCancelled, "cancelled")
+		return
+	}
+	t.Epoch++
+	t.QueuedAt = m.now
+	t.Reason = reason
+	next := controlapi.TaskQueued
+	if m.isQuarantined(QuarantineJob, t.ID) {
+		next = controlapi.TaskQuarantined
+	}
+	m.tasks.setState(t, next)
+}
+
+// finish ends a task for good. The payload is not needed any more; the digest
+// is, for a submission that is sent again.
+func (m *Machine) finish(t *Task, s controlapi.TaskState, reason string) {
+	m.tasks.unassign(t)
+	t.Eviction = ""
+	t.Cancelling = false
+	t.Payload = nil
+	t.Reason = reason
+	t.FinishedAt = m.now
+	m.tasks.setState(t, s)
+}
+
+// Task returns a task, or nil.
+func (m *Machine) Task(id string) *Task { return m.tasks.byID[id] }
+
+// OnAgent returns the tasks that are placed on an agent. The caller must not
+// change the map.
+func (m *Machine) OnAgent(agent string) map[string]*Task { return m.tasks.byAgent[agent] }
+
+// EachTask calls f for every task in no particular order.
+func (m *Machine) EachTask(f func(*Task)) {
+	for _, t := range m.tasks.byID {
+		f(t)
+	}
+}
+
+// Tasks returns tasks by submission time and id.
+func (m *Machine) Tasks(q controlapi.TasksQuery) []controlapi.TaskStatus {
+	var list []controlapi.TaskStatus
+	for _, t := range m.tasks.byID {
+		if (q.Customer == "" || q.Customer == t.Customer) && (q.State == "" || q.State == t.State) {
+			list = append(list, t.TaskStatus)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if !list[i].SubmittedAt.Equal(list[j].SubmittedAt) {
+			return list[i].SubmittedAt.Before(list[j].SubmittedAt)
+		}
+		return list[i].ID < list[j].ID
+	})
+	if q.Limit > 0 && len(list) > q.Limit {
+		list = list[:q.Limit]
+	}
+	return list
+}
+
+// Counts returns the number of tasks by state.
+func (m *Machine) Counts() map[string]int {
+	counts := map[string]int{}
+	for s, n := range m.tasks.counts {
+		if n > 0 {
+			counts[string(s)] = n
+		}
+	}
+	return counts
+}
+
+// AlarmUnplaced is the name of the alarm about a watcher without a place.
+const AlarmUnplaced = "watcher_unplaced"
+
+// Alarms returns the watchers that have waited too long for a place.
+func (m *Machine) Alarms(now time.Time) []controlapi.Alarm {
+	var alarms []controlapi.Alarm
+	for _, t := range m.tasks.watchers {
+		if now.Sub(t.QueuedAt) >= m.options.AlarmAfter {
+			alarms = append(alarms, controlapi.Alarm{
+				Name:    AlarmUnplaced,
+				Subject: t.ID,
+				Message: "the watcher of " + t.Customer + " runs nowhere",
+				Since:   t.QueuedAt,
+			})
+		}
+	}
+	sort.Slice(alarms, func(i, j int) bool { return alarms[i].Subject < alarms[j].Subject })
+	return alarms
+}
