--- /dev/null
+++ b/state/codec/codec.go
@@ -0,0 +1,161 @@
+// Package codec encodes the commands and images of package state for the log
+// and for snapshots.
+//
+// A command is a header of fixed size, with the version, kind, id and clock
+// reading, and the JSON of its body. An image is a version byte and gob.
+package codec
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"encoding/json"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/state"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("codec")
+
+// Version is the version of both encodings.
+const Version = 1
+
+const headerBytes = 2 + 3*8
+
+// kind says which body a command has. The values are in the log and must not
+// change.
+type kind byte
+
+const (
+	kindClaim kind = iota + 1
+	kindResolve
+	kindPropose
+	kindSign
+	kindSubmit
+	kindCancel
+	kindPlace
+	kindReport
+	kindExpire
+	kindEvict
+	kindQuarantine
+)
+
+// EncodeCommand returns the log entry of a command.
+func EncodeCommand(c *state.Command) ([]byte, error) {
+	k, body := bodyOf(c)
+	if k == 0 {
+		return nil, Error.New("the command is empty")
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	b := make([]byte, 0, headerBytes+len(text))
+	b = append(b, Version, byte(k))
+	b = binary.BigEndian.AppendUint64(b, c.ID.Origin)
+	b = binary.BigEndian.AppendUint64(b, c.ID.Sequence)
+	b = binary.BigEndian.AppendUint64(b, uint64(c.Now.UnixNano()))
+	return append(b, text...), nil
+}
+
+func bodyOf(c *state.Command) (kind, any) {
+	switch {
+	case c.Claim != nil:
+		return kindClaim, c.Claim
+	case c.Resolve != nil:
+		return kindResolve, c.Resolve
+	case c.Propose != nil:
+		return kindPropose, c.Propose
+	case c.Sign != nil:
+		return kindSign, c.Sign
+	case c.Submit != nil:
+		return kindSubmit, c.Submit
+	case c.Cancel != nil:
+		return kindCancel, c.Cancel
+	case c.Place != nil:
+		return kindPlace, c.Place
+	case c.Report != nil:
+		return kindReport, c.Report
+	case c.Expire != nil:
+		return kindExpire, c.Expire
+	case c.Evict != nil:
+		return kindEvict, c.Evict
+	case c.Quarantine != nil:
+		return kindQuarantine, c.Quarantine
+	}
+	return 0, nil
+}
+
+// DecodeCommand reads a log entry.
+func DecodeCommand(b []byte) (*state.Command, error) {
+	if len(b) < headerBytes || b[0] != Version {
+		return nil, Error.New("an entry of %d bytes is no command of version %d", len(b), Version)
+	}
+	c := &state.Command{
+		ID:  state.ID{Origin: binary.BigEndian.Uint64(b[2:]), Sequence: binary.BigEndian.Uint64(b[10:])},
+		Now: time.Unix(0, int64(binary.BigEndian.Uint64(b[18:]))),
+	}
+	text := b[headerBytes:]
+	var err error
+	switch kind(b[1]) {
+	case kindClaim:
+		c.Claim, err = decode[controlapi.ClaimRequest](text)
+	case kindResolve:
+		c.Resolve, err = decode[controlapi.ResolveRequest](text)
+	case kindPropose:
+		c.Propose, err = decode[state.Propose](text)
+	case kindSign:
+		c.Sign, err = decode[state.Sign](text)
+	case kindSubmit:
+		c.Submit, err = decode[controlapi.Task](text)
+	case kindCancel:
+		c.Cancel, err = decode[controlapi.TaskQuery](text)
+	case kindPlace:
+		c.Place, err = decode[state.Place](text)
+	case kindReport:
+		c.Report, err = decode[state.Report](text)
+	case kindExpire:
+		c.Expire, err = decode[state.Expire](text)
+	case kindEvict:
+		c.Evict, err = decode[state.Evict](text)
+	case kindQuarantine:
+		c.Quarantine, err = decode[state.Quarantine](text)
+	default:
+		err = Error.New("unknown kind of command %d", b[1])
+	}
+	return c, err
+}
+
+func decode[T any](text []byte) (*T, error) {
+	body := new(T)
+	if err := json.Unmarshal(text, body); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return body, nil
+}
+
+// EncodeImage returns the content of a snapshot.
+func EncodeImage(img state.Image) ([]byte, error) {
+	var b bytes.Buffer
+	b.WriteByte(Version)
+	if err := gob.NewEncoder(&b).Encode(img); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return b.Bytes(), nil
+}
+
+// DecodeImage reads the content of a snapshot.
+func DecodeImage(b []byte) (state.Image, error) {
+	var img state.Image
+	if len(b) == 0 || b[0] != Version {
+		return img, Error.New("a snapshot of %d bytes is not of version %d", len(b), Version)
+	}
+	if err := gob.NewDecoder(bytes.NewReader(b[1:])).Decode(&img); err != nil {
+		return img, Error.Wrap(err)
+	}
+	return img, nil
+}
