plan, state, ledger: give refusals a reason of package controlapi

Cause: the operators' interface maps the reason of a refusal to a status code. Result: go test ./plan ./state/... ./ledger passes.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -15,7 +15,7 @@
 
 // ErrFull is returned for a claim when the bound on keys is reached. The
 // request did not run and can be sent again.
-var ErrFull = Error.New("the ledger holds its maximum of keys")
+var ErrFull = Error.Wrap(&controlapi.Error{Reason: "overloaded", Message: "the ledger holds its maximum of keys"})
 
 // Defaults of Options.
 const (
--- a/plan/book.go
+++ b/plan/book.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -12,6 +13,11 @@
 // has changed.
 var Error = errs.Class("plan")
 
+// refuse returns a refusal with a reason of package controlapi.
+func refuse(reason, format string, args ...any) error {
+	return Error.Wrap(&controlapi.Error{Reason: reason, Message: fmt.Sprintf(format, args...)})
+}
+
 // SignaturesNeeded is the number of different owners that sign a change.
 const SignaturesNeeded = 2
 
@@ -64,7 +70,7 @@
 	digest := Digest(r)
 	if e := b.entries[r.ChangeID]; e != nil {
 		if e.Digest != digest {
-			return controlapi.Proposal{}, Error.New("change id %q was used for another change", r.ChangeID)
+			return controlapi.Proposal{}, refuse(controlapi.ReasonConflict, "change id %q was used for another change", r.ChangeID)
 		}
 		return e.Proposal, nil
 	}
@@ -94,15 +100,15 @@
 func (b *Book) check(r controlapi.ProposeRequest, offer Offer) error {
 	switch {
 	case r.ChangeID == "" || len(r.ChangeID) > 128:
-		return Error.New("a change id has 1 to 128 bytes")
+		return refuse(controlapi.ReasonBadRequest, "a change id has 1 to 128 bytes")
 	case r.Base > b.config.Revision:
-		return Error.New("base revision %d is ahead of revision %d", r.Base, b.config.Revision)
+		return refuse(controlapi.ReasonConflict, "base revision %d is ahead of revision %d", r.Base, b.config.Revision)
 	case r.Base < b.config.Revision:
 		return nil // a conflict, whatever the content
 	case b.open >= maxOpen:
-		return Error.New("%d proposals are open", b.open)
+		return refuse("over_limit", "%d proposals are open", b.open)
 	case len(b.config.Owners) == 0 && r.Change.Kind != controlapi.ChangeOwners:
-		return Error.New("no owners are set, so nobody can sign")
+		return refuse(controlapi.ReasonNotAllowed, "no owners are set, so nobody can sign")
 	}
 	if err := checkChange(r.Change); err != nil {
 		return err
@@ -122,7 +128,7 @@
 func (b *Book) Sign(now time.Time, r controlapi.SignRequest, offer Offer) (controlapi.Proposal, error) {
 	e := b.entries[r.ChangeID]
 	if e == nil {
-		return controlapi.Proposal{}, Error.New("no proposal has change id %q", r.ChangeID)
+		return controlapi.Proposal{}, refuse(controlapi.ReasonNotFound, "no proposal has change id %q", r.ChangeID)
 	}
 	if err := verify(b.config.Owners, r, e.Digest); err != nil {
 		return controlapi.Proposal{}, err
--- a/plan/change.go
+++ b/plan/change.go
@@ -38,13 +38,13 @@
 		return checkLists(c.Customers, c.Plans)
 	case controlapi.ChangeZoneOut, controlapi.ChangeZoneIn:
 		if c.Zone == "" {
-			return Error.New("the change names no zone")
+			return refuse(controlapi.ReasonBadRequest, "the change names no zone")
 		}
 		return nil
 	case controlapi.ChangeOwners:
 		return checkOwners(c.Owners)
 	default:
-		return Error.New("unknown kind of change %q", c.Kind)
+		return refuse(controlapi.ReasonBadRequest, "unknown kind of change %q", c.Kind)
 	}
 }
 
@@ -55,7 +55,7 @@
 			return err
 		}
 		if named[p.Name] {
-			return Error.New("plan %q is listed twice", p.Name)
+			return refuse(controlapi.ReasonBadRequest, "plan %q is listed twice", p.Name)
 		}
 		named[p.Name] = true
 	}
@@ -63,11 +63,11 @@
 	for _, s := range customers {
 		switch {
 		case s.Customer == "":
-			return Error.New("a customer has no name")
+			return refuse(controlapi.ReasonBadRequest, "a customer has no name")
 		case seen[s.Customer]:
-			return Error.New("customer %q is listed twice", s.Customer)
+			return refuse(controlapi.ReasonBadRequest, "customer %q is listed twice", s.Customer)
 		case !named[s.Plan]:
-			return Error.New("customer %q has plan %q, which is not listed", s.Customer, s.Plan)
+			return refuse(controlapi.ReasonBadRequest, "customer %q has plan %q, which is not listed", s.Customer, s.Plan)
 		}
 		seen[s.Customer] = true
 	}
@@ -77,11 +77,11 @@
 func checkPlan(p controlapi.Plan) error {
 	switch {
 	case p.Name == "":
-		return Error.New("a plan has no name")
+		return refuse(controlapi.ReasonBadRequest, "a plan has no name")
 	case !(p.RequestsPerSecond >= 0) || p.RequestsPerSecond > 1e9:
-		return Error.New("plan %q has a request rate outside 0..1e9", p.Name)
+		return refuse(controlapi.ReasonBadRequest, "plan %q has a request rate outside 0..1e9", p.Name)
 	case p.Concurrency < 0 || p.Burst < 0 || p.Tasks < 0 || p.CPUMilli < 0 || p.MemoryMiB < 0 || p.Accelerators < 0:
-		return Error.New("plan %q has a negative limit", p.Name)
+		return refuse(controlapi.ReasonBadRequest, "plan %q has a negative limit", p.Name)
 	}
 	return nil
 }
@@ -90,16 +90,16 @@
 // owners than signatures are needed.
 func checkOwners(owners map[string]string) error {
 	if len(owners) < SignaturesNeeded {
-		return Error.New("%d owners are needed, %d are given", SignaturesNeeded, len(owners))
+		return refuse(controlapi.ReasonBadRequest, "%d owners are needed, %d are given", SignaturesNeeded, len(owners))
 	}
 	holder := map[string]string{}
 	for _, name := range sortedKeys(owners) {
 		key, err := base64.StdEncoding.DecodeString(owners[name])
 		if name == "" || err != nil || len(key) != ed25519.PublicKeySize {
-			return Error.New("owner %q has no Ed25519 public key", name)
+			return refuse(controlapi.ReasonBadRequest, "owner %q has no Ed25519 public key", name)
 		}
 		if other, taken := holder[string(key)]; taken {
-			return Error.New("owners %q and %q have the same key", other, name)
+			return refuse(controlapi.ReasonBadRequest, "owners %q and %q have the same key", other, name)
 		}
 		holder[string(key)] = name
 	}
--- a/plan/promise.go
+++ b/plan/promise.go
@@ -9,6 +9,9 @@
 // AllServices in the services of a plan stands for every service.
 const AllServices = "*"
 
+// reasonOverPromise refuses lists that promise more than there is.
+const reasonOverPromise = "over_promise"
+
 // Offer is what the announced targets and workers have.
 type Offer struct {
 	Slots   map[string]int // by service
@@ -28,7 +31,7 @@
 	promised, slots := promisesOf(customers, byName, offer)
 	for _, service := range sortedServices(slots) {
 		if slots[service] > offer.Slots[service] {
-			return Error.New("service %q: %d requests at once are promised, the targets have %d slots",
+			return refuse(reasonOverPromise, "service %q: %d requests at once are promised, the targets have %d slots",
 				service, slots[service], offer.Slots[service])
 		}
 	}
@@ -86,11 +89,11 @@
 func checkResources(promised, have controlapi.Resources) error {
 	switch {
 	case promised.CPUMilli > have.CPUMilli:
-		return Error.New("%d millicores are promised to tasks, the workers have %d", promised.CPUMilli, have.CPUMilli)
+		return refuse(reasonOverPromise, "%d millicores are promised to tasks, the workers have %d", promised.CPUMilli, have.CPUMilli)
 	case promised.MemoryMiB > have.MemoryMiB:
-		return Error.New("%d MiB are promised to tasks, the workers have %d", promised.MemoryMiB, have.MemoryMiB)
+		return refuse(reasonOverPromise, "%d MiB are promised to tasks, the workers have %d", promised.MemoryMiB, have.MemoryMiB)
 	case promised.Accelerators > have.Accelerators:
-		return Error.New("%d accelerators are promised to tasks, the workers have %d", promised.Accelerators, have.Accelerators)
+		return refuse(reasonOverPromise, "%d accelerators are promised to tasks, the workers have %d", promised.Accelerators, have.Accelerators)
 	}
 	return nil
 }
--- a/plan/sign.go
+++ b/plan/sign.go
@@ -50,15 +50,15 @@
 func verify(owners map[string]string, r controlapi.SignRequest, digest string) error {
 	text, known := owners[r.Owner]
 	if !known {
-		return Error.New("%q is not an owner", r.Owner)
+		return refuse(controlapi.ReasonNotAllowed, "%q is not an owner", r.Owner)
 	}
 	key, err := base64.StdEncoding.DecodeString(text)
 	if err != nil || len(key) != ed25519.PublicKeySize {
-		return Error.New("owner %q has no Ed25519 public key", r.Owner)
+		return refuse(controlapi.ReasonBadRequest, "owner %q has no Ed25519 public key", r.Owner)
 	}
 	signature, err := base64.StdEncoding.DecodeString(r.Signature)
 	if err != nil || !ed25519.Verify(key, Message(digest, r.Reject), signature) {
-		return Error.New("the signature of %q does not match the proposal", r.Owner)
+		return refuse(controlapi.ReasonNotAllowed, "the signature of %q does not match the proposal", r.Owner)
 	}
 	return nil
 }
--- a/state/machine.go
+++ b/state/machine.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -16,6 +17,11 @@
 // has changed.
 var Error = errs.Class("state")
 
+// refuse returns a refusal with a reason of package controlapi.
+func refuse(reason, format string, args ...any) error {
+	return Error.Wrap(&controlapi.Error{Reason: reason, Message: fmt.Sprintf(format, args...)})
+}
+
 // Options bound a Machine. All replicas need the same ones.
 type Options struct {
 	Ledger         ledger.Options
@@ -103,7 +109,7 @@
 	case c.Evict != nil:
 		return m.evict(*c.Evict)
 	default:
-		return Result{Err: Error.New("the command is empty")}
+		return Result{Err: refuse(controlapi.ReasonBadRequest, "the command is empty")}
 	}
 }
 
@@ -169,14 +175,14 @@
 // runs is left alone until it ends.
 func (m *Machine) setQuarantine(q Quarantine) Result {
 	if q.Kind != QuarantineJob && q.Kind != QuarantineWorker || q.Name == "" {
-		return Result{Err: Error.New("nothing of kind %q can be quarantined", q.Kind)}
+		return Result{Err: refuse(controlapi.ReasonBadRequest, "nothing of kind %q can be quarantined", q.Kind)}
 	}
 	key := quarantineKey{q.Kind, q.Name}
 	old, found := m.quarantine[key]
 	var result Result
 	if q.Release {
 		if !found {
-			return Result{Err: Error.New("%s %q is not in quarantine", q.Kind, q.Name)}
+			return Result{Err: refuse(controlapi.ReasonNotFound, "%s %q is not in quarantine", q.Kind, q.Name)}
 		}
 		delete(m.quarantine, key)
 		result.Released = &old
--- a/state/tasks.go
+++ b/state/tasks.go
@@ -17,7 +17,7 @@
 	digest := bodyDigest(r)
 	if t := m.tasks.byID[r.ID]; t != nil {
 		if t.Digest != digest {
-			return Result{Err: Error.New("task id %q was used for another task", r.ID)}
+			return Result{Err: refuse(controlapi.ReasonConflict, "task id %q was used for another task", r.ID)}
 		}
 		return statusOf(t)
 	}
@@ -49,17 +49,17 @@
 	_, hasPlan := m.plans[r.Customer]
 	switch {
 	case r.ID == "" || len(r.ID) > 128:
-		return Error.New("a task id has 1 to 128 bytes")
+		return refuse(controlapi.ReasonBadRequest, "a task id has 1 to 128 bytes")
 	case r.Kind != controlapi.KindBatch && r.Kind != controlapi.KindWatcher:
-		return Error.New("a task is a batch task or a watcher, not %q", r.Kind)
+		return refuse(controlapi.ReasonBadRequest, "a task is a batch task or a watcher, not %q", r.Kind)
 	case r.Customer == "" || m.Config().Revision > 0 && !hasPlan:
-		return Error.New("customer %q has no plan", r.Customer)
+		return refuse("unknown_customer", "customer %q has no plan", r.Customer)
 	case r.Size.CPUMilli < 0 || r.Size.MemoryMiB < 0 || r.Size.Accelerators < 0:
-		return Error.New("a task has no negative size")
+		return refuse(controlapi.ReasonBadRequest, "a task has no negative size")
 	case len(r.Payload) > m.options.MaxPayload:
-		return Error.New("the payload has %d bytes, at most %d are taken", len(r.Payload), m.options.MaxPayload)
+		return refuse("too_large", "the payload has %d bytes, at most %d are taken", len(r.Payload), m.options.MaxPayload)
 	case m.tasks.live() >= m.options.MaxTasks:
-		return Error.New("%d tasks are not finished, which is the maximum", m.options.MaxTasks)
+		return refuse("over_limit", "%d tasks are not finished, which is the maximum", m.options.MaxTasks)
 	}
 	return nil
 }
@@ -94,7 +94,7 @@
 func (m *Machine) cancel(id string) Result {
 	t := m.tasks.byID[id]
 	if t == nil {
-		return Result{Err: Error.New("there is no task %q", id)}
+		return Result{Err: refuse(controlapi.ReasonNotFound, "there is no task %q", id)}
 	}
 	if t.Finished() || t.Cancelling {
 		return statusOf(t)
@@ -128,19 +128,19 @@
 func (m *Machine) checkPlacement(t *Task, p Place) error {
 	switch {
 	case t == nil || t.State != controlapi.TaskQueued:
-		return Error.New("task %q is not queued", p.Task)
+		return refuse(controlapi.ReasonConflict, "task %q is not queued", p.Task)
 	case t.Epoch != p.Epoch:
-		return Error.New("task %q has epoch %d, not %d", p.Task, t.Epoch, p.Epoch)
+		return refuse(controlapi.ReasonConflict, "task %q has epoch %d, not %d", p.Task, t.Epoch, p.Epoch)
 	case p.Agent == "":
-		return Error.New("task %q is placed on no agent", p.Task)
+		return refuse(controlapi.ReasonBadRequest, "task %q is placed on no agent", p.Task)
 	case m.ZoneOut(p.Zone):
-		return Error.New("zone %q is out of service", p.Zone)
+		return refuse("zone_out", "zone %q is out of service", p.Zone)
 	case len(t.Zones) > 0 && !slices.Contains(t.Zones, p.Zone):
-		return Error.New("task %q may not run in zone %q", p.Task, p.Zone)
+		return refuse(controlapi.ReasonNotAllowed, "task %q may not run in zone %q", p.Task, p.Zone)
 	case m.isQuarantined(QuarantineWorker, p.Agent):
-		return Error.New("worker %q is in quarantine", p.Agent)
+		return refuse(controlapi.ReasonNotAllowed, "worker %q is in quarantine", p.Agent)
 	case !usageOrNone(m.tasks.agents, p.Agent).fits(t.Size, p.Capacity):
-		return Error.New("worker %q has no room for task %q", p.Agent, p.Task)
+		return refuse("overloaded", "worker %q has no room for task %q", p.Agent, p.Task)
 	}
 	return m.checkQuota(t)
 }
@@ -154,7 +154,7 @@
 	used := usageOrNone(m.tasks.customers, t.Customer)
 	resources := controlapi.Resources{CPUMilli: limit.CPUMilli, MemoryMiB: limit.MemoryMiB, Accelerators: limit.Accelerators}
 	if used.tasks >= limit.Tasks || !used.fits(t.Size, resources) {
-		return Error.New("customer %q has used its plan", t.Customer)
+		return refuse("over_limit", "customer %q has used its plan", t.Customer)
 	}
 	return nil
 }
@@ -171,9 +171,9 @@
 	t := m.tasks.byID[e.Task]
 	switch {
 	case t == nil || !t.Placed() || t.Epoch != e.Epoch:
-		return Result{Err: Error.New("task %q is not placed with epoch %d", e.Task, e.Epoch)}
+		return Result{Err: refuse(controlapi.ReasonConflict, "task %q is not placed with epoch %d", e.Task, e.Epoch)}
 	case e.Action != controlapi.ActionCheckpoint && e.Action != controlapi.ActionStop:
-		return Result{Err: Error.New("a task is not evicted by %q", e.Action)}
+		return Result{Err: refuse(controlapi.ReasonBadRequest, "a task is not evicted by %q", e.Action)}
 	}
 	m.tasks.setState(t, controlapi.TaskEvicting)
 	t.Eviction = e.Action
