daemon/control/applier: own the control state and serve its operations

Cause: one duty must propose, apply and answer, with leases and permits that end with its leadership.

--- /dev/null
+++ b/daemon/control/applier/agents.go
@@ -0,0 +1,229 @@
+package applier
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/lease"
+	"github.com/ibispier/ibispier/state"
+)
+
+const (
+	// reportHold is how long the answer to a report without commands is held,
+	// so that a placement reaches its agent without waiting for the next report.
+	reportHold = 200 * time.Millisecond
+	// startPatience is how long a start command is repeated. An agent that has
+	// not started a task by then loses its lease, and the task is queued again.
+	startPatience = 5 * time.Second
+	// tailInterval is how often a changed tail latency goes to the scheduler.
+	tailInterval = time.Second
+)
+
+// agent is what the leader knows of an agent from its reports.
+type agent struct {
+	worker    controlapi.Worker
+	draining  bool
+	service   string
+	tail      float64
+	tailAt    time.Time
+	at        time.Time // of the last report
+	lost      bool
+	held      *heldReport
+	throttles []controlapi.Command
+}
+
+// heldReport is a report whose answer waits for a command.
+type heldReport struct {
+	request *Request
+	report  *controlapi.AgentReport
+	until   time.Time
+}
+
+// report takes the report of an agent. What it changes is committed first; the
+// answer, which renews leases, follows a commit or a confirmed read that is
+// later than the report, so a deposed leader renews nothing.
+func (e *engine) report(now time.Time, req *Request, r *controlapi.AgentReport) {
+	a := e.leader.agents[r.Worker.Agent]
+	if a != nil && r.Worker.Epoch < a.worker.Epoch {
+		req.refuse(&controlapi.Error{Reason: controlapi.ReasonConflict, Message: "an agent with a higher epoch has this instance"})
+		return
+	}
+	a = e.noteReport(now, r)
+	if a.held != nil {
+		e.answerHeld(now, a)
+	}
+	h := &heldReport{request: req, report: r, until: now.Add(reportHold)}
+	var changes []controlapi.ReportedTask
+	for _, t := range r.Tasks {
+		if e.machine.Changes(r.Worker.Agent, t) {
+			changes = append(changes, t)
+		}
+	}
+	if len(changes) == 0 {
+		e.reads.add(read{deadline: req.Deadline, fail: req.unavailable, run: func(now time.Time) { e.answerOrHold(now, h) }})
+		return
+	}
+	e.propose(now, &state.Command{Report: &state.Report{Agent: r.Worker.Agent, Tasks: changes}}, req.Deadline,
+		func(now time.Time, _ state.Result) { e.answerReport(now, h) }, req.unavailable)
+}
+
+func (e *engine) noteReport(now time.Time, r *controlapi.AgentReport) *agent {
+	a := e.leader.agents[r.Worker.Agent]
+	if a == nil {
+		a = &agent{lost: true}
+		e.leader.agents[r.Worker.Agent] = a
+	}
+	a.at = now
+	tail := r.TailMs != a.tail && now.Sub(a.tailAt) >= tailInterval
+	if a.lost || a.worker != r.Worker || a.draining != r.Draining || a.service != r.Service || tail {
+		a.lost = false
+		a.worker, a.draining, a.service, a.tail, a.tailAt = r.Worker, r.Draining, r.Service, r.TailMs, now
+		e.feed.worker(a)
+	}
+	for _, u := range r.Usage {
+		e.feed.usage(UsageSample{Agent: r.Worker.Agent, ReceivedAt: now, Usage: u})
+	}
+	return a
+}
+
+// answerOrHold answers at once when there is a command, and holds the answer
+// otherwise.
+func (e *engine) answerOrHold(now time.Time, h *heldReport) {
+	a := e.leader.agents[h.report.Worker.Agent]
+	if a == nil || a.held != nil || !now.Before(h.until) || len(a.throttles) > 0 || e.hasCommands(now, h.report) {
+		e.answerReport(now, h)
+		return
+	}
+	a.held = h
+}
+
+// expireHeld answers the held reports whose time is over or whose agent has a
+// command, and the polls whose time is over.
+func (e *engine) expireHeld(now time.Time) {
+	for _, a := range e.leader.agents {
+		if a.held != nil && !now.Before(a.held.until) {
+			e.answerHeld(now, a)
+		}
+	}
+	e.expirePolls(now)
+}
+
+// wakeAgents answers held reports for which something has changed.
+func (e *engine) wakeAgents(now time.Time) {
+	woken := e.leader.woken
+	e.leader.woken = e.leader.woken[:0]
+	for _, a := range woken {
+		if a.held != nil {
+			e.answerHeld(now, a)
+		}
+	}
+}
+
+func (e *engine) answerHeld(now time.Time, a *agent) {
+	h := a.held
+	a.held = nil
+	e.answerReport(now, h)
+}
+
+// answerReport renews the leases that the report names, counted from now, and
+// tells the agent what to do.
+func (e *engine) answerReport(now time.Time, h *heldReport) {
+	if e.leader == nil {
+		h.request.unavailable()
+		return
+	}
+	answer := &controlapi.AgentCommands{LeaseMillis: e.options.Lease.Length.Milliseconds()}
+	mentioned := make(map[string]bool, len(h.report.Tasks))
+	for _, r := range h.report.Tasks {
+		e.answerTask(now, h.report.Worker.Agent, r, mentioned, answer)
+	}
+	for id, t := range e.machine.OnAgent(h.report.Worker.Agent) {
+		if !mentioned[id] && e.startable(now, t) && e.leader.leases.Renew(now, leaseOf(t)) {
+			answer.Renewed = append(answer.Renewed, controlapi.Lease{Task: id, Epoch: t.Epoch})
+			answer.Commands = append(answer.Commands, controlapi.Command{
+				Action: controlapi.ActionStart, Epoch: t.Epoch, Task: t.Task,
+				Checkpoint: t.Checkpoint, CheckpointSequence: t.CheckpointSequence,
+			})
+		}
+	}
+	if a := e.leader.agents[h.report.Worker.Agent]; a != nil {
+		answer.Commands = append(answer.Commands, a.throttles...)
+		a.throttles = nil
+	}
+	h.request.reply(answer)
+}
+
+// answerTask answers one reported task. A report of an old placement gets no
+// lease: a task that still runs is stopped, and an end is confirmed, so that the
+// agent forgets it.
+func (e *engine) answerTask(now time.Time, agent string, r controlapi.ReportedTask, mentioned map[string]bool, answer *controlapi.AgentCommands) {
+	command := controlapi.Command{Epoch: r.Epoch, Task: controlapi.Task{ID: r.Task}}
+	if !e.machine.Concerns(agent, r) {
+		command.Action = controlapi.ActionStop
+		if state.Final(r.State) {
+			command.Action = controlapi.ActionForget
+		}
+		answer.Commands = append(answer.Commands, command)
+		return
+	}
+	mentioned[r.Task] = true
+	if state.Final(r.State) {
+		return // not committed yet; the agent repeats it
+	}
+	if e.leader.leases.Renew(now, lease.Lease{Task: r.Task, Epoch: r.Epoch}) {
+		answer.Renewed = append(answer.Renewed, controlapi.Lease{Task: r.Task, Epoch: r.Epoch})
+	}
+	if action := evictionOf(e.machine.Task(r.Task)); action != "" {
+		command.Action = action
+		answer.Commands = append(answer.Commands, command)
+	}
+}
+
+func evictionOf(t *state.Task) controlapi.CommandAction {
+	if t.Cancelling {
+		return controlapi.ActionStop
+	}
+	return t.Eviction
+}
+
+// startable reports whether the start of a placed task is sent to its agent.
+// Without it the lease expires, and the task is queued again.
+func (e *engine) startable(now time.Time, t *state.Task) bool {
+	return t.State == controlapi.TaskPlaced && !t.Cancelling && !e.machine.ZoneOut(t.Zone) &&
+		now.Sub(t.PlacedAt) < startPatience
+}
+
+func (e *engine) hasCommands(now time.Time, r *controlapi.AgentReport) bool {
+	agent := r.Worker.Agent
+	for _, reported := range r.Tasks {
+		if !e.machine.Concerns(agent, reported) || evictionOf(e.machine.Task(reported.Task)) != "" {
+			return true
+		}
+	}
+	for id, t := range e.machine.OnAgent(agent) {
+		mentioned := slices.ContainsFunc(r.Tasks, func(x controlapi.ReportedTask) bool { return x.Task == id })
+		if !mentioned && e.startable(now, t) {
+			return true
+		}
+	}
+	return false
+}
+
+// loseAgents tells the scheduler about agents that have been silent for the
+// length of a lease.
+func (e *engine) loseAgents(now time.Time) {
+	for id, a := range e.leader.agents {
+		silent := now.Sub(a.at)
+		if !a.lost && silent >= e.options.Lease.Length {
+			a.lost = true
+			e.log.Warn("agent lost", zap.String("agent", id), zap.String("zone", a.worker.Zone))
+			e.feed.worker(a)
+		}
+		if silent >= lostWindow {
+			delete(e.leader.agents, id)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/control/applier/applier.go
@@ -0,0 +1,146 @@
+// Package applier is the duty that owns the state of control. It proposes the
+// commands of clients, agents and the scheduler, applies what is committed, and
+// answers. Leases and permits live with the leader.
+package applier
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/lease"
+	"github.com/ibispier/ibispier/permit"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/state"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("applier")
+
+const (
+	requestCapacity  = 4096 // 100 ms of requests at 40,000/s
+	decisionCapacity = 4096
+	changeCapacity   = 1024
+	maxBatch         = 256
+	tickInterval     = 20 * time.Millisecond
+)
+
+// Options configure the duty.
+type Options struct {
+	State     state.Options
+	Lease     lease.Terms
+	Permit    permit.Terms
+	Addresses map[string]string // of the control members, by id
+	Origin    func() uint64     // random number for the ids of commands
+	Log       *zap.Logger
+}
+
+// DefaultOptions returns the options of a deployment.
+func DefaultOptions(log *zap.Logger) Options {
+	return Options{
+		State:  state.DefaultOptions(),
+		Lease:  lease.DefaultTerms(),
+		Permit: permit.DefaultTerms(),
+		Origin: rand.Uint64,
+		Log:    log,
+	}
+}
+
+// Duty owns the state of control.
+type Duty struct {
+	Requests  *ring.Ring[*Request] // refuse when full: the client is told "unavailable"
+	Decisions *ring.Ring[Decision] // refuse when full: the scheduler decides again
+	Changes   *ring.Ring[Change]   // refuse when full: the scheduler starts over
+
+	options   Options
+	inputs    *ring.Ring[replica.Input]
+	updates   *ring.Ring[replica.Update]
+	snapshots *ring.Ring[snapshot]
+}
+
+// New returns the duty between the rings of the replica.
+func New(o Options, inputs *ring.Ring[replica.Input], updates *ring.Ring[replica.Update]) *Duty {
+	return &Duty{
+		Requests:  ring.New[*Request]("applier.requests", requestCapacity),
+		Decisions: ring.New[Decision]("applier.decisions", decisionCapacity),
+		Changes:   ring.New[Change]("scheduler.in", changeCapacity),
+		options:   o,
+		inputs:    inputs,
+		updates:   updates,
+		snapshots: ring.New[snapshot]("applier.snapshots", 1),
+	}
+}
+
+// Run applies until ctx ends. Each run starts without state, which the replica
+// sends again.
+func (d *Duty) Run(ctx context.Context) error {
+	e := newEngine(d.options, d.inputs.Offer)
+	e.feed.out = d.Changes
+	defer e.abandon()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return nil
+		case u := <-d.updates.C():
+			err = d.update(e, u)
+		case r := <-d.Requests.C():
+			d.serve(e, r)
+		case x := <-d.Decisions.C():
+			d.decide(e, x)
+		case now := <-ticker.C:
+			e.tick(now)
+		}
+		if err != nil {
+			return err
+		}
+		e.flush(time.Now())
+		d.offerSnapshot(e)
+	}
+}
+
+func (d *Duty) update(e *engine, first replica.Update) error {
+	now := time.Now()
+	if err := e.update(now, first); err != nil {
+		return err
+	}
+	for _, u := range d.updates.Drain(nil, maxBatch) {
+		if err := e.update(now, u); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Duty) serve(e *engine, first *Request) {
+	now := time.Now()
+	e.request(now, first)
+	for _, r := range d.Requests.Drain(nil, maxBatch) {
+		e.request(now, r)
+	}
+}
+
+func (d *Duty) decide(e *engine, first Decision) {
+	now := time.Now()
+	e.decision(now, first)
+	for _, x := range d.Decisions.Drain(nil, maxBatch) {
+		e.decision(now, x)
+	}
+}
+
+// offerSnapshot hands an image of the state to the duty that encodes it. While
+// that is busy, the wish stays.
+func (d *Duty) offerSnapshot(e *engine) {
+	if !e.snapshotWanted || d.snapshots.Depth() > 0 {
+		return
+	}
+	if d.snapshots.Offer(snapshot{index: e.applied, image: e.machine.Image()}) == nil {
+		e.snapshotWanted = false
+	}
+}
--- /dev/null
+++ b/daemon/control/applier/snapshotter.go
@@ -0,0 +1,66 @@
+package applier
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/state"
+	"github.com/ibispier/ibispier/state/codec"
+	"github.com/ibispier/ibispier/supervise"
+)
+
+// snapshotPatience bounds how long a snapshot waits for room in the ring of the
+// replica. A snapshot that is dropped is asked for again.
+const snapshotPatience = 5 * time.Second
+
+// snapshot is an image of the state after the entry with index.
+type snapshot struct {
+	index uint64
+	image state.Image
+}
+
+// snapshotter encodes snapshots, which takes too long for the applier.
+type snapshotter struct {
+	snapshots *ring.Ring[snapshot]
+	inputs    *ring.Ring[replica.Input]
+	log       *zap.Logger
+}
+
+// Snapshotter returns the duty that encodes the snapshots of the applier.
+func (d *Duty) Snapshotter() supervise.Duty {
+	return &snapshotter{snapshots: d.snapshots, inputs: d.inputs, log: d.options.Log}
+}
+
+// Run encodes until ctx ends.
+func (s *snapshotter) Run(ctx context.Context) error {
+	for {
+		x, err := s.snapshots.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		if err := s.encode(ctx, x); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *snapshotter) encode(ctx context.Context, x snapshot) error {
+	start := time.Now()
+	data, err := codec.EncodeImage(x.image)
+	if err != nil {
+		return Error.New("step=snapshot index=%d: %w", x.index, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, snapshotPatience)
+	defer cancel()
+	input := replica.Input{Snapshot: &replica.SnapshotData{Index: x.index, Data: data}}
+	if err := s.inputs.Put(ctx, input); err != nil {
+		s.log.Warn("snapshot dropped", zap.Uint64("index", x.index), zap.Error(err))
+		return nil
+	}
+	s.log.Info("snapshot encoded", zap.Uint64("index", x.index), zap.Int("bytes", len(data)), zap.Duration("took", time.Since(start)))
+	return nil
+}
--- /dev/null
+++ b/daemon/control/applier/status.go
@@ -0,0 +1,134 @@
+package applier
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+)
+
+// settleTime is how long a new leader waits for announcements before a refusal
+// for lack of capacity counts.
+const settleTime = 1500 * time.Millisecond
+
+func (e *engine) settling(now time.Time) bool {
+	return e.leader != nil && now.Sub(e.leader.since) < settleTime
+}
+
+func (e *engine) membersResponse() controlapi.MembersResponse {
+	answer := controlapi.MembersResponse{Leader: e.status.Leader, Members: []controlapi.Member{}}
+	for _, m := range e.status.Members {
+		answer.Members = append(answer.Members, controlapi.Member{
+			ID:          m.ID.ID,
+			Incarnation: m.ID.Incarnation,
+			Address:     e.options.Addresses[m.ID.ID],
+			Voter:       m.Voter,
+			Match:       m.Match,
+			Active:      m.Active,
+		})
+	}
+	return answer
+}
+
+func (e *engine) proposalsResponse(now time.Time, r *Request, ask *controlapi.ProposalsRequest) {
+	answer := controlapi.ProposalsResponse{Proposals: []controlapi.Proposal{}}
+	if ask.ChangeID == "" {
+		for _, p := range e.machine.Proposals(ask.Limit) {
+			answer.Proposals = append(answer.Proposals, e.describe(now, p))
+		}
+	} else if p, found := e.machine.Proposal(ask.ChangeID); found {
+		answer.Proposals = append(answer.Proposals, e.describe(now, p))
+	}
+	r.reply(answer)
+}
+
+// describe tells whether an accepted change is in force everywhere: every
+// process runs with its revision, and no permit of a zone that it took out is
+// left.
+func (e *engine) describe(now time.Time, p controlapi.Proposal) controlapi.Proposal {
+	if p.State != controlapi.ProposalAccepted || e.leader == nil {
+		return p
+	}
+	p.LaggingBy = e.leader.lagging(now, p.Revision)
+	p.InForce = len(p.LaggingBy) == 0
+	if p.Change.Kind == controlapi.ChangeZoneOut && e.machine.ZoneOut(p.Change.Zone) {
+		p.InForce = p.InForce && e.leader.permits.InForce(now, p.Change.Zone)
+	}
+	return p
+}
+
+// lagging names the processes that do not run with a revision yet.
+func (l *leadership) lagging(now time.Time, revision uint64) []string {
+	var names []string
+	for name, p := range l.processes {
+		if p.revision < revision && now.Sub(p.at) < processWindow {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (e *engine) statusResponse(now time.Time) controlapi.StatusResponse {
+	answer := controlapi.StatusResponse{
+		Leader:   e.status.Leader,
+		Term:     e.status.Term,
+		Revision: e.machine.Config().Revision,
+		Zones:    e.zones(now),
+		Targets:  e.leader.announced(now),
+		Tasks:    e.machine.Counts(),
+		Alarms:   e.alarms(now),
+	}
+	sort.Slice(answer.Targets, func(i, j int) bool { return answer.Targets[i].Target < answer.Targets[j].Target })
+	for name, p := range e.leader.processes {
+		if age := now.Sub(p.at); age < processWindow {
+			answer.Processes = append(answer.Processes, controlapi.ProcessRevision{Process: name, Revision: p.revision, AgeMs: age.Milliseconds()})
+		}
+	}
+	sort.Slice(answer.Processes, func(i, j int) bool { return answer.Processes[i].Process < answer.Processes[j].Process })
+	for _, a := range e.leader.agents {
+		if !a.lost {
+			answer.Workers++
+		}
+	}
+	return answer
+}
+
+// zones returns the zones that anything has named.
+func (e *engine) zones(now time.Time) []controlapi.ZoneStatus {
+	names := slices.Clone(e.machine.Config().ZonesOut)
+	for _, t := range e.leader.announced(now) {
+		names = append(names, t.Zone)
+	}
+	for _, a := range e.leader.agents {
+		names = append(names, a.worker.Zone)
+	}
+	sort.Strings(names)
+	var zones []controlapi.ZoneStatus
+	for _, name := range slices.Compact(names) {
+		if name == "" {
+			continue
+		}
+		zones = append(zones, controlapi.ZoneStatus{
+			Zone: name, Out: e.machine.ZoneOut(name), InForce: e.leader.permits.InForce(now, name),
+		})
+	}
+	return zones
+}
+
+// alarms returns the conditions that an operator should act on.
+func (e *engine) alarms(now time.Time) []controlapi.Alarm {
+	alarms := e.machine.Alarms(now)
+	limit := e.options.State.Ledger.MaxKeys
+	if keys := e.machine.Keys(); keys >= limit-limit/10 {
+		alarms = append(alarms, controlapi.Alarm{
+			Name:    "ledger_nearly_full",
+			Subject: "ledger",
+			Message: fmt.Sprintf("%d of %d idempotency keys are in use; new non-idempotent requests are refused at the limit", keys, limit),
+			Since:   now,
+		})
+	}
+	return alarms
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -131,10 +131,10 @@
 	return expired
 }
 
-// Holds reports whether the lease is current and has not expired.
-func (t *Table) Holds(now time.Time, l Lease) bool {
+// Has reports whether the Table holds the lease, expired or not.
+func (t *Table) Has(l Lease) bool {
 	e := t.leases[l.Task]
-	return e != nil && e.Value.(*held).lease.Epoch == l.Epoch && !t.expired(e.Value.(*held), now)
+	return e != nil && e.Value.(*held).lease.Epoch == l.Epoch
 }
 
 func (t *Table) expired(h *held, now time.Time) bool {
--- a/plan/promise.go
+++ b/plan/promise.go
@@ -9,8 +9,8 @@
 // AllServices in the services of a plan stands for every service.
 const AllServices = "*"
 
-// reasonOverPromise refuses lists that promise more than there is.
-const reasonOverPromise = "over_promise"
+// ReasonOverPromise refuses lists that promise more than there is.
+const ReasonOverPromise = "over_promise"
 
 // Offer is what the announced targets and workers have.
 type Offer struct {
@@ -31,7 +31,7 @@
 	promised, slots := promisesOf(customers, byName, offer)
 	for _, service := range sortedServices(slots) {
 		if slots[service] > offer.Slots[service] {
-			return refuse(reasonOverPromise, "service %q: %d requests at once are promised, the targets have %d slots",
+			return refuse(ReasonOverPromise, "service %q: %d requests at once are promised, the targets have %d slots",
 				service, slots[service], offer.Slots[service])
 		}
 	}
@@ -89,11 +89,11 @@
 func checkResources(promised, have controlapi.Resources) error {
 	switch {
 	case promised.CPUMilli > have.CPUMilli:
-		return refuse(reasonOverPromise, "%d millicores are promised to tasks, the workers have %d", promised.CPUMilli, have.CPUMilli)
+		return refuse(ReasonOverPromise, "%d millicores are promised to tasks, the workers have %d", promised.CPUMilli, have.CPUMilli)
 	case promised.MemoryMiB > have.MemoryMiB:
-		return refuse(reasonOverPromise, "%d MiB are promised to tasks, the workers have %d", promised.MemoryMiB, have.MemoryMiB)
+		return refuse(ReasonOverPromise, "%d MiB are promised to tasks, the workers have %d", promised.MemoryMiB, have.MemoryMiB)
 	case promised.Accelerators > have.Accelerators:
-		return refuse(reasonOverPromise, "%d accelerators are promised to tasks, the workers have %d", promised.Accelerators, have.Accelerators)
+		return refuse(ReasonOverPromise, "%d accelerators are promised to tasks, the workers have %d", promised.Accelerators, have.Accelerators)
 	}
 	return nil
 }
--- a/state/command.go
+++ b/state/command.go
@@ -106,6 +106,9 @@
 
 // Failure is a task that failed on, or was refused by, a worker.
 type Failure struct {
-	Task, Class, Agent, Reason string
-	Refused                    bool
+	Task    string
+	Class   string
+	Agent   string
+	Refused bool // not started
+	Reason  string
 }
--- a/state/table.go
+++ b/state/table.go
@@ -12,6 +12,7 @@
 	controlapi.TaskStatus
 	Digest     [sha256.Size]byte // of the submitted body
 	QueuedAt   time.Time
+	PlacedAt   time.Time // of the last placement
 	FinishedAt time.Time
 	Cancelling bool                     // a cancellation was committed, and the agent has not confirmed it
 	Eviction   controlapi.CommandAction // checkpoint or stop, while State is evicting
--- a/state/tasks.go
+++ b/state/tasks.go
@@ -117,6 +117,7 @@
 		return Result{Err: err}
 	}
 	t.Epoch++
+	t.PlacedAt = m.now
 	m.tasks.setState(t, controlapi.TaskPlaced)
 	m.tasks.assign(t, p.Agent, p.Zone)
 	t.Reason = ""
