--- /dev/null
+++ b/daemon/control/server/server.go
@@ -0,0 +1,104 @@
+// Package server takes the requests of entry instances, agents and operators
+// from their links and hands them to the applier. It decodes and encodes, and
+// decides nothing.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("server")
+
+const (
+	defaultTimeout = 5 * time.Second
+	maxTimeout     = time.Minute
+)
+
+// Handler is the link.Handler of links from clients. It runs on the receivers of
+// the links, so requests of different links are decoded at the same time.
+type Handler struct {
+	requests *ring.Ring[*applier.Request]
+}
+
+// New returns the handler that offers requests to the ring of the applier.
+func New(requests *ring.Ring[*applier.Request]) *Handler { return &Handler{requests: requests} }
+
+// Up implements link.Handler.
+func (h *Handler) Up(context.Context, *link.Conn) error { return nil }
+
+// Down implements link.Handler. Responses to a lost link are dropped; the client
+// asks again.
+func (h *Handler) Down(*link.Conn, error) {}
+
+// Frame implements link.Handler.
+func (h *Handler) Frame(_ context.Context, c *link.Conn, f *wire.Frame) error {
+	m := f.GetControlRequest()
+	if m == nil {
+		return link.Error.New("step=serve peer=%s: unexpected frame %T", c.Peer().ID, f.GetBody())
+	}
+	reply := &replier{conn: c, id: m.GetId()}
+	operation := controlapi.Operation(m.GetOperation())
+	body, err := decode(operation, m.GetPayload())
+	if err != nil {
+		reply.Reply(applier.Response{Status: applier.Refused, Reason: controlapi.ReasonBadRequest + ": " + err.Error()})
+		return nil
+	}
+	request := &applier.Request{Operation: operation, Body: body, Deadline: deadlineOf(m), Replier: reply}
+	if h.requests.Offer(request) != nil {
+		reply.Reply(applier.Response{Status: applier.Unavailable, Reason: "overloaded"})
+	}
+	return nil
+}
+
+func deadlineOf(m *wire.ControlRequest) time.Time {
+	timeout := time.Duration(m.GetTimeoutMillis()) * time.Millisecond
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return time.Now().Add(min(timeout, maxTimeout))
+}
+
+// replier sends the response to one request. It uses the data stream, because a
+// response can hold a recorded body and must not delay heartbeats.
+type replier struct {
+	conn *link.Conn
+	id   uint64
+}
+
+// Reply implements applier.Replier.
+func (r *replier) Reply(resp applier.Response) {
+	m := &wire.ControlResponse{Id: r.id, Status: statusOf(resp.Status), Reason: resp.Reason, Leader: resp.Leader}
+	if resp.Status == applier.OK {
+		payload, err := json.Marshal(resp.Body)
+		if err != nil {
+			m.Status = wire.ControlStatus_CONTROL_STATUS_UNAVAILABLE
+			m.Reason = err.Error()
+		}
+		m.Payload = payload
+	}
+	_ = r.conn.SendData(&wire.Frame{Body: &wire.Frame_ControlResponse{ControlResponse: m}})
+}
+
+func statusOf(s applier.Status) wire.ControlStatus {
+	switch s {
+	case applier.OK:
+		return wire.ControlStatus_CONTROL_STATUS_OK
+	case applier.NotLeader:
+		return wire.ControlStatus_CONTROL_STATUS_NOT_LEADER
+	case applier.Refused:
+		return wire.ControlStatus_CONTROL_STATUS_REFUSED
+	default:
+		return wire.ControlStatus_CONTROL_STATUS_UNAVAILABLE
+	}
+}
