--- a/admission/admission.go
+++ b/admission/admission.go
@@ -3,6 +3,7 @@
 package admission
 
 import (
+	"container/heap"
 	"time"
 
 	"github.com/ibispier/ibispier/request"
@@ -10,8 +11,10 @@
 
 // Options bound the work of one target.
 type Options struct {
-	Slots int // attempts at work in the target
-	Queue int // accepted attempts that wait for a slot
+	Slots   int   // attempts at work in the target
+	Queue   int   // accepted attempts that wait for a slot
+	Records int   // non-idempotent requests whose outcome is not recorded in the quorum yet; default 65536
+	Bytes   int64 // bodies kept for them; default 64 MiB
 }
 
 // Decision is what happens to an attempt.
@@ -24,17 +27,6 @@
 	Refuse
 )
 
-// Controller admits attempts to one target.
-//
-// Invariant: at most Slots attempts are started and not finished.
-type Controller struct {
-	options  Options
-	state    State
-	running  int
-	waiting  []*Work
-	accepted map[string]struct{} // idempotency keys that were accepted
-}
-
 // State is whether the target takes new work.
 type State uint8
 
@@ -49,11 +41,36 @@
 type Work struct {
 	Attempt *request.Attempt
 	Origin  any
+	Started time.Time // set when the attempt starts
+
+	sequence uint64
+}
+
+const (
+	// workWeight is the weight of a new sample in the mean time at work.
+	workWeight = 0.1
+	// enoughSamples are needed before the queue is compared with deadlines.
+	enoughSamples = 8
+)
+
+// Controller admits attempts to one target.
+//
+// Invariants: at most Slots attempts are started and not finished. A refused
+// attempt never starts.
+type Controller struct {
+	options  Options
+	state    State
+	running  int
+	waiting  queue
+	sequence uint64
+	work     float64 // mean time at work in nanoseconds
+	samples  int
+	records  *records
 }
 
 // NewController returns a controller without work.
 func NewController(o Options) *Controller {
-	return &Controller{options: o, accepted: map[string]struct{}{}}
+	return &Controller{options: o, records: newRecords(o)}
 }
 
 // SetState sets whether the target takes new work.
@@ -62,73 +79,195 @@
 // State returns whether the target takes new work.
 func (c *Controller) State() State { return c.state }
 
-// Submit decides on a new attempt. The reason is set when it is refused.
-func (c *Controller) Submit(now time.Time, w *Work) (Decision, request.Reason) {
-	if reason := c.refusal(now, w.Attempt.Request); reason != request.ReasonNone {
-		return Refuse, reason
+// Load returns the attempts at work and waiting.
+func (c *Controller) Load() request.Load {
+	return request.Load{InFlight: c.running, Queued: len(c.waiting)}
+}
+
+// Submit decides on a new attempt. The reason is set when it is refused. A
+// displaced attempt gave up its place in the queue to one of higher priority; it
+// did not run.
+func (c *Controller) Submit(now time.Time, w *Work) (d Decision, reason request.Reason, displaced *Work) {
+	if reason := c.refusal(now, w.Attempt); reason != request.ReasonNone {
+		return Refuse, reason, nil
 	}
-	if !w.Attempt.Request.Idempotent {
-		c.accepted[keyOf(w.Attempt.Request)] = struct{}{}
+	free := c.running < c.options.Slots
+	if !free && len(c.waiting) >= c.options.Queue {
+		if displaced = c.displace(now, w); displaced == nil {
+			return Refuse, request.ReasonOverloaded, nil
+		}
+	}
+	if !w.Attempt.Request.Idempotent && !c.records.accept(now, w.Attempt) {
+		return Refuse, request.ReasonOverloaded, displaced
 	}
-	if c.running < c.options.Slots {
-		c.running++
-		return Start, request.ReasonNone
+	if free {
+		c.start(now, w)
+		return Start, request.ReasonNone, nil
 	}
-	c.waiting = append(c.waiting, w)
-	return Enqueue, request.ReasonNone
+	c.sequence++
+	w.sequence = c.sequence
+	heap.Push(&c.waiting, w)
+	return Enqueue, request.ReasonNone, displaced
 }
 
-func (c *Controller) refusal(now time.Time, r *request.Request) request.Reason {
-	_, seen := c.accepted[keyOf(r)]
+func (c *Controller) refusal(now time.Time, a *request.Attempt) request.Reason {
 	switch {
 	case c.state == Draining:
 		return request.ReasonDraining
 	case c.state == Down:
 		return request.ReasonNoTarget
-	case !r.Deadline.After(now):
+	case !a.Request.Deadline.After(now) || !c.canMeet(now, a.Request):
 		return request.ReasonDeadline
-	case !r.Idempotent && seen:
+	case !a.Request.Idempotent && !c.records.allows(a):
 		return request.ReasonDuplicateExpired
-	case c.running >= c.options.Slots && len(c.waiting) >= c.options.Queue:
-		return request.ReasonOverloaded
 	}
 	return request.ReasonNone
 }
 
-// Finished frees a slot. It returns the next attempt to start, or nil, and the
-// waiting attempts whose deadline has passed, which did not run.
-func (c *Controller) Finished(now time.Time) (next *Work, expired []*Work) {
+// canMeet compares the work ahead in the queue with the deadline. An attempt
+// that finds a free slot always starts, which keeps the estimate fresh.
+func (c *Controller) canMeet(now time.Time, r *request.Request) bool {
+	if c.running < c.options.Slots || c.samples < enoughSamples {
+		return true
+	}
+	ahead := 0
+	for _, w := range c.waiting {
+		if w.Attempt.Request.Priority >= r.Priority {
+			ahead++
+		}
+	}
+	rounds := float64(ahead+1)/float64(c.options.Slots) + 1
+	return now.Add(time.Duration(rounds * c.work)).Before(r.Deadline)
+}
+
+// displace removes the waiting attempt of lowest priority if that is below the
+// priority of w.
+func (c *Controller) displace(now time.Time, w *Work) *Work {
+	if len(c.waiting) == 0 {
+		return nil
+	}
+	lowest := c.waiting[0]
+	for _, other := range c.waiting {
+		if other.before(lowest) {
+			continue
+		}
+		lowest = other
+	}
+	if lowest.Attempt.Request.Priority >= w.Attempt.Request.Priority {
+		return nil
+	}
+	c.drop(now, lowest)
+	return lowest
+}
+
+// drop removes a waiting attempt, which has not run and never will.
+func (c *Controller) drop(now time.Time, w *Work) {
+	for i, other := range c.waiting {
+		if other == w {
+			heap.Remove(&c.waiting, i)
+			break
+		}
+	}
+	c.records.finish(now, w.Attempt, request.Refused(request.ReasonCancelled))
+}
+
+func (c *Controller) start(now time.Time, w *Work) {
+	c.running++
+	w.Started = now
+}
+
+// Finished frees the slot of w. It returns the next attempt to start, or nil,
+// and the waiting attempts whose deadline has passed, which did not run.
+func (c *Controller) Finished(now time.Time, w *Work, resp *request.Response) (next *Work, expired []*Work) {
 	c.running--
-	for len(c.waiting) > 0 {
-		w := c.waiting[0]
-		c.waiting[0] = nil
-		c.waiting = c.waiting[1:]
-		if w.Attempt.Request.Deadline.After(now) {
-			c.running++
-			return w, expired
+	if resp.Outcome != request.NotRun {
+		c.observe(now.Sub(w.Started))
+	}
+	c.records.finish(now, w.Attempt, resp)
+	for len(c.waiting) > 0 && c.running < c.options.Slots {
+		first := heap.Pop(&c.waiting).(*Work)
+		if first.Attempt.Request.Deadline.After(now) {
+			c.start(now, first)
+			return first, expired
 		}
-		expired = append(expired, w)
+		c.records.finish(now, first.Attempt, request.Refused(request.ReasonDeadline))
+		expired = append(expired, first)
 	}
 	return nil, expired
 }
 
+func (c *Controller) observe(d time.Duration) {
+	c.samples++
+	weight := max(workWeight, 1/float64(c.samples))
+	c.work += weight * (float64(d) - c.work)
+}
+
+// Expire removes the waiting attempts whose deadline has passed.
+func (c *Controller) Expire(now time.Time) []*Work {
+	c.records.prune(now)
+	var expired []*Work
+	for _, w := range c.waiting {
+		if !w.Attempt.Request.Deadline.After(now) {
+			expired = append(expired, w)
+		}
+	}
+	for _, w := range expired {
+		c.drop(now, w)
+	}
+	return expired
+}
+
 // Cancel removes a waiting attempt. It returns nil when the attempt has started
 // or is unknown.
-func (c *Controller) Cancel(requestID string, number uint64, origin any) *Work {
-	for i, w := range c.waiting {
+func (c *Controller) Cancel(now time.Time, requestID string, number uint64, origin any) *Work {
+	for _, w := range c.waiting {
 		if w.Attempt.Number == number && w.Attempt.Request.ID == requestID && w.Origin == origin {
-			c.waiting = append(c.waiting[:i:i], c.waiting[i+1:]...)
+			c.drop(now, w)
 			return w
 		}
 	}
 	return nil
 }
 
-// Load returns the attempts at work and waiting.
-func (c *Controller) Load() request.Load {
-	return request.Load{InFlight: c.running, Queued: len(c.waiting)}
+// Query tells what became of a claim. An epoch that was not accepted is refused
+// from then on, so ClaimNotRun is a proof.
+func (c *Controller) Query(now time.Time, key request.Key, epoch uint64) (request.ClaimState, *request.Response) {
+	return c.records.query(now, key, epoch)
+}
+
+// Forget drops the response of a claim whose outcome the quorum has recorded.
+func (c *Controller) Forget(now time.Time, key request.Key, epoch uint64) {
+	c.records.forget(now, key, epoch)
 }
 
-func keyOf(r *request.Request) string {
-	return r.Customer + "\x00" + r.Service + "\x00" + r.Key
+// queue is a heap of waiting attempts, the most urgent first.
+type queue []*Work
+
+func (w *Work) before(other *Work) bool {
+	a, b := w.Attempt.Request.Priority, other.Attempt.Request.Priority
+	if a != b {
+		return a > b
+	}
+	return w.sequence < other.sequence
+}
+
+// Len implements heap.Interface.
+func (q queue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q queue) Less(i, j int) bool { return q[i].before(q[j]) }
+
+// Swap implements heap.Interface.
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { *q = append(*q, x.(*Work)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	w := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	return w
 }
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -12,14 +12,16 @@
 	"net/url"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/ibispier/ibispier/internal/testproc"
+	"github.com/ibispier/ibispier/internal/testcluster"
 )
 
 // Environment variables. Run asks for the comparison, which is not part of CI
@@ -38,24 +40,13 @@
 	minThroughput = 0.6 // design page, 1.8
 )
 
-var binaries string
-
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
 	if spec := os.Getenv(proxyVariable); spec != "" {
 		return serveProxy(spec)
 	}
-	if os.Getenv(runVariable) == "" {
-		return m.Run()
-	}
-	dir, err := testproc.Build("ibispierd", "ibispier-standin")
-	defer os.RemoveAll(dir)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	binaries = dir
+	defer testcluster.RemoveBinaries()
 	return m.Run()
 }
 
@@ -81,7 +72,7 @@
 	if os.Getenv(runVariable) == "" {
 		t.Skip("set " + runVariable + "=1 to run the comparison")
 	}
-	a := testproc.Addresses(t, 6)
+	a := addresses(t, 6)
 	target, proxy, entry, agents, entryAdmin, agentAdmin := a[0], a[1], a[2], a[3], a[4], a[5]
 	startAll(t, target, proxy, entry, agents, entryAdmin, agentAdmin)
 	routes := []route{
@@ -90,7 +81,7 @@
 		{"ibispier", entry, "/v1/services/price-check/lots/1"},
 	}
 	for _, r := range routes {
-		testproc.Eventually(t, r.name, func() bool { return ok(r) })
+		testcluster.Eventually(t, r.name, func() bool { return ok(r) })
 		measure(r, roundLength/4) // opens connections and warms caches
 	}
 	results := map[string][]result{}
@@ -110,19 +101,48 @@
 }
 
 func startAll(t *testing.T, target, proxy, entry, agents, entryAdmin, agentAdmin string) {
-	standin := exec.Command(binaries+"/ibispier-standin", "target", "-listen", target, "-record=false")
-	testproc.Start(t, "target", standin)
-	baseline := exec.Command(os.Args[0])
-	baseline.Env = append(os.Environ(), proxyVariable+"="+proxy+" "+target)
-	testproc.Start(t, "proxy", baseline)
+	testcluster.StartProcess(t, "target", "ibispier-standin", "-kind", "target", "-listen", target, "-discard")
+	startProxy(t, proxy, target)
 	daemon(t, "entry", "[daemon]", "id = entry-1", "roles = entry", "zone = a", "[entry]", "listen = "+entry,
-		"agent_listen = "+agents, "[admin]", "listen = "+entryAdmin)
+		"agent_listen = "+agents, "standalone = true", "[admin]", "listen = "+entryAdmin)
 	daemon(t, "agent", "[daemon]", "id = target-1", "roles = agent", "zone = a", "[cluster]", "entries = "+agents,
-		"[agent]", "target = http://"+target, "service = price-check", "slots = 64", "[admin]", "listen = "+agentAdmin)
+		"[agent]", "target = http://"+target, "service = price-check", "slots = 64", "connections = 65",
+		"[admin]", "listen = "+agentAdmin)
+}
+
+// startProxy starts this test program as the baseline.
+func startProxy(t *testing.T, proxy, target string) {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), proxyVariable+"="+proxy+" "+target)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
 }
 
 func daemon(t *testing.T, name string, lines ...string) {
-	testproc.Start(t, name, exec.Command(binaries+"/ibispierd", "-config", testproc.Settings(t, lines...)))
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	testcluster.StartProcess(t, name, "ibispierd", "-config", path)
+}
+
+// addresses returns n free loopback addresses.
+func addresses(t *testing.T, n int) []string {
+	var found []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		found = append(found, l.Addr().String())
+	}
+	return found
 }
 
 type route struct{ name, address, path string }
--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,38 @@
+// Package budget bounds extra attempts to a share of the requests. It is pure.
+package budget
+
+// Budget is a token bucket that requests fill and extra attempts drain.
+//
+// Invariant: Spent() <= burst + share * (number of calls of Earn).
+type Budget struct {
+	share  float64
+	burst  float64
+	tokens float64
+	spent  int
+}
+
+// New returns a budget that allows extra attempts for a share of the requests.
+// It starts full and saves up to burst, so that a short fault can be retried at
+// a low rate of requests.
+func New(share, burst float64) *Budget {
+	return &Budget{share: share, burst: burst, tokens: burst}
+}
+
+// Earn counts one request. health in 0..1 scales what it adds: a service that
+// refuses work for lack of capacity must not get more attempts.
+func (b *Budget) Earn(health float64) {
+	b.tokens = min(b.tokens+b.share*min(max(health, 0), 1), b.burst)
+}
+
+// Spend takes one extra attempt and reports whether the budget allows it.
+func (b *Budget) Spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	b.spent++
+	return true
+}
+
+// Spent returns the number of extra attempts that were allowed.
+func (b *Budget) Spent() int { return b.spent }
--- a/cmd/ibispier-standin/main.go
+++ b/cmd/ibispier-standin/main.go
@@ -32,6 +32,8 @@
 	serviceTime time.Duration
 	usageLag    time.Duration
 	failAll     bool
+	discard     bool
+	agent       string
 	capacity    controlapi.Resources
 }
 
@@ -44,6 +46,8 @@
 	flag.StringVar(&o.id, "id", "standin", "name in the records")
 	flag.StringVar(&o.zone, "zone", "", "availability zone in the records")
 	flag.DurationVar(&o.serviceTime, "service-time", 0, "target: time that each request takes")
+	flag.BoolVar(&o.discard, "discard", false, "target: keep no record of the requests that ran")
+	flag.StringVar(&o.agent, "agent", "", "target: address (ip:port) of the agent that it announces itself to")
 	flag.DurationVar(&o.usageLag, "usage-lag", time.Second, "worker: lag of the usage reports")
 	flag.BoolVar(&o.failAll, "fail-all", false, "worker: every task fails right after its start")
 	flag.Int64Var(&o.capacity.CPUMilli, "cpu-milli", 64_000, "worker: processors in millicores")
@@ -70,7 +74,11 @@
 	root := supervise.New("standin", supervise.Policy{Strategy: supervise.EndTogether}, nil)
 	switch o.kind {
 	case "target":
-		root.Add("target", target.New(socket, target.Options{ServiceTime: o.serviceTime}))
+		t := target.New(socket, target.Options{ServiceTime: o.serviceTime, Discard: o.discard, Agent: o.agent})
+		root.Add("target", t)
+		if o.agent != "" {
+			root.Add("announcements", supervise.Func(t.Announce))
+		}
 	case "worker":
 		w := worker.New(socket, worker.Options{
 			ID: o.id, Zone: o.zone, Capacity: o.capacity, UsageLag: o.usageLag, FailAll: o.failAll,
--- a/cmd/ibispierd/dev.go
+++ b/cmd/ibispierd/dev.go
@@ -19,6 +19,7 @@
 	s.Daemon.Zone = "dev-a"
 	s.Daemon.Grace = 0
 	s.Cluster.Entries = []string{s.Entry.AgentListen}
+	s.Entry.Standalone = true
 	s.Agent.Target = "http://" + devTarget
 	s.Agent.Service = "price-check"
 	return s
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -22,13 +22,29 @@
 
 // Readiness tells whether the process should get new work. The root sets it,
 // and every duty may read it.
-type Readiness struct{ ready atomic.Bool }
+type Readiness struct {
+	ready      atomic.Bool
+	conditions []func() bool
+}
+
+// Require adds a condition of readiness. It must be called before Run.
+func (r *Readiness) Require(condition func() bool) { r.conditions = append(r.conditions, condition) }
 
 // Set changes the readiness.
 func (r *Readiness) Set(ready bool) { r.ready.Store(ready) }
 
 // Ready reports the readiness.
-func (r *Readiness) Ready() bool { return r.ready.Load() }
+func (r *Readiness) Ready() bool {
+	if !r.ready.Load() {
+		return false
+	}
+	for _, holds := range r.conditions {
+		if !holds() {
+			return false
+		}
+	}
+	return true
+}
 
 // Duty serves operators.
 type Duty struct {
--- a/daemon/agent/admission/admission.go
+++ b/daemon/agent/admission/admission.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/admission"
+	"github.com/ibispier/ibispier/daemon/agent/probe"
 	"github.com/ibispier/ibispier/daemon/agent/slots"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/request"
@@ -18,6 +21,9 @@
 	"github.com/ibispier/ibispier/wire/convert"
 )
 
+// Error is the class of all errors of this package.
+var Error = errs.Class("admission")
+
 const (
 	eventCapacity    = 4096
 	eventPatience    = time.Second
@@ -26,42 +32,67 @@
 )
 
 type event struct {
-	conn     *link.Conn
-	up, down bool
-	request  *wire.Request
-	cancel   *wire.CancelRequest
-	state    *admission.State
+	conn      *link.Conn
+	up, down  bool
+	request   *wire.Request
+	cancel    *wire.CancelRequest
+	query     *wire.ClaimQuery
+	forget    *wire.ClaimForget
+	announced *announced
+	leave     *ring.Ring[struct{}] // told when no work is left
+	stop      *ring.Ring[struct{}] // told when no work is left
+}
+
+type announced struct {
+	endpoint *slots.Endpoint
+	ttl      time.Duration
 }
 
 // Duty admits requests to the target of this agent.
 type Duty struct {
-	Work     *ring.Ring[*admission.Work]
+	Jobs     *ring.Ring[slots.Job]
 	Results  *ring.Ring[slots.Result]
+	Probe    *probe.Duty
 	events   *ring.Ring[event]
 	settings *settings.Settings
+	initial  *slots.Endpoint // from the settings; nil when the target announces itself
 	log      *zap.Logger
 
-	controller *admission.Controller
-	links      map[*link.Conn]bool
-	idle       chan struct{}
+	controller  *admission.Controller
+	incarnation uint64
+	links       map[*link.Conn]bool
+	target      target
+	batch       []event
 }
 
 // New returns the duty.
-func New(s *settings.Settings, log *zap.Logger) *Duty {
-	return &Duty{
-		Work:       ring.New[*admission.Work]("admission.work", s.Agent.Slots),
-		Results:    ring.New[slots.Result]("admission.results", s.Agent.Slots),
-		events:     ring.New[event]("admission.events", eventCapacity),
-		settings:   s,
-		log:        log,
-		controller: admission.NewController(admission.Options{Slots: s.Agent.Slots, Queue: s.Agent.Queue}),
-		links:      map[*link.Conn]bool{},
-		idle:       make(chan struct{}),
+func New(s *settings.Settings, log *zap.Logger) (*Duty, error) {
+	d := &Duty{
+		Jobs:     ring.New[slots.Job]("admission.jobs", s.Agent.Slots),
+		Results:  ring.New[slots.Result]("admission.results", s.Agent.Slots),
+		Probe:    probe.New(s.Agent.ProbeInterval),
+		events:   ring.New[event]("admission.events", eventCapacity),
+		settings: s,
+		log:      log,
+	}
+	if s.Agent.Target == "" {
+		return d, nil
 	}
+	endpoint, err := slots.ParseEndpoint(s.Agent.Target)
+	d.initial = endpoint
+	return d, err
 }
 
-// Run admits requests until ctx ends.
+// SlotOptions returns the options of the slots that take the jobs of the duty.
+func SlotOptions(s *settings.Settings) slots.Options {
+	return slots.Options{Slots: s.Agent.Slots, Connections: s.Agent.Connections, MaxBody: s.Entry.MaxBody}
+}
+
+// Run admits requests until ctx ends. Each run has an incarnation of its own,
+// because it does not know what an earlier run accepted.
 func (d *Duty) Run(ctx context.Context) error {
+	d.reset()
+	defer d.closeLinks()
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
@@ -69,43 +100,47 @@
 		case <-ctx.Done():
 			return nil
 		case e := <-d.events.C():
-			d.handle(e)
-			for _, e := range d.events.Drain(nil, maxBatch) {
-				d.handle(e)
-			}
+			d.handleAll(e)
 		case r := <-d.Results.C():
 			d.finish(r)
+		case r := <-d.Probe.Results.C():
+			d.probed(r)
 		case <-ticker.C:
-			d.announceAll()
+			d.onTick()
 		}
 		d.signalIdle()
 	}
 }
 
-// Drain refuses new requests and waits until the last one in flight is
-// answered.
-func (d *Duty) Drain(ctx context.Context) error {
-	state := admission.Draining
-	if err := d.events.Put(ctx, event{state: &state}); err != nil {
-		return err
-	}
-	select {
-	case <-d.idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+func (d *Duty) reset() {
+	d.controller = admission.NewController(admission.Options{
+		Slots: SlotOptions(d.settings).Count(),
+		Queue: d.settings.Agent.Queue,
+	})
+	d.incarnation = rand.Uint64()
+	d.links = map[*link.Conn]bool{}
+	d.target = target{}
+	d.controller.SetState(admission.Down)
+	// What is left in the rings belongs to the slots of an earlier run.
+	d.Jobs.Drain(nil, d.settings.Agent.Slots)
+	d.Results.Drain(nil, d.settings.Agent.Slots)
+	if d.initial != nil {
+		d.targetAnnounced(&announced{endpoint: d.initial})
 	}
 }
 
-func (d *Duty) signalIdle() {
-	load := d.controller.Load()
-	if d.controller.State() != admission.Draining || load.InFlight+load.Queued > 0 {
-		return
+// closeLinks makes the entry instances see the end of this run.
+func (d *Duty) closeLinks() {
+	for conn := range d.links {
+		conn.Close()
 	}
-	select {
-	case <-d.idle:
-	default:
-		close(d.idle)
+}
+
+func (d *Duty) handleAll(first event) {
+	d.batch = d.events.Drain(append(d.batch[:0], first), maxBatch)
+	for i, e := range d.batch {
+		d.handle(e)
+		d.batch[i] = event{}
 	}
 }
 
@@ -113,68 +148,112 @@
 	switch {
 	case e.up:
 		d.links[e.conn] = true
-		d.announce(e.conn)
+		d.announceAll()
 	case e.down:
 		delete(d.links, e.conn)
 	case e.request != nil:
 		d.submit(e.conn, e.request)
 	case e.cancel != nil:
 		d.cancel(e.conn, e.cancel)
-	case e.state != nil:
-		d.controller.SetState(*e.state)
-		d.announceAll()
+	case e.query != nil:
+		d.query(e.conn, e.query)
+	case e.forget != nil:
+		d.controller.Forget(time.Now(), convert.KeyFromWire(e.forget.GetKey()), e.forget.GetEpoch())
+	case e.announced != nil:
+		d.targetAnnounced(e.announced)
+	case e.leave != nil:
+		d.target.leaving = true
+		d.drain(e.leave)
+	case e.stop != nil:
+		d.target.stopping = true
+		d.drain(e.stop)
 	}
 }
 
+func (d *Duty) drain(idle *ring.Ring[struct{}]) {
+	d.target.idleWaits = append(d.target.idleWaits, idle)
+	d.updateState()
+}
+
+func (d *Duty) onTick() {
+	d.updateState()
+	for _, w := range d.controller.Expire(time.Now()) {
+		d.respond(w, request.Refused(request.ReasonDeadline), 0)
+	}
+	d.announceAll()
+}
+
 func (d *Duty) submit(conn *link.Conn, m *wire.Request) {
 	now := time.Now()
 	a, err := convert.AttemptFromWire(m, now)
 	if err != nil {
 		a = &request.Attempt{Number: m.GetAttempt(), Request: &request.Request{ID: m.GetRequestId()}}
-		d.respond(&admission.Work{Attempt: a, Origin: conn}, request.Refused(request.ReasonDamaged))
+		d.respond(&admission.Work{Attempt: a, Origin: conn}, request.Refused(request.ReasonDamaged), 0)
 		return
 	}
 	w := &admission.Work{Attempt: a, Origin: conn}
-	switch decision, reason := d.controller.Submit(now, w); decision {
+	decision, reason, displaced := d.controller.Submit(now, w)
+	if displaced != nil {
+		d.respond(displaced, request.Refused(request.ReasonOverloaded), 0)
+	}
+	switch decision {
 	case admission.Start:
 		d.start(w)
 	case admission.Refuse:
-		d.respond(w, request.Refused(reason))
+		d.respond(w, request.Refused(reason), 0)
 	}
 }
 
 // start hands work to a free slot. The ring has room for every slot, so it is
 // never full.
 func (d *Duty) start(w *admission.Work) {
-	if err := d.Work.Offer(w); err != nil {
+	if err := d.Jobs.Offer(slots.Job{Work: w, Endpoint: d.target.endpoint}); err != nil {
 		d.log.Error("slot ring is full", zap.Error(err))
-		d.controller.Finished(time.Now())
-		d.respond(w, request.Refused(request.ReasonOverloaded))
+		d.finish(slots.Result{Work: w, Response: request.Refused(request.ReasonOverloaded)})
 	}
 }
 
 func (d *Duty) finish(r slots.Result) {
-	next, expired := d.controller.Finished(time.Now())
+	now := time.Now()
+	next, expired := d.controller.Finished(now, r.Work, r.Response)
 	if next != nil {
 		d.start(next)
 	}
-	d.respond(r.Work, r.Response)
+	var service time.Duration
+	if r.Response.Outcome != request.NotRun {
+		service = now.Sub(r.Work.Started)
+	}
+	if r.Response.Outcome == request.Done {
+		d.target.answered = now
+	}
+	d.respond(r.Work, r.Response, service)
 	for _, w := range expired {
-		d.respond(w, request.Refused(request.ReasonDeadline))
+		d.respond(w, request.Refused(request.ReasonDeadline), 0)
 	}
 }
 
 func (d *Duty) cancel(conn *link.Conn, m *wire.CancelRequest) {
-	if w := d.controller.Cancel(m.GetRequestId(), m.GetAttempt(), conn); w != nil {
-		d.respond(w, request.Refused(request.ReasonCancelled))
+	if w := d.controller.Cancel(time.Now(), m.GetRequestId(), m.GetAttempt(), conn); w != nil {
+		d.respond(w, request.Refused(request.ReasonCancelled), 0)
 	}
 }
 
+// query answers what became of a claim. Another run of this agent cannot know.
+func (d *Duty) query(conn *link.Conn, m *wire.ClaimQuery) {
+	state, resp := request.ClaimUnknown, (*request.Response)(nil)
+	if m.GetIncarnation() == d.incarnation {
+		state, resp = d.controller.Query(time.Now(), convert.KeyFromWire(m.GetKey()), m.GetEpoch())
+	}
+	_ = conn.SendData(convert.ClaimAnswerToFrame(m.GetId(), state, resp))
+}
+
 // respond answers on the link that the attempt came through. When the link has
 // ended, nobody waits for the answer.
-func (d *Duty) respond(w *admission.Work, resp *request.Response) {
+func (d *Duty) respond(w *admission.Work, resp *request.Response, service time.Duration) {
 	conn := w.Origin.(*link.Conn)
-	if err := conn.SendData(convert.ResponseToFrame(w.Attempt, resp, d.controller.Load())); err != nil {
+	load := d.controller.Load()
+	load.Service = service
+	if err := conn.SendData(convert.ResponseToFrame(w.Attempt, resp, load)); err != nil {
 		d.log.Debug("response dropped", zap.Error(err))
 	}
 }
@@ -193,10 +272,20 @@
 		Service:     s.Agent.Service,
 		Zone:        s.Daemon.Zone,
 		State:       stateToWire(d.controller.State()),
-		Slots:       uint32(s.Agent.Slots),
+		Slots:       uint32(SlotOptions(s).Count()),
 		Connections: uint32(s.Agent.Connections),
 		InFlight:    uint32(load.InFlight),
 		Queued:      uint32(load.Queued),
+		Epoch:       d.incarnation,
+		Entries:     uint32(len(d.links)),
+		Worker: &wire.Worker{
+			Id:   s.Daemon.ID,
+			Rack: s.Agent.Rack,
+			Zone: s.Daemon.Zone,
+			Capacity: &wire.Resources{
+				CpuMilli: s.Agent.CPUMilli, MemoryMib: s.Agent.MemoryMiB, Accelerators: s.Agent.Accelerators,
+			},
+		},
 	}}})
 }
 
--- a/daemon/agent/admission/links.go
+++ b/daemon/agent/admission/links.go
@@ -10,7 +10,7 @@
 // Handles reports whether the duty takes frames of this kind.
 func (d *Duty) Handles(f *wire.Frame) bool {
 	switch f.GetBody().(type) {
-	case *wire.Frame_Request, *wire.Frame_CancelRequest:
+	case *wire.Frame_Request, *wire.Frame_CancelRequest, *wire.Frame_ClaimQuery, *wire.Frame_ClaimForget:
 		return true
 	}
 	return false
@@ -28,6 +28,10 @@
 		return d.put(ctx, event{conn: c, request: body.Request})
 	case *wire.Frame_CancelRequest:
 		return d.put(ctx, event{conn: c, cancel: body.CancelRequest})
+	case *wire.Frame_ClaimQuery:
+		return d.put(ctx, event{conn: c, query: body.ClaimQuery})
+	case *wire.Frame_ClaimForget:
+		return d.put(ctx, event{conn: c, forget: body.ClaimForget})
 	default:
 		return link.Error.New("step=admit peer=%s: unexpected frame %T", c.Peer().ID, body)
 	}
@@ -39,6 +43,9 @@
 }
 
 func (d *Duty) put(ctx context.Context, e event) error {
+	if err := d.events.Offer(e); err == nil {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, eventPatience)
 	defer cancel()
 	return d.events.Put(ctx, e)
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/ibispier/ibispier/daemon/agent/admission"
 	"github.com/ibispier/ibispier/daemon/agent/slots"
+	"github.com/ibispier/ibispier/daemon/agent/targetapi"
 	"github.com/ibispier/ibispier/daemon/agent/tasks"
 	"github.com/ibispier/ibispier/daemon/agent/workercalls"
 	"github.com/ibispier/ibispier/link"
@@ -25,26 +26,32 @@
 }
 
 // New returns the role.
-func New(s *settings.Settings, log *zap.Logger, observer supervise.Observer) *Role {
-	admit := admission.New(s, log)
+func New(s *settings.Settings, log *zap.Logger, observer supervise.Observer) (*Role, error) {
+	admit, err := admission.New(s, log)
+	if err != nil {
+		return nil, err
+	}
 	role := &Role{
 		Supervisor: supervise.New("agent", supervise.Policy{Strategy: supervise.OneForAll}, observer),
 		admission:  admit,
 		tasks:      tasks.New(s, log),
 	}
 	role.Add("admission", admit)
-	role.Add("slots", slots.New(slots.Options{
-		Target:      s.Agent.Target,
-		Slots:       s.Agent.Slots,
-		Connections: s.Agent.Connections,
-		MaxBody:     s.Entry.MaxBody,
-	}, admit.Work, admit.Results, observer))
+	role.Add("slots", slots.New(admission.SlotOptions(s), admit.Jobs, admit.Results, observer))
+	role.Add("probe", admit.Probe)
+	if s.Agent.Listen != "" {
+		announcements, err := targetapi.New(s.Agent.Listen, admit)
+		if err != nil {
+			return nil, err
+		}
+		role.Add("targetapi", announcements)
+	}
 	role.Add("tasks", role.tasks)
 	if s.Agent.Worker != "" {
 		role.Add("workercalls", workercalls.New(s.Agent.Worker, role.tasks.Jobs, role.tasks.Done, observer))
 	}
 	role.Add("uplinks", newUplinks(s, link.Fanout(admit, role.tasks), role.tasks.Revision, observer))
-	return role
+	return role, nil
 }
 
 func newUplinks(s *settings.Settings, h link.Handler, revision func() uint64, observer supervise.Observer) *supervise.Supervisor {
--- /dev/null
+++ b/daemon/agent/slots/client.go
@@ -0,0 +1,223 @@
+package slots
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ibispier/ibispier/request"
+)
+
+const (
+	dialTimeout  = 2 * time.Second
+	readerBytes  = 16 << 10
+	maxScratch   = 256 << 10 // larger buffers are not kept between calls
+	maxInterim   = 8         // 1xx responses accepted before the final one
+	maxHeadBytes = 1 << 20   // bound on the header of an answer
+)
+
+// client performs calls on one connection, one at a time.
+//
+// It replaces http.Transport, which sends a request again by itself when it
+// carries an Idempotency-Key and the connection breaks: a non-idempotent
+// request could run twice. client also knows whether a byte was sent, which
+// decides between not run and unknown.
+type client struct {
+	maxBody  int64
+	endpoint *Endpoint
+	conn     *net.TCPConn
+	limit    io.LimitedReader // bounds the bytes read for one answer
+	reader   *bufio.Reader
+	stop     func() bool
+	scratch  []byte
+}
+
+// call performs one request. The outcome is NotRun only when no byte of the
+// request was sent.
+func (c *client) call(ctx context.Context, e *Endpoint, r *request.Request) *request.Response {
+	if !time.Now().Before(r.Deadline) {
+		return request.Refused(request.ReasonDeadline)
+	}
+	if !c.encode(e, r) {
+		return request.Refused(request.ReasonBadRequest)
+	}
+	reused := c.reusable(e)
+	if !reused {
+		if resp := c.dial(ctx, e, r.Deadline); resp != nil {
+			return resp
+		}
+	}
+	resp, started := c.exchange(r)
+	if reused && !started && resp.Outcome != request.Done && r.Idempotent && ctx.Err() == nil {
+		// The target closed the idle connection while the request was sent.
+		if again := c.dial(ctx, e, r.Deadline); again != nil {
+			return again
+		}
+		resp, _ = c.exchange(r)
+	}
+	return resp
+}
+
+func (c *client) close() {
+	if c.conn == nil {
+		return
+	}
+	c.stop()
+	_ = c.conn.Close()
+	c.conn = nil
+}
+
+// reusable reports whether the open connection can carry a request to e.
+func (c *client) reusable(e *Endpoint) bool {
+	if c.conn != nil && (c.endpoint != e || c.reader.Buffered() > 0 || !isQuiet(c.conn)) {
+		c.close()
+	}
+	return c.conn != nil
+}
+
+// dial opens a connection. A connection that was never made proves that the
+// request did not run.
+func (c *client) dial(ctx context.Context, e *Endpoint, deadline time.Time) *request.Response {
+	c.close()
+	dialer := net.Dialer{Timeout: dialTimeout, Deadline: deadline}
+	conn, err := dialer.DialContext(ctx, "tcp", e.address)
+	if err != nil {
+		return request.Refused(request.ReasonNoTarget)
+	}
+	c.endpoint, c.conn = e, conn.(*net.TCPConn)
+	c.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	c.limit.R = conn
+	if c.reader == nil {
+		c.reader = bufio.NewReaderSize(&c.limit, readerBytes)
+	}
+	c.reader.Reset(&c.limit)
+	return nil
+}
+
+// exchange sends the encoded request and reads the answer. started reports
+// whether a byte of the answer arrived.
+func (c *client) exchange(r *request.Request) (resp *request.Response, started bool) {
+	_ = c.conn.SetDeadline(r.Deadline)
+	if n, err := c.conn.Write(c.scratch); err != nil {
+		c.close()
+		if n == 0 {
+			return request.Refused(request.ReasonNoTarget), false
+		}
+		return failed(err), false
+	}
+	c.limit.N = maxHeadBytes + c.maxBody
+	if _, err := c.reader.Peek(1); err != nil {
+		c.close()
+		return failed(err), false
+	}
+	resp, keep := c.decode(r)
+	if !keep {
+		c.close()
+	}
+	return resp, true
+}
+
+// encode writes the request into the scratch buffer. It reports false when a
+// part of the request would break the framing of HTTP.
+func (c *client) encode(e *Endpoint, r *request.Request) bool {
+	if cap(c.scratch) > maxScratch {
+		c.scratch = nil
+	}
+	b := c.scratch[:0]
+	b = append(append(b, r.Method...), ' ')
+	b = append(append(b, e.prefix...), r.Path...)
+	b = append(append(b, " HTTP/1.1\r\nHost: "...), e.host...)
+	ok := isToken(r.Method) && isPath(r.Path)
+	for _, f := range r.Header {
+		if strings.EqualFold(f.Name, "Host") || strings.EqualFold(f.Name, "Idempotency-Key") {
+			continue
+		}
+		ok = ok && isToken(f.Name) && isLine(f.Value)
+		b = appendField(b, f.Name, f.Value)
+	}
+	b = appendField(b, "Ibispier-Request-Id", r.ID)
+	b = appendField(b, "Ibispier-Customer", r.Customer)
+	if r.Key != "" {
+		b = appendField(b, "Idempotency-Key", r.Key)
+	}
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b = append(b, "\r\nContent-Length: "...)
+		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+	}
+	b = append(b, "\r\n\r\n"...)
+	c.scratch = append(b, r.Body...)
+	return ok && isLine(r.ID) && isLine(r.Customer) && isLine(r.Key)
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(append(b, "\r\n"...), name...)
+	return append(append(b, ": "...), value...)
+}
+
+// decode reads the whole answer. An answer cut short leaves the outcome
+// unknown. keep reports whether the connection can be used again.
+func (c *client) decode(r *request.Request) (resp *request.Response, keep bool) {
+	in, err := c.readHead(r.Method)
+	if err != nil {
+		return failed(err), false
+	}
+	body, err := readBody(in, c.maxBody)
+	if err != nil {
+		return failed(err), false
+	}
+	if int64(len(body)) > c.maxBody {
+		return request.Undecided(request.ReasonTooLarge), false
+	}
+	resp = &request.Response{Outcome: request.Done, Status: in.StatusCode, Body: body}
+	resp.Header = make([]request.Field, 0, len(in.Header))
+	for name, values := range in.Header {
+		for _, v := range values {
+			resp.Header = append(resp.Header, request.Field{Name: name, Value: v})
+		}
+	}
+	return resp, !in.Close
+}
+
+// readHead reads the final header of the answer.
+func (c *client) readHead(method string) (*http.Response, error) {
+	for range maxInterim {
+		in, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if in.StatusCode == http.StatusSwitchingProtocols {
+			return nil, Error.New("target switched protocols")
+		}
+		if in.StatusCode >= http.StatusOK {
+			return in, nil
+		}
+	}
+	return nil, Error.New("more than %d interim responses", maxInterim)
+}
+
+func readBody(in *http.Response, limit int64) ([]byte, error) {
+	if in.ContentLength == 0 {
+		return nil, nil
+	}
+	if in.ContentLength < 0 || in.ContentLength > limit || in.Request.Method == http.MethodHead {
+		return io.ReadAll(io.LimitReader(in.Body, limit+1))
+	}
+	body := make([]byte, in.ContentLength)
+	_, err := io.ReadFull(in.Body, body)
+	return body, err
+}
+
+// failed is the outcome of a call that broke after bytes of it were sent.
+func failed(err error) *request.Response {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return request.Undecided(request.ReasonDeadline)
+	}
+	return request.Undecided(request.ReasonTargetFailed)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -27,6 +27,11 @@
 	Drain(ctx context.Context) error
 }
 
+// quiescer is a role that asks its callers to go elsewhere before the drain.
+type quiescer interface {
+	Quiesce()
+}
+
 // Daemon is one process.
 type Daemon struct {
 	settings  *settings.Settings
@@ -59,9 +64,13 @@
 			return err
 		}
 		d.addRole("entry", role, role)
+		d.readiness.Require(role.Ready)
 	}
 	if d.settings.HasRole(settings.RoleAgent) {
-		role := agent.New(d.settings, d.log, d.observe)
+		role, err := agent.New(d.settings, d.log, d.observe)
+		if err != nil {
+			return err
+		}
 		d.addRole("agent", role, role)
 	}
 	d.root.Add("admin", operators)
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/ibispier/ibispier/daemon/entry/frontend"
 	"github.com/ibispier/ibispier/daemon/entry/relay"
 	"github.com/ibispier/ibispier/daemon/entry/router"
+	"github.com/ibispier/ibispier/limit"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/routing"
 	"github.com/ibispier/ibispier/settings"
@@ -29,6 +30,8 @@
 	*supervise.Supervisor
 	frontend *frontend.Duty
 	relay    *relay.Duty
+	// standalone is true for an entry instance without control members.
+	standalone bool
 }
 
 // New opens the sockets and returns the role.
@@ -42,13 +45,9 @@
 		_ = callers.Close()
 		return nil, Error.New("step=listen addr=%s: %w", s.Entry.AgentListen, err)
 	}
-	requests := router.New(routing.Options{
-		Policy: routing.Policy(s.Routing.Policy),
-		Zone:   s.Daemon.Zone,
-		Seed:   seedOf(s.Daemon.ID),
-	}, log)
 	local := link.Identity{Role: wire.Role_ROLE_ENTRY, ID: s.Daemon.ID, Zone: s.Daemon.Zone}
 	control := controlclient.New(controlclient.Options{Local: local, Members: s.Cluster.Control, Observer: observer})
+	requests := router.New(routingOptions(s), control, log)
 	role := &Role{
 		Supervisor: supervise.New("entry", supervise.Policy{}, observer),
 		frontend:   frontend.New(callers, s.Entry, requests, log),
@@ -56,10 +55,14 @@
 			Entry:    s.Daemon.ID,
 			Zone:     s.Daemon.Zone,
 			Control:  control,
-			OnConfig: func(controlapi.Config) {},
+			OnConfig: requests.SetConfig,
 			Log:      log,
 		}),
 	}
+	role.standalone = s.Entry.Standalone
+	if s.Entry.Standalone {
+		requests.SetConfig(openConfig())
+	}
 	role.frontend.ServeTasks(control)
 	role.Add("router", requests)
 	role.Add("frontend", role.frontend)
@@ -75,11 +78,41 @@
 }
 
 // Ready reports whether the role may get requests.
-func (r *Role) Ready() bool { return r.relay.Ready() }
+func (r *Role) Ready() bool { return r.standalone || r.relay.Ready() }
+
+// Quiesce makes callers connect elsewhere while requests are still served.
+func (r *Role) Quiesce() { r.frontend.Quiesce() }
 
 // Drain finishes the requests in flight.
 func (r *Role) Drain(ctx context.Context) error { return r.frontend.Drain(ctx) }
 
+func routingOptions(s *settings.Settings) routing.Options {
+	return routing.Options{
+		Policy:     routing.Policy(s.Routing.Policy),
+		ID:         s.Daemon.ID,
+		Seed:       seedOf(s.Daemon.ID),
+		Hedging:    s.Routing.Hedging,
+		RetryShare: float64(s.Routing.RetryPercent) / 100,
+		HedgeShare: float64(s.Routing.HedgePercent) / 100,
+		Claims:     len(s.Cluster.Control) > 0,
+	}
+}
+
+// openConfig is the configuration of a standalone entry instance: every caller
+// may use every service. Its limits only bound the memory of the process.
+func openConfig() controlapi.Config {
+	return controlapi.Config{
+		Customers: []controlapi.Subscription{{Customer: limit.Any, Plan: "open"}},
+		Plans: []controlapi.Plan{{
+			Name:              "open",
+			Services:          []string{limit.Any},
+			RequestsPerSecond: 1e6,
+			Burst:             1e6,
+			Concurrency:       1 << 20,
+		}},
+	}
+}
+
 // seedOf gives entry instances different random streams.
 func seedOf(id string) uint64 {
 	var seed uint64 = 14695981039346656037
--- a/daemon/entry/frontend/codec.go
+++ b/daemon/entry/frontend/codec.go
@@ -74,8 +74,11 @@
 	return strconv.FormatUint(rand.Uint64(), 36)
 }
 
+// targetPath returns the part after the service, still escaped, so that the
+// target sees the same path that the caller sent.
 func targetPath(r *http.Request) string {
-	path := "/" + r.PathValue("path")
+	parts := strings.SplitN(r.URL.EscapedPath(), "/", 5) // "", v1, services, SERVICE, path
+	path := "/" + parts[len(parts)-1]
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
--- a/daemon/entry/frontend/frontend.go
+++ b/daemon/entry/frontend/frontend.go
@@ -8,13 +8,13 @@
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/daemon/entry/router"
-	"github.com/ibispier/ibispier/request"
 	"github.com/ibispier/ibispier/settings"
 )
 
@@ -33,6 +33,7 @@
 	socket   net.Listener
 	calls    *router.Duty
 	settings settings.Entry
+	leaving  atomic.Bool
 	log      *zap.Logger
 }
 
@@ -63,6 +64,10 @@
 	return Error.New("step=serve addr=%s: %w", d.socket.Addr(), err)
 }
 
+// Quiesce makes callers with open connections connect elsewhere: from now on
+// each answer closes its connection. Requests are still served.
+func (d *Duty) Quiesce() { d.leaving.Store(true) }
+
 // Drain stops accepting connections and waits for the requests in flight.
 func (d *Duty) Drain(ctx context.Context) error {
 	return Error.Wrap(d.server.Shutdown(ctx))
@@ -75,14 +80,12 @@
 		writeResponse(w, requestID(r), problem)
 		return
 	}
-	call := router.NewCall(req)
-	if err := d.calls.Calls.Offer(call); err != nil {
-		writeResponse(w, req.ID, request.Refused(request.ReasonOverloaded))
-		return
-	}
-	resp, err := call.Wait(r.Context())
-	if err != nil {
+	resp := d.calls.Do(r.Context(), router.NewCall(req))
+	if resp == nil {
 		return // the caller has gone
 	}
+	if d.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	writeResponse(w, req.ID, resp)
 }
--- a/daemon/entry/router/links.go
+++ b/daemon/entry/router/links.go
@@ -15,7 +15,7 @@
 // Handles reports whether the duty takes frames of this kind.
 func (d *Duty) Handles(f *wire.Frame) bool {
 	switch f.GetBody().(type) {
-	case *wire.Frame_Response, *wire.Frame_Announce:
+	case *wire.Frame_Response, *wire.Frame_Announce, *wire.Frame_ClaimAnswer:
 		return true
 	}
 	return false
@@ -33,6 +33,8 @@
 		return d.put(ctx, event{conn: c, response: body.Response})
 	case *wire.Frame_Announce:
 		return d.put(ctx, event{conn: c, announce: body.Announce})
+	case *wire.Frame_ClaimAnswer:
+		return d.put(ctx, event{conn: c, claim: body.ClaimAnswer})
 	default:
 		return link.Error.New("step=route peer=%s: unexpected frame %T", c.Peer().ID, body)
 	}
--- /dev/null
+++ b/daemon/entry/router/perform.go
@@ -0,0 +1,153 @@
+package router
+
+import (
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/controlclient"
+	"github.com/ibispier/ibispier/request"
+	"github.com/ibispier/ibispier/routing"
+	"github.com/ibispier/ibispier/wire"
+	"github.com/ibispier/ibispier/wire/convert"
+)
+
+// failure is an action that could not be carried out. It is reported to the
+// router after the other actions, whose storage the router reuses.
+type failure struct {
+	kind routing.ActionKind
+	id   uint64 // attempt or token
+}
+
+// perform carries out actions.
+func (d *Duty) perform(actions []routing.Action) {
+	var failures []failure
+	for _, a := range actions {
+		switch a.Kind {
+		case routing.Send:
+			if !d.send(a.Attempt) {
+				failures = append(failures, failure{a.Kind, a.Attempt.Number})
+			}
+		case routing.Cancel:
+			d.cancel(a.Attempt)
+		case routing.Reply:
+			d.reply(a.Request, a.Response)
+		case routing.Claim:
+			if !d.start(controlapi.OpClaim, a, a.Claim) {
+				failures = append(failures, failure{a.Kind, a.Token})
+			}
+		case routing.Resolve:
+			if !d.start(controlapi.OpResolve, a, a.Resolve) {
+				failures = append(failures, failure{a.Kind, a.Token})
+			}
+		case routing.Ask:
+			d.sendTo(a.Query.Target, convert.ClaimQueryToFrame(a.Token, a.Query.Key, a.Query.Epoch, a.Query.Incarnation))
+		case routing.Forget:
+			d.sendTo(a.Query.Target, convert.ClaimForgetToFrame(a.Query.Key, a.Query.Epoch))
+		}
+	}
+	for _, f := range failures {
+		d.fail(f)
+	}
+}
+
+func (d *Duty) fail(f failure) {
+	now := time.Now()
+	switch f.kind {
+	case routing.Send:
+		d.perform(d.router.SendFailed(now, f.id))
+	case routing.Claim:
+		d.perform(d.router.Claimed(now, f.id, nil))
+	case routing.Resolve:
+		d.perform(d.router.Resolved(now, f.id, routing.Unrecorded))
+	}
+}
+
+func (d *Duty) send(a *request.Attempt) bool {
+	conn := d.links[a.Target]
+	return conn != nil && conn.SendData(convert.AttemptToFrame(a, time.Now())) == nil
+}
+
+// sendTo sends a frame on the link of a target. Without one the router's own
+// timer takes over.
+func (d *Duty) sendTo(target string, f *wire.Frame) {
+	if conn := d.links[target]; conn != nil {
+		_ = conn.SendData(f)
+	}
+}
+
+func (d *Duty) cancel(a *request.Attempt) {
+	d.sendTo(a.Target, &wire.Frame{Body: &wire.Frame_CancelRequest{CancelRequest: &wire.CancelRequest{
+		RequestId: a.Request.ID, Attempt: a.Number,
+	}}})
+}
+
+func (d *Duty) reply(req *request.Request, resp *request.Response) {
+	c := d.waits[req]
+	if c == nil {
+		return
+	}
+	delete(d.waits, req)
+	_ = c.reply.Offer(resp)
+}
+
+// start starts an operation of control. The ring of the results has room for
+// every operation in flight.
+func (d *Duty) start(op controlapi.Operation, a routing.Action, in any) bool {
+	if d.control == nil || len(d.operations) >= resultCapacity {
+		return false
+	}
+	payload, err := json.Marshal(in)
+	if err != nil {
+		return false
+	}
+	err = d.control.Start(controlclient.Call{
+		Operation: op, Payload: payload, Deadline: a.Deadline, Token: a.Token, Reply: d.results,
+	})
+	if err != nil {
+		return false
+	}
+	d.operations[a.Token] = op
+	return true
+}
+
+// operated hands the result of an operation to the router.
+func (d *Duty) operated(result controlclient.Result) {
+	op, ok := d.operations[result.Token]
+	if !ok {
+		return // of an earlier run
+	}
+	delete(d.operations, result.Token)
+	if result.Err != nil {
+		d.log.Debug("operation failed", zap.String("operation", string(op)), zap.Error(result.Err))
+	}
+	now := time.Now()
+	if op == controlapi.OpClaim {
+		d.perform(d.router.Claimed(now, result.Token, decode[controlapi.ClaimResponse](result)))
+		return
+	}
+	d.perform(d.router.Resolved(now, result.Token, recording(result)))
+}
+
+func recording(result controlclient.Result) routing.Recording {
+	resp := decode[controlapi.ResolveResponse](result)
+	switch {
+	case resp == nil:
+		return routing.Unrecorded
+	case resp.Accepted:
+		return routing.Recorded
+	default:
+		return routing.Superseded
+	}
+}
+
+// decode returns nil for a result without a response.
+func decode[T any](result controlclient.Result) *T {
+	out := new(T)
+	if result.Err != nil || json.Unmarshal(result.Payload, out) != nil {
+		return nil
+	}
+	return out
+}
--- a/daemon/entry/router/router.go
+++ b/daemon/entry/router/router.go
@@ -4,10 +4,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/controlclient"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/request"
 	"github.com/ibispier/ibispier/ring"
@@ -16,64 +20,78 @@
 	"github.com/ibispier/ibispier/wire/convert"
 )
 
+// Error is the class of all errors of this package.
+var Error = errs.Class("router")
+
 // Capacities of the rings. Calls holds about 100 ms of requests at 40,000/s;
-// events holds the answers of all slots and connections.
+// events holds the answers of all slots and connections; results holds every
+// operation of control in flight.
 const (
-	callCapacity  = 4096
-	eventCapacity = 8192
-	maxBatch      = 256
-	idleTick      = time.Second
+	callCapacity   = 4096
+	eventCapacity  = 8192
+	resultCapacity = 4096
+	maxBatch       = 256
+	idleTick       = time.Second
 )
 
-// Call is a request of a caller that waits for its response.
-type Call struct {
-	Request *request.Request
-	reply   *ring.Ring[*request.Response]
-}
-
-// NewCall returns a call for req.
-func NewCall(req *request.Request) *Call {
-	return &Call{Request: req, reply: ring.New[*request.Response]("reply", 1)}
-}
-
-// Wait returns the response. The router answers every call it took, so Wait
-// ends early only when ctx does.
-func (c *Call) Wait(ctx context.Context) (*request.Response, error) {
-	return c.reply.Take(ctx)
+// Control starts operations of control without blocking.
+type Control interface {
+	Start(call controlclient.Call) error
 }
 
 // event is a fact about links and attempts.
 type event struct {
-	conn     *link.Conn
-	up, down bool
-	announce *wire.Announce
-	response *wire.Response
+	conn      *link.Conn
+	up, down  bool
+	announce  *wire.Announce
+	response  *wire.Response
+	claim     *wire.ClaimAnswer
+	abandoned *request.Request // its caller has gone
 }
 
 // Duty routes requests.
 type Duty struct {
-	Calls  *ring.Ring[*Call]
-	events *ring.Ring[event]
-	log    *zap.Logger
-	build  func() *routing.Router
+	calls   *ring.Ring[*Call]
+	events  *ring.Ring[event]
+	configs *ring.Ring[controlapi.Config]
+	results *ring.Ring[controlclient.Result]
+	control Control
+	log     *zap.Logger
+	build   func() *routing.Router
 
-	router *routing.Router
-	waits  map[*request.Request]*Call
-	links  map[string]*link.Conn // by target
-	owned  map[*link.Conn][]string
+	config     *controlapi.Config // the last one, for the next run
+	router     *routing.Router
+	waits      map[*request.Request]*Call
+	links      map[string]*link.Conn // by target
+	owned      map[*link.Conn][]string
+	operations map[uint64]controlapi.Operation // in flight at control
+	armed      time.Time                       // when the timer fires
+	callBatch  []*Call
+	eventBatch []event
 }
 
 // New returns the duty. Each run starts with a fresh Router, which the
-// announcements of the targets fill again.
-func New(o routing.Options, log *zap.Logger) *Duty {
+// announcements of the targets fill again. control claims non-idempotent
+// requests and may be nil when o.Claims is false.
+func New(o routing.Options, control Control, log *zap.Logger) *Duty {
 	return &Duty{
-		Calls:  ring.New[*Call]("router.calls", callCapacity),
-		events: ring.New[event]("router.events", eventCapacity),
-		log:    log,
-		build:  func() *routing.Router { return routing.NewRouter(o) },
+		calls:   ring.New[*Call]("router.calls", callCapacity),
+		events:  ring.New[event]("router.events", eventCapacity),
+		configs: ring.New[controlapi.Config]("router.configs", 1),
+		results: ring.New[controlclient.Result]("router.results", resultCapacity),
+		control: control,
+		log:     log,
+		build: func() *routing.Router {
+			o.Incarnation = rand.Uint64()
+			return routing.NewRouter(o)
+		},
 	}
 }
 
+// SetConfig hands the accepted configuration to the router. It never blocks; a
+// newer configuration replaces one that was not taken yet.
+func (d *Duty) SetConfig(c controlapi.Config) { _ = d.configs.PutLatest(c) }
+
 // Run routes until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
 	d.reset()
@@ -84,14 +102,18 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case c := <-d.Calls.C():
-			d.submit(c)
-			d.drainCalls()
+		case c := <-d.calls.C():
+			d.submitAll(c)
 		case e := <-d.events.C():
-			d.handle(e)
-			d.drainEvents()
-		case now := <-timer.C:
-			d.perform(d.router.Tick(now))
+			d.handleAll(e)
+		case r := <-d.results.C():
+			d.operated(r)
+		case c := <-d.configs.C():
+			d.config = &c
+			d.perform(d.router.SetConfig(time.Now(), c))
+		case <-timer.C:
+			d.armed = time.Time{}
+			d.perform(d.router.Tick(time.Now()))
 		}
 		d.schedule(timer)
 	}
@@ -102,6 +124,11 @@
 	d.waits = map[*request.Request]*Call{}
 	d.links = map[string]*link.Conn{}
 	d.owned = map[*link.Conn][]string{}
+	d.operations = map[uint64]controlapi.Operation{}
+	d.armed = time.Time{}
+	if d.config != nil {
+		d.perform(d.router.SetConfig(time.Now(), *d.config))
+	}
 }
 
 // abandon answers the calls that a stopping or failing run leaves.
@@ -115,31 +142,38 @@
 	}
 }
 
+// schedule arms the timer for the next step. A timer that fires too early is
+// left alone, because most steps are cancelled before they are due.
 func (d *Duty) schedule(timer *time.Timer) {
-	wait := idleTick
-	if next, ok := d.router.NextDeadline(); ok {
-		wait = time.Until(next)
+	now := time.Now()
+	next, ok := d.router.NextDeadline()
+	if !ok || next.Sub(now) > idleTick {
+		next = now.Add(idleTick)
+	}
+	if !d.armed.IsZero() && !next.Before(d.armed) {
+		return
 	}
-	timer.Reset(max(wait, 0))
+	d.armed = next
+	timer.Reset(max(next.Sub(now), 0))
 }
 
-func (d *Duty) drainCalls() {
-	for _, c := range d.Calls.Drain(nil, maxBatch) {
-		d.submit(c)
+func (d *Duty) submitAll(first *Call) {
+	d.callBatch = d.calls.Drain(append(d.callBatch[:0], first), maxBatch)
+	for i, c := range d.callBatch {
+		d.waits[c.Request] = c
+		d.perform(d.router.Submit(time.Now(), c.Request))
+		d.callBatch[i] = nil
 	}
 }
 
-func (d *Duty) drainEvents() {
-	for _, e := range d.events.Drain(nil, maxBatch) {
+func (d *Duty) handleAll(first event) {
+	d.eventBatch = d.events.Drain(append(d.eventBatch[:0], first), maxBatch)
+	for i, e := range d.eventBatch {
 		d.handle(e)
+		d.eventBatch[i] = event{}
 	}
 }
 
-func (d *Duty) submit(c *Call) {
-	d.waits[c.Request] = c
-	d.perform(d.router.Submit(time.Now(), c.Request))
-}
-
 func (d *Duty) handle(e event) {
 	switch {
 	case e.up:
@@ -150,31 +184,41 @@
 		d.announce(e.conn, e.announce)
 	case e.response != nil:
 		d.answer(e.response)
+	case e.claim != nil:
+		d.claimAnswer(e.claim)
+	case e.abandoned != nil:
+		d.perform(d.router.Abandon(time.Now(), e.abandoned))
 	}
 }
 
 func (d *Duty) announce(conn *link.Conn, a *wire.Announce) {
+	if _, up := d.owned[conn]; !up {
+		return // the link has ended
+	}
 	id := a.GetTarget()
 	if d.links[id] != conn {
 		d.adopt(conn, id)
 		d.log.Info("target announced", zap.String("target", id), zap.String("service", a.GetService()),
 			zap.String("zone", a.GetZone()), zap.String("peer", conn.Peer().ID))
 	}
-	d.router.Announce(routing.Target{
-		ID:      id,
-		Service: a.GetService(),
-		Zone:    a.GetZone(),
-		State:   targetState(a.GetState()),
-		Slots:   int(a.GetSlots()),
-		Load:    request.Load{InFlight: int(a.GetInFlight()), Queued: int(a.GetQueued())},
-	})
+	d.perform(d.router.Announce(time.Now(), routing.Target{
+		ID:          id,
+		Service:     a.GetService(),
+		Zone:        a.GetZone(),
+		State:       targetState(a.GetState()),
+		Slots:       int(a.GetSlots()),
+		Incarnation: a.GetEpoch(),
+		Instances:   int(a.GetEntries()),
+		Load:        request.Load{InFlight: int(a.GetInFlight()), Queued: int(a.GetQueued())},
+		RoundTrip:   conn.RoundTrip(),
+	}))
 }
 
 // adopt makes conn the link of a target. Attempts on an earlier link of the
-// target are undecided.
+// target are undecided, and their late answers are dropped by attempt id.
 func (d *Duty) adopt(conn *link.Conn, id string) {
 	if d.links[id] != nil {
-		d.perform(d.router.Remove(time.Now(), id))
+		d.perform(d.router.Lost(time.Now(), id))
 	}
 	d.links[id] = conn
 	d.owned[conn] = append(d.owned[conn], id)
@@ -187,7 +231,7 @@
 		}
 		delete(d.links, id)
 		d.log.Warn("target lost", zap.String("target", id), zap.String("peer", conn.Peer().ID))
-		d.perform(d.router.Remove(time.Now(), id))
+		d.perform(d.router.Lost(time.Now(), id))
 	}
 	delete(d.owned, conn)
 }
@@ -200,47 +244,12 @@
 	d.perform(d.router.Answer(time.Now(), m.GetAttempt(), m.GetRequestId(), resp, load))
 }
 
-// perform carries out actions. A failed send is reported to the router after
-// the actions, whose storage the router reuses.
-func (d *Duty) perform(actions []routing.Action) {
-	var failed []uint64
-	for _, a := range actions {
-		switch a.Kind {
-		case routing.Send:
-			if !d.send(a.Attempt) {
-				failed = append(failed, a.Attempt.Number)
-			}
-		case routing.Cancel:
-			d.cancel(a.Attempt)
-		case routing.Reply:
-			d.reply(a.Request, a.Response)
-		}
-	}
-	for _, number := range failed {
-		d.perform(d.router.SendFailed(time.Now(), number))
-	}
-}
-
-func (d *Duty) send(a *request.Attempt) bool {
-	conn := d.links[a.Target]
-	return conn != nil && conn.SendData(convert.AttemptToFrame(a, time.Now())) == nil
-}
-
-func (d *Duty) cancel(a *request.Attempt) {
-	if conn := d.links[a.Target]; conn != nil {
-		_ = conn.SendData(&wire.Frame{Body: &wire.Frame_CancelRequest{CancelRequest: &wire.CancelRequest{
-			RequestId: a.Request.ID, Attempt: a.Number,
-		}}})
-	}
-}
-
-func (d *Duty) reply(req *request.Request, resp *request.Response) {
-	c := d.waits[req]
-	if c == nil {
-		return
+func (d *Duty) claimAnswer(m *wire.ClaimAnswer) {
+	state, resp, err := convert.ClaimAnswerFromWire(m)
+	if err != nil {
+		return // the router asks again
 	}
-	delete(d.waits, req)
-	_ = c.reply.Offer(resp)
+	d.perform(d.router.Asked(time.Now(), m.GetId(), routing.AskAnswer{State: state, Response: resp}))
 }
 
 func targetState(s wire.TargetState) routing.TargetState {
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -47,6 +47,11 @@
 }
 
 func (s *stopper) drainRoles(ctx context.Context) error {
+	for _, role := range s.daemon.drainers {
+		if q, ok := role.(quiescer); ok {
+			q.Quiesce()
+		}
+	}
 	supervise.Sleep(ctx, s.daemon.settings.Daemon.Grace)
 	ctx, cancel := context.WithTimeout(ctx, s.daemon.settings.Daemon.DrainTimeout)
 	defer cancel()
--- a/link/conn.go
+++ b/link/conn.go
@@ -97,6 +97,8 @@
 	data     *stream
 	options  Options
 	revision atomic.Uint64
+	pending  atomic.Int64 // frames queued and not yet written
+	clock    clock
 }
 
 type stream struct {
@@ -127,15 +129,28 @@
 // Send queues a frame on the control stream. It fails at once when the ring is
 // full or the link has ended.
 func (c *Conn) Send(f *wire.Frame) error {
-	return c.wrap("send", c.control.out.Offer(f))
+	return c.offer(c.control, f)
 }
 
 // SendData queues a frame on the data stream. It fails at once when the ring is
 // full or the link has ended.
 func (c *Conn) SendData(f *wire.Frame) error {
-	return c.wrap("send", c.data.out.Offer(f))
+	return c.offer(c.data, f)
 }
 
+func (c *Conn) offer(s *stream, f *wire.Frame) error {
+	c.pending.Add(1)
+	if err := s.out.Offer(f); err != nil {
+		c.pending.Add(-1)
+		return c.wrap("send", err)
+	}
+	return nil
+}
+
+// Pending returns the number of frames that are queued and not yet written. A
+// planned stop waits until it is 0.
+func (c *Conn) Pending() int { return int(c.pending.Load()) }
+
 // Close ends the link.
 func (c *Conn) Close() { _ = c.session.Close() }
 
@@ -196,6 +211,7 @@
 			return nil
 		case <-ticker.C:
 			sequence++
+			c.pending.Add(1)
 			batch = append(batch[:0], c.heartbeat(sequence))
 		case f := <-c.control.out.C():
 			batch = append(batch[:0], f)
@@ -208,9 +224,13 @@
 }
 
 func (c *Conn) heartbeat(sequence uint64) *wire.Frame {
+	sent, echo, delay := c.clock.stamp()
 	return &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: &wire.Heartbeat{
-		Sequence:       sequence,
-		ConfigRevision: c.options.ConfigRevision(),
+		Sequence:        sequence,
+		ConfigRevision:  c.options.ConfigRevision(),
+		SentMicros:      sent,
+		EchoMicros:      echo,
+		EchoDelayMicros: delay,
 	}}}
 }
 
@@ -235,7 +255,9 @@
 		}
 		batch[i] = nil
 	}
-	return c.wrap("flush", s.w.Flush())
+	err := s.w.Flush()
+	c.pending.Add(-int64(len(batch)))
+	return c.wrap("flush", err)
 }
 
 // receiver returns the duty that reads one stream. Only the control stream has
@@ -252,6 +274,7 @@
 			}
 			if hb := f.GetHeartbeat(); hb != nil {
 				c.revision.Store(hb.GetConfigRevision())
+				c.clock.received(hb)
 				continue
 			}
 			if err := h.Frame(ctx, c, f); err != nil {
@@ -269,5 +292,6 @@
 		control: newStream(control, "link."+peer.ID+".control", o.RingCapacity),
 		data:    newStream(data, "link."+peer.ID+".data", o.RingCapacity),
 		options: o,
+		clock:   clock{start: time.Now()},
 	}
 }
--- a/request/request.go
+++ b/request/request.go
@@ -71,6 +71,7 @@
 	Header      []Field
 	Body        []byte
 	TraceParent string
+	Priority    int // higher goes first
 }
 
 // Attempt is one try of a request at one target.
@@ -105,4 +106,5 @@
 type Load struct {
 	InFlight int
 	Queued   int
+	Service  time.Duration // time the answered request was at work; 0 when it was not
 }
--- /dev/null
+++ b/routing/call.go
@@ -0,0 +1,364 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ibispier/ibispier/limit"
+	"github.com/ibispier/ibispier/request"
+)
+
+const (
+	maxAttempts  = 4 // of one request, hedges included
+	minBackoff   = 2 * time.Millisecond
+	maxBackoff   = 100 * time.Millisecond
+	minHedgeWait = time.Millisecond
+	// hedgeOverload is the share of refusals above which nothing is hedged.
+	hedgeOverload = 0.05
+)
+
+// phase is what a call waits for.
+type phase uint8
+
+const (
+	starting  phase = iota
+	waitingIn       // the queue of its service
+	flying          // answers to its attempts
+	backingOff
+	claiming
+	asking
+	resolving
+)
+
+// call is a request without a reply.
+type call struct {
+	request  *request.Request
+	grant    limit.Grant
+	started  time.Time
+	sequence uint64
+	phase    phase
+	attempts []*attempt // without an answer
+	tried    []*target
+	tries    int
+	unknown  bool           // an attempt ended with an unknown outcome
+	reason   request.Reason // of the last failed attempt
+	hedgeAt  time.Time      // zero when nothing is to be hedged
+	retryAt  time.Time      // zero when no step is planned
+	wake     time.Time
+	index    int // in timers
+	place    int // in waiting
+	claim    claim
+}
+
+// attempt is one try of a call at a target.
+type attempt struct {
+	request.Attempt
+	target *target
+	call   *call
+	sent   time.Time
+	depth  float64 // of the target when the attempt was sent
+	orphan bool    // the caller has been answered; the outcome is still recorded
+}
+
+// place finds a target for the next attempt of c.
+func (r *Router) place(now time.Time, c *call) {
+	g := r.groups[c.request.Service]
+	if g == nil {
+		r.giveUp(now, c, request.ReasonNoTarget)
+		return
+	}
+	if len(g.waiting) > 0 {
+		r.wait(now, c, g)
+		r.pump(now, g)
+		return
+	}
+	if t, reason := r.choose(now, g, c); t != nil {
+		r.assign(now, c, t)
+	} else {
+		r.waitOrGiveUp(now, c, g, reason)
+	}
+}
+
+func (r *Router) waitOrGiveUp(now time.Time, c *call, g *group, reason request.Reason) {
+	if reason == request.ReasonOverloaded || g.mayReturn(now) {
+		r.wait(now, c, g)
+		return
+	}
+	r.giveUp(now, c, reason)
+}
+
+// wait queues c until a target has room.
+func (r *Router) wait(now time.Time, c *call, g *group) {
+	if len(g.waiting) >= r.options.Waiting && !r.displace(now, c, g) {
+		r.giveUp(now, c, request.ReasonOverloaded)
+		return
+	}
+	if !g.canWait(now, c.request.Deadline) {
+		r.giveUp(now, c, request.ReasonDeadline)
+		return
+	}
+	c.phase = waitingIn
+	g.waiting.add(c)
+}
+
+// displace makes room for c by giving up a waiting call of lower priority.
+func (r *Router) displace(now time.Time, c *call, g *group) bool {
+	lowest := c
+	for _, other := range g.waiting {
+		if other.request.Priority < lowest.request.Priority {
+			lowest = other
+		}
+	}
+	if lowest == c {
+		return false
+	}
+	r.giveUp(now, lowest, request.ReasonOverloaded)
+	return true
+}
+
+// pump gives room at the targets to the waiting calls.
+func (r *Router) pump(now time.Time, g *group) {
+	for len(g.waiting) > 0 {
+		c := g.waiting[0]
+		t, reason := r.choose(now, g, c)
+		if t == nil && (reason == request.ReasonOverloaded || g.mayReturn(now)) {
+			return
+		}
+		g.waiting.remove(c)
+		c.phase = starting
+		if t == nil {
+			r.giveUp(now, c, reason)
+			continue
+		}
+		r.assign(now, c, t)
+	}
+}
+
+// assign starts the next attempt of c at t.
+func (r *Router) assign(now time.Time, c *call, t *target) {
+	if c.tries == 0 && !r.canMeet(now, t.group, t, c.request.Deadline) {
+		r.giveUp(now, c, request.ReasonDeadline)
+		return
+	}
+	if !c.request.Idempotent {
+		r.startClaim(now, c, t)
+		return
+	}
+	r.send(now, c, t, 0)
+}
+
+func (r *Router) send(now time.Time, c *call, t *target, epoch uint64) {
+	r.attempt++
+	a := &attempt{
+		Attempt: request.Attempt{Number: r.attempt, Target: t.ID, ClaimEpoch: epoch, Request: c.request},
+		target:  t,
+		call:    c,
+		sent:    now,
+		depth:   t.depth(now),
+	}
+	r.attempts[a.Number] = a
+	r.stats.Attempts++
+	t.outstanding++
+	c.phase = flying
+	c.tries++
+	c.attempts = append(c.attempts, a)
+	c.tried = append(c.tried, t)
+	r.planHedge(now, c, t.group)
+	r.emit(Action{Kind: Send, Attempt: &a.Attempt})
+}
+
+// planHedge sets when a second attempt is made.
+func (r *Router) planHedge(now time.Time, c *call, g *group) {
+	c.hedgeAt = time.Time{}
+	late, known := g.latency.known()
+	if r.options.Hedging && known && c.request.Idempotent && len(c.attempts) == 1 && c.tries < maxAttempts {
+		c.hedgeAt = now.Add(max(late, minHedgeWait))
+	}
+	r.schedule(c)
+}
+
+// hedge makes a second attempt for a late call when the budget allows it and
+// another target has a free slot.
+func (r *Router) hedge(now time.Time, c *call) {
+	if len(c.attempts) != 1 {
+		return
+	}
+	first := c.attempts[0]
+	first.target.observeLate(now, first)
+	r.judgeLate(now, first.target)
+	f := filter{healthy: true, skip: c.tried}
+	t := r.chooseOfTwo(now, first.target.group, f)
+	if t == nil || r.overload > hedgeOverload || t.depth(now) >= slotsOf(t) || !r.hedges.Spend() {
+		return
+	}
+	r.stats.Hedges++
+	r.send(now, c, t, 0)
+}
+
+// judgeLate ejects a target that late attempts show to be slow.
+func (r *Router) judgeLate(now time.Time, t *target) {
+	if t.isSlow() {
+		r.judge(now, t, false)
+	}
+}
+
+// detach ends the bookkeeping of an attempt.
+func (r *Router) detach(a *attempt) {
+	delete(r.attempts, a.Number)
+	a.target.outstanding--
+	c := a.call
+	if i := slices.Index(c.attempts, a); i >= 0 {
+		c.attempts = slices.Delete(c.attempts, i, i+1)
+	}
+}
+
+// conclude decides what follows the outcome of an attempt.
+func (r *Router) conclude(now time.Time, a *attempt, resp *request.Response) {
+	c := a.call
+	if !c.request.Idempotent {
+		r.concludeClaimed(now, a, resp)
+		return
+	}
+	if resp.Outcome == request.Done {
+		r.finish(now, c, resp)
+		return
+	}
+	c.reason = resp.Reason
+	c.unknown = c.unknown || resp.Outcome == request.Unknown
+	if len(c.attempts) > 0 {
+		return // the other attempt may still succeed
+	}
+	if !retryable(c.request, resp) || !r.retry(now, c, resp.Reason) {
+		r.giveUp(now, c, resp.Reason)
+	}
+}
+
+// retryable reports whether another target may do better.
+func retryable(req *request.Request, resp *request.Response) bool {
+	switch resp.Reason {
+	case request.ReasonDeadline:
+		return resp.Outcome == request.NotRun // the queue of this target was too long
+	case request.ReasonOverloaded, request.ReasonDraining, request.ReasonNoTarget,
+		request.ReasonTargetFailed, request.ReasonLinkLost, request.ReasonDamaged:
+		return resp.Outcome == request.NotRun || req.Idempotent
+	}
+	return false
+}
+
+// retry plans another attempt. It reports false when the budget, the number of
+// attempts or the deadline does not allow one.
+func (r *Router) retry(now time.Time, c *call, reason request.Reason) bool {
+	if c.tries >= maxAttempts && reason != request.ReasonDraining {
+		return false
+	}
+	delay := r.backoff(c.tries, reason)
+	if !now.Add(delay).Before(c.request.Deadline) {
+		return false
+	}
+	// A draining target refuses at most what was under way to it when it
+	// announced its leave, so these retries cannot add up and a planned stop
+	// must not fail requests.
+	if reason != request.ReasonDraining && !r.retries.Spend() {
+		return false
+	}
+	r.stats.Retries++
+	c.phase = backingOff
+	c.hedgeAt = time.Time{}
+	c.retryAt = now.Add(delay)
+	r.schedule(c)
+	return true
+}
+
+// backoff is exponential with full jitter. A target that is gone needs no pause,
+// because the next attempt goes elsewhere.
+func (r *Router) backoff(tries int, reason request.Reason) time.Duration {
+	if tries == 1 && (reason == request.ReasonDraining || reason == request.ReasonLinkLost) {
+		return 0
+	}
+	ceiling := min(minBackoff<<min(tries, 10), maxBackoff)
+	return time.Duration(r.random.Int64N(int64(ceiling)))
+}
+
+// fire does the step of c that is due.
+func (r *Router) fire(now time.Time, c *call) {
+	switch {
+	case !c.request.Deadline.After(now):
+		r.expire(now, c)
+	case !c.retryAt.IsZero() && !c.retryAt.After(now):
+		c.retryAt = time.Time{}
+		r.schedule(c)
+		r.resume(now, c)
+	case !c.hedgeAt.IsZero() && !c.hedgeAt.After(now):
+		c.hedgeAt = time.Time{}
+		r.schedule(c)
+		r.hedge(now, c)
+	default:
+		r.schedule(c)
+	}
+}
+
+func (r *Router) resume(now time.Time, c *call) {
+	switch c.phase {
+	case backingOff:
+		r.place(now, c)
+	case asking:
+		r.claimAgain(now, c)
+	}
+}
+
+// expire ends a call at its deadline.
+func (r *Router) expire(now time.Time, c *call) {
+	switch {
+	case c.claim.final != nil:
+		r.finish(now, c, c.claim.final)
+	case len(c.attempts) > 0:
+		for _, a := range c.attempts {
+			a.target.observeLate(now, a)
+		}
+		r.finish(now, c, request.Undecided(request.ReasonDeadline))
+	case c.phase == claiming && !c.unknown:
+		r.finish(now, c, request.Refused(request.ReasonNoQuorum))
+	default:
+		r.giveUp(now, c, request.ReasonDeadline)
+	}
+}
+
+// giveUp ends a call without an answer of a target.
+func (r *Router) giveUp(now time.Time, c *call, reason request.Reason) {
+	if c.unknown {
+		r.finish(now, c, request.Undecided(c.reason))
+		return
+	}
+	r.finish(now, c, request.Refused(reason))
+}
+
+// finish replies to the caller and ends the call. It is the only place that
+// replies.
+func (r *Router) finish(now time.Time, c *call, resp *request.Response) {
+	r.abandonAttempts(now, c)
+	if c.phase == waitingIn {
+		r.groups[c.request.Service].waiting.remove(c)
+	}
+	r.abandonOperation(c)
+	r.unschedule(c)
+	r.limiter.Release(c.grant)
+	delete(r.calls, c.request)
+	r.stats.Replies++
+	r.emit(Action{Kind: Reply, Request: c.request, Response: resp})
+}
+
+// abandonAttempts cancels the attempts that are not needed any more. Those of a
+// claimed request become orphans, because their outcome must be recorded.
+func (r *Router) abandonAttempts(now time.Time, c *call) {
+	for len(c.attempts) > 0 {
+		a := c.attempts[0]
+		r.emit(Action{Kind: Cancel, Attempt: &a.Attempt})
+		if !c.request.Idempotent && len(r.orphans) < maxOrphans {
+			a.orphan = true
+			c.attempts = c.attempts[1:]
+			continue
+		}
+		a.target.observeLate(now, a)
+		r.detach(a)
+	}
+}
--- /dev/null
+++ b/routing/claim.go
@@ -0,0 +1,436 @@
+package routing
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/request"
+)
+
+const (
+	minAskDelay = 10 * time.Millisecond
+	maxAskDelay = 200 * time.Millisecond
+	// askTimeout is when an unanswered question is followed by a new look at the
+	// claim, which another entry instance may have resolved.
+	askTimeout = 200 * time.Millisecond
+	// recordTimeout bounds an attempt to record the outcome of a claim whose
+	// caller has been answered.
+	recordTimeout = 5 * time.Second
+	maxOrphans    = 4096
+)
+
+// claim is the state of a non-idempotent request.
+type claim struct {
+	operation uint64 // in progress
+	tries     int
+	target    *target // that the claim in progress names
+	holder    Query   // the claim that is under way, by this or another instance
+	own       bool    // this call holds the claim
+	pending   bool    // a claim of another submission was seen
+	askDelay  time.Duration
+	final     *request.Response // reply once it is recorded
+	proven    request.Reason    // reason of a proven not-run that is being recorded
+	retry     bool              // claim again once the not-run is recorded
+}
+
+// orphan is an operation whose caller has been answered.
+type orphan struct {
+	query    Query
+	claiming bool
+}
+
+// Recording is what became of a Resolve.
+type Recording uint8
+
+// Results of a Resolve.
+const (
+	Unrecorded Recording = iota // the quorum did not answer
+	Recorded                    // the quorum has this outcome
+	Superseded                  // the claim was resolved before, or has a newer epoch
+)
+
+// AskAnswer is what the agent of a target knows about a claim.
+type AskAnswer struct {
+	State    request.ClaimState
+	Response *request.Response // set for ClaimDone
+}
+
+// holderName names a target together with the run of its agent. Only the run
+// that a claim was dispatched to can prove what became of it.
+func holderName(t *target) string {
+	return t.ID + "@" + strconv.FormatUint(t.Incarnation, 16)
+}
+
+func parseHolder(name string) (id string, incarnation uint64) {
+	id, text, _ := strings.Cut(name, "@")
+	incarnation, _ = strconv.ParseUint(text, 16, 64)
+	return id, incarnation
+}
+
+// Digest is the digest that tells requests with the same key apart.
+func Digest(r *request.Request) string {
+	h := sha256.New()
+	for _, part := range []string{r.Method, r.Path} {
+		h.Write([]byte(strconv.Itoa(len(part))))
+		h.Write([]byte{0})
+		h.Write([]byte(part))
+	}
+	h.Write(r.Body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func keyOf(r *request.Request) controlapi.Key {
+	return controlapi.Key{Customer: r.Customer, Service: r.Service, Key: r.Key}
+}
+
+// operate names the next operation of c.
+func (r *Router) operate(c *call) uint64 {
+	delete(r.operations, c.claim.operation)
+	r.operation++
+	c.claim.operation = r.operation
+	r.operations[r.operation] = c
+	return r.operation
+}
+
+// operated returns the call that waits for the operation.
+func (r *Router) operated(token uint64) *call {
+	c := r.operations[token]
+	delete(r.operations, token)
+	return c
+}
+
+// abandonOperation keeps what is needed to clean up after an operation whose
+// caller is answered now.
+func (r *Router) abandonOperation(c *call) {
+	token := c.claim.operation
+	if r.operations[token] != c {
+		return
+	}
+	delete(r.operations, token)
+	if len(r.orphans) >= maxOrphans {
+		return
+	}
+	switch c.phase {
+	case claiming:
+		t := c.claim.target
+		r.orphans[token] = orphan{claiming: true, query: Query{
+			Target: t.ID, Incarnation: t.Incarnation, Key: request.KeyOf(c.request),
+		}}
+	case resolving:
+		r.orphans[token] = orphan{query: c.claim.holder}
+	}
+}
+
+// startClaim claims the key of c for a dispatch to t.
+func (r *Router) startClaim(_ time.Time, c *call, t *target) {
+	c.claim.tries++
+	c.claim.target = t
+	c.phase = claiming
+	token := r.operate(c)
+	r.emit(Action{Kind: Claim, Token: token, Deadline: c.request.Deadline, Claim: &controlapi.ClaimRequest{
+		Key:      keyOf(c.request),
+		Digest:   Digest(c.request),
+		Target:   holderName(t),
+		Claimant: r.claimant(c),
+	}})
+}
+
+// claimant differs for every claim of every run of every entry instance, so
+// that only a resent claim is recognised as the same one.
+func (r *Router) claimant(c *call) string {
+	return r.options.ID + "/" + strconv.FormatUint(r.options.Incarnation, 16) + "/" +
+		strconv.FormatUint(c.sequence, 10) + "/" + strconv.Itoa(c.claim.tries)
+}
+
+// claimAgain looks at the state of the key again.
+func (r *Router) claimAgain(now time.Time, c *call) {
+	g := r.groups[c.request.Service]
+	if g == nil {
+		r.askLater(now, c)
+		return
+	}
+	t, _ := r.choose(now, g, c)
+	if t == nil {
+		r.askLater(now, c)
+		return
+	}
+	r.startClaim(now, c, t)
+}
+
+// Claimed handles the result of a Claim. nil means that the quorum did not
+// answer.
+func (r *Router) Claimed(now time.Time, token uint64, resp *controlapi.ClaimResponse) []Action {
+	r.begin()
+	if o, ok := r.orphans[token]; ok {
+		r.releaseOrphan(now, token, o, resp)
+		return r.actions
+	}
+	c := r.operated(token)
+	if c == nil {
+		return nil
+	}
+	if resp == nil {
+		r.claimFailed(now, c)
+		return r.actions
+	}
+	switch resp.State {
+	case controlapi.ClaimGranted:
+		r.granted(now, c, resp.Epoch)
+	case controlapi.ClaimPending:
+		r.pendingAt(now, c, resp)
+	case controlapi.ClaimRecorded:
+		r.finish(now, c, fromRecorded(resp.Outcome))
+	case controlapi.ClaimConflict:
+		r.finish(now, c, request.Refused(request.ReasonKeyConflict))
+	case controlapi.ClaimExpired:
+		r.finish(now, c, request.Refused(request.ReasonDuplicateExpired))
+	default:
+		r.claimFailed(now, c)
+	}
+	return r.actions
+}
+
+// claimFailed handles a quorum that did not answer. Nothing was sent under this
+// claim, and its late grant is given back by the orphan.
+func (r *Router) claimFailed(now time.Time, c *call) {
+	if c.unknown || c.claim.pending {
+		c.unknown = true
+		c.reason = request.ReasonNoQuorum
+	}
+	r.giveUp(now, c, request.ReasonNoQuorum)
+}
+
+func (r *Router) granted(now time.Time, c *call, epoch uint64) {
+	t := c.claim.target
+	c.claim.own = true
+	c.claim.holder = Query{Target: t.ID, Incarnation: t.Incarnation, Key: request.KeyOf(c.request), Epoch: epoch}
+	c.unknown = false // the grant proves that no earlier dispatch ran
+	if !t.isUsable(now) || r.targets[t.ID] != t {
+		r.provenNotRun(now, c, request.ReasonNoTarget, true)
+		return
+	}
+	r.send(now, c, t, epoch)
+}
+
+// pendingAt handles a claim that is under way at a target.
+func (r *Router) pendingAt(now time.Time, c *call, resp *controlapi.ClaimResponse) {
+	id, incarnation := parseHolder(resp.Target)
+	c.claim.own = false
+	c.claim.pending = true
+	c.unknown = true
+	c.reason = request.ReasonDeadline
+	c.claim.holder = Query{Target: id, Incarnation: incarnation, Key: request.KeyOf(c.request), Epoch: resp.Epoch}
+	r.ask(now, c)
+}
+
+// ask asks the agent that holds the claim what became of it. An agent that runs
+// anew cannot know.
+func (r *Router) ask(now time.Time, c *call) {
+	c.phase = asking
+	h := c.claim.holder
+	t := r.targets[h.Target]
+	if t == nil || !t.linked || t.Incarnation != h.Incarnation {
+		r.askLater(now, c)
+		return
+	}
+	r.emit(Action{Kind: Ask, Token: r.operate(c), Query: &h})
+	c.retryAt = now.Add(askTimeout)
+	r.schedule(c)
+}
+
+// askLater plans a new look at the claim.
+func (r *Router) askLater(now time.Time, c *call) {
+	c.phase = asking
+	c.claim.askDelay = min(max(2*c.claim.askDelay, minAskDelay), maxAskDelay)
+	c.retryAt = now.Add(c.claim.askDelay)
+	r.schedule(c)
+}
+
+// Asked handles the answer to an Ask.
+func (r *Router) Asked(now time.Time, token uint64, answer AskAnswer) []Action {
+	r.begin()
+	c := r.operated(token)
+	if c == nil || c.phase != asking {
+		return nil
+	}
+	switch answer.State {
+	case request.ClaimDone:
+		r.record(now, c, answer.Response)
+	case request.ClaimNotRun:
+		r.provenNotRun(now, c, request.ReasonLinkLost, true)
+	case request.ClaimRunning:
+		r.askLater(now, c)
+	default:
+		r.record(now, c, request.Undecided(request.ReasonTargetFailed))
+	}
+	return r.actions
+}
+
+// concludeClaimed decides what follows the outcome of a claimed attempt.
+func (r *Router) concludeClaimed(now time.Time, a *attempt, resp *request.Response) {
+	c := a.call
+	switch {
+	case a.orphan:
+		r.recordOrphan(now, a, resp)
+	case resp.Outcome == request.Done:
+		r.record(now, c, resp)
+	case resp.Outcome == request.NotRun:
+		r.provenNotRun(now, c, resp.Reason, retryable(c.request, resp))
+	case resp.Reason == request.ReasonLinkLost || resp.Reason == request.ReasonDamaged:
+		// The agent may know the outcome.
+		c.unknown = true
+		c.reason = resp.Reason
+		r.ask(now, c)
+	default:
+		r.record(now, c, resp)
+	}
+}
+
+// record records the final outcome of the claim; the reply follows.
+func (r *Router) record(now time.Time, c *call, resp *request.Response) {
+	c.claim.final = resp
+	r.resolve(now, c, resp)
+}
+
+// provenNotRun records that the dispatch under the current epoch did not run,
+// which frees the key. Then the call claims again or is refused.
+func (r *Router) provenNotRun(now time.Time, c *call, reason request.Reason, retry bool) {
+	c.unknown = false
+	c.reason = reason
+	c.claim.proven = reason
+	c.claim.retry = retry
+	r.resolve(now, c, request.Refused(reason))
+}
+
+func (r *Router) resolve(now time.Time, c *call, resp *request.Response) {
+	c.phase = resolving
+	c.retryAt = time.Time{}
+	r.schedule(c)
+	r.emitResolve(now, r.operate(c), c.claim.holder, resp)
+}
+
+func (r *Router) emitResolve(now time.Time, token uint64, q Query, resp *request.Response) {
+	r.emit(Action{Kind: Resolve, Token: token, Deadline: now.Add(recordTimeout), Resolve: &controlapi.ResolveRequest{
+		Key:     controlapi.Key{Customer: q.Key.Customer, Service: q.Key.Service, Key: q.Key.Key},
+		Epoch:   q.Epoch,
+		Outcome: toRecorded(resp),
+	}})
+}
+
+// Resolved handles the result of a Resolve.
+func (r *Router) Resolved(now time.Time, token uint64, result Recording) []Action {
+	r.begin()
+	if o, ok := r.orphans[token]; ok {
+		delete(r.orphans, token)
+		r.forget(o.query, result)
+		return r.actions
+	}
+	c := r.operated(token)
+	if c == nil || c.phase != resolving {
+		return nil
+	}
+	r.forget(c.claim.holder, result)
+	if c.claim.final != nil {
+		r.resolvedFinal(now, c, result)
+	} else {
+		r.resolvedNotRun(now, c, result)
+	}
+	return r.actions
+}
+
+// resolvedFinal replies with the outcome. An unknown one that another instance
+// has resolved may be known there.
+func (r *Router) resolvedFinal(now time.Time, c *call, result Recording) {
+	final := c.claim.final
+	if result == Superseded && final.Outcome == request.Unknown {
+		c.claim.final = nil
+		c.unknown, c.reason = true, final.Reason
+		r.askLater(now, c)
+		return
+	}
+	r.finish(now, c, final)
+}
+
+// resolvedNotRun claims again or refuses. Only the holder of the claim may say
+// not run when the quorum did not confirm it: it knows its only dispatch.
+func (r *Router) resolvedNotRun(now time.Time, c *call, result Recording) {
+	own := c.claim.own
+	switch {
+	case !own && result == Unrecorded:
+		r.finish(now, c, request.Undecided(request.ReasonNoQuorum))
+	case !own && result == Superseded:
+		c.unknown, c.reason = true, request.ReasonDeadline
+		r.askLater(now, c)
+	case !own:
+		r.claimAgain(now, c)
+	case result == Unrecorded || !c.claim.retry || !r.retry(now, c, c.claim.proven):
+		r.finish(now, c, request.Refused(c.claim.proven))
+	}
+}
+
+func (r *Router) forget(q Query, result Recording) {
+	if result == Recorded {
+		r.emit(Action{Kind: Forget, Query: &q})
+	}
+}
+
+// recordOrphan records the outcome of an attempt whose caller has been told
+// unknown, so that a duplicate gets it.
+func (r *Router) recordOrphan(now time.Time, a *attempt, resp *request.Response) {
+	if resp.Reason == request.ReasonLinkLost || resp.Reason == request.ReasonDamaged {
+		return // a duplicate asks the agent
+	}
+	q := Query{
+		Target:      a.target.ID,
+		Incarnation: a.call.claim.holder.Incarnation,
+		Key:         request.KeyOf(a.Request),
+		Epoch:       a.ClaimEpoch,
+	}
+	r.operation++
+	r.orphans[r.operation] = orphan{query: q}
+	r.emitResolve(now, r.operation, q, resp)
+}
+
+// releaseOrphan gives back a claim that was granted after its caller was
+// refused. Nothing was sent under it.
+func (r *Router) releaseOrphan(now time.Time, token uint64, o orphan, resp *controlapi.ClaimResponse) {
+	delete(r.orphans, token)
+	if !o.claiming || resp == nil || resp.State != controlapi.ClaimGranted {
+		return
+	}
+	o.query.Epoch = resp.Epoch
+	r.operation++
+	r.orphans[r.operation] = orphan{query: o.query}
+	r.emitResolve(now, r.operation, o.query, request.Refused(request.ReasonDeadline))
+}
+
+func toRecorded(resp *request.Response) controlapi.Recorded {
+	recorded := controlapi.Recorded{
+		Outcome: resp.Outcome.String(),
+		Reason:  string(resp.Reason),
+		Status:  resp.Status,
+		Body:    resp.Body,
+	}
+	for _, f := range resp.Header {
+		recorded.Header = append(recorded.Header, controlapi.Field(f))
+	}
+	return recorded
+}
+
+func fromRecorded(r *controlapi.Recorded) *request.Response {
+	if r == nil {
+		return request.Undecided(request.ReasonNoQuorum)
+	}
+	resp := &request.Response{Reason: request.Reason(r.Reason), Status: r.Status, Body: r.Body}
+	if r.Outcome == request.Done.String() {
+		resp.Outcome = request.Done
+	}
+	for _, f := range r.Header {
+		resp.Header = append(resp.Header, request.Field(f))
+	}
+	return resp
+}
--- /dev/null
+++ b/routing/health.go
@@ -0,0 +1,114 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	failuresToEject = 5 // consecutive
+	slowFactor      = 4 // times the median of the service
+	samplesToEject  = 8
+	minEjection     = time.Second
+	maxEjection     = 30 * time.Second
+	probesToReturn  = 3
+)
+
+// health decides whether a target is ejected. After an ejection the target is
+// on probation: it gets one attempt at a time until enough of them went well.
+type health struct {
+	failures  int // consecutive
+	ejections int // in a row; doubles the length
+	until     time.Time
+	probation bool
+	successes int // on probation
+}
+
+// allows reports whether the target may get an attempt.
+func (h *health) allows(now time.Time, outstanding int) bool {
+	if now.Before(h.until) {
+		return false
+	}
+	return !h.probation || outstanding == 0
+}
+
+func (h *health) eject(now time.Time) {
+	length := min(minEjection<<min(h.ejections, 5), maxEjection)
+	h.ejections++
+	h.until = now.Add(length)
+	h.probation = true
+	h.failures, h.successes = 0, 0
+}
+
+// succeeded counts a good answer and reports whether probation has ended.
+func (h *health) succeeded() {
+	h.failures = 0
+	if !h.probation {
+		return
+	}
+	if h.successes++; h.successes >= probesToReturn {
+		h.probation = false
+		h.ejections = max(h.ejections-1, 0)
+	}
+}
+
+// judge ejects t when it fails repeatedly or is much slower than the others.
+func (r *Router) judge(now time.Time, t *target, failed bool) {
+	if r.options.Policy == RoundRobin || now.Before(t.health.until) {
+		return
+	}
+	if failed {
+		t.health.failures++
+	}
+	broken := t.health.failures >= failuresToEject || (failed && t.health.probation)
+	slow := t.isSlow()
+	if !broken && !slow {
+		if !failed {
+			t.health.succeeded()
+		}
+		return
+	}
+	if t.group.ejected(now) >= len(t.group.targets)/2 {
+		return // the others could not carry the load
+	}
+	t.health.eject(now)
+	t.work.samples = 0 // the probes of the probation are judged alone
+	r.stats.Ejections++
+}
+
+// isSlow compares the target with the median of its service.
+func (t *target) isSlow() bool {
+	needed := samplesToEject
+	if t.health.probation {
+		needed = probesToReturn
+	}
+	if t.work.samples < needed || t.work.mean < 2*t.group.work.mean {
+		return false
+	}
+	return t.work.mean > slowFactor*t.group.medianWork()
+}
+
+func (g *group) medianWork() float64 {
+	means := g.scratch[:0]
+	for _, t := range g.targets {
+		if t.work.samples > 0 {
+			means = append(means, t.work.mean)
+		}
+	}
+	g.scratch = means
+	if len(means) == 0 {
+		return defaultWork
+	}
+	slices.Sort(means)
+	return means[(len(means)-1)/2]
+}
+
+func (g *group) ejected(now time.Time) int {
+	n := 0
+	for _, t := range g.targets {
+		if now.Before(t.health.until) {
+			n++
+		}
+	}
+	return n
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -1,276 +1,255 @@
-// Package routing decides which target gets an attempt of a request, and what
-// the caller is told. It is pure: time and events come in, actions come out.
 package routing
 
 import (
 	"math/rand/v2"
 	"time"
 
+	"github.com/ibispier/ibispier/budget"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/limit"
 	"github.com/ibispier/ibispier/request"
 )
 
 // Policy names a way to choose among targets.
 type Policy string
 
-// Policies. RoundRobin is the baseline for comparisons.
+// Policies. RoundRobin is the baseline for comparisons: it has neither
+// estimates nor ejection nor concurrency limits.
 const (
 	ChoiceOfTwo Policy = "choice_of_two"
 	RoundRobin  Policy = "round_robin"
 )
 
-// TargetState is the state that a target announced.
-type TargetState uint8
-
-// Target states.
+// Options configure a Router.
+type Options struct {
+	Policy      Policy
+	ID          string // name of this entry instance
+	Incarnation uint64 // differs for every run of this entry instance
+	Seed        uint64
+	Hedging     bool
+	RetryShare  float64 // retries as a share of the requests
+	HedgeShare  float64 // hedges as a share of the requests
+	Waiting     int     // requests of a service that wait for a target; default 1024
+	Claims      bool    // there is a quorum that claims non-idempotent requests
+}
+
+// Bursts of the budgets: the extra attempts that are saved up. A lost agent
+// fails all its requests at once, and 32 of them can be retried from rest.
 const (
-	Serving TargetState = iota
-	Draining
-	Down
+	retryBurst     = 32
+	hedgeBurst     = 8
+	defaultWaiting = 1024
 )
 
-// Target is what a target announced about itself.
-type Target struct {
-	ID      string
-	Service string
-	Zone    string
-	State   TargetState
-	Slots   int
-	Load    request.Load
-}
-
-// Action is a decision of the Router.
-type Action struct {
-	Kind     ActionKind
-	Attempt  *request.Attempt  // set for Send and Cancel
-	Request  *request.Request  // set for Reply
-	Response *request.Response // set for Reply
-}
-
-// ActionKind tells actions apart.
-type ActionKind uint8
-
-// Kinds of actions.
-const (
-	Send   ActionKind = iota // send the attempt to its target
-	Reply                    // answer the caller
-	Cancel                   // tell the target that the attempt is not needed any more
-)
+// overloadWeight is the weight of one outcome in the share of refusals for lack
+// of capacity: about the last 50 outcomes count.
+const overloadWeight = 0.02
 
-// Options configure a Router.
-type Options struct {
-	Policy Policy
-	Zone   string // zone of this process
-	Seed   uint64
+// Stats counts what a Router did.
+type Stats struct {
+	Submitted int
+	Attempts  int
+	Retries   int
+	Hedges    int
+	Replies   int
+	Ejections int
 }
 
 // Router routes requests of callers to targets.
 //
-// Invariant: every submitted request gets exactly one Reply.
+// Invariants: every submitted request gets exactly one Reply. A non-idempotent
+// request has at most one attempt without proof of not run.
 type Router struct {
-	options  Options
-	random   *rand.Rand
-	targets  map[string]*target
-	services map[string][]*target
-	attempts map[uint64]*attempt
-	pending  deadlines
-	next     uint64
-	cursor   uint64
-	actions  []Action
-}
-
-type target struct {
-	Target
-	outstanding int // attempts of this process that have no answer yet
-}
-
-type attempt struct {
-	request.Attempt
-	target *target
-	sent   time.Time
-	index  int // position in the deadline heap
-}
-
-// NewRouter returns a Router without targets.
+	options    Options
+	random     *rand.Rand
+	limiter    *limit.Limiter
+	configured bool
+	zonesOut   map[string]bool
+	targets    map[string]*target
+	groups     map[string]*group
+	calls      map[*request.Request]*call
+	attempts   map[uint64]*attempt
+	operations map[uint64]*call
+	orphans    map[uint64]orphan
+	timers     timers
+	retries    *budget.Budget
+	hedges     *budget.Budget
+	overload   float64 // share of attempts refused for lack of capacity
+	instances  instances
+	sequence   uint64
+	attempt    uint64
+	operation  uint64
+	pruned     time.Time
+	actions    []Action
+	stats      Stats
+}
+
+// NewRouter returns a Router without configuration and targets.
 func NewRouter(o Options) *Router {
-	return &Router{
-		options:  o,
-		random:   rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
-		targets:  map[string]*target{},
-		services: map[string][]*target{},
-		attempts: map[uint64]*attempt{},
+	if o.Waiting == 0 {
+		o.Waiting = defaultWaiting
 	}
-}
-
-// Announce adds or updates a target.
-func (r *Router) Announce(t Target) {
-	known := r.targets[t.ID]
-	if known != nil && known.Service == t.Service {
-		known.Target = t
-		return
+	return &Router{
+		options:    o,
+		random:     rand.New(rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15)),
+		limiter:    limit.New(),
+		zonesOut:   map[string]bool{},
+		targets:    map[string]*target{},
+		groups:     map[string]*group{},
+		calls:      map[*request.Request]*call{},
+		attempts:   map[uint64]*attempt{},
+		operations: map[uint64]*call{},
+		orphans:    map[uint64]orphan{},
+		// Numbers of an earlier run are never met again, so its late answers and
+		// results are dropped.
+		attempt:   o.Incarnation,
+		operation: o.Incarnation,
+		retries:   budget.New(o.RetryShare, retryBurst),
+		hedges:    budget.New(o.HedgeShare, hedgeBurst),
+	}
+}
+
+// Stats returns the counters.
+func (r *Router) Stats() Stats { return r.stats }
+
+// InFlight returns the number of requests without a reply.
+func (r *Router) InFlight() int { return len(r.calls) }
+
+// SetConfig takes the accepted configuration.
+func (r *Router) SetConfig(now time.Time, c controlapi.Config) []Action {
+	r.begin()
+	r.configured = true
+	r.limiter.Configure(now, c)
+	r.zonesOut = make(map[string]bool, len(c.ZonesOut))
+	for _, zone := range c.ZonesOut {
+		r.zonesOut[zone] = true
+	}
+	for _, t := range r.targets {
+		t.zoneOut = r.zonesOut[t.Zone]
+	}
+	for _, name := range sortedKeys(r.groups) {
+		r.pump(now, r.groups[name])
 	}
-	r.remove(t.ID)
-	added := &target{Target: t}
-	r.targets[t.ID] = added
-	r.services[t.Service] = append(r.services[t.Service], added)
+	return r.actions
 }
 
-// Remove forgets a target. Its attempts without an answer are undecided.
-func (r *Router) Remove(now time.Time, id string) []Action {
-	r.actions = r.actions[:0]
-	for _, a := range r.attempts {
-		if a.Target == id {
-			r.settle(a, request.Undecided(request.ReasonLinkLost))
-		}
-	}
-	r.remove(id)
+// Submit routes a new request.
+func (r *Router) Submit(now time.Time, req *request.Request) []Action {
+	r.begin()
+	r.stats.Submitted++
+	r.sequence++
+	c := &call{request: req, started: now, sequence: r.sequence, index: unscheduled}
+	r.calls[req] = c
+	if reason := r.admit(now, c); reason != request.ReasonNone {
+		r.finish(now, c, request.Refused(reason))
+		return r.actions
+	}
+	health := (1 - r.overload) * (1 - r.overload)
+	r.retries.Earn(health)
+	r.hedges.Earn(health)
+	r.schedule(c)
+	r.place(now, c)
 	return r.actions
 }
 
-func (r *Router) remove(id string) {
-	t := r.targets[id]
-	if t == nil {
-		return
+// admit decides whether the request may be routed at all.
+func (r *Router) admit(now time.Time, c *call) request.Reason {
+	req := c.request
+	if !r.configured {
+		return request.ReasonNoQuorum
 	}
-	delete(r.targets, id)
-	group := r.services[t.Service]
-	for i, other := range group {
-		if other == t {
-			r.services[t.Service] = append(group[:i:i], group[i+1:]...)
-			break
-		}
+	if !req.Deadline.After(now) {
+		return request.ReasonDeadline
+	}
+	grant, reason := r.limiter.Admit(now, req.Customer, req.Service)
+	if reason != request.ReasonNone {
+		return reason
 	}
-	if len(r.services[t.Service]) == 0 {
-		delete(r.services, t.Service)
+	c.grant = grant
+	req.Priority = priorityOf(grant, req)
+	if r.groups[req.Service] == nil {
+		return request.ReasonUnknownService
 	}
+	if !req.Idempotent && !r.options.Claims {
+		return request.ReasonNoQuorum
+	}
+	return request.ReasonNone
 }
 
-// Submit routes a new request.
-func (r *Router) Submit(now time.Time, req *request.Request) []Action {
-	r.actions = r.actions[:0]
-	switch {
-	case !req.Deadline.After(now):
-		r.reply(req, request.Refused(request.ReasonDeadline))
-	case len(r.services[req.Service]) == 0:
-		r.reply(req, request.Refused(request.ReasonUnknownService))
-	default:
-		r.dispatch(now, req)
+// priorityOf puts idempotent requests before the others of the same plan: a
+// late price check is as bad as a lost one, a late settlement is not.
+func priorityOf(g limit.Grant, req *request.Request) int {
+	priority := 2 * g.Priority
+	if req.Idempotent {
+		priority++
 	}
-	return r.actions
+	return priority
 }
 
-func (r *Router) dispatch(now time.Time, req *request.Request) {
-	t := r.choose(req.Service)
-	if t == nil {
-		r.reply(req, request.Refused(request.ReasonNoTarget))
-		return
-	}
-	r.next++
-	a := &attempt{
-		Attempt: request.Attempt{Number: r.next, Target: t.ID, Request: req},
-		target:  t,
-		sent:    now,
+// Abandon handles a caller that has gone. A non-idempotent request runs on,
+// because its outcome must be recorded.
+func (r *Router) Abandon(now time.Time, req *request.Request) []Action {
+	r.begin()
+	c := r.calls[req]
+	if c == nil || !req.Idempotent {
+		return nil
 	}
-	r.attempts[a.Number] = a
-	r.pending.add(a)
-	t.outstanding++
-	r.actions = append(r.actions, Action{Kind: Send, Attempt: &a.Attempt})
+	r.finish(now, c, request.Undecided(request.ReasonCancelled))
+	return r.actions
 }
 
 // Answer handles the response to an attempt. A late response to an attempt that
 // is settled is dropped.
 func (r *Router) Answer(now time.Time, number uint64, requestID string, resp *request.Response, load request.Load) []Action {
-	r.actions = r.actions[:0]
+	r.begin()
 	a := r.attempts[number]
 	if a == nil || a.Request.ID != requestID {
 		return nil
 	}
-	a.target.Load = load
-	r.settle(a, resp)
+	r.detach(a)
+	r.observe(now, a, resp, load)
+	r.conclude(now, a, resp)
+	r.pump(now, a.target.group)
 	return r.actions
 }
 
 // SendFailed handles an attempt that could not be queued for its target. No
 // byte of it left this process, so it did not run.
 func (r *Router) SendFailed(now time.Time, number uint64) []Action {
-	r.actions = r.actions[:0]
+	r.begin()
 	if a := r.attempts[number]; a != nil {
-		r.settle(a, request.Refused(request.ReasonOverloaded))
+		r.detach(a)
+		r.conclude(now, a, request.Refused(request.ReasonOverloaded))
 	}
 	return r.actions
 }
 
-// Tick settles the attempts whose deadline has passed.
+// Tick does the work that is due.
 func (r *Router) Tick(now time.Time) []Action {
-	r.actions = r.actions[:0]
+	r.begin()
 	for {
-		a := r.pending.first()
-		if a == nil || a.Request.Deadline.After(now) {
-			return r.actions
+		c := r.timers.first()
+		if c == nil || c.wake.After(now) {
+			break
 		}
-		r.actions = append(r.actions, Action{Kind: Cancel, Attempt: &a.Attempt})
-		r.settle(a, request.Undecided(request.ReasonDeadline))
+		r.fire(now, c)
 	}
+	r.prune(now)
+	return r.actions
 }
 
 // NextDeadline returns when Tick has work.
 func (r *Router) NextDeadline() (time.Time, bool) {
-	a := r.pending.first()
-	if a == nil {
+	c := r.timers.first()
+	if c == nil {
 		return time.Time{}, false
 	}
-	return a.Request.Deadline, true
-}
-
-// InFlight returns the number of attempts without an answer.
-func (r *Router) InFlight() int { return len(r.attempts) }
-
-func (r *Router) settle(a *attempt, resp *request.Response) {
-	delete(r.attempts, a.Number)
-	r.pending.remove(a)
-	a.target.outstanding--
-	r.reply(a.Request, resp)
+	return c.wake, true
 }
 
-func (r *Router) reply(req *request.Request, resp *request.Response) {
-	r.actions = append(r.actions, Action{Kind: Reply, Request: req, Response: resp})
-}
-
-func (r *Router) choose(service string) *target {
-	group := r.services[service]
-	if r.options.Policy == RoundRobin {
-		return r.chooseNext(group)
-	}
-	return r.chooseOfTwo(group)
-}
-
-func (r *Router) chooseNext(group []*target) *target {
-	for range group {
-		r.cursor++
-		if t := group[r.cursor%uint64(len(group))]; t.State == Serving {
-			return t
-		}
-	}
-	return nil
-}
-
-func (r *Router) chooseOfTwo(group []*target) *target {
-	first, second := r.serving(group), r.serving(group)
-	if first == nil || second == nil {
-		return first
-	}
-	if second.outstanding < first.outstanding {
-		return second
-	}
-	return first
+func (r *Router) begin() {
+	clear(r.actions) // lets go of the requests of earlier actions
+	r.actions = r.actions[:0]
 }
 
-// serving returns a random target that takes work, or nil.
-func (r *Router) serving(group []*target) *target {
-	start := r.random.IntN(len(group))
-	for i := range group {
-		if t := group[(start+i)%len(group)]; t.State == Serving {
-			return t
-		}
-	}
-	return nil
-}
+func (r *Router) emit(a Action) { r.actions = append(r.actions, a) }
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -18,12 +18,14 @@
 		{"entry", "max_body", "bytes", "1048576", "largest request or answer body", integer(&s.Entry.MaxBody, 1, 4<<20)},
 		{"entry", "max_header", "bytes", "65536", "largest request header", integer(&s.Entry.MaxHeader, 1024, 1<<20)},
 		{"entry", "max_in_flight", "requests", "4096", "requests in flight in this process", integer(&s.Entry.MaxInFlight, 1, 1<<20)},
+		{"entry", "standalone", "bool", "false", "serve every caller without control members; non-idempotent requests are refused", boolean(&s.Entry.Standalone)},
 
 		{"control", "listen", "ip:port", "127.0.0.1:7071", "address for links from control members and clients", address(&s.Control.Listen)},
 		{"control", "tick", "duration", "50ms", "unit of the election and heartbeat timers", duration(&s.Control.TickInterval, 0.001, 1)},
 		{"control", "election_ticks", "ticks", "10", "ticks without a leader before an election", integer(&s.Control.ElectionTicks, 4, 100)},
 		{"control", "snapshot_entries", "entries", "50000", "log entries between snapshots", integer(&s.Control.SnapshotEntries, 100, 10_000_000)},
 
+		{"agent", "listen", "ip:port", "", "address where the target announces itself; empty for none", optional(address(&s.Agent.Listen))},
 		{"agent", "target", "url", "", "base URL of the target", text(&s.Agent.Target)},
 		{"agent", "service", "", "", "service that the target serves", text(&s.Agent.Service)},
 		{"agent", "slots", "requests", "8", "requests at work in the target", integer(&s.Agent.Slots, 1, 1024)},
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -186,6 +186,16 @@
 	}}
 }
 
+// optional accepts an empty text as well.
+func optional(v value) value {
+	return value{"empty or " + v.accepted, func(s string) error {
+		if s == "" {
+			return nil
+		}
+		return v.parse(s)
+	}}
+}
+
 func addresses(field *[]string) value {
 	return value{"ip:port, ...", func(s string) error {
 		*field = split(s)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -55,6 +55,7 @@
 	MaxBody     int64
 	MaxHeader   int
 	MaxInFlight int
+	Standalone  bool // without control members
 }
 
 // Control configures the role control.
@@ -67,6 +68,7 @@
 
 // Agent configures the role agent.
 type Agent struct {
+	Listen        string // address for the target's announcements; empty for none
 	Target        string // base URL of the target
 	Service       string
 	Slots         int
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -18,6 +18,7 @@
 type Options struct {
 	ServiceTime time.Duration // time that each request takes
 	Discard     bool          // keep no record of the requests that ran
+	Agent       string        // address of the agent that the target announces itself to; may be empty
 }
 
 // Run is the record of one request that ran.
@@ -47,18 +48,23 @@
 	return &Target{options: o, socket: socket}
 }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends and finishes the requests in flight.
 func (t *Target) Run(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /runs", t.serveRuns)
 	mux.HandleFunc("/", t.serve)
 	server := &http.Server{Handler: mux}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
+	stopped := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		t.stop(server)
+	})
+	defer cancel()
 	if err := server.Serve(t.socket); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	<-stopped
 	return nil
 }
 
--- a/wire/convert/convert.go
+++ b/wire/convert/convert.go
@@ -40,6 +40,7 @@
 		Body:           r.Body,
 		BodyCrc:        crc32.Checksum(r.Body, castagnoli),
 		TraceParent:    r.TraceParent,
+		Priority:       int32(r.Priority),
 	}}}
 }
 
@@ -64,30 +65,40 @@
 			Header:      headersFromWire(m.GetHeaders()),
 			Body:        m.GetBody(),
 			TraceParent: m.GetTraceParent(),
+			Priority:    int(m.GetPriority()),
 		},
 	}, nil
 }
 
 // ResponseToFrame encodes the response to an attempt.
 func ResponseToFrame(a *request.Attempt, r *request.Response, load request.Load) *wire.Frame {
-	return &wire.Frame{Body: &wire.Frame_Response{Response: &wire.Response{
-		RequestId:  a.Request.ID,
-		Attempt:    a.Number,
-		Outcome:    outcomeToWire(r.Outcome),
-		Reason:     string(r.Reason),
-		Status:     int32(r.Status),
-		Headers:    headersToWire(r.Header),
-		Body:       r.Body,
-		BodyLength: int64(len(r.Body)),
-		BodyCrc:    crc32.Checksum(r.Body, castagnoli),
-		InFlight:   uint32(load.InFlight),
-		Queued:     uint32(load.Queued),
-	}}}
+	return &wire.Frame{Body: &wire.Frame_Response{Response: responseToWire(a, r, load)}}
+}
+
+func responseToWire(a *request.Attempt, r *request.Response, load request.Load) *wire.Response {
+	return &wire.Response{
+		RequestId:     a.Request.ID,
+		Attempt:       a.Number,
+		Outcome:       outcomeToWire(r.Outcome),
+		Reason:        string(r.Reason),
+		Status:        int32(r.Status),
+		Headers:       headersToWire(r.Header),
+		Body:          r.Body,
+		BodyLength:    int64(len(r.Body)),
+		BodyCrc:       crc32.Checksum(r.Body, castagnoli),
+		InFlight:      uint32(load.InFlight),
+		Queued:        uint32(load.Queued),
+		ServiceMicros: load.Service.Microseconds(),
+	}
 }
 
 // ResponseFromWire decodes a response. A damaged body gives ErrDamaged.
 func ResponseFromWire(m *wire.Response) (*request.Response, request.Load, error) {
-	load := request.Load{InFlight: int(m.GetInFlight()), Queued: int(m.GetQueued())}
+	load := request.Load{
+		InFlight: int(m.GetInFlight()),
+		Queued:   int(m.GetQueued()),
+		Service:  time.Duration(m.GetServiceMicros()) * time.Microsecond,
+	}
 	whole := int64(len(m.GetBody())) == m.GetBodyLength() &&
 		crc32.Checksum(m.GetBody(), castagnoli) == m.GetBodyCrc()
 	if !whole {
@@ -148,3 +159,72 @@
 	}
 	return fields
 }
+
+// ClaimQueryToFrame encodes a question about a claim.
+func ClaimQueryToFrame(id uint64, key request.Key, epoch, incarnation uint64) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_ClaimQuery{ClaimQuery: &wire.ClaimQuery{
+		Id: id, Key: keyToWire(key), Epoch: epoch, Incarnation: incarnation,
+	}}}
+}
+
+// ClaimAnswerToFrame encodes the answer to a ClaimQuery. resp is set for
+// ClaimDone.
+func ClaimAnswerToFrame(id uint64, state request.ClaimState, resp *request.Response) *wire.Frame {
+	m := &wire.ClaimAnswer{Id: id, State: claimStateToWire(state)}
+	if resp != nil {
+		empty := &request.Attempt{Request: &request.Request{}}
+		m.Response = responseToWire(empty, resp, request.Load{})
+	}
+	return &wire.Frame{Body: &wire.Frame_ClaimAnswer{ClaimAnswer: m}}
+}
+
+// ClaimAnswerFromWire decodes the answer to a ClaimQuery. A damaged response
+// gives ErrDamaged.
+func ClaimAnswerFromWire(m *wire.ClaimAnswer) (request.ClaimState, *request.Response, error) {
+	state := claimStateFromWire(m.GetState())
+	if state != request.ClaimDone {
+		return state, nil, nil
+	}
+	resp, _, err := ResponseFromWire(m.GetResponse())
+	return state, resp, err
+}
+
+// ClaimForgetToFrame encodes that the outcome of a claim is recorded.
+func ClaimForgetToFrame(key request.Key, epoch uint64) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_ClaimForget{ClaimForget: &wire.ClaimForget{Key: keyToWire(key), Epoch: epoch}}}
+}
+
+// KeyFromWire decodes the key of a non-idempotent request.
+func KeyFromWire(m *wire.RequestKey) request.Key {
+	return request.Key{Customer: m.GetCustomer(), Service: m.GetService(), Key: m.GetKey()}
+}
+
+func keyToWire(k request.Key) *wire.RequestKey {
+	return &wire.RequestKey{Customer: k.Customer, Service: k.Service, Key: k.Key}
+}
+
+func claimStateToWire(s request.ClaimState) wire.ClaimState {
+	switch s {
+	case request.ClaimRunning:
+		return wire.ClaimState_CLAIM_STATE_RUNNING
+	case request.ClaimDone:
+		return wire.ClaimState_CLAIM_STATE_DONE
+	case request.ClaimNotRun:
+		return wire.ClaimState_CLAIM_STATE_NOT_RUN
+	default:
+		return wire.ClaimState_CLAIM_STATE_UNKNOWN
+	}
+}
+
+func claimStateFromWire(s wire.ClaimState) request.ClaimState {
+	switch s {
+	case wire.ClaimState_CLAIM_STATE_RUNNING:
+		return request.ClaimRunning
+	case wire.ClaimState_CLAIM_STATE_DONE:
+		return request.ClaimDone
+	case wire.ClaimState_CLAIM_STATE_NOT_RUN:
+		return request.ClaimNotRun
+	default:
+		return request.ClaimUnknown
+	}
+}
