--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"os"
+	"time"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"github.com/zeebo/errs"
@@ -14,9 +15,23 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("telemetry")
 
+// Repeated events: each second the log gets the first lines of an event and
+// then one in a hundred, so that a flapping link cannot fill the disk.
+const (
+	repeatPeriod = time.Second
+	repeatFirst  = 20
+	repeatEvery  = 100
+)
+
 // NewLogger returns a logger that writes one line of key=value pairs for each
-// event to w, with the process id of the deployment on each line.
+// event to w, with the process id of the deployment on each line. Repeated
+// events are limited.
 func NewLogger(w io.Writer, level, id string) (*zap.Logger, error) {
+	return NewLimitedLogger(w, level, id, nil)
+}
+
+// NewLimitedLogger is NewLogger with a counter of the lines left out.
+func NewLimitedLogger(w io.Writer, level, id string, m *Metrics) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -25,7 +40,14 @@
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	cfg.MessageKey = "event"
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), parsed)
-	return zap.New(core).With(zap.String("process", id)), nil
+	suppressed := m.Counter("ibispier_log_suppressed_total")
+	limited := zapcore.NewSamplerWithOptions(core, repeatPeriod, repeatFirst, repeatEvery,
+		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+			if decision&zapcore.LogDropped != 0 {
+				suppressed.Inc(1)
+			}
+		}))
+	return zap.New(limited).With(zap.String("process", id)), nil
 }
 
 // Stderr is where daemons write their log.
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,196 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/ibispier/ibispier/ring"
+)
+
+// Reservoir of a summary: it keeps about 1000 values, weighted towards the last
+// five minutes.
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// Metrics is the registry of the metrics of one process. A nil *Metrics hands
+// out metrics that nobody reads, so that duties need no checks.
+//
+// Any duty may register and update metrics; the registry of the library and the
+// list of rings are the only state that they share.
+type Metrics struct {
+	registry metrics.Registry
+	mu       sync.Mutex
+	rings    []func() ring.Stats
+}
+
+// NewMetrics returns an empty registry.
+func NewMetrics() *Metrics { return &Metrics{registry: metrics.NewRegistry()} }
+
+// Counter returns the counter with the name and the label pairs.
+func (m *Metrics) Counter(name string, labels ...string) metrics.Counter {
+	if m == nil {
+		return metrics.NilCounter{}
+	}
+	return m.registry.GetOrRegister(series(name, labels), metrics.NewCounter).(metrics.Counter)
+}
+
+// Summary returns the summary, with quantiles, with the name and the label
+// pairs.
+func (m *Metrics) Summary(name string, labels ...string) metrics.Histogram {
+	if m == nil {
+		return metrics.NilHistogram{}
+	}
+	return m.registry.GetOrRegister(series(name, labels), func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+	}).(metrics.Histogram)
+}
+
+// Gauge registers a function that is read for each scrape. It replaces an
+// earlier one, as a restarted duty needs.
+func (m *Metrics) Gauge(name string, read func() float64, labels ...string) {
+	if m == nil {
+		return
+	}
+	m.registry.Unregister(series(name, labels))
+	_ = m.registry.Register(series(name, labels), metrics.NewFunctionalGaugeFloat64(read))
+}
+
+// Ring exports the depth and the counters of a ring. Rings of one name, such as
+// the reply rings of links, are added up.
+func (m *Metrics) Ring(read func() ring.Stats) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rings = append(m.rings, read)
+}
+
+// series returns the name with labels in the form of the exposition format.
+func series(name string, labels []string) string {
+	if len(labels) == 0 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	for i := 0; i+1 < len(labels); i += 2 {
+		b.WriteByte("{,"[min(i, 1)])
+		b.WriteString(labels[i])
+		b.WriteString(`="`)
+		b.WriteString(escape.Replace(labels[i+1]))
+		b.WriteByte('"')
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+var escape = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// ServeHTTP writes the metrics in the Prometheus text exposition format.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	_ = m.Write(w)
+}
+
+// Write writes the metrics in the Prometheus text exposition format.
+func (m *Metrics) Write(w io.Writer) error {
+	lines := map[string][]string{} // by "name type"
+	m.registry.Each(func(full string, metric any) { addMetric(lines, full, metric) })
+	for _, s := range m.ringStats() {
+		addRing(lines, s)
+	}
+	families := make([]string, 0, len(lines))
+	for family := range lines {
+		families = append(families, family)
+	}
+	sort.Strings(families)
+	var b strings.Builder
+	for _, family := range families {
+		b.WriteString("# TYPE " + family + "\n")
+		sort.Strings(lines[family])
+		b.WriteString(strings.Join(lines[family], ""))
+	}
+	_, err := io.WriteString(w, b.String())
+	return Error.Wrap(err)
+}
+
+func addMetric(lines map[string][]string, full string, metric any) {
+	name, labels := splitSeries(full)
+	switch v := metric.(type) {
+	case metrics.Counter:
+		add(lines, name+" counter", full, float64(v.Count()))
+	case metrics.GaugeFloat64:
+		add(lines, name+" gauge", full, v.Value())
+	case metrics.Histogram:
+		s := v.Snapshot()
+		values := s.Percentiles(quantiles)
+		for i, q := range quantiles {
+			add(lines, name+" summary", name+withLabel(labels, `quantile="`+strconv.FormatFloat(q, 'g', -1, 64)+`"`), values[i])
+		}
+		add(lines, name+" summary", name+"_sum"+withLabel(labels, ""), float64(s.Sum()))
+		add(lines, name+" summary", name+"_count"+withLabel(labels, ""), float64(s.Count()))
+	}
+}
+
+func addRing(lines map[string][]string, s ring.Stats) {
+	label := []string{"ring", s.Name}
+	add(lines, "ibispier_ring_depth gauge", series("ibispier_ring_depth", label), float64(s.Depth))
+	add(lines, "ibispier_ring_capacity gauge", series("ibispier_ring_capacity", label), float64(s.Capacity))
+	add(lines, "ibispier_ring_accepted_total counter", series("ibispier_ring_accepted_total", label), float64(s.Accepted))
+	add(lines, "ibispier_ring_refused_total counter", series("ibispier_ring_refused_total", label), float64(s.Refused))
+	add(lines, "ibispier_ring_dropped_total counter", series("ibispier_ring_dropped_total", label), float64(s.Dropped))
+	add(lines, "ibispier_ring_blocked_seconds_total counter", series("ibispier_ring_blocked_seconds_total", label), s.Blocked.Seconds())
+}
+
+// ringStats reads the rings and adds up those of one name.
+func (m *Metrics) ringStats() []ring.Stats {
+	m.mu.Lock()
+	readers := append([]func() ring.Stats(nil), m.rings...)
+	m.mu.Unlock()
+	totals := map[string]ring.Stats{}
+	for _, read := range readers {
+		s := read()
+		t := totals[s.Name]
+		totals[s.Name] = ring.Stats{
+			Name: s.Name, Depth: t.Depth + s.Depth, Capacity: t.Capacity + s.Capacity,
+			Accepted: t.Accepted + s.Accepted, Refused: t.Refused + s.Refused,
+			Dropped: t.Dropped + s.Dropped, Blocked: t.Blocked + s.Blocked,
+		}
+	}
+	all := make([]ring.Stats, 0, len(totals))
+	for _, s := range totals {
+		all = append(all, s)
+	}
+	return all
+}
+
+func add(lines map[string][]string, family, full string, value float64) {
+	lines[family] = append(lines[family], fmt.Sprintf("%s %s\n", full, strconv.FormatFloat(value, 'g', -1, 64)))
+}
+
+// splitSeries separates the name from the labels between the braces.
+func splitSeries(full string) (name, labels string) {
+	name, labels, _ = strings.Cut(full, "{")
+	return name, strings.TrimSuffix(labels, "}")
+}
+
+func withLabel(labels, more string) string {
+	if labels != "" && more != "" {
+		labels += ","
+	}
+	if labels += more; labels == "" {
+		return ""
+	}
+	return "{" + labels + "}"
+}
