settings, ibispierd, examples: check settings as a whole and document them

A file that lacks the id, the roles or the zone of a process started a process that nobody could reach, and NaN passed as a share.

Measured: go test -race ./settings ./wire ./cli/... ./cmd/... passes. Fuzzing for 8 s each found nothing: FuzzParse 692,696 runs, FuzzReader 224,463 runs.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/ibispier/ibispier/cli/keys"
 	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/plan"
 )
 
 // run carries out a command line against handler as admin and entry.
@@ -109,15 +110,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	content := controlapi.ProposeRequest{ChangeID: "c1", Base: 3, Change: controlapi.Change{Kind: controlapi.ChangeZoneOut, Zone: "a"}}
+	digest := plan.Digest(content)
 	signed := make(chan string, 1)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			body, _ := io.ReadAll(r.Body)
 			signed <- r.URL.Path + " " + string(body)
 		}
-		_ = json.NewEncoder(w).Encode(controlapi.Proposal{ChangeID: "c1", Digest: "digest"})
+		_ = json.NewEncoder(w).Encode(controlapi.Proposal{ChangeID: "c1", Base: 3, Change: content.Change, Digest: digest})
 	})
-	for action, signature := range map[string]string{"approve": keys.Approve(key, "digest"), "reject": keys.Reject(key, "digest")} {
+	for action, signature := range map[string]string{"approve": plan.Signature(key, digest, false), "reject": plan.Signature(key, digest, true)} {
 		code, _, stderr := run(t, handler, "plan", action, "c1", "-owner", "ada", "-key", path)
 		if code != ExitOK {
 			t.Fatalf("%s: exit code %d, stderr %q", action, code, stderr)
@@ -129,6 +132,21 @@
 	}
 }
 
+// Guards against an owner who signs another change than the one shown.
+func TestSignRefusesAForeignDigest(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ada.key")
+	if _, err := keys.Generate(path); err != nil {
+		t.Fatal(err)
+	}
+	shown := controlapi.Change{Kind: controlapi.ChangeZoneOut, Zone: "a"}
+	foreign := plan.Digest(controlapi.ProposeRequest{ChangeID: "c1", Change: controlapi.Change{Kind: controlapi.ChangeZoneOut, Zone: "b"}})
+	handler := reply(200, controlapi.Proposal{ChangeID: "c1", Change: shown, Digest: foreign})
+	code, _, stderr := run(t, handler, "plan", "approve", "c1", "-owner", "ada", "-key", path)
+	if code != ExitFailed || !strings.Contains(stderr, "digest") {
+		t.Errorf("exit code %d, stderr %q", code, stderr)
+	}
+}
+
 // Guards against a status table that hides a process that lags.
 func TestStatusShowsWhoLags(t *testing.T) {
 	status := controlapi.StatusResponse{
--- a/cli/keys/keys.go
+++ b/cli/keys/keys.go
@@ -1,4 +1,4 @@
-// Package keys creates the Ed25519 keys of owners and signs proposals with them.
+// Package keys creates and reads the Ed25519 keys of owners.
 package keys
 
 import (
@@ -69,17 +69,3 @@
 	}
 	return key, nil
 }
-
-// Approve returns the signature that approves the proposal with digest.
-func Approve(key ed25519.PrivateKey, digest string) string {
-	return sign(key, digest)
-}
-
-// Reject returns the signature that rejects the proposal with digest.
-func Reject(key ed25519.PrivateKey, digest string) string {
-	return sign(key, "reject:"+digest)
-}
-
-func sign(key ed25519.PrivateKey, text string) string {
-	return base64.StdEncoding.EncodeToString(ed25519.Sign(key, []byte(text)))
-}
--- a/cli/keys/keys_test.go
+++ b/cli/keys/keys_test.go
@@ -27,12 +27,8 @@
 		t.Fatal(err)
 	}
 	raw, _ := base64.StdEncoding.DecodeString(public)
-	approved, _ := base64.StdEncoding.DecodeString(Approve(key, "digest"))
-	if !ed25519.Verify(raw, []byte("digest"), approved) {
-		t.Error("the public key does not verify an approval")
-	}
-	if Approve(key, "digest") == Reject(key, "digest") {
-		t.Error("a rejection can be used as an approval")
+	if !ed25519.Verify(raw, []byte("digest"), ed25519.Sign(key, []byte("digest"))) {
+		t.Error("the public key is not that of the private key")
 	}
 	if err := os.Chmod(path, 0o644); err != nil {
 		t.Fatal(err)
--- a/cli/lists/lists_test.go
+++ b/cli/lists/lists_test.go
@@ -78,3 +78,16 @@
 		t.Error(err)
 	}
 }
+
+// Guards against example lists that do not load.
+func TestExamplesLoad(t *testing.T) {
+	paths, err := filepath.Glob("../../examples/*/lists.ini")
+	if err != nil || len(paths) < 3 {
+		t.Fatalf("examples %v, error %v", paths, err)
+	}
+	for _, path := range paths {
+		if _, err := Load(path); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/cli/plan.go
+++ b/cli/plan.go
@@ -13,6 +13,7 @@
 	"github.com/ibispier/ibispier/cli/lists"
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/internal/table"
+	"github.com/ibispier/ibispier/plan"
 )
 
 func planList(f *flag.FlagSet) action {
@@ -60,17 +61,20 @@
 type proposeFlags struct {
 	id   string
 	base int64
+	// force overrides the check that promised capacity exists.
+	force bool
 }
 
 func (p *proposeFlags) register(f *flag.FlagSet) {
 	f.StringVar(&p.id, "id", "", "change id; the same id gets the first answer (default: a random one)")
 	f.Int64Var(&p.base, "base", -1, "revision that the change is based on (default: the one in force)")
+	f.BoolVar(&p.force, "force", false, "override the check that the capacity which the plans promise exists")
 }
 
 // propose prints the change id before it sends the proposal, so that a proposal
 // whose answer is lost can be sent again.
 func (p *proposeFlags) propose(ctx context.Context, s *session, change controlapi.Change) error {
-	in := controlapi.ProposeRequest{ChangeID: p.id, Base: uint64(max(p.base, 0)), Change: change}
+	in := controlapi.ProposeRequest{ChangeID: p.id, Base: uint64(max(p.base, 0)), Change: change, Force: p.force}
 	if in.ChangeID == "" {
 		in.ChangeID = newID()
 	}
@@ -137,8 +141,9 @@
 	}
 }
 
-// planSign signs the digest of the proposal that it fetched and prints, so that
-// the owner sees what was signed.
+// planSign signs the digest of the proposal that it fetched. It computes the
+// digest from the content that it prints, so that a process which shows one
+// change and asks for the signature of another gets none.
 func planSign(reject bool) func(f *flag.FlagSet) action {
 	return func(f *flag.FlagSet) action {
 		owner := f.String("owner", "", "name of the owner who signs")
@@ -155,12 +160,11 @@
 			if err != nil {
 				return err
 			}
-			signature := keys.Approve(key, p.Digest)
-			if reject {
-				signature = keys.Reject(key, p.Digest)
+			if err := s.checkDigest(p); err != nil {
+				return err
 			}
 			p, err = s.client.Sign(ctx, controlapi.SignRequest{
-				ChangeID: args[0], Owner: *owner, Reject: reject, Signature: signature,
+				ChangeID: args[0], Owner: *owner, Reject: reject, Signature: plan.Signature(key, p.Digest, reject),
 			})
 			if err != nil {
 				return err
@@ -170,6 +174,20 @@
 	}
 }
 
+// checkDigest compares the digest of a proposal with its content.
+func (s *session) checkDigest(p *controlapi.Proposal) error {
+	content := controlapi.ProposeRequest{ChangeID: p.ChangeID, Base: p.Base, Change: p.Change}
+	if plan.Digest(content) == p.Digest {
+		return nil
+	}
+	content.Force = true
+	if plan.Digest(content) == p.Digest {
+		s.note("this change overrides the check that promised capacity exists")
+		return nil
+	}
+	return Error.New("step=sign change=%s: the digest is not that of the content shown", p.ChangeID)
+}
+
 func planPending(f *flag.FlagSet) action {
 	return func(ctx context.Context, s *session, _ []string) error {
 		all, err := s.client.Proposals(ctx, 0)
--- a/cmd/ibispierd/main.go
+++ b/cmd/ibispierd/main.go
@@ -25,33 +25,50 @@
 
 func run() int {
 	path := flag.String("config", "", "settings file (INI)")
+	check := flag.Bool("check", false, "check the settings file, print the effective settings and end")
 	dev := flag.Bool("dev", false, "run all roles and a stand-in target in this process")
+	flag.Usage = usage
 	flag.Parse()
-	if (*path == "") == !*dev || flag.NArg() > 0 {
-		fmt.Fprintln(os.Stderr, "ibispierd: give either -config FILE or -dev")
+	if (*path == "") == !*dev || *check && *dev || flag.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "ibispierd: give either -config FILE or -dev; see -h")
 		return exitUsage
 	}
-	s := devSettings()
+	s, err := devSettings(), error(nil)
 	if !*dev {
-		loaded, err := settings.Load(*path)
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "ibispierd:", err)
-			return exitUsage
-		}
-		s = loaded
+		s, err = settings.Load(*path)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "ibispierd:", err)
+		return exitUsage
+	}
+	if *check {
+		return printSettings(s)
 	}
 	return serve(s, *dev)
 }
 
+func usage() {
+	fmt.Fprint(flag.CommandLine.Output(), "usage: ibispierd -config FILE [-check] | -dev\n\nexample:\n  ibispierd -config examples/local/control-1.ini -check\n\nflags:\n")
+	flag.PrintDefaults()
+}
+
+func printSettings(s *settings.Settings) int {
+	if err := s.Write(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "ibispierd:", err)
+		return exitFailed
+	}
+	return 0
+}
+
 func serve(s *settings.Settings, dev bool) int {
-	logger, err := telemetry.NewLogger(telemetry.Stderr(), s.Log.Level, s.Daemon.ID)
+	observed, err := observe(s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "ibispierd:", err)
-		return exitUsage
+		return exitFailed
 	}
 	signals := daemon.Signals()
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	d, err := daemon.New(s, logger, signals)
+	d, err := daemon.NewObserved(s, observed, signals)
 	if err == nil && dev {
 		err = addStandins(d, s)
 	}
@@ -64,3 +81,21 @@
 	}
 	return 0
 }
+
+// observe sets up the log, the metrics and the traces of the process.
+func observe(s *settings.Settings) (telemetry.Telemetry, error) {
+	metrics := telemetry.NewMetrics()
+	logger, err := telemetry.NewLimitedLogger(telemetry.Stderr(), s.Log.Level, s.Daemon.ID, metrics)
+	if err != nil {
+		return telemetry.Telemetry{}, err
+	}
+	tracer, err := telemetry.NewTracer(context.Background(), telemetry.TraceOptions{
+		Exporter: s.Trace.Exporter,
+		File:     s.Trace.File,
+		Endpoint: s.Trace.Endpoint,
+		Ratio:    s.Trace.Ratio,
+		Process:  s.Daemon.ID,
+		Zone:     s.Daemon.Zone,
+	})
+	return telemetry.Telemetry{Log: logger, Metrics: metrics, Tracer: tracer}, err
+}
--- a/daemon/admin/operators.go
+++ b/daemon/admin/operators.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/operations"
+	"github.com/ibispier/ibispier/telemetry"
 )
 
 // Signature is the body of an approval or a rejection.
@@ -36,6 +37,9 @@
 	d.mux.HandleFunc("DELETE /v1/quarantine/{kind}/{name}", o.release)
 }
 
+// ServeMetrics adds the metrics of the process. It must be called before Run.
+func (d *Duty) ServeMetrics(m *telemetry.Metrics) { d.mux.Handle("GET /metrics", m) }
+
 func (o *operators) status(w http.ResponseWriter, r *http.Request) {
 	operations.Serve(w, r, o.control, controlapi.OpStatus, controlapi.Empty{}, new(controlapi.StatusResponse))
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/ibispier/ibispier/daemon/entry"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/telemetry"
 )
 
 // Error is the class of all errors of this package.
@@ -31,6 +32,7 @@
 type Daemon struct {
 	settings  *settings.Settings
 	log       *zap.Logger
+	telemetry telemetry.Telemetry
 	root      *supervise.Supervisor
 	readiness *admin.Readiness
 	drainers  []drainer
@@ -40,7 +42,12 @@
 // New builds the tree of the process. The first signal starts a graceful
 // shutdown, the second ends it.
 func New(s *settings.Settings, log *zap.Logger, signals <-chan os.Signal) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log, readiness: new(admin.Readiness), signals: signals}
+	return NewObserved(s, telemetry.Telemetry{Log: log, Metrics: telemetry.NewMetrics()}, signals)
+}
+
+// NewObserved is New with metrics and traces. The daemon closes the tracer.
+func NewObserved(s *settings.Settings, t telemetry.Telemetry, signals <-chan os.Signal) (*Daemon, error) {
+	d := &Daemon{settings: s, log: t.Log, telemetry: t, readiness: new(admin.Readiness), signals: signals}
 	d.root = supervise.New("root", rootPolicy, d.observe)
 	if err := d.build(); err != nil {
 		return nil, err
@@ -53,11 +60,13 @@
 	if err != nil {
 		return err
 	}
+	operators.HTTP.ServeMetrics(d.telemetry.Metrics)
 	if d.settings.HasRole(settings.RoleEntry) {
 		role, err := entry.New(d.settings, d.log, d.observe)
 		if err != nil {
 			return err
 		}
+		role.Observe(d.telemetry)
 		d.addRole("entry", role, role)
 	}
 	if d.settings.HasRole(settings.RoleAgent) {
@@ -84,6 +93,9 @@
 	d.readiness.Set(true)
 	d.log.Info("started", zap.Strings("roles", d.settings.Daemon.Roles), zap.String("zone", d.settings.Daemon.Zone))
 	err := d.root.Run(ctx)
+	if err := d.telemetry.Tracer.Close(context.WithoutCancel(ctx)); err != nil {
+		d.log.Warn("spans lost", zap.Error(err))
+	}
 	if err != nil {
 		d.log.Error("process failed", zap.Error(err))
 		return Error.Wrap(err)
@@ -94,5 +106,6 @@
 
 // observe logs the failure of a child.
 func (d *Daemon) observe(supervisor, child string, err error) {
+	d.telemetry.Metrics.Counter("ibispier_child_failures_total", "supervisor", supervisor).Inc(1)
 	d.log.Warn("child failed", zap.String("supervisor", supervisor), zap.String("child", child), zap.Error(err))
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/ibispier/ibispier/routing"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/telemetry"
 	"github.com/ibispier/ibispier/wire"
 )
 
@@ -74,6 +75,12 @@
 	return role, nil
 }
 
+// Observe sets where the role is counted and traced. It must be called before
+// Run.
+func (r *Role) Observe(t telemetry.Telemetry) {
+	r.frontend.Observe(t)
+}
+
 // Ready reports whether the role may get requests.
 func (r *Role) Ready() bool { return r.relay.Ready() }
 
--- a/daemon/entry/frontend/frontend.go
+++ b/daemon/entry/frontend/frontend.go
@@ -16,6 +16,7 @@
 	"github.com/ibispier/ibispier/daemon/entry/router"
 	"github.com/ibispier/ibispier/request"
 	"github.com/ibispier/ibispier/settings"
+	"github.com/ibispier/ibispier/telemetry"
 )
 
 // Error is the class of all errors of this package.
@@ -34,6 +35,8 @@
 	calls    *router.Duty
 	settings settings.Entry
 	log      *zap.Logger
+
+	telemetry telemetry.Telemetry
 }
 
 // New returns the duty for callers that connect to socket.
@@ -41,7 +44,7 @@
 	d := &Duty{socket: socket, calls: calls, settings: s, log: logger}
 	mux := http.NewServeMux()
 	d.mux = mux
-	mux.HandleFunc("/v1/services/{service}/{path...}", d.serveRequest)
+	mux.HandleFunc("/v1/services/{service}/{path...}", d.observed(d.serveRequest))
 	d.server = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: readHeaderTimeout,
--- /dev/null
+++ b/daemon/entry/frontend/observe.go
@@ -0,0 +1,44 @@
+package frontend
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/ibispier/ibispier/telemetry"
+)
+
+// Observe sets where requests are counted and traced. It must be called before
+// Run.
+func (d *Duty) Observe(t telemetry.Telemetry) { d.telemetry = t }
+
+// observed counts a request and records its span, whose traceparent goes on to
+// the router in the header of the request.
+func (d *Duty) observed(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		start := time.Now()
+		incoming := r.Header.Get("Traceparent")
+		span := d.telemetry.Tracer.Start(incoming, "entry.request")
+		if span != nil {
+			r.Header.Set("Traceparent", span.TraceParent(incoming))
+		}
+		next(w, r)
+		d.record(w.Header(), span, time.Since(start))
+		span.Set("customer", r.Header.Get(HeaderCustomer))
+		span.Set("service", r.PathValue("service"))
+		span.Finish(w.Header().Get(HeaderReason))
+	}
+}
+
+// record counts by outcome and reason only: names that callers choose as labels
+// would let them fill the memory of the process.
+func (d *Duty) record(h http.Header, span *telemetry.Span, took time.Duration) {
+	outcome := h.Get(HeaderOutcome)
+	if outcome == "" {
+		outcome = "caller_gone"
+	}
+	span.Set("request_id", h.Get(HeaderRequestID))
+	span.Set("outcome", outcome)
+	m := d.telemetry.Metrics
+	m.Counter("ibispier_requests_total", "outcome", outcome, "reason", h.Get(HeaderReason)).Inc(1)
+	m.Summary("ibispier_request_microseconds", "outcome", outcome).Update(took.Microseconds())
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,58 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+)
+
+// check finds settings that are valid one by one but do not make a process.
+func (s *Settings) check(path string) error {
+	missing := func(section, key, why string) error {
+		return Error.New("file=%s section=%s key=%s: missing: %s", path, section, key, why)
+	}
+	switch {
+	case s.Daemon.ID == "":
+		return missing("daemon", "id", "every process needs a name")
+	case len(s.Daemon.Roles) == 0:
+		return missing("daemon", "roles", "a process needs a role")
+	case s.Daemon.Zone == "":
+		return missing("daemon", "zone", "every process is in an availability zone")
+	case s.HasRole(RoleAgent) && len(s.Cluster.Entries) == 0:
+		return missing("cluster", "entries", "an agent needs the addresses of the entry instances")
+	case s.HasRole(RoleAgent) && s.Agent.Target != "" && s.Agent.Service == "":
+		return missing("agent", "service", "a target serves a service")
+	}
+	return s.checkMembers(path)
+}
+
+func (s *Settings) checkMembers(path string) error {
+	seen := map[string]bool{}
+	for _, m := range s.Cluster.Control {
+		if seen[m.ID] {
+			return Error.New("file=%s section=cluster key=control: %q is named twice", path, m.ID)
+		}
+		seen[m.ID] = true
+	}
+	if s.HasRole(RoleControl) && !seen[s.Daemon.ID] {
+		return Error.New("file=%s section=cluster key=control: %q, which has the role control, is not named", path, s.Daemon.ID)
+	}
+	return nil
+}
+
+// Write writes the effective settings as a settings file.
+func (s *Settings) Write(w io.Writer) error {
+	section := ""
+	for _, k := range Keys(s) {
+		if k.Section != section {
+			if section != "" {
+				fmt.Fprintln(w)
+			}
+			section = k.Section
+			fmt.Fprintf(w, "[%s]\n", section)
+		}
+		if _, err := fmt.Fprintf(w, "%s = %s\n", k.Name, k.Value()); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/settings/page.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+const pageHead = `# Settings
+
+A process reads its settings from one INI file: ` + "`ibispierd -config FILE`" + `. ` + "`ibispierd -config FILE -check`" + ` checks the
+file, prints the effective settings and starts nothing.
+
+* An unknown section or key, a value that is not valid or out of range, and a missing file end the process with
+  exit code 2 and one line that names file, section and key. Nothing is started.
+* Addresses are ` + "`ip:port`" + `; host names are refused, because processes do not depend on a name service.
+* Durations have a unit, such as ` + "`500ms`" + ` or ` + "`3s`" + `. Lists are separated by commas.
+* A settings file must give ` + "`[daemon] id`, `roles` and `zone`" + `. An agent also needs ` + "`[cluster] entries`" + `, and a control
+  member must be named in ` + "`[cluster] control`" + `.
+
+This page is generated from the code: ` + "`go test ./settings -run SettingsPage -update`" + `.
+`
+
+// Page returns docs/settings.md.
+func Page() string {
+	var b strings.Builder
+	b.WriteString(pageHead)
+	section := ""
+	for _, k := range Keys(new(Settings)) {
+		if k.Section != section {
+			section = k.Section
+			fmt.Fprintf(&b, "\n## [%s]\n\n| key | unit | default | range | meaning |\n|---|---|---|---|---|\n", section)
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", k.Name, dash(k.Unit), code(k.Default), k.Range(), k.Description)
+	}
+	return b.String()
+}
+
+func dash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func code(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return "`" + s + "`"
+}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -26,20 +27,38 @@
 // Range describes the accepted values.
 func (k Key) Range() string { return k.value.accepted }
 
-// value parses the text of a setting into its field.
+// Value returns the value in effect, in the form that a settings file has.
+func (k Key) Value() string { return k.value.text() }
+
+// value parses the text of a setting into its field and prints the field.
 type value struct {
 	accepted string
 	parse    func(text string) error
+	text     func() string
 }
 
 // Load reads the settings file at path.
 func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.New("file=%s: %w", path, err)
+	}
+	s, err := Parse(path, data)
+	if err != nil {
+		return nil, err
+	}
+	return s, s.check(path)
+}
+
+// Parse reads the content of the settings file at path, which is only named in
+// errors. It checks each setting but not how they fit together.
+func Parse(path string, data []byte) (*Settings, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{
 		Insensitive:         false,
 		IgnoreInlineComment: true,
-	}, path)
+	}, data)
 	if err != nil {
-		return nil, Error.New("file=%s: %w", path, err)
+		return nil, Error.New("file=%s: %s", path, strings.Join(strings.Fields(err.Error()), " "))
 	}
 	return fromFile(path, file)
 }
@@ -97,7 +116,7 @@
 	return value{"text", func(s string) error {
 		*field = s
 		return nil
-	}}
+	}, func() string { return *field }}
 }
 
 func choice(field *string, options ...string) value {
@@ -107,7 +126,7 @@
 		}
 		*field = s
 		return nil
-	}}
+	}, func() string { return *field }}
 }
 
 func list(field *[]string, options ...string) value {
@@ -119,7 +138,7 @@
 			}
 		}
 		return nil
-	}}
+	}, func() string { return strings.Join(*field, ", ") }}
 }
 
 func integer[T int | int64](field *T, low, high T) value {
@@ -134,18 +153,18 @@
 		}
 		*field = T(n)
 		return nil
-	}}
+	}, func() string { return strconv.FormatInt(int64(*field), 10) }}
 }
 
 func fraction(field *float64) value {
 	return value{"0..1", func(s string) error {
 		f, err := strconv.ParseFloat(s, 64)
-		if err != nil || f < 0 || f > 1 {
+		if err != nil || !(f >= 0 && f <= 1) {
 			return errs.New("%q is not a number in 0..1", s)
 		}
 		*field = f
 		return nil
-	}}
+	}, func() string { return strconv.FormatFloat(*field, 'g', -1, 64) }}
 }
 
 func boolean(field *bool) value {
@@ -156,7 +175,7 @@
 		}
 		*field = b
 		return nil
-	}}
+	}, func() string { return strconv.FormatBool(*field) }}
 }
 
 func duration(field *time.Duration, lowSeconds, highSeconds float64) value {
@@ -173,7 +192,7 @@
 		}
 		*field = d
 		return nil
-	}}
+	}, func() string { return field.String() }}
 }
 
 func address(field *string) value {
@@ -183,7 +202,7 @@
 		}
 		*field = s
 		return nil
-	}}
+	}, func() string { return *field }}
 }
 
 func addresses(field *[]string) value {
@@ -195,7 +214,7 @@
 			}
 		}
 		return nil
-	}}
+	}, func() string { return strings.Join(*field, ", ") }}
 }
 
 func members(field *[]Member) value {
@@ -212,7 +231,15 @@
 			*field = append(*field, Member{ID: id, Address: addr})
 		}
 		return nil
-	}}
+	}, func() string { return memberText(*field) }}
+}
+
+func memberText(members []Member) string {
+	items := make([]string, len(members))
+	for i, m := range members {
+		items[i] = m.ID + "@" + m.Address
+	}
+	return strings.Join(items, ", ")
 }
 
 // checkAddress accepts IP numbers only, because processes do not depend on a
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,125 @@
+package settings
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write docs/settings.md")
+
+const valid = "[daemon]\nid = e1\nroles = entry\nzone = a\n"
+
+// Guards against a mistake in a settings file that is passed over or reported
+// without its place.
+func TestMistakesAreReportedInOneLine(t *testing.T) {
+	tests := []struct{ name, text, want string }{
+		{"unknown section", valid + "[entri]\n", "section=entri: unknown section"},
+		{"unknown key", valid + "[entry]\nlisten_on = x\n", "section=entry key=listen_on: unknown key"},
+		{"key without section", "id = e1\n" + valid, "key=id: unknown key"},
+		{"bad number", valid + "[entry]\nmax_body = lots\n", `section=entry key=max_body: "lots" is not a whole number`},
+		{"out of range", valid + "[entry]\nmax_body = 0\n", "section=entry key=max_body: 0 is outside 1..4194304"},
+		{"no unit", valid + "[control]\ntick = 50\n", "section=control key=tick"},
+		{"duration out of range", valid + "[permit]\nttl = 1h\n", "section=permit key=ttl: 1h0m0s is outside 100ms..3s"},
+		{"not a number", valid + "[trace]\nratio = NaN\n", "section=trace key=ratio"},
+		{"host name", valid + "[entry]\nlisten = localhost:80\n", "section=entry key=listen"},
+		{"bad choice", valid + "[log]\nlevel = loud\n", "section=log key=level"},
+		{"bad role", strings.Replace(valid, "entry", "chief", 1), "section=daemon key=roles"},
+		{"no id", strings.Replace(valid, "id = e1", "", 1), "section=daemon key=id: missing"},
+		{"no zone", strings.Replace(valid, "zone = a", "", 1), "section=daemon key=zone: missing"},
+		{"agent without entries", strings.Replace(valid, "entry", "agent", 1), "section=cluster key=entries: missing"},
+		{"stranger", strings.Replace(valid, "entry", "control", 1) + "[cluster]\ncontrol = c2@127.0.0.1:1\n", "section=cluster key=control"},
+		{"member twice", valid + "[cluster]\ncontrol = c2@127.0.0.1:1, c2@127.0.0.1:2\n", "section=cluster key=control"},
+		{"no value", valid + "[entry]\nnonsense\n", "nonsense"},
+	}
+	for _, test := range tests {
+		path := filepath.Join(t.TempDir(), "x.ini")
+		if err := os.WriteFile(path, []byte(test.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Load(path)
+		if err == nil || !strings.Contains(err.Error(), test.want) || !strings.Contains(err.Error(), "file="+path) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want %q", test.name, err, test.want)
+		}
+	}
+	if _, err := Load("none.ini"); err == nil || !strings.Contains(err.Error(), "file=none.ini") {
+		t.Errorf("missing file: error %v", err)
+	}
+}
+
+// Guards against effective settings that ibispierd -check prints in a form that
+// it does not read.
+func TestWriteAndParseAreInverse(t *testing.T) {
+	want, err := Parse("x.ini", []byte(valid+"[cluster]\ncontrol = c1@127.0.0.1:1, c2@[::1]:2\nentries = 127.0.0.1:3\n[trace]\nratio = 0.25\n[routing]\nhedging = false\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	if err := want.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Parse("x.ini", b.Bytes())
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, error %v, want %+v", got, err, want)
+	}
+}
+
+// Guards against a settings page that differs from the code. Run with -update
+// after a change of a setting.
+func TestSettingsPageMatchesTheCode(t *testing.T) {
+	const path = "../docs/settings.md"
+	want := Page()
+	if *update {
+		if err := os.WriteFile(path, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(path)
+	if err != nil || string(got) != want {
+		t.Errorf("%s does not match the code, error %v; run go test ./settings -update", path, err)
+	}
+}
+
+// Guards against examples that do not load.
+func TestExamplesLoad(t *testing.T) {
+	paths, err := filepath.Glob("../examples/*/*.ini")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, path := range paths {
+		switch filepath.Base(path) {
+		case "lists.ini", "owners.ini": // read by package lists
+			continue
+		}
+		if _, err := Load(path); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// FuzzParse guards against a settings file that crashes the process, and
+// against accepted settings that cannot be printed and read again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("[cluster]\ncontrol = a@127.0.0.1:1\n"))
+	f.Add([]byte("[trace]\nratio = NaN\n"))
+	f.Add([]byte("[daemon]\nid = \"\"\"a\nb\"\"\"\n"))
+	f.Add([]byte("[daemon]\nid = %(id)s\n"))
+	f.Add([]byte("\xef\xbb\xbf[daemon]\nid = a\\\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("fuzz.ini", data)
+		if err != nil {
+			if strings.Contains(err.Error(), "\n") {
+				t.Errorf("error of several lines: %q", err)
+			}
+			return
+		}
+		if s.Entry.MaxBody < 1 || s.Trace.Ratio < 0 || s.Trace.Ratio > 1 || s.Control.ElectionTicks < 4 {
+			t.Errorf("accepted settings outside their ranges: %+v", s)
+		}
+	})
+}
