--- a/settings/parse.go
+++ b/settings/parse.go
@@ -212,7 +212,7 @@
 			return nil
 		}
 		return v.parse(s)
-	}}
+	}, v.text}
 }
 
 func addresses(field *[]string) value {
