--- /dev/null
+++ b/daemon/control/applier/cluster_test.go
@@ -0,0 +1,204 @@
+package applier
+
+import (
+	"math/rand"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/internal/testseed"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/state/codec"
+)
+
+func TestMain(m *testing.M) {
+	testseed.Fix()
+	os.Exit(m.Run())
+}
+
+// cluster is a fake of the replicated log in virtual time: one leader at a time
+// appends to one log, members learn of entries and of their leadership late, and
+// what a leader has not committed is lost with its leadership.
+type cluster struct {
+	now     time.Time
+	rnd     *rand.Rand
+	members []*member
+	log     []consensus.Entry
+	pending [][]byte // proposed to the leader, not committed
+	reads   []uint64 // asked of the leader, not confirmed
+	leader  int
+	term    uint64
+}
+
+type member struct {
+	engine    *engine
+	delivered int
+}
+
+func newCluster(size int, seed int64) *cluster {
+	c := &cluster{now: time.Unix(1_000_000, 0), rnd: rand.New(rand.NewSource(seed)), leader: -1}
+	for i := range size {
+		c.members = append(c.members, nil)
+		c.restart(i)
+	}
+	return c
+}
+
+// restart gives a member a new engine, from a snapshot of the old one if there
+// is one.
+func (c *cluster) restart(i int) {
+	o := DefaultOptions(zap.NewNop())
+	o.Origin = c.rnd.Uint64
+	e := newEngine(o, func(in replica.Input) error { return c.input(i, in) })
+	e.feed.out = ring.New[Change]("scheduler.in", 16)
+	m := &member{engine: e}
+	if old := c.members[i]; old != nil {
+		old.engine.abandon()
+		data, err := codec.EncodeImage(old.engine.machine.Image())
+		if err != nil {
+			panic(err)
+		}
+		m.delivered = old.delivered
+		c.update(m, replica.Update{Snapshot: &replica.SnapshotData{Index: uint64(old.delivered), Data: data}})
+	}
+	c.members[i] = m
+}
+
+func (c *cluster) update(m *member, u replica.Update) {
+	if err := m.engine.update(c.now, u); err != nil {
+		panic(err)
+	}
+}
+
+// input takes what engine i asks. A deposed leader that does not know it yet
+// gets no answer.
+func (c *cluster) input(i int, in replica.Input) error {
+	if c.rnd.Intn(50) == 0 {
+		return ring.ErrFull
+	}
+	switch {
+	case i != c.leader:
+	case in.Propose != nil:
+		c.pending = append(c.pending, in.Propose)
+	case in.Read != 0:
+		c.reads = append(c.reads, in.Read)
+	}
+	return nil
+}
+
+func (c *cluster) commit(n int) {
+	for _, data := range c.pending[:min(n, len(c.pending))] {
+		c.log = append(c.log, consensus.Entry{Index: uint64(len(c.log) + 1), Term: c.term, Data: data})
+	}
+	c.pending = c.pending[min(n, len(c.pending)):]
+}
+
+// deliver gives member i up to n entries.
+func (c *cluster) deliver(i, n int) {
+	m := c.members[i]
+	end := min(m.delivered+n, len(c.log))
+	c.update(m, replica.Update{Entries: c.log[m.delivered:end]})
+	m.delivered = end
+}
+
+// confirm answers the reads of the leader: it still leads, and the log is this
+// long now.
+func (c *cluster) confirm() {
+	if c.leader < 0 {
+		return
+	}
+	var ready []replica.ReadReady
+	for _, context := range c.reads {
+		ready = append(ready, replica.ReadReady{Context: context, Index: uint64(len(c.log))})
+	}
+	c.reads = nil
+	c.update(c.members[c.leader], replica.Update{Reads: ready})
+}
+
+// elect makes another member the leader. Part of what the old one has not
+// committed survives.
+func (c *cluster) elect(i int) {
+	c.commit(c.rnd.Intn(len(c.pending) + 1))
+	c.pending, c.reads = nil, nil
+	c.leader = i
+	c.term++
+	c.tell(i)
+}
+
+// tell gives member i its status.
+func (c *cluster) tell(i int) {
+	s := replica.Status{IsLeader: i == c.leader, Term: c.term}
+	c.update(c.members[i], replica.Update{Status: &s})
+}
+
+func (c *cluster) flush() {
+	for _, m := range c.members {
+		m.engine.flush(c.now)
+		m.engine.feed.out.Drain(nil, 16)
+	}
+}
+
+// settle lets everything that is under way come to its end.
+func (c *cluster) settle() {
+	for range 3 {
+		c.flush()
+		c.commit(len(c.pending))
+		for i := range c.members {
+			c.tell(i)
+			c.deliver(i, len(c.log))
+		}
+		c.confirm()
+		c.flush()
+	}
+}
+
+// pass moves time on and ticks every engine.
+func (c *cluster) pass(d time.Duration) {
+	c.now = c.now.Add(d)
+	for _, m := range c.members {
+		m.engine.tick(c.now)
+	}
+	c.flush()
+}
+
+// answer is the Replier of tests.
+type answer struct {
+	Response
+	count int
+}
+
+// Reply implements Replier.
+func (a *answer) Reply(r Response) {
+	a.Response = r
+	a.count++
+}
+
+// ask sends a request to member i.
+func (c *cluster) ask(i int, op controlapi.Operation, body any) *answer {
+	a := new(answer)
+	c.members[i].engine.request(c.now, &Request{Operation: op, Body: body, Deadline: c.now.Add(2 * time.Second), Replier: a})
+	c.flush()
+	return a
+}
+
+// mustAsk sends a request and returns the body of its answer.
+func mustAsk[T any](t *testing.T, c *cluster, i int, op controlapi.Operation, body any) T {
+	t.Helper()
+	for range 20 { // a full ring of the replica gives "unavailable"
+		a := c.ask(i, op, body)
+		c.settle()
+		if a.count == 1 && a.Status == OK {
+			return a.Body.(T)
+		}
+		if a.count == 1 && a.Status != Unavailable {
+			t.Fatalf("%s: %+v", op, a.Response)
+		}
+	}
+	t.Fatalf("%s was not answered", op)
+	panic("unreachable")
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -166,7 +166,7 @@
 }
 
 // Resolve records the outcome of the claim with an epoch and reports whether
-// the epoch is current. "not run" frees the key. "unknown" may later be
+// the outcome is the one that holds for that claim. "not run" frees the key. "unknown" may later be
 // replaced by what the holder proves; the other outcomes are final, and the
 // first one stays.
 func (l *Ledger) Resolve(now time.Time, r controlapi.ResolveRequest) bool {
@@ -176,10 +176,15 @@
 		return false
 	}
 	k := l.records.at(position)
-	if k.Epoch != r.Epoch || k.Epoch == 0 {
+	notRun := r.Outcome.Outcome == "not-run"
+	switch {
+	case r.Epoch == 0 || r.Epoch > k.Epoch:
 		return false
+	case r.Epoch < k.Epoch:
+		// The key was claimed anew, so "not run" was accepted for the earlier
+		// claims. A copy of that gets the first answer; nothing changes.
+		return notRun
 	}
-	notRun := r.Outcome.Outcome == "not-run"
 	switch {
 	case k.Phase == Free:
 		return notRun
