--- a/cmd/ibispierd/dev.go
+++ b/cmd/ibispierd/dev.go
@@ -4,34 +4,57 @@
 	"fmt"
 	"net"
 
+	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/standin/target"
+	"github.com/ibispier/ibispier/standin/worker"
+	"github.com/ibispier/ibispier/supervise"
 )
 
-const devTarget = "127.0.0.1:9090"
+// Addresses of the stand-ins.
+const (
+	devTarget = "127.0.0.1:9090"
+	devWorker = "127.0.0.1:9091"
+)
 
 // devSettings returns the settings of a process with all roles.
 func devSettings() *settings.Settings {
 	s := settings.Default()
 	s.Daemon.ID = "dev"
-	s.Daemon.Roles = []string{settings.RoleEntry, settings.RoleAgent}
+	s.Daemon.Roles = []string{settings.RoleControl, settings.RoleEntry, settings.RoleAgent}
 	s.Daemon.Zone = "dev-a"
 	s.Daemon.Grace = 0
 	s.Cluster.Entries = []string{s.Entry.AgentListen}
-	s.Entry.Standalone = true
+	s.Cluster.Control = []settings.Member{{ID: s.Daemon.ID, Address: s.Control.Listen}}
 	s.Agent.Target = "http://" + devTarget
 	s.Agent.Service = "price-check"
+	s.Agent.Worker = "http://" + devWorker
+	s.Agent.Rack = "dev-rack"
+	s.Agent.CPUMilli = 8000
+	s.Agent.MemoryMiB = 16384
 	return s
 }
 
-// addStandins adds the stand-in target and prints how to use it.
+// addStandins adds the stand-in target and worker and the duty that sets up
+// control, and prints how to use them.
 func addStandins(d *daemon.Daemon, s *settings.Settings) error {
 	socket, err := net.Listen("tcp", devTarget)
 	if err != nil {
 		return err
 	}
+	work, err := net.Listen("tcp", devWorker)
+	if err != nil {
+		return err
+	}
 	d.Add("target", target.New(socket, target.Options{}))
+	tasks := worker.New(work, worker.Options{ID: s.Daemon.ID, Zone: s.Daemon.Zone, Capacity: controlapi.Resources{
+		CPUMilli: s.Agent.CPUMilli, MemoryMiB: s.Agent.MemoryMiB,
+	}})
+	d.Add("worker", tasks)
+	d.Add("worker.clock", supervise.Func(tasks.Clock))
+	addSetup(d, s)
+	fmt.Printf("curl -i -X POST -d '{\"id\":\"t1\",\"customer\":\"demo\",\"kind\":\"batch\",\"class\":\"any\",\"size\":{\"cpu_milli\":100,\"memory_mib\":64}}' http://%s/v1/tasks\n", s.Entry.Listen)
 	fmt.Printf("curl -i -H 'Ibispier-Customer: demo' http://%s/v1/services/price-check/lots/1\n", s.Entry.Listen)
 	return nil
 }
--- a/cmd/ibispierd/main.go
+++ b/cmd/ibispierd/main.go
@@ -26,17 +26,17 @@
 func run() int {
 	path := flag.String("config", "", "settings file (INI)")
 	check := flag.Bool("check", false, "check the settings file, print the effective settings and end")
-	dev := flag.Bool("dev", false, "run all roles and a stand-in target in this process")
+	dev := flag.Bool("dev", false, "run all roles, a stand-in target and a stand-in worker in this process")
 	flag.Usage = usage
 	flag.Parse()
 	if (*path == "") == !*dev || *check && *dev || flag.NArg() > 0 {
 		fmt.Fprintln(os.Stderr, "ibispierd: give either -config FILE or -dev; see -h")
 		return exitUsage
 	}
-	s, err := devSettings(), error(nil)
-	if !*dev {
-		s, err = settings.Load(*path)
+	if *dev {
+		return serveDev()
 	}
+	s, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "ibispierd:", err)
 		return exitUsage
@@ -44,7 +44,7 @@
 	if *check {
 		return printSettings(s)
 	}
-	return serve(s, *dev)
+	return serve(s, false)
 }
 
 func usage() {
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,29 @@
+package daemon
+
+import (
+	"github.com/ibispier/ibispier/daemon/control"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/daemon/control/scheduler"
+	"github.com/ibispier/ibispier/daemon/control/server"
+)
+
+// newControl returns the role control with the duties that own the control
+// state and serve it to clients.
+func (d *Daemon) newControl() (*control.Role, error) {
+	role, err := control.New(d.settings, d.log, d.observe)
+	if err != nil {
+		return nil, err
+	}
+	o := applier.DefaultOptions(d.log)
+	o.Permit.TTL = d.settings.Permit.TTL
+	o.Addresses = map[string]string{}
+	for _, m := range d.settings.Cluster.Control {
+		o.Addresses[m.ID] = m.Address
+	}
+	state := applier.New(o, role.Inputs, role.Updates)
+	role.AddCore("applier", state)
+	role.AddCore("snapshots", state.Snapshotter())
+	role.AddCore("scheduler", scheduler.New(state.Changes, state.Decisions))
+	role.HandleClients(server.New(state.Requests))
+	return role, nil
+}
--- a/daemon/control/applier/engine.go
+++ b/daemon/control/applier/engine.go
@@ -105,7 +105,12 @@
 	return nil
 }
 
+// restore replaces the state. A log without a snapshot starts with an empty one.
 func (e *engine) restore(s *replica.SnapshotData) error {
+	if s.Index == 0 && len(s.Data) == 0 {
+		e.machine, e.applied = state.New(e.options.State), 0
+		return nil
+	}
 	img, err := codec.DecodeImage(s.Data)
 	if err != nil {
 		return supervise.Fatal(Error.New("step=restore index=%d: %w", s.Index, err))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,6 +66,13 @@
 		return err
 	}
 	operators.HTTP.ServeMetrics(d.telemetry.Metrics)
+	if d.settings.HasRole(settings.RoleControl) {
+		role, err := d.newControl()
+		if err != nil {
+			return err
+		}
+		d.addRole("control", role, role)
+	}
 	if d.settings.HasRole(settings.RoleEntry) {
 		role, err := entry.New(d.settings, d.log, d.observe)
 		if err != nil {
--- a/state/machine.go
+++ b/state/machine.go
@@ -125,6 +125,18 @@
 	return Result{Proposal: &p, Config: changed}
 }
 
+// anyCustomer in the list of customers stands for all that are not named.
+const anyCustomer = "*"
+
+// planOf returns the plan of a customer.
+func (m *Machine) planOf(customer string) (controlapi.Plan, bool) {
+	if p, found := m.plans[customer]; found {
+		return p, true
+	}
+	p, found := m.plans[anyCustomer]
+	return p, found
+}
+
 func plansByCustomer(c controlapi.Config) map[string]controlapi.Plan {
 	byName := make(map[string]controlapi.Plan, len(c.Plans))
 	for _, p := range c.Plans {
--- a/state/tasks.go
+++ b/state/tasks.go
@@ -46,7 +46,7 @@
 // checkTask refuses tasks that can not be taken. Before the first accepted
 // change nothing limits customers, so that a new deployment can be tried.
 func (m *Machine) checkTask(r controlapi.Task) error {
-	_, hasPlan := m.plans[r.Customer]
+	_, hasPlan := m.planOf(r.Customer)
 	switch {
 	case r.ID == "" || len(r.ID) > 128:
 		return refuse(controlapi.ReasonBadRequest, "a task id has 1 to 128 bytes")
@@ -151,7 +151,7 @@
 	if m.Config().Revision == 0 {
 		return nil
 	}
-	limit := m.plans[t.Customer]
+	limit, _ := m.planOf(t.Customer)
 	used := usageOrNone(m.tasks.customers, t.Customer)
 	resources := controlapi.Resources{CPUMilli: limit.CPUMilli, MemoryMiB: limit.MemoryMiB, Accelerators: limit.Accelerators}
 	if used.tasks >= limit.Tasks || !used.fits(t.Size, resources) {
