--- /dev/null
+++ b/daemon/control/server/server_test.go
@@ -0,0 +1,109 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/daemon/controlclient"
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/settings"
+	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// member is a control member whose applier is a function. A nil answer is
+// silence.
+func member(t *testing.T, tree *supervise.Supervisor, id string, answer func(*applier.Request) *applier.Response) settings.Member {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	requests := ring.New[*applier.Request]("requests", 16)
+	tree.Add("applier "+id, supervise.Func(func(ctx context.Context) error {
+		for {
+			r, err := requests.Take(ctx)
+			if err != nil {
+				return nil
+			}
+			if resp := answer(r); resp != nil {
+				r.Replier.Reply(*resp)
+			}
+		}
+	}))
+	tree.Add("server "+id, link.NewListener("server", socket, link.Options{
+		Local:  link.Identity{Role: wire.Role_ROLE_CONTROL, ID: id},
+		Accept: []wire.Role{wire.Role_ROLE_ENTRY},
+	}, New(requests)))
+	return settings.Member{ID: id, Address: socket.Addr().String()}
+}
+
+// Guards against a client that does not find the leader: a member that refuses
+// with a hint, one that stays silent, and one that leads.
+func TestClientFindsTheLeader(t *testing.T) {
+	tree := supervise.New("test", supervise.Policy{}, nil)
+	hint := func(*applier.Request) *applier.Response {
+		return &applier.Response{Status: applier.NotLeader, Leader: "silent"}
+	}
+	silent := func(*applier.Request) *applier.Response { return nil }
+	leads := func(r *applier.Request) *applier.Response {
+		if r.Operation == controlapi.OpTask {
+			return &applier.Response{Status: applier.Refused, Reason: "not_found: " + r.Body.(*controlapi.TaskQuery).ID}
+		}
+		return &applier.Response{Body: controlapi.ResolveResponse{Accepted: r.Body.(*controlapi.ResolveRequest).Epoch == 7}}
+	}
+	client := controlclient.New(controlclient.Options{
+		Local: link.Identity{Role: wire.Role_ROLE_ENTRY, ID: "e"},
+		Members: []settings.Member{
+			member(t, tree, "hints", hint), member(t, tree, "silent", silent), member(t, tree, "leads", leads),
+		},
+	})
+	tree.Add("client", client)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- tree.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	callCtx, cancelCall := context.WithTimeout(ctx, 20*time.Second)
+	defer cancelCall()
+	for range 3 {
+		var out controlapi.ResolveResponse
+		if err := client.Do(callCtx, controlapi.OpResolve, controlapi.ResolveRequest{Epoch: 7}, &out); err != nil || !out.Accepted {
+			t.Fatalf("%+v, %v", out, err)
+		}
+	}
+	var refused *controlclient.RefusedError
+	err := client.Do(callCtx, controlapi.OpTask, controlapi.TaskQuery{ID: "t"}, nil)
+	if !errors.As(err, &refused) || refused.Reason != "not_found: t" {
+		t.Fatalf("got %v, want the refusal of the leader", err)
+	}
+	err = client.Do(callCtx, "no-such-operation", controlapi.Empty{}, nil)
+	if !errors.As(err, &refused) {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+}
+
+// Guards against an operation of the contract that the server does not know.
+func TestEveryOperationIsDecoded(t *testing.T) {
+	for _, op := range []controlapi.Operation{
+		controlapi.OpClaim, controlapi.OpResolve, controlapi.OpPermit, controlapi.OpConfig, controlapi.OpPropose, controlapi.OpSign,
+		controlapi.OpProposals, controlapi.OpSubmit, controlapi.OpTask, controlapi.OpTasks, controlapi.OpCancelTask, controlapi.OpReport,
+		controlapi.OpAnnounced, controlapi.OpStatus, controlapi.OpQuarantine, controlapi.OpRelease, controlapi.OpMembers,
+		controlapi.OpMembership, controlapi.OpSnapshot,
+	} {
+		if _, err := decode(op, []byte("{}")); err != nil {
+			t.Errorf("%s: %v", op, err)
+		}
+	}
+	if _, err := decode(controlapi.OpClaim, []byte("{")); err == nil {
+		t.Error("malformed JSON was taken")
+	}
+}
--- a/plan/book_test.go
+++ b/plan/book_test.go
@@ -46,9 +46,15 @@
 	return b
 }
 
+// signed keeps signatures, which are slow to make with the race detector.
+var signed = map[string]string{}
+
 func signBy(owner, digest, changeID string, reject bool) controlapi.SignRequest {
-	return controlapi.SignRequest{ChangeID: changeID, Owner: owner, Reject: reject,
-		Signature: Signature(ownerKey(owner), digest, reject)}
+	id := fmt.Sprint(owner, digest, reject)
+	if signed[id] == "" {
+		signed[id] = Signature(ownerKey(owner), digest, reject)
+	}
+	return controlapi.SignRequest{ChangeID: changeID, Owner: owner, Reject: reject, Signature: signed[id]}
 }
 
 func zoneOut(id string, base uint64, zone string) controlapi.ProposeRequest {
