routing, admission, limit: test with state machines

The machine of routing joins two routers, three admission controllers and the ledger by links that lose, break and damage frames, with a quorum that loses results.

--- a/routing/call.go
+++ b/routing/call.go
@@ -258,10 +258,13 @@
 	// A draining target refuses at most what was under way to it when it
 	// announced its leave, so these retries cannot add up and a planned stop
 	// must not fail requests.
-	if reason != request.ReasonDraining && !r.retries.Spend() {
+	if reason == request.ReasonDraining {
+		r.stats.Moved++
+	} else if r.retries.Spend() {
+		r.stats.Retries++
+	} else {
 		return false
 	}
-	r.stats.Retries++
 	c.phase = backingOff
 	c.hedgeAt = time.Time{}
 	c.retryAt = now.Add(delay)
--- /dev/null
+++ b/routing/machine_test.go
@@ -0,0 +1,462 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ibispier/ibispier/admission"
+	"github.com/ibispier/ibispier/budget"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/ledger"
+	"github.com/ibispier/ibispier/request"
+)
+
+const (
+	entries     = 2
+	agents      = 3
+	service     = "settlement"
+	longestWait = 400 * time.Millisecond
+
+	// Small bursts let short runs meet the bounds of the budgets.
+	testRetryBurst = 2
+	testHedgeBurst = 2
+)
+
+// world joins real routers, admission controllers and a ledger by links that
+// lose, delay and break.
+type world struct {
+	now      time.Time
+	routers  []*Router
+	agents   []*agent
+	ledger   *ledger.Ledger
+	links    [entries][agents]*wires
+	control  []operation
+	requests map[*request.Request]*submission
+	starts   map[string]int // by request id
+	runs     map[string]int // by key
+	next     int
+}
+
+type agent struct {
+	id          string
+	incarnation uint64
+	controller  *admission.Controller
+	running     []*admission.Work
+}
+
+// wires are the frames under way on one link, in order.
+type wires struct {
+	up     bool
+	full   bool // refuses frames, as a full ring does
+	toward []func(*world)
+	back   []func(*world)
+}
+
+type operation struct {
+	entry  int
+	action Action
+}
+
+type submission struct {
+	entry   int
+	replies []*request.Response
+}
+
+func newWorld(hedging bool) *world {
+	w := &world{
+		now:      time.Unix(1_000_000, 0),
+		ledger:   ledger.New(ledger.DefaultOptions()),
+		requests: map[*request.Request]*submission{},
+		starts:   map[string]int{},
+		runs:     map[string]int{},
+	}
+	for i := range entries {
+		r := NewRouter(Options{
+			Policy: ChoiceOfTwo, ID: fmt.Sprint("entry-", i), Seed: uint64(i), Hedging: hedging,
+			RetryShare: 0.1, HedgeShare: 0.05, Claims: true,
+		})
+		r.SetConfig(w.now, controlapi.Config{
+			Customers: []controlapi.Subscription{{Customer: "c", Plan: "p"}},
+			Plans:     []controlapi.Plan{{Name: "p", Services: []string{"*"}, RequestsPerSecond: 1e6, Burst: 1e6, Concurrency: 1e6}},
+		})
+		w.routers = append(w.routers, r)
+	}
+	for i := range agents {
+		a := &agent{id: fmt.Sprint("target-", i)}
+		w.agents = append(w.agents, a)
+		w.restart(i)
+		for e := range entries {
+			w.links[e][i] = &wires{}
+			w.connect(e, i)
+		}
+	}
+	for _, r := range w.routers {
+		r.retries, r.hedges = budget.New(0.1, testRetryBurst), budget.New(0.05, testHedgeBurst)
+		// Hedges start at 5 ms without the samples that would teach it.
+		r.groups[service].latency = percentile{samples: enoughSamples, value: 5 * time.Millisecond}
+	}
+	return w
+}
+
+func (w *world) restart(i int) {
+	a := w.agents[i]
+	a.incarnation++
+	a.controller = admission.NewController(admission.Options{Slots: 2, Queue: 2})
+	a.running = nil
+}
+
+func (w *world) connect(e, i int) {
+	w.links[e][i] = &wires{up: true}
+	a := w.agents[i]
+	w.perform(e, w.routers[e].Announce(w.now, Target{
+		ID: a.id, Service: service, Slots: 2, Incarnation: a.incarnation, Instances: entries,
+	}))
+}
+
+func (w *world) disconnect(e, i int) {
+	if !w.links[e][i].up {
+		return
+	}
+	w.links[e][i] = &wires{}
+	w.perform(e, w.routers[e].Lost(w.now, w.agents[i].id))
+}
+
+func (w *world) crash(i int) {
+	w.restart(i)
+	for e := range entries {
+		w.disconnect(e, i)
+	}
+}
+
+func (w *world) agentIndex(id string) int {
+	for i, a := range w.agents {
+		if a.id == id {
+			return i
+		}
+	}
+	return -1
+}
+
+func (w *world) perform(e int, actions []Action) {
+	kept := append([]Action(nil), actions...)
+	for _, a := range kept {
+		switch a.Kind {
+		case Reply:
+			s := w.requests[a.Request]
+			s.replies = append(s.replies, a.Response)
+		case Claim, Resolve:
+			w.control = append(w.control, operation{entry: e, action: a})
+		default:
+			w.send(e, a)
+		}
+	}
+}
+
+// send puts an action on the link of its target.
+func (w *world) send(e int, a Action) {
+	target := ""
+	if a.Attempt != nil {
+		target = a.Attempt.Target
+	} else {
+		target = a.Query.Target
+	}
+	i := w.agentIndex(target)
+	link := w.links[e][i]
+	if !link.up || (a.Kind == Send && link.full) {
+		if a.Kind == Send {
+			w.perform(e, w.routers[e].SendFailed(w.now, a.Attempt.Number))
+		}
+		return
+	}
+	link.toward = append(link.toward, func(w *world) { w.receive(e, i, link, a) })
+}
+
+func (w *world) receive(e, i int, link *wires, a Action) {
+	agent := w.agents[i]
+	switch a.Kind {
+	case Send:
+		work := &admission.Work{Attempt: a.Attempt, Origin: origin{e, link}}
+		decision, reason, displaced := agent.controller.Submit(w.now, work)
+		if displaced != nil {
+			w.respond(i, displaced, request.Refused(request.ReasonOverloaded))
+		}
+		switch decision {
+		case admission.Start:
+			w.start(agent, work)
+		case admission.Refuse:
+			w.respond(i, work, request.Refused(reason))
+		}
+	case Cancel:
+		if work := agent.controller.Cancel(w.now, a.Attempt.Request.ID, a.Attempt.Number, origin{e, link}); work != nil {
+			w.respond(i, work, request.Refused(request.ReasonCancelled))
+		}
+	case Ask:
+		answer := AskAnswer{}
+		if a.Query.Incarnation == agent.incarnation {
+			answer.State, answer.Response = agent.controller.Query(w.now, a.Query.Key, a.Query.Epoch)
+		}
+		link.back = append(link.back, func(w *world) { w.perform(e, w.routers[e].Asked(w.now, a.Token, answer)) })
+	case Forget:
+		agent.controller.Forget(w.now, a.Query.Key, a.Query.Epoch)
+	}
+}
+
+type origin struct {
+	entry int
+	link  *wires
+}
+
+func (w *world) start(a *agent, work *admission.Work) {
+	a.running = append(a.running, work)
+	req := work.Attempt.Request
+	w.starts[req.ID]++
+	if !req.Idempotent {
+		w.runs[req.Key]++
+	}
+}
+
+func (w *world) respond(i int, work *admission.Work, resp *request.Response) {
+	from := work.Origin.(origin)
+	load := w.agents[i].controller.Load()
+	from.link.back = append(from.link.back, func(w *world) {
+		w.perform(from.entry, w.routers[from.entry].Answer(w.now, work.Attempt.Number, work.Attempt.Request.ID, resp, load))
+	})
+}
+
+func (w *world) finish(i int, resp *request.Response) {
+	a := w.agents[i]
+	if len(a.running) == 0 {
+		return
+	}
+	work := a.running[0]
+	a.running = a.running[1:]
+	next, expired := a.controller.Finished(w.now, work, resp)
+	if next != nil {
+		w.start(a, next)
+	}
+	w.respond(i, work, resp)
+	for _, e := range expired {
+		w.respond(i, e, request.Refused(request.ReasonDeadline))
+	}
+}
+
+// answerOf is the whole answer to a request: duplicates share it.
+func answerOf(r *request.Request) string {
+	if r.Idempotent {
+		return r.ID
+	}
+	return r.Key
+}
+
+func (w *world) submit(e int, idempotent bool, key string, wait time.Duration) {
+	w.next++
+	req := &request.Request{
+		ID: fmt.Sprint("r", w.next), Customer: "c", Service: service, Idempotent: idempotent,
+		Key: key, Deadline: w.now.Add(wait), Method: "POST", Path: "/", Body: []byte(key),
+	}
+	w.requests[req] = &submission{entry: e}
+	w.perform(e, w.routers[e].Submit(w.now, req))
+}
+
+// operate lets the quorum carry out one operation. Its result may be lost.
+func (w *world) operate(index int, apply, deliver bool) {
+	if len(w.control) == 0 {
+		return
+	}
+	index %= len(w.control)
+	op := w.control[index]
+	w.control = append(w.control[:index:index], w.control[index+1:]...)
+	r := w.routers[op.entry]
+	if op.action.Kind == Claim {
+		var result *controlapi.ClaimResponse
+		if apply {
+			resp, err := w.ledger.Claim(w.now, *op.action.Claim)
+			if err == nil && deliver {
+				result = &resp
+			}
+		}
+		w.perform(op.entry, r.Claimed(w.now, op.action.Token, result))
+		return
+	}
+	result := Unrecorded
+	if apply {
+		accepted := w.ledger.Resolve(w.now, *op.action.Resolve)
+		if deliver {
+			result = Superseded
+			if accepted {
+				result = Recorded
+			}
+		}
+	}
+	w.perform(op.entry, r.Resolved(w.now, op.action.Token, result))
+}
+
+func (w *world) deliver(e, i int, back bool) {
+	link := w.links[e][i]
+	queue := &link.toward
+	if back {
+		queue = &link.back
+	}
+	if len(*queue) == 0 {
+		return
+	}
+	frame := (*queue)[0]
+	*queue = (*queue)[1:]
+	frame(w)
+}
+
+func (w *world) advance(d time.Duration) {
+	w.now = w.now.Add(d)
+	for e, r := range w.routers {
+		w.perform(e, r.Tick(w.now))
+	}
+	for i, a := range w.agents {
+		for _, work := range a.controller.Expire(w.now) {
+			w.respond(i, work, request.Refused(request.ReasonDeadline))
+		}
+	}
+}
+
+// settle passes all deadlines and delivers everything.
+func (w *world) settle() {
+	for range 50 {
+		w.advance(20 * time.Millisecond)
+		w.flush()
+	}
+}
+
+// flush delivers everything that is under way.
+func (w *world) flush() {
+	for range 20 {
+		for len(w.control) > 0 {
+			w.operate(0, true, true)
+		}
+		for i := range w.agents {
+			w.finish(i, doneAnswer(w.agents[i]))
+		}
+		for e := range entries {
+			for i := range agents {
+				w.deliver(e, i, false)
+				w.deliver(e, i, true)
+			}
+		}
+	}
+}
+
+func doneAnswer(a *agent) *request.Response {
+	if len(a.running) == 0 {
+		return nil
+	}
+	return &request.Response{Outcome: request.Done, Status: 200, Body: []byte(answerOf(a.running[0].Attempt.Request))}
+}
+
+// TestMachine guards against lost and double replies, double runs of one key,
+// refusals of requests that ran, foreign answers and overspent budgets, under
+// lost links, crashed agents, a quorum that loses results, and duplicates.
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(true)
+		entry, target := rapid.IntRange(0, entries-1), rapid.IntRange(0, agents-1)
+		wait := rapid.IntRange(1, int(longestWait/time.Millisecond))
+		t.Repeat(map[string]func(*rapid.T){
+			"idempotent": func(t *rapid.T) {
+				w.submit(entry.Draw(t, "entry"), true, "", time.Duration(wait.Draw(t, "wait"))*time.Millisecond)
+			},
+			"claimed": func(t *rapid.T) {
+				key := fmt.Sprint("k", rapid.IntRange(0, 2).Draw(t, "key"))
+				w.submit(entry.Draw(t, "entry"), false, key, time.Duration(wait.Draw(t, "wait"))*time.Millisecond)
+			},
+			"operate": func(t *rapid.T) {
+				lossy := rapid.IntRange(0, 9).Draw(t, "loss")
+				w.operate(rapid.IntRange(0, 7).Draw(t, "operation"), lossy != 0, lossy > 1)
+			},
+			"forward": func(t *rapid.T) { w.deliver(entry.Draw(t, "entry"), target.Draw(t, "target"), false) },
+			"back":    func(t *rapid.T) { w.deliver(entry.Draw(t, "entry"), target.Draw(t, "target"), true) },
+			"flush":   func(t *rapid.T) { w.flush() },
+			"finish":  func(t *rapid.T) { i := target.Draw(t, "target"); w.finish(i, doneAnswer(w.agents[i])) },
+			"fail": func(t *rapid.T) {
+				w.finish(target.Draw(t, "target"), request.Undecided(request.ReasonTargetFailed))
+			},
+			"damage": func(t *rapid.T) { w.damage(entry.Draw(t, "entry"), target.Draw(t, "target")) },
+			"cut":    func(t *rapid.T) { w.disconnect(entry.Draw(t, "entry"), target.Draw(t, "target")) },
+			"crash":  func(t *rapid.T) { w.crash(target.Draw(t, "target")) },
+			"connect": func(t *rapid.T) {
+				e, i := entry.Draw(t, "entry"), target.Draw(t, "target")
+				w.disconnect(e, i)
+				w.connect(e, i)
+			},
+			"full": func(t *rapid.T) {
+				l := w.links[entry.Draw(t, "entry")][target.Draw(t, "target")]
+				l.full = !l.full
+			},
+			"abandon": func(t *rapid.T) {
+				for req, s := range w.requests {
+					if len(s.replies) == 0 && req.ID == fmt.Sprint("r", w.next) {
+						w.perform(s.entry, w.routers[s.entry].Abandon(w.now, req))
+					}
+				}
+			},
+			"drain": func(t *rapid.T) {
+				a := w.agents[target.Draw(t, "target")]
+				a.controller.SetState(admission.State(rapid.IntRange(0, 1).Draw(t, "state")))
+			},
+			"advance": func(t *rapid.T) {
+				w.advance(time.Duration(rapid.IntRange(1, 60).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) { w.check(t, false) },
+		})
+		w.settle()
+		w.check(t, true)
+	})
+}
+
+// damage makes the next answer on a link a damaged one.
+func (w *world) damage(e, i int) {
+	r := w.routers[e]
+	for _, number := range sortedKeys(r.attempts) {
+		a := r.attempts[number]
+		if a.target.ID == w.agents[i].id {
+			w.perform(e, r.Answer(w.now, number, a.Request.ID, request.Undecided(request.ReasonDamaged), request.Load{}))
+			return
+		}
+	}
+}
+
+func (w *world) check(t *rapid.T, settled bool) {
+	for key, n := range w.runs {
+		if n > 1 {
+			t.Fatalf("key %s ran %d times", key, n)
+		}
+	}
+	for req, s := range w.requests {
+		if len(s.replies) > 1 || settled && len(s.replies) == 0 {
+			t.Fatalf("%s (idempotent %v) has %d replies", req.ID, req.Idempotent, len(s.replies))
+		}
+		if len(s.replies) == 1 {
+			w.checkReply(t, req, s.replies[0])
+		}
+	}
+	for _, r := range w.routers {
+		n := float64(r.stats.Submitted)
+		if float64(r.stats.Retries) > 0.1*n+testRetryBurst || float64(r.stats.Hedges) > 0.05*n+testHedgeBurst {
+			t.Fatalf("%d retries and %d hedges for %v requests", r.stats.Retries, r.stats.Hedges, n)
+		}
+		if settled && (len(r.timers) > 0 || len(r.operations) > 0 || len(r.attempts) > 0) {
+			t.Fatalf("left over: %d timers, %d operations, %d attempts", len(r.timers), len(r.operations), len(r.attempts))
+		}
+	}
+}
+
+func (w *world) checkReply(t *rapid.T, req *request.Request, resp *request.Response) {
+	switch {
+	case resp.Outcome == request.NotRun && w.starts[req.ID] > 0:
+		t.Fatalf("%s was refused (%s) and ran", req.ID, resp.Reason)
+	case resp.Outcome == request.Done && string(resp.Body) != answerOf(req):
+		t.Fatalf("%s got the answer %q", req.ID, resp.Body)
+	case resp.Outcome == request.Done && !req.Idempotent && w.runs[req.Key] != 1:
+		t.Fatalf("%s is done after %d runs", req.Key, w.runs[req.Key])
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -49,7 +49,8 @@
 type Stats struct {
 	Submitted int
 	Attempts  int
-	Retries   int
+	Retries   int // paid from the budget
+	Moved     int // retries after the refusal of a draining target
 	Hedges    int
 	Replies   int
 	Ejections int
