pathtest, experiment/requests: prove the request path over processes and in virtual time

pathtest runs two entry instances, agents and stand-in targets as child processes: 10,000 requests from 64 callers get their own whole answer; a planned stop of an agent, an entry instance or a target cuts none; a killed agent loses no idempotent request; silent connections; a slow target of eleven; leaving targets.

The planned-stop test found that a restarted entry instance reported ready before the agents had found it and refused 63 of 1495 requests with unknown_service. It is now ready once targets have been announced and no new one came for 300 ms, or after 2 s.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -31,6 +31,7 @@
 	*supervise.Supervisor
 	frontend *frontend.Duty
 	relay    *relay.Duty
+	requests *router.Duty
 	// standalone is true for an entry instance without control members.
 	standalone bool
 }
@@ -60,6 +61,7 @@
 			Log:      log,
 		}),
 	}
+	role.requests = requests
 	role.standalone = s.Entry.Standalone
 	if s.Entry.Standalone {
 		requests.SetConfig(openConfig())
@@ -85,7 +87,7 @@
 }
 
 // Ready reports whether the role may get requests.
-func (r *Role) Ready() bool { return r.standalone || r.relay.Ready() }
+func (r *Role) Ready() bool { return r.requests.Ready() && (r.standalone || r.relay.Ready()) }
 
 // Quiesce makes callers connect elsewhere while requests are still served.
 func (r *Role) Quiesce() { r.frontend.Quiesce() }
--- a/daemon/entry/router/router.go
+++ b/daemon/entry/router/router.go
@@ -57,6 +57,7 @@
 	results *ring.Ring[controlclient.Result]
 	control Control
 	log     *zap.Logger
+	ready   readiness
 	build   func() *routing.Router
 
 	config     *controlapi.Config // the last one, for the next run
@@ -126,6 +127,7 @@
 	d.owned = map[*link.Conn][]string{}
 	d.operations = map[uint64]controlapi.Operation{}
 	d.armed = time.Time{}
+	d.ready.restart(time.Now())
 	if d.config != nil {
 		d.perform(d.router.SetConfig(time.Now(), *d.config))
 	}
@@ -146,9 +148,13 @@
 // left alone, because most steps are cancelled before they are due.
 func (d *Duty) schedule(timer *time.Timer) {
 	now := time.Now()
+	idle := idleTick
+	if !d.ready.check(now, d.config != nil) {
+		idle = warmUpTick
+	}
 	next, ok := d.router.NextDeadline()
-	if !ok || next.Sub(now) > idleTick {
-		next = now.Add(idleTick)
+	if !ok || next.Sub(now) > idle {
+		next = now.Add(idle)
 	}
 	if !d.armed.IsZero() && !next.Before(d.armed) {
 		return
@@ -198,6 +204,7 @@
 	id := a.GetTarget()
 	if d.links[id] != conn {
 		d.adopt(conn, id)
+		d.ready.targetAt = time.Now()
 		d.log.Info("target announced", zap.String("target", id), zap.String("service", a.GetService()),
 			zap.String("zone", a.GetZone()), zap.String("peer", conn.Peer().ID))
 	}
--- /dev/null
+++ b/daemon/pathtest/doc.go
@@ -0,0 +1,2 @@
+// Package pathtest holds the tests of the request path over real processes.
+package pathtest
--- /dev/null
+++ b/daemon/pathtest/path_test.go
@@ -0,0 +1,231 @@
+package pathtest
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/internal/testcluster"
+)
+
+func startCluster(t *testing.T, o testcluster.Options) (*testcluster.Cluster, *balancer) {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("real processes")
+	}
+	o.Zones = []string{"zone-a", "zone-b", "zone-c"}
+	o.Service = service
+	c := testcluster.Start(t, o)
+	if o.Controls > 0 {
+		c.Change("lists", testcluster.Lists(customer))
+	}
+	b := newBalancer(t, c)
+	b.keys = o.Controls > 0
+	testcluster.Eventually(t, "every entry instance serves", func() bool {
+		for _, e := range c.Entries {
+			if r := b.call(e.Callers, "probe", "", ""); r.outcome != "done" {
+				return false
+			}
+		}
+		return true
+	})
+	return c, b
+}
+
+// Guards against lost, cut and swapped answers and against double runs when
+// nothing fails.
+func TestEveryCallerGetsItsOwnAnswer(t *testing.T) {
+	const requests = 10_000
+	c, b := startCluster(t, testcluster.Options{Entries: 2, Agents: 3})
+	replies := b.drive("r", "", func(n int64) bool { return n <= requests })
+	if len(replies) != requests {
+		t.Errorf("%d replies, want %d", len(replies), requests)
+	}
+	reportFailures(t, failures(replies), requests)
+	checkRuns(t, c, replies, c.Agents)
+	byID, _ := runs(c, c.Agents)
+	for _, r := range replies {
+		if r.outcome == "done" && byID[r.id] == 0 {
+			t.Fatalf("done and in no record: %s", r)
+		}
+	}
+}
+
+// Guards against a planned stop of any process that cuts requests in flight.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	c, b := startCluster(t, testcluster.Options{
+		Entries: 2, Agents: 3,
+		Settings: map[string]map[string]string{"daemon": {"grace": "300ms"}},
+	})
+	for _, stop := range []struct {
+		name    string
+		process *testcluster.Process
+	}{
+		{"agent", c.Agents[0].Process},
+		{"entry", c.Entries[1].Process},
+		{"target", c.Agents[1].TargetProcess},
+	} {
+		t.Run(stop.name, func(t *testing.T) {
+			var replies []reply
+			var group sync.WaitGroup
+			stopped := make(chan struct{})
+			group.Go(func() {
+				replies = b.drive(stop.name, "?sleep=5ms", func(n int64) bool {
+					select {
+					case <-stopped:
+						return false
+					default:
+						return true
+					}
+				})
+			})
+			time.Sleep(300 * time.Millisecond) // load before the stop; no condition depends on it
+			if code := stop.process.Stop(); code != 0 {
+				t.Errorf("exit code %d", code)
+			}
+			time.Sleep(300 * time.Millisecond) // load after the stop
+			close(stopped)
+			group.Wait()
+			reportFailures(t, failures(replies), len(replies))
+			t.Logf("%d requests", len(replies))
+		})
+		stop.process.Start()
+		for _, n := range c.Nodes() {
+			c.AwaitReady(n)
+		}
+	}
+}
+
+// Guards against double runs, refusals of requests that ran and lost idempotent
+// requests when the process of an agent dies.
+func TestKilledAgent(t *testing.T) {
+	c, b := startCluster(t, testcluster.Options{Entries: 2, Agents: 3})
+	const requests = 4000
+	var replies []reply
+	var group sync.WaitGroup
+	started := make(chan struct{})
+	group.Go(func() {
+		replies = b.drive("r", "?sleep=5ms", func(n int64) bool {
+			if n == requests/4 {
+				close(started)
+			}
+			return n <= requests
+		})
+	})
+	<-started
+	c.Agents[0].Kill()
+	group.Wait()
+	var idempotent []reply
+	unknown := 0
+	for _, r := range failures(replies) {
+		if r.key == "" || r.err != nil {
+			idempotent = append(idempotent, r)
+			continue
+		}
+		unknown++
+	}
+	reportFailures(t, idempotent, requests)
+	checkRuns(t, c, replies, c.Agents)
+	t.Logf("%d of %d keyed requests without an answer", unknown, requests/10)
+}
+
+// Guards against a request that waits for ever on a connection that went silent
+// in one or both directions while new connections work.
+func TestSilentConnection(t *testing.T) {
+	c, b := startCluster(t, testcluster.Options{Entries: 1, Agents: 2, Relays: true})
+	entry := c.Entries[0]
+	for _, silence := range []struct {
+		name string
+		do   func(r *testcluster.Relay)
+	}{
+		{"both ways", (*testcluster.Relay).SilenceOpen},
+		{"from the agent", func(r *testcluster.Relay) { r.SilenceOneWay(true) }},
+		{"from the entry", func(r *testcluster.Relay) { r.SilenceOneWay(false) }},
+	} {
+		t.Run(silence.name, func(t *testing.T) {
+			const patience = 2 * time.Second
+			for _, n := range c.Agents {
+				silence.do(n.Relays[entry.ID])
+			}
+			var group sync.WaitGroup
+			replies := make([]reply, 8)
+			for i := range replies {
+				group.Go(func() { replies[i] = b.call(entry.Callers, fmt.Sprint(silence.name[:4], "-", i), "", "") })
+			}
+			group.Wait()
+			for _, r := range replies {
+				if r.err != nil || r.outcome != "done" || r.latency > patience {
+					t.Errorf("want an answer within %s: %s", patience, r)
+				}
+			}
+		})
+	}
+}
+
+// Guards against one slow target that spoils the tail of all.
+func TestOneSlowTargetOfEleven(t *testing.T) {
+	const (
+		workTime = 10 * time.Millisecond
+		requests = 6000
+		maxRatio = 1.5 // design page, 1.8
+	)
+	p99 := func(slow time.Duration) time.Duration {
+		_, b := startCluster(t, testcluster.Options{
+			Entries: 2, Agents: 11,
+			TargetArgs: func(i int) []string {
+				if i == 0 {
+					return []string{"-service-time", slow.String()}
+				}
+				return []string{"-service-time", workTime.String()}
+			},
+		})
+		b.drive("warm", "", func(n int64) bool { return n <= requests/4 })
+		replies := b.drive("r", "", func(n int64) bool { return n <= requests })
+		reportFailures(t, failures(replies), requests)
+		var latencies []time.Duration
+		for _, r := range replies {
+			if r.key == "" {
+				latencies = append(latencies, r.latency)
+			}
+		}
+		slices.Sort(latencies)
+		return latencies[len(latencies)*99/100]
+	}
+	healthy, slow := p99(workTime), p99(10*workTime)
+	ratio := float64(slow) / float64(healthy)
+	t.Logf("p99 of idempotent requests %s, healthy %s, ratio %.2f", slow, healthy, ratio)
+	if ratio > maxRatio {
+		t.Errorf("ratio %.2f, at most %.1f", ratio, maxRatio)
+	}
+}
+
+// Guards against a target that gets work after it said that it leaves, is no
+// longer announced, or has ended.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	const bound = 2 * time.Second // invariant 8
+	c, b := startCluster(t, testcluster.Options{Entries: 2, Agents: 3})
+	for _, leave := range []struct {
+		name string
+		do   func(n *testcluster.Node)
+		undo func(n *testcluster.Node)
+	}{
+		{"frozen agent", func(n *testcluster.Node) { n.Freeze() }, func(n *testcluster.Node) { n.Thaw() }},
+		{"planned stop", func(n *testcluster.Node) { n.Signal(syscall.SIGTERM) }, func(n *testcluster.Node) {}},
+	} {
+		t.Run(leave.name, func(t *testing.T) {
+			n := c.Agents[0]
+			leave.do(n)
+			left := time.Now()
+			b.drive(leave.name[:6], "", func(int64) bool { return time.Since(left) < bound+500*time.Millisecond })
+			for _, run := range c.Runs(n) {
+				if late := run.Start.Sub(left); late > bound {
+					t.Fatalf("started %s after the target left", late)
+				}
+			}
+			leave.undo(n)
+		})
+	}
+}
--- /dev/null
+++ b/experiment/requests/scenario.go
@@ -0,0 +1,100 @@
+package requests
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ibispier/ibispier/request"
+)
+
+// The wave of an auction: every period the load jumps from its base to its
+// peak, and noisy tasks slow some of the targets, others each time.
+const (
+	wavePeriod  = 6 * time.Second
+	waveLength  = 2 * time.Second
+	baseLoad    = 0.25 // of the capacity
+	peakLoad    = 0.6
+	noisyCount  = 2 // targets
+	noisyFactor = 2.5
+)
+
+// InWave reports whether t lies in a wave.
+func InWave(t time.Duration) bool { return t%wavePeriod >= wavePeriod-waveLength }
+
+// Wave gives o the load of auction waves.
+func Wave(o Options) Options {
+	capacity := o.Capacity()
+	o.Rate = func(t time.Duration) float64 {
+		if InWave(t) {
+			return peakLoad * capacity
+		}
+		return baseLoad * capacity
+	}
+	o.Slowdown = func(target int, t time.Duration) float64 {
+		wave := int(t / wavePeriod)
+		if InWave(t) && (target-3*wave%o.Targets+o.Targets)%o.Targets < noisyCount {
+			return noisyFactor
+		}
+		return 1
+	}
+	return o
+}
+
+// Steady gives o a constant load, as a share of the capacity.
+func Steady(o Options, load float64) Options {
+	rate := load * o.Capacity()
+	o.Rate = func(time.Duration) float64 { return rate }
+	return o
+}
+
+// OneSlow makes target 0 slower by a factor.
+func OneSlow(o Options, factor float64) Options {
+	o.Slowdown = func(target int, _ time.Duration) float64 {
+		if target == 0 {
+			return factor
+		}
+		return 1
+	}
+	return o
+}
+
+// Percentile returns the latency that a share of the requests selected by keep
+// does not exceed. A request without an answer counts with the deadline, because
+// a late answer is as bad as a lost one.
+func (r *Result) Percentile(share float64, deadline time.Duration, keep func(Sample) bool) time.Duration {
+	var latencies []time.Duration
+	for _, s := range r.Samples {
+		if keep != nil && !keep(s) {
+			continue
+		}
+		if s.Outcome != request.Done {
+			s.Latency = deadline
+		}
+		latencies = append(latencies, s.Latency)
+	}
+	if len(latencies) == 0 {
+		return 0
+	}
+	slices.Sort(latencies)
+	return latencies[min(int(share*float64(len(latencies))), len(latencies)-1)]
+}
+
+// Done returns the number of requests with an answer.
+func (r *Result) Done() int {
+	n := 0
+	for _, s := range r.Samples {
+		if s.Outcome == request.Done {
+			n++
+		}
+	}
+	return n
+}
+
+// AttemptsPerRequest counts the attempts of the requests that got any.
+func (r *Result) AttemptsPerRequest() float64 {
+	first := r.Stats.Attempts - r.Stats.Retries - r.Stats.Moved - r.Stats.Hedges
+	if first <= 0 {
+		return 0
+	}
+	return float64(r.Stats.Attempts) / float64(first)
+}
--- /dev/null
+++ b/experiment/requests/simulation.go
@@ -0,0 +1,361 @@
+package requests
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ibispier/ibispier/admission"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/request"
+	"github.com/ibispier/ibispier/routing"
+)
+
+const (
+	announceInterval = 200 * time.Millisecond
+	customer         = "customer"
+	service          = "price-check"
+)
+
+// Options describe a deployment and its load.
+type Options struct {
+	Seed      uint64
+	Policy    routing.Policy
+	Hedging   bool
+	Entries   int
+	Targets   int
+	Slots     int
+	Queue     int
+	Zones     int           // targets and entries are spread over them
+	ZoneDelay time.Duration // one way, between zones
+	Work      time.Duration // mean time at work, of an undisturbed target
+	Deadline  time.Duration
+	Length    time.Duration
+	Plan      controlapi.Plan // zero for no limits
+	// Rate is the number of requests a second at t.
+	Rate func(t time.Duration) float64
+	// Slowdown is the factor on the work of a target at t; nil for none.
+	Slowdown func(target int, t time.Duration) float64
+	// Entry chooses the entry instance of a request; nil for a random one.
+	Entry func(random *rand.Rand, t time.Duration) int
+}
+
+// Deployment returns the sizes of today: 11 targets with 8 slots in three zones
+// that are 3.5 ms apart, and three entry instances.
+func Deployment(seed uint64) Options {
+	return Options{
+		Seed:      seed,
+		Policy:    routing.ChoiceOfTwo,
+		Hedging:   true,
+		Entries:   3,
+		Targets:   11,
+		Slots:     8,
+		Queue:     64,
+		Zones:     3,
+		ZoneDelay: 3500 * time.Microsecond,
+		Work:      20 * time.Millisecond,
+		Deadline:  time.Second,
+		Length:    30 * time.Second,
+	}
+}
+
+// Capacity returns the requests a second that the targets can serve.
+func (o Options) Capacity() float64 {
+	return float64(o.Targets*o.Slots) / o.Work.Seconds()
+}
+
+// Sample is one answered request.
+type Sample struct {
+	At      time.Duration // of the submission
+	Latency time.Duration
+	Outcome request.Outcome
+	Reason  request.Reason
+}
+
+// Result is the record of a run.
+type Result struct {
+	Samples  []Sample
+	Stats    routing.Stats // summed over the entry instances
+	Starts   []int         // requests started, by target
+	Deepest  int           // largest number of requests at one target
+	PeakUsed int           // largest number of requests in flight in all entry instances
+}
+
+type event struct {
+	at       time.Duration
+	sequence uint64
+	do       func()
+}
+
+type events []event
+
+type simulation struct {
+	options  Options
+	random   *rand.Rand
+	now      time.Duration
+	sequence uint64
+	events   events
+	entries  []*entry
+	targets  []*target
+	result   Result
+	inFlight int
+}
+
+type entry struct {
+	zone   int
+	router *routing.Router
+	wake   time.Duration // of the planned tick; 0 for none
+	sent   map[*request.Request]time.Duration
+}
+
+type target struct {
+	index      int
+	zone       int
+	controller *admission.Controller
+}
+
+// origin is where the answer to an attempt goes.
+type origin struct{ entry *entry }
+
+// Run simulates a deployment.
+func Run(o Options) *Result {
+	s := &simulation{options: o, random: rand.New(rand.NewPCG(o.Seed, 1))}
+	s.result.Starts = make([]int, o.Targets)
+	for i := range o.Targets {
+		s.targets = append(s.targets, &target{
+			index: i, zone: i % o.Zones,
+			controller: admission.NewController(admission.Options{Slots: o.Slots, Queue: o.Queue}),
+		})
+	}
+	for i := range o.Entries {
+		s.addEntry(i)
+	}
+	s.announceAll()
+	s.after(s.gap(), s.arrive)
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+	for _, e := range s.entries {
+		s.addStats(e.router.Stats())
+	}
+	return &s.result
+}
+
+func (s *simulation) addEntry(i int) {
+	e := &entry{zone: i % s.options.Zones, sent: map[*request.Request]time.Duration{}}
+	e.router = routing.NewRouter(routing.Options{
+		Policy: s.options.Policy, ID: fmt.Sprint("entry-", i), Seed: s.options.Seed + uint64(i),
+		Hedging: s.options.Hedging, RetryShare: 0.1, HedgeShare: 0.05,
+	})
+	plan := s.options.Plan
+	if plan.Name == "" {
+		plan = controlapi.Plan{Name: "open", RequestsPerSecond: 1e9, Burst: 1e9, Concurrency: 1e9}
+	}
+	plan.Services = []string{service}
+	s.perform(e, e.router.SetConfig(s.time(), controlapi.Config{
+		Customers: []controlapi.Subscription{{Customer: customer, Plan: plan.Name}},
+		Plans:     []controlapi.Plan{plan},
+	}))
+	s.entries = append(s.entries, e)
+}
+
+func (s *simulation) addStats(t routing.Stats) {
+	r := &s.result.Stats
+	r.Submitted += t.Submitted
+	r.Attempts += t.Attempts
+	r.Retries += t.Retries
+	r.Moved += t.Moved
+	r.Hedges += t.Hedges
+	r.Ejections += t.Ejections
+}
+
+// time is the virtual time as the packages under test take it.
+func (s *simulation) time() time.Time { return time.Unix(1_000_000, 0).Add(s.now) }
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.sequence++
+	heap.Push(&s.events, event{at: s.now + d, sequence: s.sequence, do: do})
+}
+
+// gap is the time to the next arrival of a Poisson process.
+func (s *simulation) gap() time.Duration {
+	return time.Duration(s.random.ExpFloat64() / s.options.Rate(s.now) * float64(time.Second))
+}
+
+func (s *simulation) arrive() {
+	if s.now > s.options.Length {
+		return
+	}
+	s.after(s.gap(), s.arrive)
+	i := s.random.IntN(len(s.entries))
+	if s.options.Entry != nil {
+		i = s.options.Entry(s.random, s.now)
+	}
+	e := s.entries[i]
+	req := &request.Request{
+		ID: fmt.Sprint(s.sequence), Customer: customer, Service: service, Idempotent: true,
+		Deadline: s.time().Add(s.options.Deadline), Method: "GET", Path: "/",
+	}
+	e.sent[req] = s.now
+	s.inFlight++
+	actions := e.router.Submit(s.time(), req)
+	s.perform(e, actions)
+	s.result.PeakUsed = max(s.result.PeakUsed, s.inFlight)
+}
+
+func (s *simulation) perform(e *entry, actions []routing.Action) {
+	for _, a := range append([]routing.Action(nil), actions...) {
+		switch a.Kind {
+		case routing.Reply:
+			s.reply(e, a)
+		case routing.Send:
+			t := s.targetOf(a.Attempt.Target)
+			s.after(s.delay(e, t), func() { s.receive(e, t, a.Attempt) })
+		case routing.Cancel:
+			t := s.targetOf(a.Attempt.Target)
+			s.after(s.delay(e, t), func() { s.cancel(e, t, a.Attempt) })
+		}
+	}
+	s.plan(e)
+}
+
+func (s *simulation) reply(e *entry, a routing.Action) {
+	at := e.sent[a.Request]
+	delete(e.sent, a.Request)
+	s.inFlight--
+	s.result.Samples = append(s.result.Samples, Sample{
+		At: at, Latency: s.now - at, Outcome: a.Response.Outcome, Reason: a.Response.Reason,
+	})
+}
+
+// plan arranges the next tick of a router.
+func (s *simulation) plan(e *entry) {
+	next, ok := e.router.NextDeadline()
+	if !ok {
+		return
+	}
+	at := max(next.Sub(time.Unix(1_000_000, 0)), s.now)
+	if e.wake > s.now && e.wake <= at {
+		return
+	}
+	e.wake = at
+	s.after(at-s.now, func() {
+		if e.wake == s.now {
+			e.wake = 0
+		}
+		s.perform(e, e.router.Tick(s.time()))
+	})
+}
+
+func (s *simulation) targetOf(id string) *target {
+	var i int
+	_, _ = fmt.Sscanf(id, "target-%d", &i)
+	return s.targets[i]
+}
+
+func (s *simulation) delay(e *entry, t *target) time.Duration {
+	if e.zone == t.zone {
+		return 200 * time.Microsecond
+	}
+	return s.options.ZoneDelay
+}
+
+func (s *simulation) receive(e *entry, t *target, a *request.Attempt) {
+	w := &admission.Work{Attempt: a, Origin: origin{e}}
+	decision, reason, displaced := t.controller.Submit(s.time(), w)
+	if displaced != nil {
+		s.respond(t, displaced, request.Refused(request.ReasonOverloaded), 0)
+	}
+	switch decision {
+	case admission.Start:
+		s.start(t, w)
+	case admission.Refuse:
+		s.respond(t, w, request.Refused(reason), 0)
+	}
+	load := t.controller.Load()
+	s.result.Deepest = max(s.result.Deepest, load.InFlight+load.Queued)
+}
+
+func (s *simulation) cancel(e *entry, t *target, a *request.Attempt) {
+	if w := t.controller.Cancel(s.time(), a.Request.ID, a.Number, origin{e}); w != nil {
+		s.respond(t, w, request.Refused(request.ReasonCancelled), 0)
+	}
+}
+
+// start models the work: a log-normal time around the mean.
+func (s *simulation) start(t *target, w *admission.Work) {
+	s.result.Starts[t.index]++
+	factor := 1.0
+	if s.options.Slowdown != nil {
+		factor = s.options.Slowdown(t.index, s.now)
+	}
+	const sigma = 0.4
+	spread := math.Exp(sigma*s.random.NormFloat64() - sigma*sigma/2)
+	work := time.Duration(float64(s.options.Work) * factor * spread)
+	s.after(work, func() { s.finish(t, w, work) })
+}
+
+func (s *simulation) finish(t *target, w *admission.Work, work time.Duration) {
+	resp := &request.Response{Outcome: request.Done, Status: 200}
+	next, expired := t.controller.Finished(s.time(), w, resp)
+	if next != nil {
+		s.start(t, next)
+	}
+	s.respond(t, w, resp, work)
+	for _, x := range expired {
+		s.respond(t, x, request.Refused(request.ReasonDeadline), 0)
+	}
+}
+
+func (s *simulation) respond(t *target, w *admission.Work, resp *request.Response, work time.Duration) {
+	e := w.Origin.(origin).entry
+	load := t.controller.Load()
+	load.Service = work
+	s.after(s.delay(e, t), func() {
+		s.perform(e, e.router.Answer(s.time(), w.Attempt.Number, w.Attempt.Request.ID, resp, load))
+	})
+}
+
+func (s *simulation) announceAll() {
+	for _, e := range s.entries {
+		for _, t := range s.targets {
+			s.perform(e, e.router.Announce(s.time(), routing.Target{
+				ID: fmt.Sprint("target-", t.index), Service: service, Zone: fmt.Sprint("zone-", t.zone),
+				Slots: s.options.Slots, Incarnation: 1, Instances: len(s.entries),
+				Load: t.controller.Load(), RoundTrip: 2 * s.delay(e, t),
+			}))
+		}
+	}
+	if s.now <= s.options.Length+s.options.Deadline {
+		s.after(announceInterval, s.announceAll)
+	}
+}
+
+// Len implements heap.Interface.
+func (e events) Len() int { return len(e) }
+
+// Less implements heap.Interface.
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].sequence < e[j].sequence
+}
+
+// Swap implements heap.Interface.
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 
 // Options describe a cluster of processes.
 type Options struct {
-	Controls int
+	Controls int // 0 for entry instances without control
 	Entries  int
 	Agents   int
 	Zones    []string // agent i is in zone i modulo their number
@@ -34,20 +35,23 @@
 	Workers  bool                         // a stand-in worker beside each agent
 	Relays   bool                         // a relay on every link, for cuts
 	Settings map[string]map[string]string // section and key to value, for every process
+	// TargetArgs returns more arguments for the stand-in target of agent i.
+	TargetArgs func(i int) []string
 }
 
 // Node is one daemon of a cluster.
 type Node struct {
 	*Process
-	ID       string
-	Zone     string
-	Callers  string // address for callers, of an entry instance
-	Links    string // address for links
-	Admin    string // address for operators
-	DataPath string
-	Target   string            // address of the stand-in target of an agent
-	Worker   string            // address of the stand-in worker of an agent
-	Relays   map[string]*Relay // by the id of the process that this one dials
+	ID            string
+	Zone          string
+	Callers       string // address for callers, of an entry instance
+	Links         string // address for links
+	Admin         string // address for operators
+	DataPath      string
+	Target        string // address of the stand-in target of an agent
+	TargetProcess *Process
+	Worker        string            // address of the stand-in worker of an agent
+	Relays        map[string]*Relay // by the id of the process that this one dials
 }
 
 // Cluster is a set of daemons with stand-ins.
@@ -87,6 +91,12 @@
 		c.startNode(n)
 	}
 	c.Client = c.newClient()
+	if o.Controls == 0 {
+		for _, n := range c.Entries {
+			c.AwaitReady(n)
+		}
+		return c
+	}
 	c.bootstrap()
 	c.awaitTargets()
 	return c
@@ -125,9 +135,13 @@
 }
 
 func (c *Cluster) startStandins() {
-	for _, n := range c.Agents {
+	for i, n := range c.Agents {
 		n.Target = freeAddress(c.t)
-		StartProcess(c.t, "target of "+n.ID, "ibispier-standin", "-kind", "target", "-listen", n.Target, "-id", n.ID)
+		args := []string{"-kind", "target", "-listen", n.Target, "-id", n.ID}
+		if c.options.TargetArgs != nil {
+			args = append(args, c.options.TargetArgs(i)...)
+		}
+		n.TargetProcess = StartProcess(c.t, "target of "+n.ID, "ibispier-standin", args...)
 		if !c.options.Workers {
 			continue
 		}
@@ -164,6 +178,7 @@
 	case "entry":
 		set("entry", "listen", n.Callers)
 		set("entry", "agent_listen", n.Links)
+		set("entry", "standalone", strconv.FormatBool(c.options.Controls == 0))
 	case "agent":
 		set("cluster", "entries", c.entryList(n))
 		c.setAgent(set, n)
--- a/internal/testcluster/relay.go
+++ b/internal/testcluster/relay.go
@@ -26,7 +26,7 @@
 	mode   Mode
 	delay  time.Duration
 	frozen map[net.Conn]bool // connections that stay silent for good
-	open   map[net.Conn]bool
+	open   map[net.Conn]bool // true for the end of the process that dialed
 }
 
 // StartRelay starts a relay to target.
@@ -77,6 +77,18 @@
 	}
 }
 
+// SilenceOneWay makes the connections that are open now silent for good in one
+// direction: from the process that dialed, or toward it.
+func (r *Relay) SilenceOneWay(fromDialer bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c, dialed := range r.open {
+		if dialed == fromDialer {
+			r.frozen[c] = true
+		}
+	}
+}
+
 func (r *Relay) accept() {
 	for {
 		in, err := r.socket.Accept()
@@ -98,7 +110,7 @@
 		return
 	}
 	r.mu.Lock()
-	r.open[in], r.open[out] = true, true
+	r.open[in], r.open[out] = true, false
 	r.mu.Unlock()
 	go r.copy(out, in)
 	r.copy(in, out)
