placement: propose placements and actions from a cache

Cause: the duty that schedules needs pure decisions over workers, tasks, zones and quotas. Change: cache, named filters and scores, fair passes, reservations beyond the aging bound, preemption for urgent tasks, evacuation, bounded return of a zone, and the action ladder of every worker.

--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -96,7 +96,7 @@
 				if d.Step == None {
 					return
 				}
-				isEscalation := d.Step == Stop && pending.Step == Move && pending.Task == d.Task
+				isEscalation := d.Step == Stop && pending.Step.IsEviction() && pending.Task == d.Task
 				if pending.Step != None && !isEscalation {
 					t.Fatalf("%v while %v is pending", d, pending)
 				}
--- a/interference/ladder.go
+++ b/interference/ladder.go
@@ -29,6 +29,7 @@
 	Confirm int           // reports in a row that confirm either
 	Settle  time.Duration // after an action, until its effect shows in reports
 	Timeout time.Duration // for an action to be confirmed
+	Blame   float64       // tasks with less blame are left alone
 }
 
 // withDefaults: three reports in a row ignore a single outlier, and reports lag
@@ -49,6 +50,9 @@
 	if o.Timeout == 0 {
 		o.Timeout = 10 * time.Second
 	}
+	if o.Blame == 0 {
+		o.Blame = 0.02
+	}
 	return o
 }
 
@@ -70,18 +74,17 @@
 // Invariant: an action starts only when no other of this worker is pending and
 // the last one has settled.
 type Ladder struct {
-	options  LadderOptions
-	high     int // reports in a row above High
-	low      int // reports in a row below Low
-	pending  Decision
-	since    time.Time
-	settled  time.Time
-	timedOut map[string]bool // tasks whose move was not confirmed
+	options LadderOptions
+	high    int // reports in a row above High
+	low     int // reports in a row below Low
+	pending Decision
+	since   time.Time
+	settled time.Time
 }
 
 // NewLadder returns a ladder at rest.
 func NewLadder(o LadderOptions) *Ladder {
-	return &Ladder{options: o.withDefaults(), timedOut: map[string]bool{}}
+	return &Ladder{options: o.withDefaults()}
 }
 
 // Report takes the slowdown of the most disturbed service of the worker.
@@ -110,10 +113,32 @@
 	if l.pending.Task != task || l.pending.Step == None {
 		return
 	}
-	delete(l.timedOut, task)
 	l.finish(now)
 }
 
+// IsBusy reports whether an action is pending or has not settled.
+func (l *Ladder) IsBusy(now time.Time) bool {
+	return l.pending.Step != None || now.Before(l.settled)
+}
+
+// Claim makes an action of another cause the pending one, and reports whether
+// the worker was free for it.
+func (l *Ladder) Claim(d Decision, now time.Time) bool {
+	if l.IsBusy(now) {
+		return false
+	}
+	l.start(now, d)
+	return true
+}
+
+// Wants reports whether Next may propose something.
+func (l *Ladder) Wants(now time.Time) bool {
+	if l.pending.Step != None {
+		return now.Sub(l.since) >= l.options.Timeout
+	}
+	return !now.Before(l.settled) && (l.high >= l.options.Confirm || l.low >= l.options.Confirm)
+}
+
 func (l *Ladder) finish(now time.Time) {
 	l.pending = Decision{}
 	l.settled = now.Add(l.options.Settle)
@@ -124,7 +149,7 @@
 // evictions has room. The caller carries the action out and calls Confirm.
 func (l *Ladder) Next(now time.Time, candidates []Candidate, mayEvict bool) Decision {
 	if l.pending.Step != None {
-		return l.escalateOverdue(now, mayEvict)
+		return l.escalateOverdue(now)
 	}
 	if now.Before(l.settled) {
 		return Decision{}
@@ -138,17 +163,17 @@
 	return Decision{}
 }
 
-// escalateOverdue replaces a move that was not confirmed in time by a stop. Any
-// other overdue action is given up.
-func (l *Ladder) escalateOverdue(now time.Time, mayEvict bool) Decision {
+// escalateOverdue replaces an action that was not confirmed in time by a stop,
+// and repeats the stop until it is confirmed. It is the same eviction, so it
+// needs no room in the budget.
+func (l *Ladder) escalateOverdue(now time.Time) Decision {
 	if now.Sub(l.since) < l.options.Timeout {
 		return Decision{}
 	}
-	if l.pending.Step != Move || !mayEvict {
+	if !l.pending.Step.IsEviction() {
 		l.finish(now)
 		return Decision{}
 	}
-	l.timedOut[l.pending.Task] = true
 	return l.start(now, Decision{Step: Stop, Task: l.pending.Task})
 }
 
@@ -164,7 +189,7 @@
 func (l *Ladder) choose(candidates []Candidate, mayEvict bool) Decision {
 	worst := -1
 	for i, c := range candidates {
-		if c.Throttled && !mayEvict {
+		if c.Blame < l.options.Blame || (c.Throttled && !mayEvict) {
 			continue
 		}
 		if worst < 0 || c.Blame > candidates[worst].Blame {
@@ -176,8 +201,6 @@
 		return Decision{}
 	case !candidates[worst].Throttled:
 		return Decision{Step: Throttle, Task: candidates[worst].Task}
-	case l.timedOut[candidates[worst].Task]:
-		return Decision{Step: Stop, Task: candidates[worst].Task}
 	default:
 		return Decision{Step: Move, Task: candidates[worst].Task}
 	}
--- /dev/null
+++ b/placement/actions.go
@@ -0,0 +1,138 @@
+package placement
+
+import (
+	"fmt"
+
+	"github.com/ibispier/ibispier/interference"
+)
+
+// evacuate proposes to checkpoint the tasks on workers that leave. It is not
+// paced by the ladder or the budget, since the workers go at short notice.
+func (s *Scheduler) evacuate() {
+	for _, t := range s.leaving {
+		if t.worker == nil || t.leaving || t.Kind == Service {
+			continue
+		}
+		why := ""
+		switch w := t.worker; {
+		case w.zone.out:
+			why = "zone " + w.Zone + " is out of service"
+		case w.Draining:
+			why = "worker is draining"
+		default:
+			continue
+		}
+		t.leaving = true
+		s.act(t, Checkpoint, Evacuation, why)
+	}
+	s.leaving = s.leaving[:0]
+}
+
+func (s *Scheduler) act(t *task, kind ActionKind, cause Cause, why string) {
+	s.decisions.Actions = append(s.decisions.Actions, Action{
+		Kind: kind, Cause: cause, Task: t.ID, Worker: t.worker.ID, Reason: why,
+	})
+}
+
+// preempt proposes to move one batch task that makes room for an urgent one,
+// and reserves the worker. Only one victim is moved for each urgent task.
+func (s *Scheduler) preempt(t *task) {
+	if s.ownReservation(t) != nil || !s.budget.HasRoom(s.now) {
+		return
+	}
+	victim := s.smallestVictim(t)
+	if victim == nil {
+		return
+	}
+	w := victim.worker
+	if !s.ladder(w.ID).Claim(interference.Decision{Step: interference.Move, Task: victim.ID}, s.now) {
+		return
+	}
+	s.reserveFor(w, t)
+	victim.leaving = true
+	s.budget.Spend(s.now)
+	s.act(victim, Checkpoint, Preemption, "urgent task "+t.ID+" needs the room")
+}
+
+func (s *Scheduler) smallestVictim(t *task) *task {
+	var best *task
+	for _, w := range s.cache.workers {
+		if w.reservedFor != nil || s.refusalButRoom(t, w) || s.ladder(w.ID).IsBusy(s.now) {
+			continue
+		}
+		for _, v := range w.tasks {
+			if v.Kind != Batch || v.Urgent || v.leaving || v.proposed || !t.Size.FitsIn(w.free.Add(v.Size)) {
+				continue
+			}
+			if best == nil || v.Size.CPUMilli < best.Size.CPUMilli {
+				best = v
+			}
+		}
+	}
+	return best
+}
+
+// mitigate lets the ladder of every worker propose an action.
+func (s *Scheduler) mitigate() {
+	for _, w := range s.cache.workers {
+		l := s.ladders[w.ID]
+		if l == nil || !l.Wants(s.now) {
+			continue
+		}
+		d := l.Next(s.now, s.suspects(w), s.budget.HasRoom(s.now))
+		if t := s.cache.tasks[d.Task]; d.Step != interference.None && t != nil {
+			s.carryOut(t, d, l)
+		}
+	}
+}
+
+func (s *Scheduler) carryOut(t *task, d interference.Decision, l *interference.Ladder) {
+	why := fmt.Sprintf("services on %s are slowed down by class %s", t.worker.ID, t.Class)
+	switch d.Step {
+	case interference.Throttle:
+		t.throttled = true
+		s.act(t, Throttle, Disturbance, why)
+		l.Confirm(t.ID, s.now)
+	case interference.Restore:
+		t.throttled = false
+		s.act(t, Restore, Disturbance, "services on "+t.worker.ID+" have recovered")
+		l.Confirm(t.ID, s.now)
+	case interference.Move:
+		t.leaving = true
+		s.budget.Spend(s.now)
+		s.act(t, Checkpoint, Disturbance, why)
+	case interference.Stop:
+		if !t.leaving {
+			s.budget.Spend(s.now)
+		}
+		t.leaving = true
+		s.act(t, Stop, Disturbance, why+"; the checkpoint was not confirmed in time")
+	}
+}
+
+// suspects lists the batch tasks of a worker with the slowdown that each is
+// expected to cause to the services there.
+func (s *Scheduler) suspects(w *worker) []interference.Candidate {
+	var list []interference.Candidate
+	for _, t := range w.tasks {
+		if t.Kind == Batch && !t.leaving && !t.proposed {
+			list = append(list, interference.Candidate{Task: t.ID, Blame: s.blame(t, w), Throttled: t.throttled})
+		}
+	}
+	return list
+}
+
+// blame is the largest slowdown that a task is expected to cause to a service.
+// Without estimates it is the declared share of the worker.
+func (s *Scheduler) blame(t *task, w *worker) float64 {
+	if s.options.IgnoreInterference {
+		return ratio(t.Size.CPUMilli, w.Capacity.CPUMilli)
+	}
+	worst := 0.0
+	for _, v := range w.tasks {
+		if v.Kind == Service {
+			worst = max(worst, s.model.Blame(t.resident(w, t.used), v.resident(w, v.used), s.now))
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/placement/cache.go
@@ -0,0 +1,242 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/ibispier/ibispier/resource"
+)
+
+// Cache holds what placement knows of workers, running tasks, zones and quotas.
+//
+// Invariant: the cache itself never places a task where the sum of the declared
+// sizes would exceed the capacity of the worker or the quota of the customer.
+type Cache struct {
+	workers   []*worker
+	byID      map[string]*worker
+	tasks     map[string]*task // placed tasks
+	zones     map[string]*zone
+	groups    map[string]*group
+	customers map[string]*customer
+	capacity  resource.Vector // of all workers
+}
+
+type worker struct {
+	Worker
+	zone        *zone
+	rack        string // unique across zones
+	free        resource.Vector
+	tasks       []*task
+	measured    int64 // processor use of all tasks, measured or declared
+	lastRemoval time.Time
+	quarantine  string // reason
+	probation   bool
+	absent      bool
+	reservedFor *task
+}
+
+type task struct {
+	Task
+	worker    *worker
+	group     *group
+	since     time.Time // start of the wait, kept while a proposal is open
+	placedAt  time.Time
+	proposed  bool // not confirmed yet
+	leaving   bool // an eviction or evacuation is under way
+	throttled bool
+	used      int64 // processor use
+	away      []exclusion
+	reason    reason  // why it is pending
+	reserved  *worker // kept free for the task
+}
+
+// exclusion keeps a task off a worker that it was moved from or failed on.
+type exclusion struct {
+	worker string
+	until  time.Time
+}
+
+type zone struct {
+	name       string
+	out        bool
+	returnedAt time.Time
+	tokens     float64
+	tokensAt   time.Time
+	workers    int
+}
+
+// group counts the tasks of one customer and class, which are spread.
+type group struct {
+	name  string
+	total int
+	zones map[string]int
+	racks map[string]int
+}
+
+type customer struct {
+	quota    Quota
+	hasQuota bool
+	used     resource.Vector
+	tasks    int
+}
+
+func newCache() *Cache {
+	return &Cache{
+		byID:      map[string]*worker{},
+		tasks:     map[string]*task{},
+		zones:     map[string]*zone{},
+		groups:    map[string]*group{},
+		customers: map[string]*customer{},
+	}
+}
+
+func (c *Cache) zone(name string) *zone {
+	z := c.zones[name]
+	if z == nil {
+		z = &zone{name: name}
+		c.zones[name] = z
+	}
+	return z
+}
+
+func (c *Cache) customer(name string) *customer {
+	u := c.customers[name]
+	if u == nil {
+		u = &customer{}
+		c.customers[name] = u
+	}
+	return u
+}
+
+func (c *Cache) group(t *Task) *group {
+	name := t.Customer + "/" + t.Class
+	g := c.groups[name]
+	if g == nil {
+		g = &group{name: name, zones: map[string]int{}, racks: map[string]int{}}
+		c.groups[name] = g
+	}
+	return g
+}
+
+// setWorker adds a worker or replaces what is known of it.
+func (c *Cache) setWorker(info Worker) *worker {
+	w := c.byID[info.ID]
+	if w == nil {
+		w = &worker{Worker: info}
+		c.byID[info.ID] = w
+		c.workers = append(c.workers, w)
+	} else {
+		c.capacity = c.capacity.Sub(w.Capacity)
+		w.zone.workers--
+		c.countGroups(w, -1)
+	}
+	w.free = w.free.Add(info.Capacity)
+	if w.zone != nil {
+		w.free = w.free.Sub(w.Capacity)
+	}
+	c.capacity = c.capacity.Add(info.Capacity)
+	w.Worker, w.absent = info, false
+	w.zone = c.zone(info.Zone)
+	w.zone.workers++
+	w.rack = info.Zone + "/" + info.Rack
+	c.countGroups(w, 1)
+	return w
+}
+
+// countGroups adds the tasks of a worker to the counts of its zone and rack, or
+// takes them out.
+func (c *Cache) countGroups(w *worker, sign int) {
+	for _, t := range w.tasks {
+		t.group.count(w, sign)
+	}
+}
+
+func (g *group) count(w *worker, sign int) {
+	add(g.zones, w.Zone, sign)
+	add(g.racks, w.rack, sign)
+}
+
+func add(counts map[string]int, key string, n int) {
+	if counts[key] += n; counts[key] == 0 {
+		delete(counts, key)
+	}
+}
+
+// removeWorker drops a worker once no task is left on it; until then it takes
+// no new task.
+func (c *Cache) removeWorker(w *worker) {
+	w.absent = true
+	if len(w.tasks) > 0 {
+		return
+	}
+	delete(c.byID, w.ID)
+	c.capacity = c.capacity.Sub(w.Capacity)
+	w.zone.workers--
+	for i, other := range c.workers {
+		if other == w {
+			c.workers = append(c.workers[:i], c.workers[i+1:]...)
+			return
+		}
+	}
+}
+
+// place puts a task on a worker.
+func (c *Cache) place(t *task, w *worker, now time.Time) {
+	t.worker, t.placedAt, t.used = w, now, t.Size.CPUMilli
+	t.group = c.group(&t.Task)
+	c.tasks[t.ID] = t
+	w.tasks = append(w.tasks, t)
+	w.free = w.free.Sub(t.Size)
+	w.measured += t.used
+	u := c.customer(t.Customer)
+	u.used = u.used.Add(t.Size)
+	u.tasks++
+	t.group.total++
+	t.group.count(w, 1)
+}
+
+// remove takes a task off its worker.
+func (c *Cache) remove(t *task, now time.Time) {
+	w := t.worker
+	delete(c.tasks, t.ID)
+	for i, other := range w.tasks {
+		if other == t {
+			w.tasks[i] = w.tasks[len(w.tasks)-1]
+			w.tasks[len(w.tasks)-1] = nil
+			w.tasks = w.tasks[:len(w.tasks)-1]
+			break
+		}
+	}
+	w.free = w.free.Add(t.Size)
+	w.measured -= t.used
+	w.lastRemoval = now
+	u := c.customer(t.Customer)
+	u.used = u.used.Sub(t.Size)
+	u.tasks--
+	c.leaveGroup(t, w)
+	t.worker, t.proposed, t.leaving, t.throttled = nil, false, false, false
+	if w.absent {
+		c.removeWorker(w)
+	}
+}
+
+func (c *Cache) leaveGroup(t *task, w *worker) {
+	g := t.group
+	g.total--
+	g.count(w, -1)
+	if g.total == 0 {
+		delete(c.groups, g.name)
+	}
+}
+
+// quotaRefusal returns why the quota of the customer has no room for size, or "".
+func (u *customer) quotaRefusal(size resource.Vector) string {
+	switch {
+	case !u.hasQuota:
+		return "customer has no plan"
+	case u.tasks >= u.quota.Tasks:
+		return "quota: all tasks at once in use"
+	case !u.used.Add(size).FitsIn(u.quota.Limit):
+		return "quota: resources in use"
+	}
+	return ""
+}
--- /dev/null
+++ b/placement/events.go
@@ -0,0 +1,272 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/ibispier/ibispier/fairqueue"
+	"github.com/ibispier/ibispier/interference"
+	"github.com/ibispier/ibispier/quarantine"
+)
+
+// SetWorker adds a worker or replaces what is known of it.
+func (s *Scheduler) SetWorker(info Worker, now time.Time) {
+	known := s.cache.byID[info.ID]
+	leaves := info.Draining && (known == nil || !known.Draining)
+	if known == nil || known.Capacity != info.Capacity || known.Zone != info.Zone || known.absent {
+		s.recheck = true
+	}
+	w := s.cache.setWorker(info)
+	if leaves || w.zone.out {
+		s.leaving = append(s.leaving, w.tasks...)
+	}
+}
+
+// RemoveWorker forgets a worker that is gone. Tasks on it keep their place in
+// the cache until Requeue or Remove.
+func (s *Scheduler) RemoveWorker(id string, now time.Time) {
+	w := s.cache.byID[id]
+	if w == nil {
+		return
+	}
+	s.dropReservation(w)
+	s.cache.removeWorker(w)
+	s.matrix.Forget(quarantine.Worker, id)
+	delete(s.ladders, id)
+	w.quarantine, w.probation = "", false
+}
+
+// SetZone takes a zone out of service or brings it back.
+func (s *Scheduler) SetZone(name string, out bool, now time.Time) {
+	z := s.cache.zone(name)
+	if z.out == out {
+		return
+	}
+	z.out = out
+	if !out {
+		z.returnedAt, z.tokensAt, z.tokens = now, now, 0
+		return
+	}
+	for _, w := range s.cache.workers {
+		if w.zone == z {
+			s.leaving = append(s.leaving, w.tasks...)
+		}
+	}
+}
+
+// SetQuota sets what the tasks of a customer may use.
+func (s *Scheduler) SetQuota(name string, q Quota) {
+	u := s.cache.customer(name)
+	if !u.hasQuota || u.quota != q {
+		u.quota, u.hasQuota = q, true
+		s.recheck = true
+	}
+}
+
+// RemoveQuota makes the tasks of a customer wait until it has a plan again.
+func (s *Scheduler) RemoveQuota(name string) {
+	s.cache.customer(name).hasQuota = false
+}
+
+// Submit adds a task that waits since the given time. A task that is known
+// already is not added again.
+func (s *Scheduler) Submit(t Task, since time.Time) {
+	if s.pending[t.ID] != nil || s.held[t.ID] != nil || s.cache.tasks[t.ID] != nil {
+		return
+	}
+	s.admit(&task{Task: t, since: since})
+}
+
+// admit queues the task, or holds it when it can never run. The hold is
+// reported by the next step.
+func (s *Scheduler) admit(t *task) {
+	if why := s.neverRuns(t); why != "" {
+		t.reason = reason{text: why}
+		s.held[t.ID] = t
+		s.newlyHeld = append(s.newlyHeld, Held{Task: t.ID, Reason: why})
+		return
+	}
+	s.enqueue(t)
+}
+
+func (s *Scheduler) enqueue(t *task) {
+	t.reason = reason{}
+	s.pending[t.ID] = t
+	s.queue.Add(fairqueue.Item{ID: t.ID, Customer: t.Customer, Urgent: t.Urgent, Size: t.Size, Since: t.since})
+}
+
+// Placed states that a task runs on a worker, as the committer has recorded. It
+// confirms a proposal, or corrects the cache.
+func (s *Scheduler) Placed(t Task, workerID string, now time.Time) {
+	known := s.cache.tasks[t.ID]
+	if known != nil && known.worker.ID == workerID {
+		known.proposed = false
+		delete(s.proposed, t.ID)
+		return
+	}
+	entry := &task{Task: t, since: now}
+	if waiting := s.pending[t.ID]; waiting != nil {
+		entry = waiting
+	}
+	s.Remove(t.ID, now)
+	w := s.cache.byID[workerID]
+	if w == nil {
+		return
+	}
+	s.cache.place(entry, w, now)
+	s.queue.Charge(t.Customer, t.Size)
+	if w.Draining || w.zone.out {
+		s.leaving = append(s.leaving, entry)
+	}
+}
+
+// Refuse states that the committer did not accept the proposal for a task. The
+// task returns to the queue with the time that it has waited.
+func (s *Scheduler) Refuse(id string, now time.Time) {
+	if t := s.proposed[id]; t != nil {
+		s.takeOff(t, now)
+		s.enqueue(t)
+	}
+}
+
+// Requeue states that a task was evicted or lost and waits again.
+func (s *Scheduler) Requeue(id string, now time.Time) {
+	t := s.cache.tasks[id]
+	if t == nil {
+		return
+	}
+	if t.leaving {
+		t.exclude(t.worker.ID, now, s.options.AvoidMoved)
+	}
+	s.takeOff(t, now)
+	t.since = now
+	s.admit(t)
+}
+
+// Finished states that an attempt of a task has ended by itself. A failed task
+// waits for another attempt.
+func (s *Scheduler) Finished(id string, failed bool, now time.Time) {
+	t := s.cache.tasks[id]
+	if t == nil {
+		return
+	}
+	w := t.worker
+	s.matrix.Record(quarantine.Outcome{Job: id, Worker: w.ID, Failed: failed, At: now})
+	s.refreshProbation(w)
+	if !failed {
+		s.runTimes.Record(t.Class, t.RunTime, now.Sub(t.placedAt))
+		s.Remove(id, now)
+		s.matrix.Forget(quarantine.Job, id)
+		return
+	}
+	t.exclude(w.ID, now, s.options.AvoidFailed)
+	s.takeOff(t, now)
+	t.since = now
+	s.admit(t)
+}
+
+func (s *Scheduler) refreshProbation(w *worker) {
+	if w.probation || w.quarantine != "" {
+		s.markWorker(s.matrix.Status(quarantine.Worker, w.ID))
+	}
+}
+
+// Remove forgets a task that was cancelled or has ended, wherever it is.
+func (s *Scheduler) Remove(id string, now time.Time) {
+	if t := s.pending[id]; t != nil {
+		s.unreserve(t)
+	}
+	delete(s.pending, id)
+	delete(s.held, id)
+	s.queue.Remove(id)
+	if t := s.cache.tasks[id]; t != nil {
+		s.takeOff(t, now)
+	}
+}
+
+// takeOff takes a task off its worker.
+func (s *Scheduler) takeOff(t *task, now time.Time) {
+	w := t.worker
+	delete(s.proposed, t.ID)
+	s.cache.remove(t, now)
+	s.queue.Release(t.Customer, t.Size)
+	if l := s.ladders[w.ID]; l != nil {
+		l.Confirm(t.ID, now)
+	}
+}
+
+func (t *task) exclude(worker string, now time.Time, d time.Duration) {
+	kept := t.away[:0]
+	for _, e := range t.away {
+		if now.Before(e.until) {
+			kept = append(kept, e)
+		}
+	}
+	t.away = append(kept, exclusion{worker, now.Add(d)})
+}
+
+// Release moves a quarantined job or worker to probation.
+func (s *Scheduler) Release(kind quarantine.Kind, name string, now time.Time) bool {
+	if !s.matrix.Release(kind, name, now) {
+		return false
+	}
+	s.recheck = true
+	if kind == quarantine.Worker {
+		s.markWorker(s.matrix.Status(kind, name))
+	}
+	return true
+}
+
+// Observe takes the lagged measurements of the tasks of one worker.
+func (s *Scheduler) Observe(workerID string, usage []Usage, now time.Time) {
+	w := s.cache.byID[workerID]
+	if w == nil {
+		return
+	}
+	for _, u := range usage {
+		if t := s.cache.tasks[u.Task]; t != nil && t.worker == w {
+			w.measured += u.Used.CPUMilli - t.used
+			t.used = u.Used.CPUMilli
+		}
+	}
+	slowest, measuredAt := 0.0, time.Time{}
+	for _, u := range usage {
+		t := s.cache.tasks[u.Task]
+		if t == nil || t.worker != w || u.Slowdown <= 0 {
+			continue
+		}
+		s.learn(t, u)
+		if t.Kind == Service && u.Slowdown > slowest {
+			slowest, measuredAt = u.Slowdown, u.MeasuredAt
+		}
+	}
+	if slowest > 0 {
+		s.ladder(workerID).Report(slowest, measuredAt)
+	}
+}
+
+// learn passes a measured slowdown to the model, unless a task has left the
+// worker since the measurement, so that the neighbours of then are not known.
+func (s *Scheduler) learn(t *task, u Usage) {
+	w := t.worker
+	if s.options.IgnoreInterference || !u.MeasuredAt.After(w.lastRemoval) || t.placedAt.After(u.MeasuredAt) {
+		return
+	}
+	s.residents = s.residents[:0]
+	for _, other := range w.tasks {
+		if other != t && !other.placedAt.After(u.MeasuredAt) {
+			s.residents = append(s.residents, other.resident(w, other.used))
+		}
+	}
+	s.model.Observe(interference.Observation{
+		Victim: t.Class, Slowdown: u.Slowdown, Neighbours: s.residents, MeasuredAt: u.MeasuredAt,
+	})
+}
+
+func (s *Scheduler) ladder(workerID string) *interference.Ladder {
+	l := s.ladders[workerID]
+	if l == nil {
+		l = interference.NewLadder(s.options.Ladder)
+		s.ladders[workerID] = l
+	}
+	return l
+}
--- /dev/null
+++ b/placement/filters.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// filter refuses workers that must not run a task. The name is the reason that
+// operators read.
+type filter struct {
+	name    string
+	refuses func(*Scheduler, *task, *worker) bool
+}
+
+const filterCount = 10
+
+// filters are checked in this order, the one that refuses most first.
+var filters = [filterCount]filter{
+	{"too little room", lacksRoom},
+	{"zone out of service", isZoneOut},
+	{"zone not allowed", isZoneForbidden},
+	{"zone returning", exceedsReturnRate},
+	{"worker draining", isDraining},
+	{"worker gone", isAbsent},
+	{"worker quarantined", isQuarantined},
+	{"worker on probation", isProbationBusy},
+	{"reserved for a task that waited longer", isReserved},
+	{"task failed on or was moved from the worker", isExcluded},
+}
+
+func lacksRoom(_ *Scheduler, t *task, w *worker) bool { return !t.Size.FitsIn(w.free) }
+
+func isZoneOut(_ *Scheduler, _ *task, w *worker) bool { return w.zone.out }
+
+func isZoneForbidden(_ *Scheduler, t *task, w *worker) bool { return !t.allows(w.Zone) }
+
+func exceedsReturnRate(s *Scheduler, _ *task, w *worker) bool {
+	return !w.zone.hasToken(s.now, s.options)
+}
+
+func isDraining(_ *Scheduler, _ *task, w *worker) bool { return w.Draining }
+
+func isAbsent(_ *Scheduler, _ *task, w *worker) bool { return w.absent }
+
+func isQuarantined(_ *Scheduler, _ *task, w *worker) bool { return w.quarantine != "" }
+
+// isProbationBusy lets a worker on probation run one task at a time, beside
+// those that survived from before.
+func isProbationBusy(_ *Scheduler, _ *task, w *worker) bool {
+	if !w.probation {
+		return false
+	}
+	return slices.ContainsFunc(w.tasks, func(t *task) bool { return t.Kind != Service })
+}
+
+func isReserved(_ *Scheduler, t *task, w *worker) bool {
+	return w.reservedFor != nil && w.reservedFor != t
+}
+
+func isExcluded(s *Scheduler, t *task, w *worker) bool {
+	for _, e := range t.away {
+		if e.worker == w.ID && s.now.Before(e.until) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Task) allows(zone string) bool {
+	return len(t.Zones) == 0 || slices.Contains(t.Zones, zone)
+}
+
+// reason tells why a task is pending: a text, or the number of workers that
+// each filter refused.
+type reason struct {
+	text    string
+	refused [filterCount]int32
+}
+
+func (r *reason) String() string {
+	if r.text != "" {
+		return r.text
+	}
+	var parts []string
+	for i, n := range r.refused {
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, filters[i].name))
+		}
+	}
+	if len(parts) == 0 {
+		return "not considered yet"
+	}
+	return "no worker: " + strings.Join(parts, ", ")
+}
+
+// refusal returns the index of the first filter that refuses the worker, or -1.
+func (s *Scheduler) refusal(t *task, w *worker) int {
+	for i := range filters {
+		if filters[i].refuses(s, t, w) {
+			return i
+		}
+	}
+	return -1
+}
+
+// refusalButRoom is refusal without regard to the room that is free now.
+func (s *Scheduler) refusalButRoom(t *task, w *worker) bool {
+	for i := 1; i < len(filters); i++ {
+		if filters[i].refuses(s, t, w) {
+			return true
+		}
+	}
+	return !t.Size.FitsIn(w.Capacity)
+}
+
+// hasToken reports whether the zone may start another task. A zone that has
+// returned starts tasks at a bounded rate for a while, so that its workers,
+// racks and links do not take the whole backlog at once.
+func (z *zone) hasToken(now time.Time, o Options) bool {
+	if z.returnedAt.IsZero() {
+		return true
+	}
+	if now.Sub(z.returnedAt) >= o.ReturnPeriod {
+		z.returnedAt = time.Time{}
+		return true
+	}
+	rate := o.ReturnRate * float64(z.workers)
+	z.tokens = min(z.tokens+rate*now.Sub(z.tokensAt).Seconds(), max(rate, 1))
+	z.tokensAt = now
+	return z.tokens >= 1
+}
+
+func (z *zone) takeToken() {
+	if !z.returnedAt.IsZero() {
+		z.tokens--
+	}
+}
--- /dev/null
+++ b/placement/pass.go
@@ -0,0 +1,223 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/ibispier/ibispier/fairqueue"
+	"github.com/ibispier/ibispier/resource"
+)
+
+// miss is a size that no worker had room for in this step. Room only shrinks
+// within a step, so a task that is not smaller needs no new search.
+type miss struct {
+	size  resource.Vector
+	zones []string
+}
+
+const maxMisses = 16
+
+// runPass offers the pending tasks in the order of the queue.
+func (s *Scheduler) runPass() {
+	s.misses = s.misses[:0]
+	s.queue.Begin(s.now)
+	for range s.options.OffersPerStep {
+		item, ok := s.queue.Next()
+		if !ok {
+			return
+		}
+		s.offer(s.pending[item.ID], item)
+	}
+}
+
+func (s *Scheduler) offer(t *task, item fairqueue.Item) {
+	if why := s.cache.customer(t.Customer).quotaRefusal(t.Size); why != "" {
+		t.reason = reason{text: why}
+		s.queue.SkipCustomer()
+		return
+	}
+	if w := s.choose(t); w != nil {
+		s.propose(t, w)
+		return
+	}
+	if t.Urgent {
+		s.preempt(t)
+	}
+	if s.now.Sub(t.since) > s.options.Queue.AgingBound {
+		s.reserve(t)
+	}
+	s.queue.Skip()
+}
+
+func (s *Scheduler) propose(t *task, w *worker) {
+	s.queue.Take()
+	delete(s.pending, t.ID)
+	s.unreserve(t)
+	s.cache.place(t, w, s.now)
+	w.zone.takeToken()
+	t.proposed = true
+	s.proposed[t.ID] = t
+	s.decisions.Placements = append(s.decisions.Placements, Placement{Task: t.ID, Worker: w.ID})
+}
+
+// choose returns the best worker for the task, or nil with the reason noted.
+func (s *Scheduler) choose(t *task) *worker {
+	if s.isMiss(t) {
+		return nil
+	}
+	t.reason = reason{}
+	if s.options.Selection == FirstFit {
+		return s.firstFit(t)
+	}
+	s.sample(t)
+	if len(s.candidates) == 0 {
+		s.noteMiss(t)
+		return nil
+	}
+	return s.bestOf(t)
+}
+
+func (s *Scheduler) firstFit(t *task) *worker {
+	for _, w := range s.cache.workers {
+		i := s.refusal(t, w)
+		if i < 0 {
+			return w
+		}
+		t.reason.refused[i]++
+	}
+	s.noteMiss(t)
+	return nil
+}
+
+// sample collects workers that pass the filters. It walks the workers with a
+// stride that is coprime to their number, from where the last walk ended, so
+// that samples cover all zones and racks.
+func (s *Scheduler) sample(t *task) {
+	s.candidates = s.candidates[:0]
+	n := len(s.cache.workers)
+	if n == 0 {
+		return
+	}
+	stride := strideFor(n)
+	at := s.cursor % n
+	for range n {
+		w := s.cache.workers[at]
+		if i := s.refusal(t, w); i >= 0 {
+			t.reason.refused[i]++
+		} else if s.candidates = append(s.candidates, w); len(s.candidates) == s.options.Candidates {
+			break
+		}
+		if at += stride; at >= n {
+			at -= n
+		}
+	}
+	s.cursor = at
+}
+
+// strideFor returns a number near the golden section of n that is coprime to n.
+func strideFor(n int) int {
+	stride := max(1, n*618/1000)
+	for greatestCommonDivisor(stride, n) != 1 {
+		stride++
+	}
+	return stride
+}
+
+func greatestCommonDivisor(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+func (s *Scheduler) bestOf(t *task) *worker {
+	t.group = s.cache.group(&t.Task)
+	var best *worker
+	highest := 0.0
+	for _, w := range s.candidates {
+		total := 0.0
+		for i := range scores {
+			total += scores[i].weight * scores[i].rate(s, t, w)
+		}
+		if best == nil || total > highest {
+			best, highest = w, total
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) isMiss(t *task) bool {
+	if len(t.away) > 0 {
+		return false
+	}
+	for i := range s.misses {
+		if s.misses[i].size.FitsIn(t.Size) && slices.Equal(s.misses[i].zones, t.Zones) {
+			if s.ownReservation(t) == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// noteMiss remembers a size without room. A task that is kept off some workers
+// says nothing about others.
+func (s *Scheduler) noteMiss(t *task) {
+	if len(t.away) == 0 && len(s.misses) < maxMisses {
+		s.misses = append(s.misses, miss{size: t.Size, zones: t.Zones})
+	}
+}
+
+// reservationShare bounds the workers that are kept free for tasks beyond the
+// aging bound, since the room on them is idle meanwhile.
+const reservationShare = 20
+
+// reserve keeps other tasks off the worker that is nearest to having room, so
+// that a large task is not passed for ever by small ones.
+func (s *Scheduler) reserve(t *task) {
+	if s.ownReservation(t) != nil || s.reserved >= max(1, len(s.cache.workers)/reservationShare) {
+		return
+	}
+	var nearest *worker
+	least := 0.0
+	for _, w := range s.cache.workers {
+		if w.reservedFor != nil || s.refusalButRoom(t, w) {
+			continue
+		}
+		missing := t.Size.Sub(w.free).DominantShare(w.Capacity)
+		if nearest == nil || missing < least {
+			nearest, least = w, missing
+		}
+	}
+	if nearest != nil {
+		s.reserveFor(nearest, t)
+	}
+}
+
+func (s *Scheduler) reserveFor(w *worker, t *task) {
+	w.reservedFor, t.reserved = t, w
+	s.reserved++
+}
+
+// ownReservation returns the worker that is reserved for the task. A worker
+// that the task may not use any more is given up.
+func (s *Scheduler) ownReservation(t *task) *worker {
+	if t.reserved != nil && s.refusalButRoom(t, t.reserved) {
+		s.unreserve(t)
+	}
+	return t.reserved
+}
+
+func (s *Scheduler) unreserve(t *task) {
+	if t.reserved != nil {
+		s.dropReservation(t.reserved)
+	}
+}
+
+func (s *Scheduler) dropReservation(w *worker) {
+	if w.reservedFor != nil {
+		w.reservedFor.reserved = nil
+		w.reservedFor = nil
+		s.reserved--
+		s.misses = s.misses[:0] // the worker has room for others again
+	}
+}
--- /dev/null
+++ b/placement/scheduler.go
@@ -0,0 +1,255 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/ibispier/ibispier/fairqueue"
+	"github.com/ibispier/ibispier/interference"
+	"github.com/ibispier/ibispier/quarantine"
+	"github.com/ibispier/ibispier/resource"
+)
+
+// Selection names a way to choose among the workers that pass the filters.
+type Selection string
+
+// Selections. FirstFit is the baseline for comparisons.
+const (
+	BestScore Selection = "best_score"
+	FirstFit  Selection = "first_fit"
+)
+
+// Options configure a Scheduler.
+type Options struct {
+	Selection          Selection
+	IgnoreInterference bool // baseline: no estimate in scores and no blame by class
+	Queue              fairqueue.Options
+	Model              interference.ModelOptions
+	Ladder             interference.LadderOptions
+	Quarantine         quarantine.Options
+	EvictionsPerHour   int
+	Candidates         int           // workers that are scored for a task
+	OffersPerStep      int           // pending tasks considered in one step
+	ProposalTimeout    time.Duration // after which an unconfirmed placement is void
+	ReturnRate         float64       // starts per second and worker in a zone that has returned
+	ReturnPeriod       time.Duration // how long that rate holds
+	AvoidMoved         time.Duration // a moved task stays off its old worker
+	AvoidFailed        time.Duration // a failed task stays off the worker
+}
+
+// withDefaults: 32 scored workers keep a placement far below 200 microseconds
+// with 4,000 workers, and in a sample of 32 the best worker is on average among
+// the best 3%. Half a start per second and worker fills a worker in 20 to 30 s.
+func (o Options) withDefaults() Options {
+	setDefault(&o.Selection, BestScore)
+	setDefault(&o.EvictionsPerHour, 60)
+	setDefault(&o.Candidates, 32)
+	setDefault(&o.OffersPerStep, 20_000)
+	setDefault(&o.ProposalTimeout, 5*time.Second)
+	setDefault(&o.ReturnRate, 0.5)
+	setDefault(&o.ReturnPeriod, time.Minute)
+	setDefault(&o.AvoidMoved, time.Minute)
+	setDefault(&o.AvoidFailed, 10*time.Minute)
+	setDefault(&o.Queue.AgingBound, fairqueue.DefaultAgingBound)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Scheduler proposes placements and actions. One owner calls it.
+type Scheduler struct {
+	options   Options
+	now       time.Time
+	cache     *Cache
+	queue     *fairqueue.Queue
+	model     *interference.Model
+	matrix    *quarantine.Matrix
+	runTimes  *quarantine.RunTimes
+	budget    *interference.Budget
+	ladders   map[string]*interference.Ladder // by worker
+	pending   map[string]*task                // in the queue
+	held      map[string]*task                // out of the queue, with a reason
+	proposed  map[string]*task                // placements that are not confirmed
+	leaving   []*task                         // to evacuate in the next step
+	newlyHeld []Held                          // since the last step
+	recheck   bool                            // held tasks may fit by now
+	cursor    int
+	misses    []miss
+	reserved  int
+
+	decisions  Decisions
+	candidates []*worker
+	residents  []interference.Resident
+}
+
+// New returns a scheduler without workers and tasks.
+func New(o Options) *Scheduler {
+	o = o.withDefaults()
+	return &Scheduler{
+		options:  o,
+		cache:    newCache(),
+		queue:    fairqueue.New(o.Queue),
+		model:    interference.NewModel(o.Model),
+		matrix:   quarantine.New(o.Quarantine),
+		runTimes: quarantine.NewRunTimes(),
+		budget:   interference.NewBudget(o.EvictionsPerHour),
+		ladders:  map[string]*interference.Ladder{},
+		pending:  map[string]*task{},
+		held:     map[string]*task{},
+		proposed: map[string]*task{},
+	}
+}
+
+// Step decides at time now. The proposals are valid until the next call.
+func (s *Scheduler) Step(now time.Time) Decisions {
+	s.now = now
+	s.decisions = Decisions{Held: s.newlyHeld}
+	s.newlyHeld = nil
+	s.queue.SetTotal(s.cache.capacity)
+	s.expireProposals()
+	s.applyQuarantine()
+	s.reconsiderHeld()
+	s.evacuate()
+	s.runPass()
+	s.mitigate()
+	return s.decisions
+}
+
+// Pending returns the number of tasks that wait for a worker.
+func (s *Scheduler) Pending() int { return s.queue.Len() }
+
+// Explain returns why a task is not placed, or "" when it is placed or unknown.
+func (s *Scheduler) Explain(id string) string {
+	if t := s.pending[id]; t != nil {
+		return t.reason.String()
+	}
+	if t := s.held[id]; t != nil {
+		return t.reason.String()
+	}
+	return ""
+}
+
+// Quarantine lists the jobs and workers that are set aside or on probation.
+func (s *Scheduler) Quarantine() []quarantine.Entry { return s.matrix.Entries() }
+
+// Evictions returns how many evictions were proposed.
+func (s *Scheduler) Evictions() int { return s.budget.Total() }
+
+// Estimate returns the estimated interference of a pair of classes.
+func (s *Scheduler) Estimate(victim, aggressor string, now time.Time) interference.Estimate {
+	return s.model.Pair(victim, aggressor, now)
+}
+
+// RunTimes returns what was learned of run times.
+func (s *Scheduler) RunTimes() *quarantine.RunTimes { return s.runTimes }
+
+// Free returns the capacity of a worker that no declared size takes.
+func (s *Scheduler) Free(workerID string) resource.Vector {
+	if w := s.cache.byID[workerID]; w != nil {
+		return w.free
+	}
+	return resource.Vector{}
+}
+
+func (s *Scheduler) expireProposals() {
+	for _, id := range sortedKeys(s.proposed) {
+		if s.now.Sub(s.proposed[id].placedAt) >= s.options.ProposalTimeout {
+			s.Refuse(id, s.now)
+		}
+	}
+}
+
+// applyQuarantine passes on what the matrix has found, and takes quarantined
+// jobs out of the queue.
+func (s *Scheduler) applyQuarantine() {
+	s.matrix.SetFleet(len(s.cache.workers))
+	for _, e := range s.matrix.Evaluate(s.now) {
+		if e.Kind == quarantine.Worker {
+			s.markWorker(e)
+			continue
+		}
+		s.recheck = true
+		if t := s.pending[e.Name]; t != nil && e.State == quarantine.Quarantined {
+			s.queue.Remove(t.ID)
+			s.hold(t, "quarantined: "+e.Reason)
+		}
+	}
+}
+
+func (s *Scheduler) markWorker(e quarantine.Entry) {
+	w := s.cache.byID[e.Name]
+	if w == nil {
+		return
+	}
+	w.quarantine, w.probation = "", e.State == quarantine.Probation
+	if e.State == quarantine.Quarantined {
+		w.quarantine = e.Reason
+	}
+}
+
+func (s *Scheduler) hold(t *task, why string) {
+	delete(s.pending, t.ID)
+	s.unreserve(t)
+	t.reason = reason{text: why}
+	s.held[t.ID] = t
+	s.decisions.Held = append(s.decisions.Held, Held{Task: t.ID, Reason: why})
+}
+
+// reconsiderHeld returns held tasks to the queue once their reason is gone.
+func (s *Scheduler) reconsiderHeld() {
+	if !s.recheck {
+		return
+	}
+	s.recheck = false
+	for _, id := range sortedKeys(s.held) {
+		t := s.held[id]
+		if s.neverRuns(t) != "" {
+			continue
+		}
+		delete(s.held, id)
+		s.enqueue(t)
+	}
+}
+
+// sortedKeys returns the keys in a fixed order, so that equal events lead to
+// equal decisions.
+func sortedKeys(tasks map[string]*task) []string {
+	return slices.Sorted(maps.Keys(tasks))
+}
+
+// neverRuns returns why a task can't run however long it waits, or "". Workers
+// in zones that are out count, since the zones may return.
+func (s *Scheduler) neverRuns(t *task) string {
+	if e := s.matrix.Status(quarantine.Job, t.ID); e.State == quarantine.Quarantined {
+		return "quarantined: " + e.Reason
+	}
+	u := s.cache.customer(t.Customer)
+	if u.hasQuota && (!t.Size.FitsIn(u.quota.Limit) || u.quota.Tasks == 0) {
+		return "never runs: larger than the quota of " + t.Customer + ": " + u.quota.Limit.String()
+	}
+	if len(s.cache.workers) == 0 {
+		return ""
+	}
+	var largest resource.Vector
+	allowed := 0
+	for _, w := range s.cache.workers {
+		if !t.allows(w.Zone) {
+			continue
+		}
+		if t.Size.FitsIn(w.Capacity) {
+			return ""
+		}
+		allowed++
+		largest = largest.Max(w.Capacity)
+	}
+	if allowed == 0 {
+		return "never runs: no worker in an allowed zone"
+	}
+	return "never runs: larger than any worker in an allowed zone; largest " + largest.String()
+}
