settings: refuse values that cannot be printed and read again

The fuzz target found a value of three quotes that ibispierd -check printed in a form that the INI library refuses. Values with quotes, backslashes, variables or several lines are refused now; no setting needs them. Write prints the text that was read. The test of ibispierd uses internal/testcluster.

--- a/cmd/ibispierd/main_test.go
+++ b/cmd/ibispierd/main_test.go
@@ -1,25 +1,23 @@
 package main
 
 import (
-	"bytes"
-	"errors"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/ibispier/ibispier/internal/testproc"
+	"github.com/ibispier/ibispier/internal/testcluster"
 )
 
+func TestMain(m *testing.M) {
+	code := m.Run()
+	testcluster.RemoveBinaries()
+	os.Exit(code)
+}
+
 // Guards against a process that starts with settings it should refuse, ends
 // with another exit code than 2, or leaves a data folder behind.
 func TestRefusedSettingsStartNothing(t *testing.T) {
-	bin, err := testproc.Build("ibispierd")
-	defer os.RemoveAll(bin)
-	if err != nil {
-		t.Fatal(err)
-	}
 	data := filepath.Join(t.TempDir(), "data")
 	good := "[daemon]\nid = c1\nroles = control\nzone = a\ndata = " + data + "\n[cluster]\ncontrol = c1@127.0.0.1:7071\n"
 	tests := []struct {
@@ -28,33 +26,33 @@
 		code int
 		want string
 	}{
-		{"unknown key", []string{"-config", testproc.Settings(t, good, "[log]\nlevle = info")}, 2, "section=log key=levle"},
+		{"unknown key", []string{"-config", file(t, good+"[log]\nlevle = info\n")}, 2, "section=log key=levle"},
 		{"missing file", []string{"-config", filepath.Join(t.TempDir(), "none.ini")}, 2, "none.ini"},
 		{"no file", nil, 2, "-config"},
 		{"file and -dev", []string{"-dev", "-config", "x.ini"}, 2, "-config"},
 		{"-dev and -check", []string{"-dev", "-check"}, 2, "-config"},
-		{"check", []string{"-check", "-config", testproc.Settings(t, good)}, 0, ""},
+		{"check", []string{"-check", "-config", file(t, good)}, 0, "id = c1\n"},
 	}
 	for _, test := range tests {
-		cmd := exec.Command(filepath.Join(bin, "ibispierd"), test.args...)
-		var out, errOut bytes.Buffer
-		cmd.Stdout, cmd.Stderr = &out, &errOut
-		err := cmd.Run()
-		var exit *exec.ExitError
-		if err != nil && !errors.As(err, &exit) {
-			t.Fatal(err)
-		}
-		if code := cmd.ProcessState.ExitCode(); code != test.code || !strings.Contains(errOut.String(), test.want) {
-			t.Errorf("%s: exit code %d, stderr %q", test.name, code, errOut.String())
+		p := testcluster.StartProcess(t, test.name, "ibispierd", test.args...)
+		code, output := p.Wait(), p.Output()
+		if code != test.code || !strings.Contains(output, test.want) {
+			t.Errorf("%s: exit code %d, output %q", test.name, code, output)
 		}
-		if lines := strings.Count(errOut.String(), "\n"); test.code != 0 && lines != 1 {
-			t.Errorf("%s: %d lines on stderr", test.name, lines)
-		}
-		if test.code == 0 && !strings.Contains(out.String(), "id = c1\n") {
-			t.Errorf("%s: printed %q", test.name, out.String())
+		if lines := strings.Count(output, "\n"); test.code != 0 && lines != 1 {
+			t.Errorf("%s: %d lines", test.name, lines)
 		}
 	}
 	if _, err := os.Stat(data); !os.IsNotExist(err) {
 		t.Errorf("the data folder was made: %v", err)
 	}
 }
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -39,7 +39,8 @@
 	return nil
 }
 
-// Write writes the effective settings as a settings file.
+// Write writes the settings that were read, with the defaults of the others, as
+// a settings file.
 func (s *Settings) Write(w io.Writer) error {
 	section := ""
 	for _, k := range Keys(s) {
@@ -50,7 +51,7 @@
 			section = k.Section
 			fmt.Fprintf(w, "[%s]\n", section)
 		}
-		if _, err := fmt.Fprintf(w, "%s = %s\n", k.Name, k.Value()); err != nil {
+		if _, err := fmt.Fprintf(w, "%s = %s\n", k.Name, s.texts[k.id()]); err != nil {
 			return Error.Wrap(err)
 		}
 	}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -27,14 +27,22 @@
 // Range describes the accepted values.
 func (k Key) Range() string { return k.value.accepted }
 
-// Value returns the value in effect, in the form that a settings file has.
-func (k Key) Value() string { return k.value.text() }
+func (k Key) id() string { return k.Section + "." + k.Name }
 
-// value parses the text of a setting into its field and prints the field.
+// parse refuses the quotes, continuations and variables of the INI library. No
+// setting needs them, and a value with one is read differently when the
+// effective settings are printed and loaded again.
+func (k Key) parse(text string) error {
+	if strings.ContainsAny(text, "\r\n\"'`\\") || strings.Contains(text, "%(") {
+		return errs.New("%q has several lines, a quote, a backslash or %%(", text)
+	}
+	return k.value.parse(text)
+}
+
+// value parses the text of a setting into its field.
 type value struct {
 	accepted string
 	parse    func(text string) error
-	text     func() string
 }
 
 // Load reads the settings file at path.
@@ -73,7 +81,7 @@
 }
 
 func fromFile(path string, file *ini.File) (*Settings, error) {
-	s := new(Settings)
+	s := &Settings{texts: map[string]string{}}
 	keys := Keys(s)
 	if err := rejectUnknown(path, file, keys); err != nil {
 		return nil, err
@@ -83,9 +91,10 @@
 		if section := file.Section(k.Section); section.HasKey(k.Name) {
 			text = section.Key(k.Name).String()
 		}
-		if err := k.value.parse(text); err != nil {
+		if err := k.parse(text); err != nil {
 			return nil, Error.New("file=%s section=%s key=%s: %w", path, k.Section, k.Name, err)
 		}
+		s.texts[k.id()] = text
 	}
 	return s, nil
 }
@@ -116,7 +125,7 @@
 	return value{"text", func(s string) error {
 		*field = s
 		return nil
-	}, func() string { return *field }}
+	}}
 }
 
 func choice(field *string, options ...string) value {
@@ -126,7 +135,7 @@
 		}
 		*field = s
 		return nil
-	}, func() string { return *field }}
+	}}
 }
 
 func list(field *[]string, options ...string) value {
@@ -138,7 +147,7 @@
 			}
 		}
 		return nil
-	}, func() string { return strings.Join(*field, ", ") }}
+	}}
 }
 
 func integer[T int | int64](field *T, low, high T) value {
@@ -153,7 +162,7 @@
 		}
 		*field = T(n)
 		return nil
-	}, func() string { return strconv.FormatInt(int64(*field), 10) }}
+	}}
 }
 
 func fraction(field *float64) value {
@@ -164,7 +173,7 @@
 		}
 		*field = f
 		return nil
-	}, func() string { return strconv.FormatFloat(*field, 'g', -1, 64) }}
+	}}
 }
 
 func boolean(field *bool) value {
@@ -175,7 +184,7 @@
 		}
 		*field = b
 		return nil
-	}, func() string { return strconv.FormatBool(*field) }}
+	}}
 }
 
 func duration(field *time.Duration, lowSeconds, highSeconds float64) value {
@@ -192,7 +201,7 @@
 		}
 		*field = d
 		return nil
-	}, func() string { return field.String() }}
+	}}
 }
 
 func address(field *string) value {
@@ -202,7 +211,7 @@
 		}
 		*field = s
 		return nil
-	}, func() string { return *field }}
+	}}
 }
 
 func addresses(field *[]string) value {
@@ -214,7 +223,7 @@
 			}
 		}
 		return nil
-	}, func() string { return strings.Join(*field, ", ") }}
+	}}
 }
 
 func members(field *[]Member) value {
@@ -231,15 +240,7 @@
 			*field = append(*field, Member{ID: id, Address: addr})
 		}
 		return nil
-	}, func() string { return memberText(*field) }}
-}
-
-func memberText(members []Member) string {
-	items := make([]string, len(members))
-	for i, m := range members {
-		items[i] = m.ID + "@" + m.Address
-	}
-	return strings.Join(items, ", ")
+	}}
 }
 
 // checkAddress accepts IP numbers only, because processes do not depend on a
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,8 @@
 	Admin   Admin
 	Log     Log
 	Trace   Trace
+
+	texts map[string]string // effective text of each setting, for Write
 }
 
 // Daemon describes the process itself.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -34,6 +34,7 @@
 		{"agent without entries", strings.Replace(valid, "entry", "agent", 1), "section=cluster key=entries: missing"},
 		{"stranger", strings.Replace(valid, "entry", "control", 1) + "[cluster]\ncontrol = c2@127.0.0.1:1\n", "section=cluster key=control"},
 		{"member twice", valid + "[cluster]\ncontrol = c2@127.0.0.1:1, c2@127.0.0.1:2\n", "section=cluster key=control"},
+		{"several lines", valid + "[agent]\nservice = \"\"\"a\nb\"\"\"\n", "section=agent key=service: \"a\\nb\" has several lines"},
 		{"no value", valid + "[entry]\nnonsense\n", "nonsense"},
 	}
 	for _, test := range tests {
@@ -121,5 +122,12 @@
 		if s.Entry.MaxBody < 1 || s.Trace.Ratio < 0 || s.Trace.Ratio > 1 || s.Control.ElectionTicks < 4 {
 			t.Errorf("accepted settings outside their ranges: %+v", s)
 		}
+		var b bytes.Buffer
+		if err := s.Write(&b); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse("fuzz.ini", b.Bytes()); err != nil {
+			t.Errorf("printed settings are refused: %v\n%s", err, &b)
+		}
 	})
 }
