router, agent: count and trace each hop of a request

Only the entry front end had a span, so a slow request could not be followed to its target. The router records each attempt, retry, hedge and claim as a span of its own; the agent records an attempt and the call of the target, which gets the traceparent of that call. Every duty exports its rings. request.Attempt gains Cause, and the claim action of routing names its request. The sum of a summary covers all values; that of the library covers only its reservoir.

--- a/daemon/agent/admission/admission.go
+++ b/daemon/agent/admission/admission.go
@@ -63,6 +63,7 @@
 	links       map[*link.Conn]bool
 	target      target
 	batch       []event
+	trace       tracing
 }
 
 // New returns the duty.
@@ -117,6 +118,7 @@
 		Slots: SlotOptions(d.settings).Count(),
 		Queue: d.settings.Agent.Queue,
 	})
+	d.trace.reset()
 	d.incarnation = rand.Uint64()
 	d.links = map[*link.Conn]bool{}
 	d.target = target{}
@@ -192,6 +194,7 @@
 		return
 	}
 	w := &admission.Work{Attempt: a, Origin: conn}
+	d.trace.admitted(w)
 	decision, reason, displaced := d.controller.Submit(now, w)
 	if displaced != nil {
 		d.respond(displaced, request.Refused(request.ReasonOverloaded), 0)
@@ -250,6 +253,7 @@
 // respond answers on the link that the attempt came through. When the link has
 // ended, nobody waits for the answer.
 func (d *Duty) respond(w *admission.Work, resp *request.Response, service time.Duration) {
+	d.trace.responded(w, resp)
 	conn := w.Origin.(*link.Conn)
 	load := d.controller.Load()
 	load.Service = service
--- /dev/null
+++ b/daemon/agent/admission/trace.go
@@ -0,0 +1,50 @@
+package admission
+
+import (
+	"github.com/ibispier/ibispier/admission"
+	"github.com/ibispier/ibispier/request"
+	"github.com/ibispier/ibispier/telemetry"
+)
+
+// Observe sets where the rings are exported, and where attempts are counted and
+// traced. It must be called before Run.
+func (d *Duty) Observe(t telemetry.Telemetry) {
+	d.trace.tracer = t.Tracer
+	d.trace.answered = t.Metrics.Counters("ibispier_agent_responses_total", "outcome", "reason")
+	t.Metrics.Ring(d.Jobs.Stats)
+	t.Metrics.Ring(d.Results.Stats)
+	t.Metrics.Ring(d.events.Stats)
+}
+
+// tracing owns the spans of the work in flight.
+type tracing struct {
+	tracer   *telemetry.Tracer
+	answered *telemetry.Counters
+	spans    map[*admission.Work]*telemetry.Span
+}
+
+// reset forgets the spans of an earlier run, which end unfinished.
+func (t *tracing) reset() { t.spans = map[*admission.Work]*telemetry.Span{} }
+
+// admitted starts the span of an attempt at this agent. It covers the wait for
+// a slot and the call of the target, which is a span below it.
+func (t *tracing) admitted(w *admission.Work) {
+	r := w.Attempt.Request
+	span := t.tracer.Start(r.TraceParent, "agent.request")
+	if span == nil {
+		return
+	}
+	span.SetInt("attempt", int64(w.Attempt.Number))
+	span.Set("request_id", r.ID)
+	t.spans[w] = span
+	r.TraceParent = span.TraceParent(r.TraceParent)
+}
+
+// responded counts the response to an attempt and ends its span.
+func (t *tracing) responded(w *admission.Work, resp *request.Response) {
+	t.answered.Inc(resp.Outcome.String(), string(resp.Reason))
+	if span := t.spans[w]; span != nil {
+		span.Finish(string(resp.Reason))
+		delete(t.spans, w)
+	}
+}
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 
-	"go.uber.org/zap"
-
 	"github.com/ibispier/ibispier/daemon/agent/admission"
 	"github.com/ibispier/ibispier/daemon/agent/slots"
 	"github.com/ibispier/ibispier/daemon/agent/targetapi"
@@ -15,6 +13,7 @@
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/telemetry"
 	"github.com/ibispier/ibispier/wire"
 )
 
@@ -26,18 +25,22 @@
 }
 
 // New returns the role.
-func New(s *settings.Settings, log *zap.Logger, observer supervise.Observer) (*Role, error) {
-	admit, err := admission.New(s, log)
+func New(s *settings.Settings, t telemetry.Telemetry, observer supervise.Observer) (*Role, error) {
+	admit, err := admission.New(s, t.Log)
 	if err != nil {
 		return nil, err
 	}
+	admit.Observe(t)
+	slotOptions := admission.SlotOptions(s)
+	slotOptions.Tracer = t.Tracer
 	role := &Role{
 		Supervisor: supervise.New("agent", supervise.Policy{Strategy: supervise.OneForAll}, observer),
 		admission:  admit,
-		tasks:      tasks.New(s, log),
+		tasks:      tasks.New(s, t.Log),
 	}
+	role.tasks.Observe(t)
 	role.Add("admission", admit)
-	role.Add("slots", slots.New(admission.SlotOptions(s), admit.Jobs, admit.Results, observer))
+	role.Add("slots", slots.New(slotOptions, admit.Jobs, admit.Results, observer))
 	role.Add("probe", admit.Probe)
 	if s.Agent.Listen != "" {
 		announcements, err := targetapi.New(s.Agent.Listen, admit)
--- a/daemon/agent/slots/client.go
+++ b/daemon/agent/slots/client.go
@@ -39,13 +39,14 @@
 	scratch  []byte
 }
 
-// call performs one request. The outcome is NotRun only when no byte of the
+// call performs one request, with traceParent in the header unless it is empty.
+// The outcome is NotRun only when no byte of the
 // request was sent.
-func (c *client) call(ctx context.Context, e *Endpoint, r *request.Request) *request.Response {
+func (c *client) call(ctx context.Context, e *Endpoint, r *request.Request, traceParent string) *request.Response {
 	if !time.Now().Before(r.Deadline) {
 		return request.Refused(request.ReasonDeadline)
 	}
-	if !c.encode(e, r) {
+	if !c.encode(e, r, traceParent) {
 		return request.Refused(request.ReasonBadRequest)
 	}
 	reused := c.reusable(e)
@@ -126,7 +127,7 @@
 
 // encode writes the request into the scratch buffer. It reports false when a
 // part of the request would break the framing of HTTP.
-func (c *client) encode(e *Endpoint, r *request.Request) bool {
+func (c *client) encode(e *Endpoint, r *request.Request, traceParent string) bool {
 	if cap(c.scratch) > maxScratch {
 		c.scratch = nil
 	}
@@ -136,7 +137,7 @@
 	b = append(append(b, " HTTP/1.1\r\nHost: "...), e.host...)
 	ok := isToken(r.Method) && isPath(r.Path)
 	for _, f := range r.Header {
-		if strings.EqualFold(f.Name, "Host") || strings.EqualFold(f.Name, "Idempotency-Key") {
+		if isReplaced(f.Name) {
 			continue
 		}
 		ok = ok && isToken(f.Name) && isLine(f.Value)
@@ -144,6 +145,9 @@
 	}
 	b = appendField(b, "Ibispier-Request-Id", r.ID)
 	b = appendField(b, "Ibispier-Customer", r.Customer)
+	if traceParent != "" {
+		b = appendField(b, "Traceparent", traceParent)
+	}
 	if r.Key != "" {
 		b = appendField(b, "Idempotency-Key", r.Key)
 	}
@@ -153,7 +157,12 @@
 	}
 	b = append(b, "\r\n\r\n"...)
 	c.scratch = append(b, r.Body...)
-	return ok && isLine(r.ID) && isLine(r.Customer) && isLine(r.Key)
+	return ok && isLine(r.ID) && isLine(r.Customer) && isLine(r.Key) && isLine(traceParent)
+}
+
+// isReplaced reports whether the client sets the field itself.
+func isReplaced(name string) bool {
+	return strings.EqualFold(name, "Host") || strings.EqualFold(name, "Idempotency-Key") || strings.EqualFold(name, "Traceparent")
 }
 
 func appendField(b []byte, name, value string) []byte {
--- a/daemon/agent/slots/slots.go
+++ b/daemon/agent/slots/slots.go
@@ -12,6 +12,7 @@
 	"github.com/ibispier/ibispier/request"
 	"github.com/ibispier/ibispier/ring"
 	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/telemetry"
 )
 
 // Error is the class of all errors of this package.
@@ -34,6 +35,7 @@
 	Slots       int
 	Connections int
 	MaxBody     int64
+	Tracer      *telemetry.Tracer // nil for no spans
 }
 
 // Count returns the number of slots. A slot keeps a connection open and the
@@ -42,6 +44,7 @@
 
 type slot struct {
 	client  client
+	tracer  *telemetry.Tracer
 	jobs    *ring.Ring[Job]
 	results *ring.Ring[Result]
 }
@@ -51,7 +54,7 @@
 func New(o Options, jobs *ring.Ring[Job], results *ring.Ring[Result], observer supervise.Observer) *supervise.Supervisor {
 	s := supervise.New("slots", supervise.Policy{}, observer)
 	for i := range o.Count() {
-		s.Add("slot "+strconv.Itoa(i), &slot{client: client{maxBody: o.MaxBody}, jobs: jobs, results: results})
+		s.Add("slot "+strconv.Itoa(i), &slot{client: client{maxBody: o.MaxBody}, tracer: o.Tracer, jobs: jobs, results: results})
 	}
 	return s
 }
@@ -64,9 +67,20 @@
 		if err != nil {
 			return nil
 		}
-		resp := s.client.call(ctx, job.Endpoint, job.Work.Attempt.Request)
+		resp := s.call(ctx, job)
 		if err := s.results.Put(ctx, Result{Work: job.Work, Response: resp}); err != nil {
 			return nil
 		}
 	}
 }
+
+// call performs a job and records the call of the target as a span, which the
+// target sees as its parent.
+func (s *slot) call(ctx context.Context, job Job) *request.Response {
+	r := job.Work.Attempt.Request
+	span := s.tracer.Start(r.TraceParent, "agent.target_call")
+	resp := s.client.call(ctx, job.Endpoint, r, span.TraceParent(r.TraceParent))
+	span.SetInt("status", int64(resp.Status))
+	span.Finish(string(resp.Reason))
+	return resp
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,16 +67,15 @@
 	}
 	operators.HTTP.ServeMetrics(d.telemetry.Metrics)
 	if d.settings.HasRole(settings.RoleEntry) {
-		role, err := entry.New(d.settings, d.log, d.observe)
+		role, err := entry.New(d.settings, d.telemetry, d.observe)
 		if err != nil {
 			return err
 		}
-		role.Observe(d.telemetry)
 		d.addRole("entry", role, role)
 		d.readiness.Require(role.Ready)
 	}
 	if d.settings.HasRole(settings.RoleAgent) {
-		role, err := agent.New(d.settings, d.log, d.observe)
+		role, err := agent.New(d.settings, d.telemetry, d.observe)
 		if err != nil {
 			return err
 		}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -6,9 +6,6 @@
 	"context"
 	"net"
 
-	"github.com/zeebo/errs"
-	"go.uber.org/zap"
-
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/controlclient"
 	"github.com/ibispier/ibispier/daemon/entry/frontend"
@@ -21,6 +18,7 @@
 	"github.com/ibispier/ibispier/supervise"
 	"github.com/ibispier/ibispier/telemetry"
 	"github.com/ibispier/ibispier/wire"
+	"github.com/zeebo/errs"
 )
 
 // Error is the class of all errors of this package.
@@ -36,7 +34,7 @@
 }
 
 // New opens the sockets and returns the role.
-func New(s *settings.Settings, log *zap.Logger, observer supervise.Observer) (*Role, error) {
+func New(s *settings.Settings, t telemetry.Telemetry, observer supervise.Observer) (*Role, error) {
 	callers, err := net.Listen("tcp", s.Entry.Listen)
 	if err != nil {
 		return nil, Error.New("step=listen addr=%s: %w", s.Entry.Listen, err)
@@ -48,23 +46,27 @@
 	}
 	local := link.Identity{Role: wire.Role_ROLE_ENTRY, ID: s.Daemon.ID, Zone: s.Daemon.Zone}
 	control := controlclient.New(controlclient.Options{Local: local, Members: s.Cluster.Control, Observer: observer})
-	requests := router.New(routingOptions(s), control, log)
+	requests := router.New(routingOptions(s), control, t.Log)
+	requests.Observe(t)
 	role := &Role{
 		Supervisor: supervise.New("entry", supervise.Policy{}, observer),
-		frontend:   frontend.New(callers, s.Entry, requests, log),
+		frontend:   frontend.New(callers, s.Entry, requests, t.Log),
 		relay: relay.New(relay.Options{
 			Entry:    s.Daemon.ID,
 			Zone:     s.Daemon.Zone,
 			Control:  control,
 			OnConfig: requests.SetConfig,
-			Log:      log,
+			Log:      t.Log,
 		}),
 	}
 	role.standalone = s.Entry.Standalone
 	if s.Entry.Standalone {
 		requests.SetConfig(openConfig())
 	}
+	role.frontend.Observe(t)
 	role.frontend.ServeTasks(control)
+	role.relay.Observe(t)
+	control.Observe(t)
 	role.Add("router", requests)
 	role.Add("frontend", role.frontend)
 	role.Add("controlclient", control)
@@ -78,12 +80,6 @@
 	return role, nil
 }
 
-// Observe sets where the role is counted and traced. It must be called before
-// Run.
-func (r *Role) Observe(t telemetry.Telemetry) {
-	r.frontend.Observe(t)
-}
-
 // Ready reports whether the role may get requests.
 func (r *Role) Ready() bool { return r.standalone || r.relay.Ready() }
 
--- a/daemon/entry/router/perform.go
+++ b/daemon/entry/router/perform.go
@@ -67,7 +67,16 @@
 
 func (d *Duty) send(a *request.Attempt) bool {
 	conn := d.links[a.Target]
-	return conn != nil && conn.SendData(convert.AttemptToFrame(a, time.Now())) == nil
+	if conn == nil {
+		return false
+	}
+	f := convert.AttemptToFrame(a, time.Now())
+	d.trace.sending(a, f)
+	if err := conn.SendData(f); err != nil {
+		d.trace.ended(a.Number, request.ReasonLinkLost)
+		return false
+	}
+	return true
 }
 
 // sendTo sends a frame on the link of a target. Without one the router's own
@@ -79,6 +88,7 @@
 }
 
 func (d *Duty) cancel(a *request.Attempt) {
+	d.trace.ended(a.Number, request.ReasonCancelled)
 	d.sendTo(a.Target, &wire.Frame{Body: &wire.Frame_CancelRequest{CancelRequest: &wire.CancelRequest{
 		RequestId: a.Request.ID, Attempt: a.Number,
 	}}})
@@ -103,10 +113,15 @@
 	if err != nil {
 		return false
 	}
+	traceParent := ""
+	if a.Kind == routing.Claim {
+		traceParent = d.trace.claiming(a)
+	}
 	err = d.control.Start(controlclient.Call{
-		Operation: op, Payload: payload, Deadline: a.Deadline, Token: a.Token, Reply: d.results,
+		Operation: op, Payload: payload, Deadline: a.Deadline, TraceParent: traceParent, Token: a.Token, Reply: d.results,
 	})
 	if err != nil {
+		d.trace.claimed(a.Token, err)
 		return false
 	}
 	d.operations[a.Token] = op
@@ -120,6 +135,7 @@
 		return // of an earlier run
 	}
 	delete(d.operations, result.Token)
+	d.trace.claimed(result.Token, result.Err)
 	if result.Err != nil {
 		d.log.Debug("operation failed", zap.String("operation", string(op)), zap.Error(result.Err))
 	}
--- a/daemon/entry/router/router.go
+++ b/daemon/entry/router/router.go
@@ -65,7 +65,8 @@
 	links      map[string]*link.Conn // by target
 	owned      map[*link.Conn][]string
 	operations map[uint64]controlapi.Operation // in flight at control
-	armed      time.Time                       // when the timer fires
+	trace      tracing
+	armed      time.Time // when the timer fires
 	callBatch  []*Call
 	eventBatch []event
 }
@@ -125,6 +126,7 @@
 	d.links = map[string]*link.Conn{}
 	d.owned = map[*link.Conn][]string{}
 	d.operations = map[uint64]controlapi.Operation{}
+	d.trace.reset()
 	d.armed = time.Time{}
 	if d.config != nil {
 		d.perform(d.router.SetConfig(time.Now(), *d.config))
@@ -218,6 +220,7 @@
 // target are undecided, and their late answers are dropped by attempt id.
 func (d *Duty) adopt(conn *link.Conn, id string) {
 	if d.links[id] != nil {
+		d.trace.lost(id)
 		d.perform(d.router.Lost(time.Now(), id))
 	}
 	d.links[id] = conn
@@ -231,6 +234,7 @@
 		}
 		delete(d.links, id)
 		d.log.Warn("target lost", zap.String("target", id), zap.String("peer", conn.Peer().ID))
+		d.trace.lost(id)
 		d.perform(d.router.Lost(time.Now(), id))
 	}
 	delete(d.owned, conn)
@@ -241,6 +245,7 @@
 	if err != nil {
 		resp = request.Undecided(request.ReasonDamaged)
 	}
+	d.trace.ended(m.GetAttempt(), resp.Reason)
 	d.perform(d.router.Answer(time.Now(), m.GetAttempt(), m.GetRequestId(), resp, load))
 }
 
--- a/request/request.go
+++ b/request/request.go
@@ -79,9 +79,32 @@
 	Number     uint64
 	Target     string
 	ClaimEpoch uint64
+	Cause      Cause
 	Request    *Request
 }
 
+// Cause tells why an attempt was made.
+type Cause uint8
+
+// Causes.
+const (
+	First Cause = iota
+	Retry       // after a failed attempt
+	Hedge       // beside a late attempt
+)
+
+// String returns the name used in metrics and spans.
+func (c Cause) String() string {
+	switch c {
+	case Retry:
+		return "retry"
+	case Hedge:
+		return "hedge"
+	default:
+		return "attempt"
+	}
+}
+
 // Response is what is known about a request or an attempt.
 type Response struct {
 	Outcome Outcome
--- a/routing/action.go
+++ b/routing/action.go
@@ -25,7 +25,7 @@
 type Action struct {
 	Kind     ActionKind
 	Attempt  *request.Attempt           // Send, Cancel
-	Request  *request.Request           // Reply
+	Request  *request.Request           // Reply, Claim
 	Response *request.Response          // Reply
 	Token    uint64                     // Claim, Resolve, Ask: names the operation in its result
 	Deadline time.Time                  // Claim, Resolve
--- a/routing/call.go
+++ b/routing/call.go
@@ -147,10 +147,22 @@
 	r.send(now, c, t, 0)
 }
 
+// cause tells why the next attempt is made.
+func (c *call) cause() request.Cause {
+	switch {
+	case c.tries == 0:
+		return request.First
+	case len(c.attempts) > 0:
+		return request.Hedge
+	default:
+		return request.Retry
+	}
+}
+
 func (r *Router) send(now time.Time, c *call, t *target, epoch uint64) {
 	r.attempt++
 	a := &attempt{
-		Attempt: request.Attempt{Number: r.attempt, Target: t.ID, ClaimEpoch: epoch, Request: c.request},
+		Attempt: request.Attempt{Number: r.attempt, Target: t.ID, ClaimEpoch: epoch, Cause: c.cause(), Request: c.request},
 		target:  t,
 		call:    c,
 		sent:    now,
--- a/routing/claim.go
+++ b/routing/claim.go
@@ -131,7 +131,7 @@
 	c.claim.target = t
 	c.phase = claiming
 	token := r.operate(c)
-	r.emit(Action{Kind: Claim, Token: token, Deadline: c.request.Deadline, Claim: &controlapi.ClaimRequest{
+	r.emit(Action{Kind: Claim, Token: token, Request: c.request, Deadline: c.request.Deadline, Claim: &controlapi.ClaimRequest{
 		Key:      keyOf(c.request),
 		Digest:   Digest(c.request),
 		Target:   holderName(t),
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -51,9 +51,25 @@
 	if m == nil {
 		return metrics.NilHistogram{}
 	}
-	return m.registry.GetOrRegister(series(name, labels), func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
-	}).(metrics.Histogram)
+	return m.registry.GetOrRegister(series(name, labels), newSummary).(metrics.Histogram)
+}
+
+// summary adds the sum of all values, because that of the library's histogram
+// covers only the reservoir.
+type summary struct {
+	metrics.Histogram
+	total metrics.Counter
+}
+
+func newSummary() metrics.Histogram {
+	sample := metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)
+	return &summary{Histogram: metrics.NewHistogram(sample), total: metrics.NewCounter()}
+}
+
+// Update adds a value.
+func (s *summary) Update(v int64) {
+	s.Histogram.Update(v)
+	s.total.Inc(v)
 }
 
 // Gauge registers a function that is read for each scrape. It replaces an
@@ -132,13 +148,13 @@
 		add(lines, name+" counter", full, float64(v.Count()))
 	case metrics.GaugeFloat64:
 		add(lines, name+" gauge", full, v.Value())
-	case metrics.Histogram:
+	case *summary:
 		s := v.Snapshot()
 		values := s.Percentiles(quantiles)
 		for i, q := range quantiles {
 			add(lines, name+" summary", name+withLabel(labels, `quantile="`+strconv.FormatFloat(q, 'g', -1, 64)+`"`), values[i])
 		}
-		add(lines, name+" summary", name+"_sum"+withLabel(labels, ""), float64(s.Sum()))
+		add(lines, name+" summary", name+"_sum"+withLabel(labels, ""), float64(v.total.Count()))
 		add(lines, name+" summary", name+"_count"+withLabel(labels, ""), float64(s.Count()))
 	}
 }
@@ -194,3 +210,36 @@
 	}
 	return "{" + labels + "}"
 }
+
+// Counters are the counters of one name with one or two labels. It belongs to
+// one duty, which finds a counter without building its name each time.
+type Counters struct {
+	metrics *Metrics
+	name    string
+	labels  [2]string
+	found   map[[2]string]metrics.Counter
+}
+
+// Counters returns the counters with the name; second may be empty.
+func (m *Metrics) Counters(name, first, second string) *Counters {
+	return &Counters{metrics: m, name: name, labels: [2]string{first, second}, found: map[[2]string]metrics.Counter{}}
+}
+
+// Inc adds one to the counter with the label values. A nil *Counters counts
+// nothing.
+func (c *Counters) Inc(first, second string) {
+	if c == nil {
+		return
+	}
+	key := [2]string{first, second}
+	counter := c.found[key]
+	if counter == nil {
+		labels := []string{c.labels[0], first, c.labels[1], second}
+		if c.labels[1] == "" {
+			labels = labels[:2]
+		}
+		counter = c.metrics.Counter(c.name, labels...)
+		c.found[key] = counter
+	}
+	counter.Inc(1)
+}
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -27,6 +27,12 @@
 	for v := range 100 {
 		m.Summary("latency_microseconds", "hop", "entry").Update(int64(v))
 	}
+	for range 10_000 { // more than the reservoir keeps
+		m.Summary("size").Update(2)
+	}
+	counters := m.Counters("answers_total", "outcome", "reason")
+	counters.Inc("done", "")
+	counters.Inc("done", "")
 	r := ring.New[int]("events", 1)
 	_, _ = r.Offer(1), r.Offer(2)
 	m.Ring(r.Stats)
@@ -38,6 +44,8 @@
 		"# TYPE queue gauge\nqueue 2.5\n",
 		`latency_microseconds{hop="entry",quantile="0.9"} 89.9`,
 		`latency_microseconds_count{hop="entry"} 100`,
+		"size_sum 20000\n",
+		`answers_total{outcome="done",reason=""} 2`,
 		`ibispier_ring_depth{ring="events"} 2`,
 		`ibispier_ring_refused_total{ring="events"} 2`,
 	} {
