--- a/cli/cli.go
+++ b/cli/cli.go
@@ -71,6 +71,7 @@
 	}
 	encoder := json.NewEncoder(s.env.Stdout)
 	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
 	return encoder.Encode(v)
 }
 
--- a/cli/status.go
+++ b/cli/status.go
@@ -35,11 +35,11 @@
 func zoneTable(s *controlapi.StatusResponse) *table.Table {
 	t := table.New("ZONE", "STATE", "IN FORCE")
 	for _, z := range s.Zones {
-		state := "in"
 		if z.Out {
-			state = "out"
+			t.Row(z.Zone, "out", z.InForce)
+		} else {
+			t.Row(z.Zone, "in", "")
 		}
-		t.Row(z.Zone, state, z.InForce)
 	}
 	return t
 }
--- a/daemon/admin/operators.go
+++ b/daemon/admin/operators.go
@@ -65,6 +65,9 @@
 		operations.WriteError(w, controlapi.OpConfig, err)
 		return
 	}
+	if config.Config.ZonesOut == nil {
+		config.Config.ZonesOut = []string{}
+	}
 	operations.Write(w, http.StatusOK, config.Config)
 }
 
--- a/daemon/entry/relay/config.go
+++ b/daemon/entry/relay/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -86,7 +87,7 @@
 		Target:   a.GetTarget(),
 		Service:  a.GetService(),
 		Zone:     a.GetZone(),
-		State:    a.GetState().String(),
+		State:    strings.ToLower(strings.TrimPrefix(a.GetState().String(), "TARGET_STATE_")),
 		Slots:    int(a.GetSlots()),
 		Revision: conn.PeerRevision(),
 		Capacity: controlapi.Resources{
--- a/daemon/operations/operations.go
+++ b/daemon/operations/operations.go
@@ -4,6 +4,7 @@
 package operations
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -99,16 +100,17 @@
 
 // Write writes v as JSON.
 func Write(w http.ResponseWriter, status int, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
+	var body bytes.Buffer
+	encoder := json.NewEncoder(&body)
+	encoder.SetEscapeHTML(false) // nothing embeds the answer in HTML
+	if err := encoder.Encode(v); err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	body = append(body, '\n')
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	_, _ = body.WriteTo(w)
 }
 
 // WriteError writes err as a typed JSON error. op names the step when err does
