--- /dev/null
+++ b/e2e/zones_test.go
@@ -0,0 +1,87 @@
+package e2e
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/bootclock"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/internal/testcluster"
+	"github.com/ibispier/ibispier/standin/worker"
+)
+
+// zoneOutBound is the stated target: no start in a zone later than this after
+// the change was accepted.
+const zoneOutBound = 3 * time.Second
+
+// Guards against starts in a zone that operators have taken out, also through
+// an agent that is partitioned from all entry instances, and against work that
+// does not return with the zone.
+func TestZoneOutStopsStarts(t *testing.T) {
+	c := start(t, testcluster.Options{Controls: 3, Entries: 2, Agents: 3, Workers: true, Relays: true})
+	stop := make(chan struct{})
+	submitted := make(chan int)
+	go submitSteadily(t, c, stop, submitted)
+
+	c.Isolate(c.Agents[0], testcluster.Swallow) // agent-1 is the agent of zone-a
+	c.Change("out", controlapi.Change{Kind: controlapi.ChangeZoneOut, Zone: "zone-a"})
+	acceptedAt := bootclock.Now()
+	testcluster.Eventually(t, "zone-a out in force", func() bool { return zoneInForce(c, "zone-a") })
+	if took := bootclock.Now() - acceptedAt; took > zoneOutBound {
+		t.Errorf("in force after %s, want at most %s", took, zoneOutBound)
+	}
+	c.Isolate(c.Agents[0], testcluster.Forward)
+	time.Sleep(2 * time.Second) // the agent is reachable again and must stay without starts
+	outEnds := bootclock.Now()
+	c.Change("in", controlapi.Change{Kind: controlapi.ChangeZoneIn, Zone: "zone-a"})
+	testcluster.Eventually(t, "a start in zone-a after its return", func() bool {
+		return startsIn(c, "zone-a", outEnds, 1<<62) > 0
+	})
+	close(stop)
+	count := <-submitted
+	if n := startsIn(c, "zone-a", acceptedAt+zoneOutBound, outEnds); n != 0 {
+		t.Errorf("%d starts in zone-a while it was out", n)
+	}
+	for i := range count {
+		awaitState(t, c, fmt.Sprintf("steady-%d", i), controlapi.TaskCompleted)
+	}
+	checkRecords(t, records(c))
+}
+
+func submitSteadily(t *testing.T, c *testcluster.Cluster, stop <-chan struct{}, submitted chan<- int) {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			submitted <- i
+			return
+		case <-ticker.C:
+			submit(t, c, fmt.Sprintf("steady-%d", i), controlapi.KindBatch, 300*time.Millisecond)
+		}
+	}
+}
+
+func zoneInForce(c *testcluster.Cluster, zone string) bool {
+	status, err := c.Client.Status(c.Context())
+	if err != nil {
+		return false
+	}
+	for _, z := range status.Zones {
+		if z.Zone == zone {
+			return z.Out && z.InForce
+		}
+	}
+	return false
+}
+
+func startsIn(c *testcluster.Cluster, zone string, from, to time.Duration) int {
+	count := 0
+	for _, e := range records(c) {
+		if e.Kind == worker.EventStart && e.Zone == zone && e.At > int64(from) && e.At < int64(to) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -93,7 +93,7 @@
 	return p
 }
 
-const tailBytes = 6000
+const tailBytes = 2000
 
 func tail(s string) string {
 	if len(s) > tailBytes {
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -39,7 +39,7 @@
 	cfg := zap.NewProductionEncoderConfig()
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	cfg.MessageKey = "event"
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), parsed)
+	core := plainErrors{zapcore.NewCore(zaplogfmt.NewEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), parsed)}
 	suppressed := m.Counter("ibispier_log_suppressed_total")
 	limited := zapcore.NewSamplerWithOptions(core, repeatPeriod, repeatFirst, repeatEvery,
 		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
