consensus: test each rule of the protocol by itself

Cause: the model test does not show which rule keeps the group safe.

Change: tests for pre-vote, leader stickiness, check-quorum, unknown incarnations and groups, blank replicas, flow control and single changes.

--- a/consensus/network_test.go
+++ b/consensus/network_test.go
@@ -5,8 +5,6 @@
 	"hash/crc64"
 	"math/rand/v2"
 	"slices"
-
-	"pgregory.net/rapid"
 )
 
 // simulated is one replica with its disk. Only what is on the disk survives a
@@ -21,10 +19,16 @@
 	hash    uint64 // of the applied entries: the state of the state machine
 }
 
+// tester is what both kinds of tests offer.
+type tester interface {
+	Fatalf(format string, args ...any)
+	Logf(format string, args ...any)
+}
+
 // network is a group of replicas with a network that delays, reorders,
 // duplicates and loses messages, and the oracle that watches them.
 type network struct {
-	t        *rapid.T
+	t        tester
 	random   *rand.Rand
 	replicas []*simulated
 	messages []Message
@@ -52,7 +56,7 @@
 	return crc64.Update(hash, table, append(append(buf, byte(e.Kind)), e.Data...))
 }
 
-func newNetwork(t *rapid.T, size int, seed uint64) *network {
+func newNetwork(t tester, size int, seed uint64) *network {
 	w := &network{
 		t:       t,
 		random:  rand.New(rand.NewPCG(seed, 1)),
--- /dev/null
+++ b/consensus/protocol_test.go
@@ -0,0 +1,183 @@
+package consensus
+
+import "testing"
+
+func wholeNetwork(t *testing.T) (*network, *simulated) {
+	w := newNetwork(t, 3, 1)
+	w.settle("whole group", w.isWhole)
+	return w, w.leader()
+}
+
+func (w *network) isolate(r *simulated, isolated bool) {
+	for _, other := range w.replicas {
+		w.blocked[[2]string{r.id.ID, other.id.ID}] = isolated
+		w.blocked[[2]string{other.id.ID, r.id.ID}] = isolated
+	}
+}
+
+func (w *network) rounds(count int) {
+	for range count {
+		w.round(false)
+	}
+}
+
+func (w *network) follower(leader *simulated) *simulated {
+	for _, r := range w.replicas {
+		if r != leader {
+			return r
+		}
+	}
+	return nil
+}
+
+// Guards against a replica that was cut off and raises the term when it comes
+// back (pre-vote), and that deposes a healthy leader.
+func TestReturningReplicaDoesNotDeposeTheLeader(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	term := leader.node.Term()
+	cut := w.follower(leader)
+	w.isolate(cut, true)
+	w.rounds(100)
+	w.isolate(cut, false)
+	w.rounds(20)
+	if w.leader() != leader || leader.node.Term() != term {
+		t.Fatalf("leader %s in term %d, want %s in term %d", w.leader().id, w.leader().node.Term(), leader.id, term)
+	}
+}
+
+// Guards against a replica that hears the others but is not heard by the
+// leader, and deposes it (leader stickiness).
+func TestVoteForAHigherTermIsIgnoredBesideALeader(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	voter := w.follower(leader)
+	var candidate *simulated
+	for _, r := range w.replicas {
+		if r != leader && r != voter {
+			candidate = r
+		}
+	}
+	for _, to := range []*simulated{voter, leader} {
+		term := to.node.Term()
+		to.node.Step(Message{
+			Type: MsgVote, From: candidate.id, To: to.id, Term: term + 5, Group: to.node.Membership().Group,
+			LogIndex: candidate.node.LastIndex(), LogTerm: candidate.node.log.lastTerm(),
+		})
+		if to.node.Term() != term {
+			t.Fatalf("%s moved to term %d beside a live leader", to.id, to.node.Term())
+		}
+	}
+}
+
+// Guards against a leader that goes on without contact to a quorum
+// (check-quorum).
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	w.isolate(leader, true)
+	w.rounds(3 * leader.node.config.ElectionTicks)
+	if leader.node.Role() == Leader {
+		t.Fatal("an isolated replica still leads")
+	}
+}
+
+// Guards against messages and votes of an unknown incarnation, and of another
+// group, that count.
+func TestUnknownIncarnationsAndGroupsCountForNothing(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	voter := w.follower(leader)
+	wiped := ReplicaID{ID: leader.id.ID, Incarnation: 99}
+	w.crash(leader)
+	for range 100 {
+		voter.node.Tick()
+	}
+	group := voter.node.Membership().Group
+	last, lastTerm := voter.node.LastIndex(), voter.node.log.lastTerm()
+	voter.node.Take()
+	vote := Message{Type: MsgVote, To: voter.id, Term: 50, LogIndex: last + 9, LogTerm: lastTerm + 9}
+	for _, c := range []struct {
+		from  ReplicaID
+		group uint64
+	}{{wiped, group}, {leader.id, group + 1}} {
+		vote.From, vote.Group = c.from, c.group
+		voter.node.Step(vote)
+		if voter.node.Term() >= 50 {
+			t.Fatalf("a vote request of %s in group %d was taken", c.from, c.group)
+		}
+	}
+	voter.node.startElection(0)
+	voter.node.Step(Message{Type: MsgVoteReply, From: wiped, To: voter.id, Term: voter.node.Term(), Group: group})
+	if voter.node.Role() == Leader {
+		t.Fatal("the vote of a wiped replica was counted")
+	}
+	overwrite := Message{
+		Type: MsgAppend, From: leader.id, To: voter.id, Term: 60, Group: group + 1, LogIndex: last, LogTerm: lastTerm,
+		Entries: []Entry{{Index: last + 1, Term: 60}},
+	}
+	if voter.node.Step(overwrite); voter.node.LastIndex() != last {
+		t.Fatal("the leader of another group appended an entry")
+	}
+}
+
+// Guards against a blank replica that votes or stands for election.
+func TestBlankReplicaNeitherVotesNorStands(t *testing.T) {
+	blank, err := New(Config{Self: ReplicaID{ID: "x", Incarnation: 1}}, State{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 1000 {
+		blank.Tick()
+	}
+	for _, kind := range []MessageType{MsgPreVote, MsgVote} {
+		blank.Step(Message{Type: kind, From: ReplicaID{ID: "a", Incarnation: 1}, To: blank.self(), Group: 3, Term: 9, LogIndex: 9, LogTerm: 9})
+	}
+	if out := blank.Take(); len(out.Messages) > 0 || out.Batch != nil || blank.Role() != Follower {
+		t.Fatalf("a blank replica did %+v", out)
+	}
+}
+
+// Guards against a leader that sends without bound to a replica that does not
+// answer, and against one that waits for each answer.
+func TestFlowControl(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	silent := w.follower(leader)
+	w.messages = nil
+	for range 100 {
+		w.propose(leader, 1)
+	}
+	sent := 0
+	for _, m := range w.messages {
+		if m.To == silent.id && m.Type == MsgAppend {
+			sent++
+		}
+	}
+	if limit := leader.node.config.MaxInFlight; sent != limit {
+		t.Fatalf("%d appends in flight, want %d", sent, limit)
+	}
+}
+
+// Guards against a change that is made before the one before it is committed,
+// and against the removal of a voter whose absence leaves no quorum.
+func TestChangesOneAtATime(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	first := Change{Kind: AddLearner, Replica: ReplicaID{ID: "x", Incarnation: 50}}
+	second := Change{Kind: AddLearner, Replica: ReplicaID{ID: "y", Incarnation: 51}}
+	if _, err := leader.node.ChangeMembership(first); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := leader.node.ChangeMembership(second); err != ErrChangePending {
+		t.Fatalf("second change: got %v, want %v", err, ErrChangePending)
+	}
+	w, leader = wholeNetwork(t)
+	gone := w.follower(leader)
+	w.crash(gone)
+	for range 5 {
+		w.rounds(leader.node.config.ElectionTicks)
+	}
+	for _, r := range w.replicas {
+		if r == leader || r == gone {
+			continue
+		}
+		if _, err := leader.node.ChangeMembership(Change{Kind: Remove, Replica: r.id}); err == nil {
+			t.Fatal("a removal that leaves no quorum was proposed")
+		}
+	}
+}
