lease, permit, applier: make the simulations reach the boundaries

Change: simulations pass to the moment of expiry; the fake log confirms reads with the index of the moment they were asked, also when another member leads by then.

--- a/daemon/control/applier/cluster_test.go
+++ b/daemon/control/applier/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,11 +31,19 @@
 	members []*member
 	log     []consensus.Entry
 	pending [][]byte // proposed to the leader, not committed
-	reads   []uint64 // asked of the leader, not confirmed
+	reads   []askedRead
 	leader  int
 	term    uint64
 }
 
+// askedRead is a read that the leader was asked for. Its index is that of the
+// moment it was asked, and its confirmation may come when another member leads.
+type askedRead struct {
+	member  int
+	context uint64
+	index   uint64
+}
+
 type member struct {
 	engine    *engine
 	delivered int
@@ -57,6 +66,7 @@
 	e := newEngine(o, func(in replica.Input) error { return c.input(i, in) })
 	e.feed.out = ring.New[Change]("scheduler.in", 16)
 	m := &member{engine: e}
+	c.reads = slices.DeleteFunc(c.reads, func(r askedRead) bool { return r.member == i })
 	if old := c.members[i]; old != nil {
 		old.engine.abandon()
 		data, err := codec.EncodeImage(old.engine.machine.Image())
@@ -86,7 +96,7 @@
 	case in.Propose != nil:
 		c.pending = append(c.pending, in.Propose)
 	case in.Read != 0:
-		c.reads = append(c.reads, in.Read)
+		c.reads = append(c.reads, askedRead{i, in.Read, uint64(len(c.log))})
 	}
 	return nil
 }
@@ -106,25 +116,23 @@
 	m.delivered = end
 }
 
-// confirm answers the reads of the leader: it still leads, and the log is this
-// long now.
+// confirm answers the reads that were asked.
 func (c *cluster) confirm() {
-	if c.leader < 0 {
-		return
-	}
-	var ready []replica.ReadReady
-	for _, context := range c.reads {
-		ready = append(ready, replica.ReadReady{Context: context, Index: uint64(len(c.log))})
-	}
+	reads := c.reads
 	c.reads = nil
-	c.update(c.members[c.leader], replica.Update{Reads: ready})
+	for _, r := range reads {
+		c.update(c.members[r.member], replica.Update{Reads: []replica.ReadReady{{Context: r.context, Index: r.index}}})
+	}
 }
 
 // elect makes another member the leader. Part of what the old one has not
 // committed survives.
 func (c *cluster) elect(i int) {
 	c.commit(c.rnd.Intn(len(c.pending) + 1))
-	c.pending, c.reads = nil, nil
+	c.pending = nil
+	if c.rnd.Intn(2) == 0 {
+		c.reads = nil
+	}
 	c.leader = i
 	c.term++
 	c.tell(i)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -154,6 +154,18 @@
 			"pass a little": func(t *rapid.T) {
 				s.real += time.Duration(rapid.Int64Range(0, int64(300*time.Millisecond)).Draw(t, "time"))
 			},
+			"pass to the expiry": func(*rapid.T) {
+				for end := s.real + 5*time.Second; s.real < end && len(s.table.Expired(s.now(), 1)) == 0; {
+					s.real += 5 * time.Millisecond
+				}
+			},
+			"renew": func(t *rapid.T) { // a round trip without delay
+				s.requests = append(s.requests, renewal{s.epoch, s.real})
+				r := s.requests[len(s.requests)-1]
+				if s.table.Renew(s.now(), Lease{"t", r.epoch}) {
+					s.hold(r)
+				}
+			},
 			"leader": s.newLeader,
 			"expire": func(t *rapid.T) {
 				for _, l := range s.table.Expired(s.now(), 10) {
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -130,6 +130,11 @@
 			"pass": func(t *rapid.T) {
 				s.real += time.Duration(rapid.Int64Range(0, int64(1500*time.Millisecond)).Draw(t, "time"))
 			},
+			"pass until in force": func(t *rapid.T) {
+				for end := s.real + 3*time.Second; s.real < end && !s.table.InForce(s.now(), "z"); {
+					s.real += 5 * time.Millisecond
+				}
+			},
 			"zone": func(t *rapid.T) {
 				s.out = !s.out
 				s.outAt = s.real
