--- /dev/null
+++ b/experiment/run.go
@@ -0,0 +1,308 @@
+package experiment
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ibispier/ibispier/fairqueue"
+	"github.com/ibispier/ibispier/placement"
+	"github.com/ibispier/ibispier/quarantine"
+)
+
+// Policy is a named setting of the scheduler.
+type Policy struct {
+	Name    string
+	Options placement.Options
+}
+
+// Policies returns the baseline, the policy, and the policy with one part at a
+// time at its baseline.
+func Policies() []Policy {
+	return []Policy{
+		{"baseline", placement.Options{Selection: placement.FirstFit, IgnoreInterference: true, Queue: fairqueue.Options{Policy: fairqueue.FIFO}}},
+		{"policy", placement.Options{}},
+		{"first_fit", placement.Options{Selection: placement.FirstFit}},
+		{"no_estimate", placement.Options{IgnoreInterference: true}},
+		{"fifo", placement.Options{Queue: fairqueue.Options{Policy: fairqueue.FIFO}}},
+	}
+}
+
+// Result holds the measures of one run.
+type Result struct {
+	Scenario    string  `json:"scenario"`
+	Policy      string  `json:"policy"`
+	Seed        uint64  `json:"seed"`
+	WaveP99Ms   float64 `json:"wave_p99_ms"`
+	QuietP99Ms  float64 `json:"quiet_p99_ms"`
+	LostShare   float64 `json:"lost_share"` // requests beyond the deadline
+	Work        float64 `json:"work_core_s"`
+	WindowWork  float64 `json:"window_work_core_s"` // while the zone leaves and returns
+	Completed   int     `json:"completed"`
+	Evictions   int     `json:"evictions"`
+	Throttles   int     `json:"throttles"`
+	Evacuations int     `json:"evacuations"`
+	Attempts    int     `json:"failed_attempts"`
+	Impossible  int     `json:"impossible"` // reported at once
+	Unnoticed   int     `json:"unnoticed"`  // jobs that can never run and were not reported
+	UrgentP99s  float64 `json:"urgent_p99_s"`
+	SetAside    string  `json:"set_aside"`
+}
+
+// Run simulates a scenario with a policy.
+func Run(s Scenario, p Policy, seed uint64) Result {
+	w := newWorld(s, p.Options, seed)
+	w.result = Result{Scenario: s.Name, Policy: p.Name, Seed: seed}
+	for w.now < s.Duration {
+		w.step()
+	}
+	w.summarise()
+	return w.result
+}
+
+func (w *world) step() {
+	w.now += tick
+	w.applyEvents()
+	w.arrive()
+	w.advanceTasks()
+	w.updateSlowdowns()
+	if w.scenario.Requests {
+		w.requests.advance(w.now.Seconds())
+	}
+	if w.now%reportInterval == 0 {
+		w.sendReports()
+	}
+	w.apply(w.scheduler.Step(w.time()))
+}
+
+func (w *world) at(t time.Duration) bool { return w.now-tick < t && t <= w.now }
+
+// applyEvents changes what the scenario changes at this time.
+func (w *world) applyEvents() {
+	if w.at(w.scenario.Duration / 2) {
+		w.truth = w.truth.shifted()
+	}
+	if w.scenario.Faults && w.now%cancelInterval == 0 {
+		w.cancelWave(fmt.Sprint("customer-", int(w.now/cancelInterval)%customers))
+	}
+	if !w.scenario.ZoneLeaves {
+		return
+	}
+	const zone = "zone-1"
+	switch {
+	case w.at(zoneOutAt):
+		w.scheduler.SetZone(zone, true, w.time())
+	case w.at(zoneOutAt + zoneNotice):
+		w.loseZone(zone)
+	case w.at(zoneBackAt):
+		w.returnZone(zone)
+	}
+}
+
+// loseZone ends the workers of a zone. What was not checkpointed is lost.
+func (w *world) loseZone(zone string) {
+	for _, m := range w.machines {
+		if m.Zone != zone {
+			continue
+		}
+		m.up, m.reports = false, nil
+		for _, r := range slices.Clone(m.tasks) {
+			w.lose(r)
+			w.takeOff(r)
+			w.scheduler.Requeue(r.ID, w.time())
+		}
+		w.scheduler.Remove("service-"+m.ID, w.time())
+		w.scheduler.RemoveWorker(m.ID, w.time())
+	}
+}
+
+func (w *world) returnZone(zone string) {
+	w.scheduler.SetZone(zone, false, w.time())
+	for _, m := range w.machines {
+		if m.Zone == zone {
+			m.up = true
+			w.scheduler.SetWorker(m.Worker, w.time())
+			w.scheduler.Placed(w.service(m), m.ID, w.time())
+		}
+	}
+}
+
+// cancelWave cancels all pending jobs of a customer and a third of its running
+// ones.
+func (w *world) cancelWave(customer string) {
+	for i := range w.jobs[:w.arrived] {
+		j := &w.jobs[i]
+		r := w.running[j.ID]
+		if j.Customer != customer || (r != nil && i%3 != 0) {
+			continue
+		}
+		if r != nil {
+			w.takeOff(r)
+		}
+		delete(w.waiting, j.ID)
+		w.scheduler.Remove(j.ID, w.time())
+	}
+}
+
+func (w *world) arrive() {
+	for w.arrived < len(w.jobs) && w.jobs[w.arrived].arrival <= w.now {
+		j := &w.jobs[w.arrived]
+		w.arrived++
+		w.known[j.ID] = j
+		if j.Urgent {
+			w.waiting[j.ID] = w.now
+		}
+		w.scheduler.Submit(j.Task, w.time())
+	}
+}
+
+// advanceTasks moves every task forward by one tick.
+func (w *world) advanceTasks() {
+	for _, m := range w.machines {
+		for _, r := range slices.Clone(m.tasks) {
+			w.advanceTask(m, r)
+		}
+	}
+}
+
+func (w *world) advanceTask(m *machine, r *running) {
+	age := (w.now - r.started).Seconds()
+	switch {
+	case r.leavesAt > 0 && w.now >= r.leavesAt:
+		w.evicted(r)
+		return
+	case r.leavesAt > 0:
+		return
+	case age >= failAfter && (r.faulty || w.isFaulty(m)):
+		w.result.Attempts++
+		w.lose(r)
+		w.takeOff(r)
+		w.scheduler.Finished(r.ID, true, w.time())
+		return
+	}
+	rate := 1 / max(1, r.slowdown)
+	if r.throttled {
+		rate *= throttleFactor
+	}
+	done := min(rate*tick.Seconds(), r.run-w.progress[r.ID])
+	w.progress[r.ID] += done
+	r.lostOnStop += done
+	w.count(done * r.cores)
+	if w.progress[r.ID] >= r.run {
+		w.result.Completed++
+		w.takeOff(r)
+		w.scheduler.Finished(r.ID, false, w.time())
+	}
+}
+
+func (w *world) isFaulty(m *machine) bool {
+	return w.scenario.Faults && m.index == 0 && w.now >= faultyFrom && w.now < faultyUntil
+}
+
+// count adds work, or subtracts it when progress is lost.
+func (w *world) count(work float64) {
+	w.result.Work += work
+	if w.now > zoneOutAt && w.now <= zoneWindowEnd {
+		w.result.WindowWork += work
+	}
+}
+
+// lose takes back the progress since the last checkpoint.
+func (w *world) lose(r *running) {
+	w.progress[r.ID] -= r.lostOnStop
+	w.count(-r.lostOnStop * r.cores)
+}
+
+func (w *world) evicted(r *running) {
+	if r.leaving == placement.Stop {
+		w.lose(r)
+	}
+	w.progress[r.ID] -= restoreTime
+	w.takeOff(r)
+	w.scheduler.Requeue(r.ID, w.time())
+}
+
+func (w *world) takeOff(r *running) {
+	m := r.onWorker
+	m.tasks = slices.DeleteFunc(m.tasks, func(other *running) bool { return other == r })
+	delete(w.running, r.ID)
+}
+
+// apply carries the decisions out.
+func (w *world) apply(d placement.Decisions) {
+	for _, p := range d.Placements {
+		j, m := w.known[p.Task], w.byID[p.Worker]
+		r := &running{job: j, started: w.now, slowdown: 1, onWorker: m}
+		m.tasks = append(m.tasks, r)
+		w.running[j.ID] = r
+		w.scheduler.Placed(j.Task, m.ID, w.time())
+		if since, urgent := w.waiting[j.ID]; urgent {
+			w.urgentWaits = append(w.urgentWaits, (w.now - since).Seconds())
+			delete(w.waiting, j.ID)
+		}
+	}
+	for _, a := range d.Actions {
+		w.act(a)
+	}
+	for _, h := range d.Held {
+		if strings.HasPrefix(h.Reason, "never runs") {
+			w.reasons[h.Task] = true
+		}
+		delete(w.waiting, h.Task)
+	}
+}
+
+func (w *world) act(a placement.Action) {
+	r := w.running[a.Task]
+	switch {
+	case a.Cause == placement.Evacuation:
+		w.result.Evacuations++
+	case a.IsEviction():
+		w.result.Evictions++
+	case a.Kind == placement.Throttle:
+		w.result.Throttles++
+	}
+	switch a.Kind {
+	case placement.Throttle:
+		r.throttled = true
+	case placement.Restore:
+		r.throttled = false
+	case placement.Checkpoint:
+		r.leaving, r.leavesAt = a.Kind, w.now+time.Duration(checkpointTime*float64(time.Second))
+	case placement.Stop:
+		r.leaving, r.leavesAt = a.Kind, w.now+tick
+	}
+}
+
+// summarise fills in the measures that need the whole run.
+func (w *world) summarise() {
+	r := &w.result
+	r.WaveP99Ms = 1000 * percentile(w.requests.latencies, 0.99)
+	r.QuietP99Ms = 1000 * percentile(w.requests.quiet, 0.99)
+	if n := len(w.requests.latencies) + len(w.requests.quiet); n > 0 {
+		r.LostShare = float64(w.requests.lost) / float64(n)
+	}
+	for _, since := range w.waiting {
+		w.urgentWaits = append(w.urgentWaits, (w.now - since).Seconds())
+	}
+	r.UrgentP99s = percentile(w.urgentWaits, 0.99)
+	for i := range w.jobs[:w.arrived] {
+		j := &w.jobs[i]
+		if j.cores <= float64(w.scenario.Cores) {
+			continue
+		}
+		if w.reasons[j.ID] {
+			r.Impossible++
+		} else {
+			r.Unnoticed++
+		}
+	}
+	var names []string
+	for _, e := range w.scheduler.Quarantine() {
+		if e.Kind == quarantine.Worker {
+			names = append(names, e.Name)
+		}
+	}
+	r.SetAside = strings.Join(names, " ")
+}
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -88,7 +88,7 @@
 				}
 			},
 			"next": func(t *rapid.T) {
-				candidates := []Candidate{{"a", 0.2, throttled["a"]}, {"b", 0.5, throttled["b"]}}
+				candidates := []Candidate{{"a", 0.2, throttled["a"], false}, {"b", 0.5, throttled["b"], true}}
 				d := l.Next(now, candidates, budget.HasRoom(now))
 				if l.Pending().Step == None && pending.Step != None {
 					pending, lastEnd, high, low = Decision{}, now, 0, 0 // given up after the timeout
@@ -109,6 +109,9 @@
 				if d.Step == Move && !throttled[d.Task] {
 					t.Fatalf("%v of a task that was not throttled first", d)
 				}
+				if d.Step == Move && d.Task != "b" {
+					t.Fatalf("%v of a task that no other worker takes better", d)
+				}
 				throttled[d.Task] = d.Step == Throttle
 				if d.Step.IsEviction() && !isEscalation {
 					budget.Spend(now)
--- a/interference/ladder.go
+++ b/interference/ladder.go
@@ -32,9 +32,10 @@
 	Blame   float64       // tasks with less blame are left alone
 }
 
-// withDefaults: three reports in a row ignore a single outlier, and reports lag
-// by one to two seconds, so that an effect shows after five.
-func (o LadderOptions) withDefaults() LadderOptions {
+// WithDefaults fills in what is not set: two reports in a row ignore a single
+// outlier. Reports count by the time of the measurement, so the settling time
+// covers only the effect of the action and not the lag.
+func (o LadderOptions) WithDefaults() LadderOptions {
 	if o.High == 0 {
 		o.High = 1.3
 	}
@@ -42,10 +43,10 @@
 		o.Low = 1.1
 	}
 	if o.Confirm == 0 {
-		o.Confirm = 3
+		o.Confirm = 2
 	}
 	if o.Settle == 0 {
-		o.Settle = 5 * time.Second
+		o.Settle = 2 * time.Second
 	}
 	if o.Timeout == 0 {
 		o.Timeout = 10 * time.Second
@@ -61,6 +62,7 @@
 	Task      string
 	Blame     float64 // expected part in the slowdown
 	Throttled bool
+	Movable   bool // another worker suffers less from it
 }
 
 // Decision is the next action on a worker. Task is empty when Step is None.
@@ -84,7 +86,7 @@
 
 // NewLadder returns a ladder at rest.
 func NewLadder(o LadderOptions) *Ladder {
-	return &Ladder{options: o.withDefaults()}
+	return &Ladder{options: o.WithDefaults()}
 }
 
 // Report takes the slowdown of the most disturbed service of the worker.
@@ -184,26 +186,35 @@
 	return d
 }
 
-// choose throttles the task with the most blame, and moves it when it is
-// throttled already.
+// choose throttles the task with the most blame. Once all tasks with blame are
+// throttled it moves the one with the most blame that suits another worker
+// better, since any other move only carries the disturbance elsewhere.
 func (l *Ladder) choose(candidates []Candidate, mayEvict bool) Decision {
-	worst := -1
+	throttle, move := -1, -1
 	for i, c := range candidates {
-		if c.Blame < l.options.Blame || (c.Throttled && !mayEvict) {
-			continue
-		}
-		if worst < 0 || c.Blame > candidates[worst].Blame {
-			worst = i
+		switch {
+		case c.Blame < l.options.Blame:
+		case !c.Throttled:
+			throttle = worse(candidates, throttle, i)
+		case c.Movable && mayEvict:
+			move = worse(candidates, move, i)
 		}
 	}
 	switch {
-	case worst < 0:
-		return Decision{}
-	case !candidates[worst].Throttled:
-		return Decision{Step: Throttle, Task: candidates[worst].Task}
-	default:
-		return Decision{Step: Move, Task: candidates[worst].Task}
+	case throttle >= 0:
+		return Decision{Step: Throttle, Task: candidates[throttle].Task}
+	case move >= 0:
+		return Decision{Step: Move, Task: candidates[move].Task}
+	}
+	return Decision{}
+}
+
+// worse returns the index with the most blame; the first counts when equal.
+func worse(candidates []Candidate, i, j int) int {
+	if i < 0 || candidates[j].Blame > candidates[i].Blame {
+		return j
 	}
+	return i
 }
 
 // restoreOne ends the throttle of the least harmful task.
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -116,12 +116,53 @@
 	var list []interference.Candidate
 	for _, t := range w.tasks {
 		if t.Kind == Batch && !t.leaving && !t.proposed {
-			list = append(list, interference.Candidate{Task: t.ID, Blame: s.blame(t, w), Throttled: t.throttled})
+			list = append(list, interference.Candidate{
+				Task: t.ID, Blame: s.blame(t, w), Throttled: t.throttled, Movable: s.isMovable(t, w),
+			})
 		}
 	}
 	return list
 }
 
+// moveGain is the share of the harm that a move must take away, so that errors
+// of the estimates do not move tasks back and forth.
+const moveGain = 0.3
+
+// severeFactor: at twice the slowdown that the ladder tolerates a throttled task
+// is better off in the queue than beside the service.
+const severeFactor = 2
+
+// isMovable reports whether a worker with room suffers clearly less from the
+// task, or the disturbance is severe. Without estimates every move counts as
+// useful.
+func (s *Scheduler) isMovable(t *task, w *worker) bool {
+	if s.options.IgnoreInterference {
+		return true
+	}
+	if !t.throttled {
+		return false // not asked for
+	}
+	if w.slowdown-1 > severeFactor*(s.disturbedAbove()-1) {
+		return true
+	}
+	here := s.blame(t, w)
+	for _, other := range s.cache.workers {
+		if other != w && s.refusal(t, other) < 0 && s.blameOn(t, other) < (1-moveGain)*here {
+			return true
+		}
+	}
+	return false
+}
+
+// blameOn is the harm that the task would do on a worker: the blame on its
+// services, weighed by how far they are slowed down already.
+func (s *Scheduler) blameOn(t *task, w *worker) float64 {
+	if w.slowdown > s.disturbedAbove() {
+		return s.blame(t, w) * w.slowdown
+	}
+	return s.blame(t, w)
+}
+
 // blame is the largest slowdown that a task is expected to cause to a service.
 // Without estimates it is the declared share of the worker.
 func (s *Scheduler) blame(t *task, w *worker) float64 {
--- a/placement/cache.go
+++ b/placement/cache.go
@@ -28,7 +28,8 @@
 	tasks       []*task
 	measured    int64 // processor use of all tasks, measured or declared
 	lastRemoval time.Time
-	quarantine  string // reason
+	slowdown    float64 // last measured, of the slowest service
+	quarantine  string  // reason
 	probation   bool
 	absent      bool
 	reservedFor *task
--- a/placement/events.go
+++ b/placement/events.go
@@ -240,6 +240,7 @@
 		}
 	}
 	if slowest > 0 {
+		w.slowdown = slowest
 		s.ladder(workerID).Report(slowest, measuredAt)
 	}
 }
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -14,7 +14,10 @@
 	refuses func(*Scheduler, *task, *worker) bool
 }
 
-const filterCount = 10
+const (
+	filterCount     = 11
+	disturbedFilter = 9
+)
 
 // filters are checked in this order, the one that refuses most first.
 var filters = [filterCount]filter{
@@ -27,6 +30,7 @@
 	{"worker quarantined", isQuarantined},
 	{"worker on probation", isProbationBusy},
 	{"reserved for a task that waited longer", isReserved},
+	{"services on the worker are slowed down", isDisturbed},
 	{"task failed on or was moved from the worker", isExcluded},
 }
 
@@ -59,6 +63,35 @@
 	return w.reservedFor != nil && w.reservedFor != t
 }
 
+// disturbingBlame is the slowdown of a service that a task may cause on a worker
+// whose services are too slow already.
+const disturbingBlame = 0.02
+
+// isDisturbed keeps tasks that slow services down off workers whose services
+// are too slow already. Urgent tasks and tasks beyond the aging bound pass.
+func isDisturbed(s *Scheduler, t *task, w *worker) bool {
+	if s.options.IgnoreInterference || t.Urgent || s.now.Sub(t.since) > s.options.Queue.AgingBound {
+		return false
+	}
+	blame := s.blame(t, w)
+	return blame > disturbingBlame && max(w.slowdown, s.expectedSlowdown(w)+blame) > s.disturbedAbove()
+}
+
+// expectedSlowdown is the slowdown of the services on a worker that the
+// estimates predict. The measured one is lower while few requests come in.
+func (s *Scheduler) expectedSlowdown(w *worker) float64 {
+	sum := 1.0
+	for _, t := range w.tasks {
+		if t.Kind != Service {
+			sum += s.blame(t, w)
+		}
+	}
+	return sum
+}
+
+// disturbedAbove is the slowdown of services above which the ladder acts.
+func (s *Scheduler) disturbedAbove() float64 { return s.options.Ladder.High }
+
 func isExcluded(s *Scheduler, t *task, w *worker) bool {
 	for _, e := range t.away {
 		if e.worker == w.ID && s.now.Before(e.until) {
--- a/placement/pass.go
+++ b/placement/pass.go
@@ -160,9 +160,9 @@
 }
 
 // noteMiss remembers a size without room. A task that is kept off some workers
-// says nothing about others.
+// for reasons of its own says nothing about others.
 func (s *Scheduler) noteMiss(t *task) {
-	if len(t.away) == 0 && len(s.misses) < maxMisses {
+	if len(t.away) == 0 && t.reason.refused[disturbedFilter] == 0 && len(s.misses) < maxMisses {
 		s.misses = append(s.misses, miss{size: t.Size, zones: t.Zones})
 	}
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -53,6 +53,7 @@
 	setDefault(&o.ReturnPeriod, time.Minute)
 	setDefault(&o.AvoidMoved, time.Minute)
 	setDefault(&o.AvoidFailed, 10*time.Minute)
+	o.Ladder = o.Ladder.WithDefaults()
 	setDefault(&o.Queue.AgingBound, fairqueue.DefaultAgingBound)
 	return o
 }
