--- /dev/null
+++ b/consensus/reconcile.go
@@ -0,0 +1,53 @@
+package consensus
+
+import "slices"
+
+// View is what the leader decides membership changes from.
+type View struct {
+	Self       ReplicaID
+	Wanted     []string // ids in the settings
+	Membership Membership
+	Seen       map[string]uint64 // newest incarnation of each other member
+	Progress   []Progress
+	IsCaughtUp func(ReplicaID) bool
+}
+
+// NextChange returns the next change, one at a time. A learner that has caught
+// up is promoted first, which restores the tolerance for failures. A wiped
+// replica is removed under its old incarnation and added under the new one as a
+// learner. Ids that an operator has removed stay out.
+func NextChange(v View) (Change, bool) {
+	for _, m := range v.Membership.Members {
+		if !m.Voter && v.IsCaughtUp(m.ID) {
+			return Change{Kind: Promote, Replica: m.ID}, true
+		}
+	}
+	for _, id := range v.Wanted {
+		if c, needed := v.changeFor(id); needed {
+			return c, true
+		}
+	}
+	return Change{}, false
+}
+
+func (v View) changeFor(id string) (Change, bool) {
+	incarnation, seen := v.Seen[id]
+	if id == v.Self.ID || !seen || slices.Contains(v.Membership.Excluded, id) {
+		return Change{}, false
+	}
+	replica := ReplicaID{ID: id, Incarnation: incarnation}
+	named := v.Membership.Named(id)
+	switch {
+	case len(named) == 0:
+		return Change{Kind: AddLearner, Replica: replica}, true
+	case named[0].ID == replica || v.isActive(named[0].ID):
+		return Change{}, false
+	}
+	return Change{Kind: Remove, Replica: named[0].ID}, true
+}
+
+// isActive reports whether the old incarnation still answers. Then two
+// processes run under one id, and removing the one that works would be wrong.
+func (v View) isActive(id ReplicaID) bool {
+	return slices.ContainsFunc(v.Progress, func(p Progress) bool { return p.ID == id && p.Active })
+}
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -5,13 +5,15 @@
 import (
 	"context"
 
-	"go.uber.org/zap"
-
 	"github.com/ibispier/ibispier/daemon/agent/admission"
 	"github.com/ibispier/ibispier/daemon/agent/slots"
+	"github.com/ibispier/ibispier/daemon/agent/targetapi"
+	"github.com/ibispier/ibispier/daemon/agent/tasks"
+	"github.com/ibispier/ibispier/daemon/agent/workercalls"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/telemetry"
 	"github.com/ibispier/ibispier/wire"
 )
 
@@ -19,37 +21,59 @@
 type Role struct {
 	*supervise.Supervisor
 	admission *admission.Duty
+	tasks     *tasks.Duty
 }
 
 // New returns the role.
-func New(s *settings.Settings, log *zap.Logger, observer supervise.Observer) *Role {
-	admit := admission.New(s, log)
+func New(s *settings.Settings, t telemetry.Telemetry, observer supervise.Observer) (*Role, error) {
+	admit, err := admission.New(s, t.Log)
+	if err != nil {
+		return nil, err
+	}
+	admit.Observe(t)
+	slotOptions := admission.SlotOptions(s)
+	slotOptions.Tracer = t.Tracer
 	role := &Role{
-		Supervisor: supervise.New("agent", supervise.Policy{}, observer),
+		Supervisor: supervise.New("agent", supervise.Policy{Strategy: supervise.OneForAll}, observer),
 		admission:  admit,
+		tasks:      tasks.New(s, t.Log),
 	}
+	role.tasks.Observe(t)
 	role.Add("admission", admit)
-	role.Add("slots", slots.New(slots.Options{
-		Target:      s.Agent.Target,
-		Slots:       s.Agent.Slots,
-		Connections: s.Agent.Connections,
-		MaxBody:     s.Entry.MaxBody,
-	}, admit.Work, admit.Results, observer))
-	role.Add("uplinks", newUplinks(s, admit, observer))
-	return role
+	role.Add("slots", slots.New(slotOptions, admit.Jobs, admit.Results, observer))
+	role.Add("probe", admit.Probe)
+	if s.Agent.Listen != "" {
+		announcements, err := targetapi.New(s.Agent.Listen, admit)
+		if err != nil {
+			return nil, err
+		}
+		role.Add("targetapi", announcements)
+	}
+	role.Add("tasks", role.tasks)
+	if s.Agent.Worker != "" {
+		role.Add("workercalls", workercalls.New(s.Agent.Worker, role.tasks.Jobs, role.tasks.Done, observer))
+	}
+	role.Add("uplinks", newUplinks(s, link.Fanout(admit, role.tasks), role.tasks.Revision, observer))
+	return role, nil
 }
 
-func newUplinks(s *settings.Settings, h link.Handler, observer supervise.Observer) *supervise.Supervisor {
+func newUplinks(s *settings.Settings, h link.Handler, revision func() uint64, observer supervise.Observer) *supervise.Supervisor {
 	uplinks := supervise.New("uplinks", supervise.Policy{Intensity: supervise.Unlimited}, observer)
 	for _, address := range s.Cluster.Entries {
 		uplinks.Add("entry "+address, link.NewDialer(address, link.Options{
-			Local:    link.Identity{Role: wire.Role_ROLE_AGENT, ID: s.Daemon.ID, Zone: s.Daemon.Zone},
-			Accept:   []wire.Role{wire.Role_ROLE_ENTRY},
-			Observer: observer,
+			Local:          link.Identity{Role: wire.Role_ROLE_AGENT, ID: s.Daemon.ID, Zone: s.Daemon.Zone},
+			Accept:         []wire.Role{wire.Role_ROLE_ENTRY},
+			Observer:       observer,
+			ConfigRevision: revision,
 		}, h))
 	}
 	return uplinks
 }
 
 // Drain announces that the target leaves and waits for the requests in flight.
-func (r *Role) Drain(ctx context.Context) error { return r.admission.Drain(ctx) }
+func (r *Role) Drain(ctx context.Context) error {
+	if err := r.tasks.Drain(ctx); err != nil {
+		return err
+	}
+	return r.admission.Drain(ctx)
+}
--- a/daemon/entry/frontend/frontend.go
+++ b/daemon/entry/frontend/frontend.go
@@ -8,14 +8,15 @@
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/daemon/entry/router"
-	"github.com/ibispier/ibispier/request"
 	"github.com/ibispier/ibispier/settings"
+	"github.com/ibispier/ibispier/telemetry"
 )
 
 // Error is the class of all errors of this package.
@@ -29,17 +30,22 @@
 // Duty serves callers.
 type Duty struct {
 	server   *http.Server
+	mux      *http.ServeMux
 	socket   net.Listener
 	calls    *router.Duty
 	settings settings.Entry
+	leaving  atomic.Bool
 	log      *zap.Logger
+
+	telemetry telemetry.Telemetry
 }
 
 // New returns the duty for callers that connect to socket.
 func New(socket net.Listener, s settings.Entry, calls *router.Duty, logger *zap.Logger) *Duty {
 	d := &Duty{socket: socket, calls: calls, settings: s, log: logger}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/v1/services/{service}/{path...}", d.serveRequest)
+	d.mux = mux
+	mux.HandleFunc("/v1/services/{service}/{path...}", d.observed(d.serveRequest))
 	d.server = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -61,6 +67,10 @@
 	return Error.New("step=serve addr=%s: %w", d.socket.Addr(), err)
 }
 
+// Quiesce makes callers with open connections connect elsewhere: from now on
+// each answer closes its connection. Requests are still served.
+func (d *Duty) Quiesce() { d.leaving.Store(true) }
+
 // Drain stops accepting connections and waits for the requests in flight.
 func (d *Duty) Drain(ctx context.Context) error {
 	return Error.Wrap(d.server.Shutdown(ctx))
@@ -73,14 +83,12 @@
 		writeResponse(w, requestID(r), problem)
 		return
 	}
-	call := router.NewCall(req)
-	if err := d.calls.Calls.Offer(call); err != nil {
-		writeResponse(w, req.ID, request.Refused(request.ReasonOverloaded))
-		return
-	}
-	resp, err := call.Wait(r.Context())
-	if err != nil {
+	resp := d.calls.Do(r.Context(), router.NewCall(req))
+	if resp == nil {
 		return // the caller has gone
 	}
+	if d.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	writeResponse(w, req.ID, resp)
 }
--- a/request/request.go
+++ b/request/request.go
@@ -71,6 +71,7 @@
 	Header      []Field
 	Body        []byte
 	TraceParent string
+	Priority    int // higher goes first
 }
 
 // Attempt is one try of a request at one target.
@@ -78,9 +79,32 @@
 	Number     uint64
 	Target     string
 	ClaimEpoch uint64
+	Cause      Cause
 	Request    *Request
 }
 
+// Cause tells why an attempt was made.
+type Cause uint8
+
+// Causes.
+const (
+	First Cause = iota
+	Retry       // after a failed attempt
+	Hedge       // beside a late attempt
+)
+
+// String returns the name used in metrics and spans.
+func (c Cause) String() string {
+	switch c {
+	case Retry:
+		return "retry"
+	case Hedge:
+		return "hedge"
+	default:
+		return "attempt"
+	}
+}
+
 // Response is what is known about a request or an attempt.
 type Response struct {
 	Outcome Outcome
@@ -105,4 +129,5 @@
 type Load struct {
 	InFlight int
 	Queued   int
+	Service  time.Duration // time the answered request was at work; 0 when it was not
 }
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,18 @@
 // Range describes the accepted values.
 func (k Key) Range() string { return k.value.accepted }
 
+func (k Key) id() string { return k.Section + "." + k.Name }
+
+// parse refuses the quotes, continuations and variables of the INI library. No
+// setting needs them, and a value with one is read differently when the
+// effective settings are printed and loaded again.
+func (k Key) parse(text string) error {
+	if strings.ContainsAny(text, "\r\n\"'`\\") || strings.Contains(text, "%(") {
+		return errs.New("%q has several lines, a quote, a backslash or %%(", text)
+	}
+	return k.value.parse(text)
+}
+
 // value parses the text of a setting into its field.
 type value struct {
 	accepted string
@@ -34,12 +47,26 @@
 
 // Load reads the settings file at path.
 func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.New("file=%s: %w", path, err)
+	}
+	s, err := Parse(path, data)
+	if err != nil {
+		return nil, err
+	}
+	return s, s.check(path)
+}
+
+// Parse reads the content of the settings file at path, which is only named in
+// errors. It checks each setting but not how they fit together.
+func Parse(path string, data []byte) (*Settings, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{
 		Insensitive:         false,
 		IgnoreInlineComment: true,
-	}, path)
+	}, data)
 	if err != nil {
-		return nil, Error.New("file=%s: %w", path, err)
+		return nil, Error.New("file=%s: %s", path, strings.Join(strings.Fields(err.Error()), " "))
 	}
 	return fromFile(path, file)
 }
@@ -54,7 +81,7 @@
 }
 
 func fromFile(path string, file *ini.File) (*Settings, error) {
-	s := new(Settings)
+	s := &Settings{texts: map[string]string{}}
 	keys := Keys(s)
 	if err := rejectUnknown(path, file, keys); err != nil {
 		return nil, err
@@ -64,9 +91,10 @@
 		if section := file.Section(k.Section); section.HasKey(k.Name) {
 			text = section.Key(k.Name).String()
 		}
-		if err := k.value.parse(text); err != nil {
+		if err := k.parse(text); err != nil {
 			return nil, Error.New("file=%s section=%s key=%s: %w", path, k.Section, k.Name, err)
 		}
+		s.texts[k.id()] = text
 	}
 	return s, nil
 }
@@ -140,7 +168,7 @@
 func fraction(field *float64) value {
 	return value{"0..1", func(s string) error {
 		f, err := strconv.ParseFloat(s, 64)
-		if err != nil || f < 0 || f > 1 {
+		if err != nil || !(f >= 0 && f <= 1) {
 			return errs.New("%q is not a number in 0..1", s)
 		}
 		*field = f
@@ -186,6 +214,16 @@
 	}}
 }
 
+// optional accepts an empty text as well.
+func optional(v value) value {
+	return value{"empty or " + v.accepted, func(s string) error {
+		if s == "" {
+			return nil
+		}
+		return v.parse(s)
+	}}
+}
+
 func addresses(field *[]string) value {
 	return value{"ip:port, ...", func(s string) error {
 		*field = split(s)
