--- a/daemon/control/applier/linear_test.go
+++ b/daemon/control/applier/linear_test.go
@@ -348,6 +348,13 @@
 	}
 }
 
+// answers reports whether a response has a proposal in a state. The response of
+// a copy of unknown result has none.
+func answers(r Response, want controlapi.ProposalState) bool {
+	p, ok := r.Body.(controlapi.Proposal)
+	return r.Status == OK && ok && p.State == want
+}
+
 func stepPropose(s planState, in *controlapi.ProposeRequest, r Response) (bool, any) {
 	p, known := s.proposals[in.ChangeID]
 	if !known {
@@ -360,7 +367,7 @@
 		}
 		s = s.with(in.ChangeID, p)
 	}
-	return r.Status == OK && r.Body.(controlapi.Proposal).State == p.state, s
+	return answers(r, p.state), s
 }
 
 func stepSign(s planState, in *controlapi.SignRequest, r Response) (bool, any) {
@@ -377,7 +384,7 @@
 		}
 		s = s.with(in.ChangeID, p)
 	}
-	return r.Status == OK && r.Body.(controlapi.Proposal).State == p.state, s
+	return answers(r, p.state), s
 }
 
 func (s planState) accept(id string) planState {
