--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -28,8 +28,9 @@
 // because its verdict depends on the load of the machine; Proxy turns the test
 // program into the baseline.
 const (
-	runVariable   = "IBISPIER_BENCH"
-	proxyVariable = "IBISPIER_BENCH_PROXY"
+	runVariable     = "IBISPIER_BENCH"
+	proxyVariable   = "IBISPIER_BENCH_PROXY"
+	profileVariable = "IBISPIER_BENCH_PROFILE" // folder for profiles of entry and agent
 )
 
 const (
@@ -98,6 +99,35 @@
 		}
 	}
 	report(t, routes, results, mallocs/requests)
+	if dir := os.Getenv(profileVariable); dir != "" {
+		saveProfiles(t, dir, routes[2], map[string]string{"entry": entryAdmin, "agent": agentAdmin})
+	}
+}
+
+// saveProfiles writes processor and allocation profiles taken under load.
+func saveProfiles(t *testing.T, dir string, r route, admins map[string]string) {
+	var group sync.WaitGroup
+	for name, admin := range admins {
+		for _, kind := range []string{"profile?seconds=3", "allocs"} {
+			group.Go(func() {
+				resp, err := http.Get("http://" + admin + "/debug/pprof/" + kind)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer resp.Body.Close()
+				file, err := os.Create(filepath.Join(dir, name+"."+strings.TrimSuffix(kind, "?seconds=3")))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer file.Close()
+				_, _ = io.Copy(file, resp.Body)
+			})
+		}
+	}
+	measure(r, 4*time.Second)
+	group.Wait()
 }
 
 func startAll(t *testing.T, target, proxy, entry, agents, entryAdmin, agentAdmin string) {
--- a/daemon/entry/frontend/codec.go
+++ b/daemon/entry/frontend/codec.go
@@ -27,6 +27,8 @@
 	defaultDeadline = time.Second
 	maxDeadline     = 5 * time.Minute
 	maxKeyBytes     = 128
+
+	segmentsBeforePath = 3 // v1, services and the service
 )
 
 // parse reads a caller's request. A second result is the refusal of a request
@@ -51,6 +53,9 @@
 	if !idempotent && (req.Key == "" || len(req.Key) > maxKeyBytes) {
 		return nil, request.Refused(request.ReasonBadRequest)
 	}
+	if r.ContentLength == 0 {
+		return req, nil
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.settings.MaxBody))
 	if err != nil {
 		return nil, refusedBody(err)
@@ -77,8 +82,12 @@
 // targetPath returns the part after the service, still escaped, so that the
 // target sees the same path that the caller sent.
 func targetPath(r *http.Request) string {
-	parts := strings.SplitN(r.URL.EscapedPath(), "/", 5) // "", v1, services, SERVICE, path
-	path := "/" + parts[len(parts)-1]
+	path := r.URL.EscapedPath()
+	for range segmentsBeforePath {
+		if i := strings.IndexByte(path[1:], '/'); i >= 0 {
+			path = path[i+1:]
+		}
+	}
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -17,13 +17,17 @@
 	if r.options.Policy == RoundRobin {
 		return r.chooseNext(now, g, c)
 	}
-	for _, strict := range []filter{
+	filters := [...]filter{
 		{healthy: true, skip: c.tried},
 		{healthy: true},
 		{skip: c.tried},
 		{},
-	} {
-		if t := r.chooseOfTwo(now, g, strict); t != nil {
+	}
+	for i := range filters {
+		if len(c.tried) == 0 && i%2 == 1 {
+			continue // the same as the filter before
+		}
+		if t := r.chooseOfTwo(now, g, filters[i]); t != nil {
 			return t, request.ReasonNone
 		}
 	}
