--- a/interference/ladder.go
+++ b/interference/ladder.go
@@ -29,11 +29,13 @@
 	Confirm int           // reports in a row that confirm either
 	Settle  time.Duration // after an action, until its effect shows in reports
 	Timeout time.Duration // for an action to be confirmed
+	Blame   float64       // tasks with less blame are left alone
 }
 
-// withDefaults: three reports in a row ignore a single outlier, and reports lag
-// by one to two seconds, so that an effect shows after five.
-func (o LadderOptions) withDefaults() LadderOptions {
+// WithDefaults fills in what is not set: two reports in a row ignore a single
+// outlier. Reports count by the time of the measurement, so the settling time
+// covers only the effect of the action and not the lag.
+func (o LadderOptions) WithDefaults() LadderOptions {
 	if o.High == 0 {
 		o.High = 1.3
 	}
@@ -41,14 +43,17 @@
 		o.Low = 1.1
 	}
 	if o.Confirm == 0 {
-		o.Confirm = 3
+		o.Confirm = 2
 	}
 	if o.Settle == 0 {
-		o.Settle = 5 * time.Second
+		o.Settle = 2 * time.Second
 	}
 	if o.Timeout == 0 {
 		o.Timeout = 10 * time.Second
 	}
+	if o.Blame == 0 {
+		o.Blame = 0.02
+	}
 	return o
 }
 
@@ -57,6 +62,7 @@
 	Task      string
 	Blame     float64 // expected part in the slowdown
 	Throttled bool
+	Movable   bool // another worker suffers less from it
 }
 
 // Decision is the next action on a worker. Task is empty when Step is None.
@@ -70,18 +76,17 @@
 // Invariant: an action starts only when no other of this worker is pending and
 // the last one has settled.
 type Ladder struct {
-	options  LadderOptions
-	high     int // reports in a row above High
-	low      int // reports in a row below Low
-	pending  Decision
-	since    time.Time
-	settled  time.Time
-	timedOut map[string]bool // tasks whose move was not confirmed
+	options LadderOptions
+	high    int // reports in a row above High
+	low     int // reports in a row below Low
+	pending Decision
+	since   time.Time
+	settled time.Time
 }
 
 // NewLadder returns a ladder at rest.
 func NewLadder(o LadderOptions) *Ladder {
-	return &Ladder{options: o.withDefaults(), timedOut: map[string]bool{}}
+	return &Ladder{options: o.WithDefaults()}
 }
 
 // Report takes the slowdown of the most disturbed service of the worker.
@@ -110,10 +115,32 @@
 	if l.pending.Task != task || l.pending.Step == None {
 		return
 	}
-	delete(l.timedOut, task)
 	l.finish(now)
 }
 
+// IsBusy reports whether an action is pending or has not settled.
+func (l *Ladder) IsBusy(now time.Time) bool {
+	return l.pending.Step != None || now.Before(l.settled)
+}
+
+// Claim makes an action of another cause the pending one, and reports whether
+// the worker was free for it.
+func (l *Ladder) Claim(d Decision, now time.Time) bool {
+	if l.IsBusy(now) {
+		return false
+	}
+	l.start(now, d)
+	return true
+}
+
+// Wants reports whether Next may propose something.
+func (l *Ladder) Wants(now time.Time) bool {
+	if l.pending.Step != None {
+		return now.Sub(l.since) >= l.options.Timeout
+	}
+	return !now.Before(l.settled) && (l.high >= l.options.Confirm || l.low >= l.options.Confirm)
+}
+
 func (l *Ladder) finish(now time.Time) {
 	l.pending = Decision{}
 	l.settled = now.Add(l.options.Settle)
@@ -124,7 +151,7 @@
 // evictions has room. The caller carries the action out and calls Confirm.
 func (l *Ladder) Next(now time.Time, candidates []Candidate, mayEvict bool) Decision {
 	if l.pending.Step != None {
-		return l.escalateOverdue(now, mayEvict)
+		return l.escalateOverdue(now)
 	}
 	if now.Before(l.settled) {
 		return Decision{}
@@ -138,17 +165,17 @@
 	return Decision{}
 }
 
-// escalateOverdue replaces a move that was not confirmed in time by a stop. Any
-// other overdue action is given up.
-func (l *Ladder) escalateOverdue(now time.Time, mayEvict bool) Decision {
+// escalateOverdue replaces an action that was not confirmed in time by a stop,
+// and repeats the stop until it is confirmed. It is the same eviction, so it
+// needs no room in the budget.
+func (l *Ladder) escalateOverdue(now time.Time) Decision {
 	if now.Sub(l.since) < l.options.Timeout {
 		return Decision{}
 	}
-	if l.pending.Step != Move || !mayEvict {
+	if !l.pending.Step.IsEviction() {
 		l.finish(now)
 		return Decision{}
 	}
-	l.timedOut[l.pending.Task] = true
 	return l.start(now, Decision{Step: Stop, Task: l.pending.Task})
 }
 
@@ -159,28 +186,35 @@
 	return d
 }
 
-// choose throttles the task with the most blame, and moves it when it is
-// throttled already.
+// choose throttles the task with the most blame. Once all tasks with blame are
+// throttled it moves the one with the most blame that suits another worker
+// better, since any other move only carries the disturbance elsewhere.
 func (l *Ladder) choose(candidates []Candidate, mayEvict bool) Decision {
-	worst := -1
+	throttle, move := -1, -1
 	for i, c := range candidates {
-		if c.Throttled && !mayEvict {
-			continue
-		}
-		if worst < 0 || c.Blame > candidates[worst].Blame {
-			worst = i
+		switch {
+		case c.Blame < l.options.Blame:
+		case !c.Throttled:
+			throttle = worse(candidates, throttle, i)
+		case c.Movable && mayEvict:
+			move = worse(candidates, move, i)
 		}
 	}
 	switch {
-	case worst < 0:
-		return Decision{}
-	case !candidates[worst].Throttled:
-		return Decision{Step: Throttle, Task: candidates[worst].Task}
-	case l.timedOut[candidates[worst].Task]:
-		return Decision{Step: Stop, Task: candidates[worst].Task}
-	default:
-		return Decision{Step: Move, Task: candidates[worst].Task}
+	case throttle >= 0:
+		return Decision{Step: Throttle, Task: candidates[throttle].Task}
+	case move >= 0:
+		return Decision{Step: Move, Task: candidates[move].Task}
+	}
+	return Decision{}
+}
+
+// worse returns the index with the most blame; the first counts when equal.
+func worse(candidates []Candidate, i, j int) int {
+	if i < 0 || candidates[j].Blame > candidates[i].Blame {
+		return j
 	}
+	return i
 }
 
 // restoreOne ends the throttle of the least harmful task.
