--- a/placement/cache.go
+++ b/placement/cache.go
@@ -29,7 +29,9 @@
 	measured    int64 // processor use of all tasks, measured or declared
 	lastRemoval time.Time
 	slowdown    float64 // last measured, of the slowest service
-	quarantine  string  // reason
+	expected    float64 // by the estimates, at expectedAt
+	expectedAt  time.Time
+	quarantine  string // reason
 	probation   bool
 	absent      bool
 	reservedFor *task
@@ -188,6 +190,7 @@
 	w.tasks = append(w.tasks, t)
 	w.free = w.free.Sub(t.Size)
 	w.measured += t.used
+	w.expectedAt = time.Time{}
 	u := c.customer(t.Customer)
 	u.used = u.used.Add(t.Size)
 	u.tasks++
@@ -209,6 +212,7 @@
 	}
 	w.free = w.free.Add(t.Size)
 	w.measured -= t.used
+	w.expectedAt = time.Time{}
 	w.lastRemoval = now
 	u := c.customer(t.Customer)
 	u.used = u.used.Sub(t.Size)
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -79,13 +79,18 @@
 
 // expectedSlowdown is the slowdown of the services on a worker that the
 // estimates predict. The measured one is lower while few requests come in.
+// It is computed once for a set of tasks and a step.
 func (s *Scheduler) expectedSlowdown(w *worker) float64 {
+	if w.expectedAt.Equal(s.now) {
+		return w.expected
+	}
 	sum := 1.0
 	for _, t := range w.tasks {
 		if t.Kind != Service {
 			sum += s.blame(t, w)
 		}
 	}
+	w.expected, w.expectedAt = sum, s.now
 	return sum
 }
 
