--- a/consensus/protocol_test.go
+++ b/consensus/protocol_test.go
@@ -157,7 +157,7 @@
 // Guards against a change that is made before the one before it is committed,
 // and against the removal of a voter whose absence leaves no quorum.
 func TestChangesOneAtATime(t *testing.T) {
-	w, leader := wholeNetwork(t)
+	_, leader := wholeNetwork(t)
 	first := Change{Kind: AddLearner, Replica: ReplicaID{ID: "x", Incarnation: 50}}
 	second := Change{Kind: AddLearner, Replica: ReplicaID{ID: "y", Incarnation: 51}}
 	if _, err := leader.node.ChangeMembership(first); err != nil {
@@ -166,7 +166,7 @@
 	if _, err := leader.node.ChangeMembership(second); err != ErrChangePending {
 		t.Fatalf("second change: got %v, want %v", err, ErrChangePending)
 	}
-	w, leader = wholeNetwork(t)
+	w, leader := wholeNetwork(t)
 	gone := w.follower(leader)
 	w.crash(gone)
 	for range 5 {
