--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -20,12 +20,14 @@
 // Defaults of Options.
 const (
 	DefaultRetention = 24 * time.Hour
-	DefaultMaxKeys   = 400_000
+	// DefaultMaxKeys and DefaultMaxBodyBytes keep the ledger below 140 MB at
+	// 227 bytes a key, next to 63 MB for the tasks and changes in two years.
+	DefaultMaxKeys = 400_000
 	// DefaultMaxBody is the largest body that is recorded. A duplicate of a
 	// request with a larger one learns the outcome and the status only.
 	DefaultMaxBody = 16 << 10
 	// DefaultMaxBodyBytes bounds the bodies of all keys. The oldest go first.
-	DefaultMaxBodyBytes = 64 << 20
+	DefaultMaxBodyBytes = 48 << 20
 	// expiryMargin keeps a key longer than requests of its age are taken, which
 	// covers the difference between the clocks of successive leaders.
 	expiryMargin = time.Minute
--- a/plan/book.go
+++ b/plan/book.go
@@ -30,6 +30,8 @@
 	// maxContents bounds the decided proposals whose content is kept. Older ones
 	// keep their digest, which is what a resent change id is compared with.
 	maxContents = 64
+	// maxDiffLines bounds the difference that is kept of such a proposal.
+	maxDiffLines = 16
 )
 
 // Entry is a proposal as the Book keeps it.
@@ -187,11 +189,20 @@
 	if len(b.decided) > maxContents {
 		if old := b.entries[b.decided[0]]; old != nil {
 			old.Change = controlapi.Change{Kind: old.Change.Kind, Zone: old.Change.Zone}
+			old.Diff = shortened(old.Diff)
 		}
 		b.decided = b.decided[1:]
 	}
 }
 
+func shortened(lines []string) []string {
+	if len(lines) <= maxDiffLines {
+		return lines
+	}
+	more := fmt.Sprintf("and %d more", len(lines)-maxDiffLines)
+	return append(append([]string(nil), lines[:maxDiffLines]...), more)
+}
+
 func (b *Book) add(e *Entry) {
 	b.entries[e.ChangeID] = e
 	b.order = append(b.order, e.ChangeID)
--- /dev/null
+++ b/state/codec/bench_test.go
@@ -0,0 +1,188 @@
+package codec
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/state"
+)
+
+// Sizes in two years, from docs/design.md section 1.6.
+const (
+	runningTasks  = 46_700
+	finishedTasks = 44_000
+	changes       = 2_500
+	agentCount    = 4_000
+)
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// apply passes every command through the codec, as the log does, so that memory
+// is shared or not as in a process.
+func apply(tb testing.TB, m *state.Machine, c *state.Command) state.Result {
+	c.Now = time.Unix(1_000_000, 0)
+	b, err := EncodeCommand(c)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	decoded, err := DecodeCommand(b)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return m.Apply(decoded)
+}
+
+func addRunning(tb testing.TB, m *state.Machine, n int) {
+	for i := range n {
+		id := fmt.Sprintf("job-%08d", i)
+		agent := fmt.Sprintf("worker-%04d", i%agentCount)
+		apply(tb, m, &state.Command{Submit: &controlapi.Task{ID: id, Customer: fmt.Sprintf("team-%02d", i%86), Kind: controlapi.KindBatch,
+			Class: "reconcile", Size: controlapi.Resources{CPUMilli: 500, MemoryMiB: 256}, Payload: make([]byte, 64)}})
+		apply(tb, m, &state.Command{Place: &state.Place{Task: id, Agent: agent, Zone: "zone-01",
+			Capacity: controlapi.Resources{CPUMilli: 64_000, MemoryMiB: 250_000}}})
+		r := apply(tb, m, &state.Command{Report: &state.Report{Agent: agent, Tasks: []controlapi.ReportedTask{{
+			Task: id, Epoch: 1, State: controlapi.ReportedRunning, Checkpoint: "checkpoint/" + id + "/1", CheckpointSequence: 1}}}})
+		if len(r.Tasks) != 1 {
+			tb.Fatalf("%s does not run", id)
+		}
+	}
+}
+
+func addFinished(tb testing.TB, m *state.Machine, n int) {
+	for i := range n {
+		id := fmt.Sprintf("done-%08d", i)
+		apply(tb, m, &state.Command{Submit: &controlapi.Task{ID: id, Customer: fmt.Sprintf("team-%02d", i%86), Kind: controlapi.KindBatch,
+			Class: "reconcile", Size: controlapi.Resources{CPUMilli: 500, MemoryMiB: 256}, Payload: make([]byte, 64)}})
+		apply(tb, m, &state.Command{Cancel: &controlapi.TaskQuery{ID: id}})
+	}
+}
+
+// addChanges proposes changes of both lists with 86 customers. They all have the
+// base revision 0 or an old one, so they end as conflicts, which are kept alike.
+func addChanges(tb testing.TB, m *state.Machine, n int) {
+	change := controlapi.Change{Kind: controlapi.ChangeLists}
+	for i := range 86 {
+		change.Customers = append(change.Customers, controlapi.Subscription{Customer: fmt.Sprintf("team-%02d", i), Plan: fmt.Sprintf("plan-%d", i%10)})
+	}
+	for i := range 10 {
+		change.Plans = append(change.Plans, controlapi.Plan{Name: fmt.Sprintf("plan-%d", i), Services: []string{"a", "b"}, Concurrency: 10})
+	}
+	owners := controlapi.Change{Kind: controlapi.ChangeOwners, Owners: map[string]string{
+		"ann": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=", "ben": "AQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="}}
+	apply(tb, m, &state.Command{Propose: &state.Propose{Request: controlapi.ProposeRequest{ChangeID: "owners", Change: owners}}})
+	for i := range n {
+		r := controlapi.ProposeRequest{ChangeID: fmt.Sprintf("change-%06d", i), Change: change, Force: true}
+		apply(tb, m, &state.Command{Propose: &state.Propose{Request: r}})
+	}
+}
+
+func addKeys(tb testing.TB, m *state.Machine, n int, body []byte) {
+	for i := range n {
+		key := controlapi.Key{Customer: fmt.Sprintf("team-%02d", i%86), Service: "settlement", Key: fmt.Sprintf("order-%012d", i)}
+		r := apply(tb, m, &state.Command{Claim: &controlapi.ClaimRequest{Key: key, Digest: "0123456789abcdef", Target: "runner-1", Claimant: "entry-1/1"}})
+		apply(tb, m, &state.Command{Resolve: &controlapi.ResolveRequest{Key: key, Epoch: r.Claim.Epoch,
+			Outcome: controlapi.Recorded{Outcome: "done", Status: 200, Body: body}}})
+	}
+}
+
+// BenchmarkMemory reports the heap that one element of each kind takes.
+func BenchmarkMemory(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		n    int
+		add  func(testing.TB, *state.Machine, int)
+	}{
+		{"key", 100_000, func(tb testing.TB, m *state.Machine, n int) { addKeys(tb, m, n, nil) }},
+		{"key with 100 byte answer", 100_000, func(tb testing.TB, m *state.Machine, n int) { addKeys(tb, m, n, make([]byte, 100)) }},
+		{"running task", runningTasks, addRunning},
+		{"finished task", finishedTasks, addFinished},
+		{"change", changes, addChanges},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				m := state.New(state.DefaultOptions())
+				c.add(b, m, c.n)
+				b.ReportMetric(float64(heap()-before)/float64(c.n), "B/element")
+				runtime.KeepAlive(m)
+			}
+		})
+	}
+}
+
+func fullMachine(tb testing.TB) *state.Machine {
+	m := state.New(state.DefaultOptions())
+	addRunning(tb, m, runningTasks)
+	addFinished(tb, m, finishedTasks)
+	addChanges(tb, m, changes)
+	return m
+}
+
+// BenchmarkFullState reports the heap of the state in two years, the time that
+// the applier needs for an image of it, and the times to encode and restore it.
+func BenchmarkFullState(b *testing.B) {
+	before := heap()
+	m := fullMachine(b)
+	b.Logf("heap %.1f MB", float64(heap()-before)/1e6)
+	data, err := EncodeImage(m.Image())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("image", func(b *testing.B) {
+		for b.Loop() {
+			m.Image()
+		}
+	})
+	b.Run("encode", func(b *testing.B) {
+		img := m.Image()
+		for b.Loop() {
+			if _, err := EncodeImage(img); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(len(data))/1e6, "MB")
+	})
+	b.Run("restore", func(b *testing.B) {
+		for b.Loop() {
+			img, err := DecodeImage(data)
+			if err != nil {
+				b.Fatal(err)
+			}
+			state.Restore(state.DefaultOptions(), img)
+		}
+	})
+}
+
+// BenchmarkReplay measures the entries of a restart: decoding and applying.
+func BenchmarkReplay(b *testing.B) {
+	var entries [][]byte
+	for i := range 100_000 {
+		c := &state.Command{Now: time.Unix(1_000_000, 0), Claim: &controlapi.ClaimRequest{
+			Key:    controlapi.Key{Customer: "team-01", Service: "settlement", Key: fmt.Sprintf("order-%012d", i)},
+			Digest: "0123456789abcdef", Target: "runner-1", Claimant: "entry-1/1"}}
+		data, err := EncodeCommand(c)
+		if err != nil {
+			b.Fatal(err)
+		}
+		entries = append(entries, data)
+	}
+	for b.Loop() {
+		m := state.New(state.DefaultOptions())
+		for _, data := range entries {
+			c, err := DecodeCommand(data)
+			if err != nil {
+				b.Fatal(err)
+			}
+			m.Apply(c)
+		}
+	}
+}
