--- a/daemon/agent/slots/client_test.go
+++ b/daemon/agent/slots/client_test.go
@@ -64,7 +64,7 @@
 	return c.call(context.Background(), e, &request.Request{
 		ID: "r1", Customer: "c", Method: "POST", Path: "/x", Key: "k", Idempotent: idempotent,
 		Deadline: time.Now().Add(patience),
-	})
+	}, "")
 }
 
 // Guards against a request that is sent twice because it carries an
@@ -153,7 +153,7 @@
 		{Method: "GET", Path: "/", Customer: "a\nb"},
 	} {
 		r.Deadline = time.Now().Add(time.Second)
-		resp := (&client{maxBody: 10}).call(context.Background(), e, r)
+		resp := (&client{maxBody: 10}).call(context.Background(), e, r, "")
 		if resp.Outcome != request.NotRun || resp.Reason != request.ReasonBadRequest || received.Load() != 0 {
 			t.Errorf("%q: %s %q", r.Path, resp.Outcome, resp.Reason)
 		}
--- a/daemon/pathtest/path_test.go
+++ b/daemon/pathtest/path_test.go
@@ -39,7 +39,7 @@
 // nothing fails.
 func TestEveryCallerGetsItsOwnAnswer(t *testing.T) {
 	const requests = 10_000
-	c, b := startCluster(t, testcluster.Options{Entries: 2, Agents: 3})
+	c, b := startCluster(t, testcluster.Options{Controls: 3, Entries: 2, Agents: 3})
 	replies := b.drive("r", "", func(n int64) bool { return n <= requests })
 	if len(replies) != requests {
 		t.Errorf("%d replies, want %d", len(replies), requests)
@@ -57,7 +57,7 @@
 // Guards against a planned stop of any process that cuts requests in flight.
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	c, b := startCluster(t, testcluster.Options{
-		Entries: 2, Agents: 3,
+		Controls: 3, Entries: 2, Agents: 3,
 		Settings: map[string]map[string]string{"daemon": {"grace": "300ms"}},
 	})
 	for _, stop := range []struct {
@@ -67,6 +67,7 @@
 		{"agent", c.Agents[0].Process},
 		{"entry", c.Entries[1].Process},
 		{"target", c.Agents[1].TargetProcess},
+		{"control", c.Controls[1].Process},
 	} {
 		t.Run(stop.name, func(t *testing.T) {
 			var replies []reply
@@ -102,7 +103,7 @@
 // Guards against double runs, refusals of requests that ran and lost idempotent
 // requests when the process of an agent dies.
 func TestKilledAgent(t *testing.T) {
-	c, b := startCluster(t, testcluster.Options{Entries: 2, Agents: 3})
+	c, b := startCluster(t, testcluster.Options{Controls: 3, Entries: 2, Agents: 3})
 	const requests = 4000
 	var replies []reply
 	var group sync.WaitGroup
@@ -206,7 +207,7 @@
 // longer announced, or has ended.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	const bound = 2 * time.Second // invariant 8
-	c, b := startCluster(t, testcluster.Options{Entries: 2, Agents: 3})
+	c, b := startCluster(t, testcluster.Options{Controls: 3, Entries: 2, Agents: 3})
 	for _, leave := range []struct {
 		name string
 		do   func(n *testcluster.Node)
