routing: give a dispatch that a duplicate has fenced the outcome of the duplicate

A duplicate can ask the agent about a claim before the dispatch arrives. The agent then refuses the dispatch, and its caller was told not run while the duplicate claimed and ran the key: TestDuplicatesUnderFaults saw it after the leader of control was killed. New tests: duplicates at once and under faults, no quorum, a zone taken out, and tables for refusals, late answers, hedges, the waiting order and ejection.

--- /dev/null
+++ b/daemon/pathtest/claims_test.go
@@ -0,0 +1,120 @@
+package pathtest
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/internal/testcluster"
+)
+
+const copies = 4 // of each request, through both entry instances at once
+
+// duplicates sends every key several times at once.
+func (b *balancer) duplicates(prefix string, keys int, between func(n int)) []reply {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var all []reply
+	room := make(chan struct{}, callers)
+	for n := range keys {
+		for i := range copies {
+			room <- struct{}{}
+			group.Go(func() {
+				defer func() { <-room }()
+				entry := b.cluster.Entries[i%len(b.cluster.Entries)]
+				id := fmt.Sprint(prefix, "-", n)
+				r := b.call(entry.Callers, id, "key-"+id, "?sleep=2ms")
+				mu.Lock()
+				defer mu.Unlock()
+				all = append(all, r)
+			})
+		}
+		between(n)
+	}
+	group.Wait()
+	return all
+}
+
+// Guards against duplicates that run twice or get different answers when they
+// arrive at once at several entry instances.
+func TestDuplicatesShareOneRun(t *testing.T) {
+	const keys = 200
+	c, b := startCluster(t, testcluster.Options{Controls: 3, Entries: 2, Agents: 3})
+	replies := b.duplicates("d", keys, func(int) {})
+	reportFailures(t, failures(replies), len(replies))
+	_, byKey := runs(c, c.Agents)
+	if len(byKey) != keys {
+		t.Errorf("%d keys ran, want %d", len(byKey), keys)
+	}
+	checkRuns(t, c, replies, c.Agents)
+}
+
+// Guards against double runs when an agent and the leader of control die while
+// duplicates are under way, and against a resend that loses a known outcome.
+func TestDuplicatesUnderFaults(t *testing.T) {
+	const keys = 150
+	c, b := startCluster(t, testcluster.Options{Controls: 3, Entries: 2, Agents: 3})
+	b.deadline = 4 * time.Second
+	replies := b.duplicates("f", keys, func(n int) {
+		switch n {
+		case keys / 3:
+			c.Agents[0].Kill()
+		case 2 * keys / 3:
+			c.Controls[0].Kill()
+		}
+	})
+	checkRuns(t, c, replies, c.Agents)
+	done := map[string]bool{}
+	for _, r := range replies {
+		done[r.key] = done[r.key] || r.outcome == "done"
+	}
+	again := b.duplicates("f", keys, func(int) {})
+	checkRuns(t, c, again, c.Agents)
+	unknown := 0
+	for _, r := range again {
+		if r.outcome != "done" {
+			unknown++
+		}
+		if done[r.key] && r.outcome != "done" {
+			t.Errorf("a done request is lost: %s", r)
+		}
+	}
+	t.Logf("%d of %d resent requests without an answer", unknown, len(again))
+}
+
+// Guards against non-idempotent requests that run without a quorum, and against
+// reads that stop with it.
+func TestWithoutQuorum(t *testing.T) {
+	c, b := startCluster(t, testcluster.Options{Controls: 3, Entries: 2, Agents: 2})
+	b.deadline = time.Second
+	c.Controls[0].Kill()
+	c.Controls[1].Kill()
+	for i := range 4 {
+		claimed := b.call(b.pick(), fmt.Sprint("claimed-", i), fmt.Sprint("key-", i), "")
+		if claimed.outcome != "not-run" || claimed.reason != "no_quorum" {
+			t.Errorf("claimed without a quorum: %s", claimed)
+		}
+		if read := b.call(b.pick(), fmt.Sprint("read-", i), "", ""); read.outcome != "done" {
+			t.Errorf("idempotent without a quorum: %s", read)
+		}
+	}
+	if _, byKey := runs(c, c.Agents); len(byKey) > 0 {
+		t.Errorf("ran without a quorum: %v", byKey)
+	}
+}
+
+// Guards against requests that start in a zone after operators took it out.
+func TestZoneOut(t *testing.T) {
+	const bound = 3 * time.Second // invariant 4
+	c, b := startCluster(t, testcluster.Options{Controls: 3, Entries: 2, Agents: 3})
+	zone := c.Agents[0].Zone
+	c.Change("out", zoneOut(zone))
+	out := time.Now()
+	b.drive("z", "", func(int64) bool { return time.Since(out) < bound+time.Second })
+	for _, run := range c.Runs(c.Agents[0]) {
+		if late := run.Start.Sub(out); late > bound {
+			t.Fatalf("started in %s %s after it was taken out", zone, late)
+		}
+	}
+}
--- a/daemon/pathtest/load_test.go
+++ b/daemon/pathtest/load_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/internal/testcluster"
 )
 
@@ -36,13 +37,15 @@
 	next    atomic.Uint64
 	keys    bool // there is a quorum, so some requests are not idempotent
 	stop    chan struct{}
-	done    sync.WaitGroup
+	// deadline of the requests
+	deadline time.Duration
+	done     sync.WaitGroup
 }
 
 const probeInterval = 20 * time.Millisecond
 
 func newBalancer(t *testing.T, c *testcluster.Cluster) *balancer {
-	b := &balancer{cluster: c, stop: make(chan struct{}), client: &http.Client{
+	b := &balancer{cluster: c, deadline: deadline, stop: make(chan struct{}), client: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: callers},
 		Timeout:   2 * deadline,
 	}}
@@ -114,7 +117,7 @@
 	}
 	req.Header.Set("Ibispier-Customer", customer)
 	req.Header.Set("Ibispier-Request-Id", id)
-	req.Header.Set("Ibispier-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set("Ibispier-Deadline-Ms", fmt.Sprint(b.deadline.Milliseconds()))
 	req.Header.Set("Ibispier-Idempotent", fmt.Sprint(key == ""))
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
@@ -220,3 +223,7 @@
 		t.Errorf("cut: %s", r)
 	}
 }
+
+func zoneOut(zone string) controlapi.Change {
+	return controlapi.Change{Kind: controlapi.ChangeZoneOut, Zone: zone}
+}
--- a/daemon/pathtest/path_test.go
+++ b/daemon/pathtest/path_test.go
@@ -67,7 +67,8 @@
 		{"agent", c.Agents[0].Process},
 		{"entry", c.Entries[1].Process},
 		{"target", c.Agents[1].TargetProcess},
-		{"control", c.Controls[1].Process},
+		{"control-1", c.Controls[0].Process},
+		{"control-2", c.Controls[1].Process},
 	} {
 		t.Run(stop.name, func(t *testing.T) {
 			var replies []reply
--- a/routing/claim.go
+++ b/routing/claim.go
@@ -278,6 +278,12 @@
 		r.recordOrphan(now, a, resp)
 	case resp.Outcome == request.Done:
 		r.record(now, c, resp)
+	case resp.Outcome == request.NotRun && resp.Reason == request.ReasonDuplicateExpired:
+		// A duplicate has asked the agent first and claims the key itself, so the
+		// outcome is that of the duplicate.
+		c.claim.own = false
+		r.provenNotRun(now, c, resp.Reason, true)
+		c.unknown, c.reason = true, request.ReasonDeadline
 	case resp.Outcome == request.NotRun:
 		r.provenNotRun(now, c, resp.Reason, retryable(c.request, resp))
 	case resp.Reason == request.ReasonLinkLost || resp.Reason == request.ReasonDamaged:
--- a/routing/machine_test.go
+++ b/routing/machine_test.go
@@ -454,6 +454,8 @@
 	switch {
 	case resp.Outcome == request.NotRun && w.starts[req.ID] > 0:
 		t.Fatalf("%s was refused (%s) and ran", req.ID, resp.Reason)
+	case resp.Reason == request.ReasonDuplicateExpired && w.runs[req.Key] > 0:
+		t.Fatalf("%s was refused as a duplicate and its key ran", req.ID)
 	case resp.Outcome == request.Done && string(resp.Body) != answerOf(req):
 		t.Fatalf("%s got the answer %q", req.ID, resp.Body)
 	case resp.Outcome == request.Done && !req.Idempotent && w.runs[req.Key] != 1:
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,187 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/request"
+)
+
+var start = time.Unix(1000, 0)
+
+func openConfig(zonesOut ...string) controlapi.Config {
+	return controlapi.Config{
+		ZonesOut:  zonesOut,
+		Customers: []controlapi.Subscription{{Customer: "c", Plan: "p"}, {Customer: "urgent", Plan: "q"}},
+		Plans: []controlapi.Plan{
+			{Name: "p", Services: []string{"*"}, RequestsPerSecond: 1e6, Burst: 1e6, Concurrency: 1e6},
+			{Name: "q", Services: []string{"*"}, RequestsPerSecond: 1e6, Burst: 1e6, Concurrency: 1e6, Priority: 1},
+		},
+	}
+}
+
+func newRouter(o Options, targets int) *Router {
+	r := NewRouter(o)
+	r.SetConfig(start, openConfig())
+	for i := range targets {
+		r.Announce(start, testTarget(i))
+	}
+	return r
+}
+
+func testTarget(i int) Target {
+	return Target{ID: fmt.Sprint("t", i), Service: "s", Zone: fmt.Sprint("z", i), Slots: 1, Instances: 1}
+}
+
+func quote(id string) *request.Request {
+	return &request.Request{ID: id, Customer: "c", Service: "s", Idempotent: true, Deadline: start.Add(time.Second)}
+}
+
+// copied makes a decision outlive the next call of the Router.
+func copied(actions []Action) []Action { return append([]Action(nil), actions...) }
+
+func only(t *testing.T, actions []Action, kind ActionKind) Action {
+	t.Helper()
+	if len(actions) != 1 || actions[0].Kind != kind {
+		t.Fatalf("actions %+v, want one of kind %d", actions, kind)
+	}
+	return actions[0]
+}
+
+// Guards against requests that are routed before a configuration is known, to a
+// zone that is out, or without a target.
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(r *Router)
+		req     *request.Request
+		want    request.Reason
+	}{
+		{"no configuration", func(r *Router) { r.configured = false }, quote("a"), request.ReasonNoQuorum},
+		{"zone out", func(r *Router) { r.SetConfig(start, openConfig("z0")) }, quote("a"), request.ReasonZoneOut},
+		{"draining", func(r *Router) { x := testTarget(0); x.State = Draining; r.Announce(start, x) }, quote("a"), request.ReasonNoTarget},
+		{"missed announcements", func(r *Router) { r.targets["t0"].announcedAt = start.Add(-announceTimeout) }, quote("a"), request.ReasonNoTarget},
+		{"deadline passed", func(*Router) {}, &request.Request{Customer: "c", Service: "s", Deadline: start}, request.ReasonDeadline},
+		{"deadline too short", func(r *Router) { r.targets["t0"].work.add(start, float64(2*time.Second)) }, quote("a"), request.ReasonDeadline},
+		{"no quorum for a claim", func(*Router) {}, &request.Request{Customer: "c", Service: "s", Key: "k", Deadline: start.Add(time.Second)}, request.ReasonNoQuorum},
+		{"unknown customer", func(*Router) {}, &request.Request{Customer: "d", Service: "s", Deadline: start.Add(time.Second)}, request.ReasonUnknownCustomer},
+		{"unknown service", func(*Router) {}, &request.Request{Customer: "c", Service: "x", Deadline: start.Add(time.Second)}, request.ReasonUnknownService},
+	} {
+		r := newRouter(Options{Policy: ChoiceOfTwo}, 1)
+		c.prepare(r)
+		a := only(t, r.Submit(start, c.req), Reply)
+		if a.Response.Outcome != request.NotRun || a.Response.Reason != c.want {
+			t.Errorf("%s: %s %q, want %q", c.name, a.Response.Outcome, a.Response.Reason, c.want)
+		}
+	}
+}
+
+// Guards against a late answer of a lost link that ends the attempt which
+// replaced it.
+func TestLateAnswerOfLostLink(t *testing.T) {
+	r := newRouter(Options{Policy: ChoiceOfTwo, RetryShare: 0.1}, 2)
+	first := only(t, r.Submit(start, quote("a")), Send).Attempt
+	r.Lost(start, first.Target)
+	second := only(t, r.Tick(start), Send).Attempt
+	if second.Target == first.Target {
+		t.Fatal("retried on the lost target")
+	}
+	done := &request.Response{Outcome: request.Done, Status: 200}
+	if late := r.Answer(start, first.Number, "a", done, request.Load{}); len(late) > 0 {
+		t.Fatalf("a late answer caused %+v", late)
+	}
+	if foreign := r.Answer(start, second.Number, "b", done, request.Load{}); len(foreign) > 0 {
+		t.Fatalf("the answer to another request caused %+v", foreign)
+	}
+	only(t, r.Answer(start, second.Number, "a", done, request.Load{}), Reply)
+}
+
+// Guards against a hedge that comes early, uses the same target, or leaves the
+// slower attempt running.
+func TestHedge(t *testing.T) {
+	r := newRouter(Options{Policy: ChoiceOfTwo, Hedging: true, HedgeShare: 0.05}, 2)
+	r.groups["s"].latency = percentile{samples: enoughSamples, value: 20 * time.Millisecond}
+	first := only(t, r.Submit(start, quote("a")), Send).Attempt
+	if early := r.Tick(start.Add(19 * time.Millisecond)); len(early) > 0 {
+		t.Fatalf("hedged early: %+v", early)
+	}
+	hedge := only(t, r.Tick(start.Add(20*time.Millisecond)), Send).Attempt
+	if hedge.Target == first.Target {
+		t.Fatal("hedged on the same target")
+	}
+	end := copied(r.Answer(start.Add(25*time.Millisecond), hedge.Number, "a", &request.Response{Outcome: request.Done}, request.Load{}))
+	if len(end) != 2 || end[0].Kind != Cancel || end[0].Attempt.Number != first.Number || end[1].Kind != Reply {
+		t.Fatalf("actions %+v, want a cancel of the first attempt and a reply", end)
+	}
+}
+
+// Guards against latency-critical requests that wait behind the others when
+// the targets are full.
+func TestWaitingOrder(t *testing.T) {
+	r := newRouter(Options{Policy: ChoiceOfTwo}, 1)
+	var sent []*request.Attempt
+	for i := range int(startLimit) {
+		sent = append(sent, only(t, r.Submit(start, quote(fmt.Sprint(i))), Send).Attempt)
+	}
+	urgent := quote("urgent")
+	urgent.Customer = "urgent"
+	for _, req := range []*request.Request{quote("normal"), urgent} {
+		if now := r.Submit(start, req); len(now) > 0 {
+			t.Fatalf("%s did not wait: %+v", req.ID, now)
+		}
+	}
+	full := request.Load{InFlight: 1, Queued: 5}
+	actions := copied(r.Answer(start, sent[0].Number, "0", &request.Response{Outcome: request.Done}, full))
+	if last := actions[len(actions)-1]; last.Kind != Send || last.Attempt.Request != urgent {
+		t.Fatalf("actions %+v, want the urgent request sent", actions)
+	}
+}
+
+// Guards against a target that fails everything and keeps getting requests, and
+// against one that never returns.
+func TestEjectionAndProbation(t *testing.T) {
+	r := newRouter(Options{Policy: ChoiceOfTwo}, 3)
+	bad := r.targets["t1"]
+	for range failuresToEject {
+		r.judge(start, bad, true)
+	}
+	for i := range 50 {
+		a := only(t, r.Submit(start, quote(fmt.Sprint("x", i))), Send).Attempt
+		if a.Target == bad.ID {
+			t.Fatal("an ejected target got a request")
+		}
+		r.Answer(start, a.Number, a.Request.ID, &request.Response{Outcome: request.Done}, request.Load{})
+	}
+	later := start.Add(minEjection)
+	if !bad.health.allows(later, 0) || bad.health.allows(later, 1) {
+		t.Fatal("probation allows one attempt at a time")
+	}
+	for range probesToReturn {
+		r.judge(later, bad, false)
+	}
+	if !bad.health.allows(later, 1) {
+		t.Fatal("the target must return after good probes")
+	}
+}
+
+func ExampleRouter() {
+	now := time.Unix(0, 0)
+	r := NewRouter(Options{Policy: ChoiceOfTwo, ID: "entry-1"})
+	r.SetConfig(now, controlapi.Config{
+		Customers: []controlapi.Subscription{{Customer: "veiling", Plan: "gold"}},
+		Plans:     []controlapi.Plan{{Name: "gold", Services: []string{"quote"}, RequestsPerSecond: 10, Burst: 10, Concurrency: 4}},
+	})
+	r.Announce(now, Target{ID: "runner-1", Service: "quote", Slots: 8, Instances: 1})
+	actions := r.Submit(now, &request.Request{
+		ID: "lot-17", Customer: "veiling", Service: "quote", Idempotent: true, Deadline: now.Add(time.Second),
+	})
+	attempt := actions[0].Attempt
+	fmt.Println("send to", attempt.Target)
+	actions = r.Answer(now, attempt.Number, "lot-17", &request.Response{Outcome: request.Done, Status: 200}, request.Load{})
+	fmt.Println("reply", actions[0].Response.Outcome)
+	// Output:
+	// send to runner-1
+	// reply done
+}
