--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -169,6 +169,9 @@
 	}
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Output returns what the process wrote so far.
 func (p *Process) Output() string { return p.out.String() }
 
--- a/internal/testcluster/relay.go
+++ b/internal/testcluster/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -21,6 +22,7 @@
 type Relay struct {
 	socket net.Listener
 	target string
+	bytes  atomic.Int64
 
 	mu     sync.Mutex
 	mode   Mode
@@ -48,6 +50,9 @@
 // Address returns the address that the relay listens on.
 func (r *Relay) Address() string { return r.socket.Addr().String() }
 
+// Bytes returns the number of bytes that were read from both ends.
+func (r *Relay) Bytes() int64 { return r.bytes.Load() }
+
 // SetMode changes what the relay does from now on.
 func (r *Relay) SetMode(m Mode) {
 	r.mu.Lock()
@@ -130,6 +135,7 @@
 		case Swallow:
 			continue
 		}
+		r.bytes.Add(int64(n))
 		time.Sleep(r.pause())
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
