--- a/consensus/model_test.go
+++ b/consensus/model_test.go
@@ -85,7 +85,7 @@
 func (w *network) heal() {
 	clear(w.blocked)
 	for _, r := range w.replicas {
-		r.paused = false
+		r.paused, r.slow = false, false
 		w.restart(r)
 	}
 }
@@ -135,8 +135,11 @@
 				w.blocked[[2]string{r.id.ID, id}] = true
 			}
 		},
-		"heal":     func(*rapid.T) { w.heal() },
-		"transfer": onNode(func(t *rapid.T, r *simulated) { _ = r.node.Transfer(pick(t).id); w.collect(r) }),
+		"slowDisk":  onNode(func(_ *rapid.T, r *simulated) { r.slow = true }),
+		"fastDisk":  onNode(func(_ *rapid.T, r *simulated) { r.slow = false }),
+		"crashSlow": func(*rapid.T) { w.crashSlow() },
+		"heal":      func(*rapid.T) { w.heal() },
+		"transfer":  onNode(func(t *rapid.T, r *simulated) { _ = r.node.Transfer(pick(t).id); w.collect(r) }),
 		"remove": onNode(func(t *rapid.T, r *simulated) {
 			if !w.isWhole() {
 				t.Skip("a removal beside a lost disk is a second loss before the repair")
@@ -159,6 +162,17 @@
 	}
 }
 
+// crashSlow loses what the replicas with a slow disk have not synced.
+func (w *network) crashSlow() {
+	for _, r := range w.replicas {
+		if r.slow {
+			w.crash(r)
+			w.restart(r)
+			r.slow = false
+		}
+	}
+}
+
 // repairAndLoseAnother wipes one replica, and a second one as soon as the first
 // is repaired.
 func (w *network) repairAndLoseAnother(first, second *simulated) {
--- a/consensus/network_test.go
+++ b/consensus/network_test.go
@@ -13,6 +13,7 @@
 	id      ReplicaID
 	node    *Node // nil while it is down
 	paused  bool
+	slow    bool // nothing is synced while other replicas go on
 	disk    State
 	writing []*Batch // handed out by the node and not synced
 	applied uint64
@@ -280,7 +281,7 @@
 	}
 	for range 2 + w.random.IntN(4) {
 		for _, r := range w.replicas {
-			if !faults || w.random.IntN(3) > 0 {
+			if !faults || (!r.slow && w.random.IntN(3) > 0) {
 				w.sync(r, 1+w.random.IntN(3))
 			}
 		}
--- a/consensus/protocol_test.go
+++ b/consensus/protocol_test.go
@@ -134,6 +134,20 @@
 	}
 }
 
+// Guards against a follower that was restarted within the term and does not
+// learn what is committed until there is something new.
+func TestRestartedFollowerLearnsTheCommit(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	r, term := w.follower(leader), leader.node.Term()
+	w.crash(r)
+	w.rounds(1)
+	w.restart(r)
+	w.rounds(20)
+	if leader.node.Term() != term || r.applied != leader.node.Commit() {
+		t.Fatalf("applied %d in term %d, want %d in term %d", r.applied, r.node.Term(), leader.node.Commit(), term)
+	}
+}
+
 // Guards against a leader that sends without bound to a replica that does not
 // answer, and against one that waits for each answer.
 func TestFlowControl(t *testing.T) {
@@ -154,10 +168,9 @@
 	}
 }
 
-// Guards against a change that is made before the one before it is committed,
-// and against the removal of a voter whose absence leaves no quorum.
+// Guards against a change that is made before the one before it is committed.
 func TestChangesOneAtATime(t *testing.T) {
-	w, leader := wholeNetwork(t)
+	_, leader := wholeNetwork(t)
 	first := Change{Kind: AddLearner, Replica: ReplicaID{ID: "x", Incarnation: 50}}
 	second := Change{Kind: AddLearner, Replica: ReplicaID{ID: "y", Incarnation: 51}}
 	if _, err := leader.node.ChangeMembership(first); err != nil {
@@ -166,7 +179,11 @@
 	if _, err := leader.node.ChangeMembership(second); err != ErrChangePending {
 		t.Fatalf("second change: got %v, want %v", err, ErrChangePending)
 	}
-	w, leader = wholeNetwork(t)
+}
+
+// Guards against the removal of a voter whose absence leaves no quorum.
+func TestRemovalNeedsAQuorumOfTheRest(t *testing.T) {
+	w, leader := wholeNetwork(t)
 	gone := w.follower(leader)
 	w.crash(gone)
 	for range 5 {
@@ -181,3 +198,133 @@
 		}
 	}
 }
+
+// Guards against an entry that counts before it is synced, at a follower and at
+// the leader itself.
+func TestOnlySyncedEntriesCount(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	follower := w.follower(leader)
+	for _, r := range w.replicas {
+		if r != leader && r != follower {
+			w.crash(r)
+		}
+	}
+	for _, unsynced := range []*simulated{leader, follower} {
+		before := leader.node.Commit()
+		w.propose(leader, 1)
+		for range 20 {
+			w.deliverAll()
+			w.sync(leader, boolToInt(unsynced != leader))
+			w.sync(follower, boolToInt(unsynced != follower))
+		}
+		if leader.node.Commit() != before {
+			t.Fatalf("an entry that %s has not synced was committed", unsynced.id)
+		}
+		w.rounds(5)
+		if leader.node.Commit() <= before {
+			t.Fatal("the entry was not committed after the sync")
+		}
+	}
+}
+
+func (w *network) deliverAll() {
+	for range len(w.messages) {
+		w.deliverOne(false)
+	}
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Guards against a vote that is sent before it is synced: after a crash the
+// replica would vote again in the term.
+func TestVoteWaitsForItsSync(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	voter := w.follower(leader)
+	var candidate *simulated
+	for _, r := range w.replicas {
+		if r != leader && r != voter {
+			candidate = r
+		}
+	}
+	w.crash(leader)
+	for range 10 {
+		voter.node.Tick()
+	}
+	voter.node.Take()
+	voter.node.Step(Message{
+		Type: MsgVote, From: candidate.id, To: voter.id, Term: 90, Group: voter.node.Membership().Group,
+		LogIndex: voter.node.LastIndex(), LogTerm: voter.node.log.lastTerm(),
+	})
+	out := voter.node.Take()
+	if out.Batch == nil || out.Batch.Hard == nil || len(out.Messages) > 0 {
+		t.Fatalf("vote before its sync: %+v", out)
+	}
+	voter.node.Synced(out.Batch.Sequence)
+	out = voter.node.Take()
+	if len(out.Messages) == 0 || out.Messages[len(out.Messages)-1].Type != MsgVoteReply || out.Messages[len(out.Messages)-1].Reject {
+		t.Fatalf("no vote after its sync: %+v", out)
+	}
+}
+
+// Guards against the sync of an entry that was overwritten meanwhile: it says
+// nothing about the entry that replaced it.
+func TestSyncOfAnOverwrittenEntryDoesNotCount(t *testing.T) {
+	w, leader := wholeNetwork(t)
+	r := w.follower(leader)
+	n := r.node
+	n.Take()
+	last, lastTerm := n.LastIndex(), n.log.lastTerm()
+	send := func(term uint64, count int) *Batch {
+		m := Message{
+			Type: MsgAppend, From: leader.id, To: r.id, Term: term, Group: n.Membership().Group,
+			LogIndex: last, LogTerm: lastTerm,
+		}
+		for i := range count {
+			m.Entries = append(m.Entries, Entry{Index: last + 1 + uint64(i), Term: term})
+		}
+		n.Step(m)
+		return n.Take().Batch
+	}
+	first := send(n.Term(), 3)
+	second := send(n.Term()+1, 2)
+	n.Synced(first.Sequence)
+	if n.persist.stable > last {
+		t.Fatalf("stable up to %d after the sync of overwritten entries, want %d", n.persist.stable, last)
+	}
+	n.Synced(second.Sequence)
+	if n.persist.stable != last+2 {
+		t.Fatalf("stable up to %d, want %d", n.persist.stable, last+2)
+	}
+}
+
+// Guards against an entry of an older term that counts as committed once a
+// quorum has it: a later leader may still replace it.
+func TestEntriesOfOlderTermsAreNotCounted(t *testing.T) {
+	a, b, c := ReplicaID{"a", 1}, ReplicaID{"b", 2}, ReplicaID{"c", 3}
+	m := Membership{Group: 1, Members: []Member{{a, true}, {b, true}, {c, true}}}
+	n, err := New(Config{Self: a}, State{
+		Hard:     HardState{Term: 4},
+		Snapshot: Snapshot{Index: 1, Term: 1, Membership: m},
+		Entries:  []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 3}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.startElection(0)
+	n.Step(Message{Type: MsgVoteReply, From: b, To: a, Term: 5, Group: 1})
+	batch := n.Take().Batch
+	n.Step(Message{Type: MsgAppendReply, From: b, To: a, Term: 5, Group: 1, LogIndex: 3})
+	if n.Commit() != 1 {
+		t.Fatalf("commit %d after a quorum has only entries of older terms, want 1", n.Commit())
+	}
+	n.Synced(batch.Sequence)
+	n.Step(Message{Type: MsgAppendReply, From: b, To: a, Term: 5, Group: 1, LogIndex: 4})
+	if n.Commit() != 4 {
+		t.Fatalf("commit %d after a quorum has an entry of the term, want 4", n.Commit())
+	}
+}
