--- a/daemon/entry/router/router.go
+++ b/daemon/entry/router/router.go
@@ -57,6 +57,7 @@
 	results *ring.Ring[controlclient.Result]
 	control Control
 	log     *zap.Logger
+	ready   readiness
 	build   func() *routing.Router
 
 	config     *controlapi.Config // the last one, for the next run
@@ -65,7 +66,8 @@
 	links      map[string]*link.Conn // by target
 	owned      map[*link.Conn][]string
 	operations map[uint64]controlapi.Operation // in flight at control
-	armed      time.Time                       // when the timer fires
+	trace      tracing
+	armed      time.Time // when the timer fires
 	callBatch  []*Call
 	eventBatch []event
 }
@@ -125,7 +127,9 @@
 	d.links = map[string]*link.Conn{}
 	d.owned = map[*link.Conn][]string{}
 	d.operations = map[uint64]controlapi.Operation{}
+	d.trace.reset()
 	d.armed = time.Time{}
+	d.ready.restart(time.Now())
 	if d.config != nil {
 		d.perform(d.router.SetConfig(time.Now(), *d.config))
 	}
@@ -146,9 +150,13 @@
 // left alone, because most steps are cancelled before they are due.
 func (d *Duty) schedule(timer *time.Timer) {
 	now := time.Now()
+	idle := idleTick
+	if !d.ready.check(now, d.config != nil) {
+		idle = warmUpTick
+	}
 	next, ok := d.router.NextDeadline()
-	if !ok || next.Sub(now) > idleTick {
-		next = now.Add(idleTick)
+	if !ok || next.Sub(now) > idle {
+		next = now.Add(idle)
 	}
 	if !d.armed.IsZero() && !next.Before(d.armed) {
 		return
@@ -198,6 +206,7 @@
 	id := a.GetTarget()
 	if d.links[id] != conn {
 		d.adopt(conn, id)
+		d.ready.targetAt = time.Now()
 		d.log.Info("target announced", zap.String("target", id), zap.String("service", a.GetService()),
 			zap.String("zone", a.GetZone()), zap.String("peer", conn.Peer().ID))
 	}
@@ -218,6 +227,7 @@
 // target are undecided, and their late answers are dropped by attempt id.
 func (d *Duty) adopt(conn *link.Conn, id string) {
 	if d.links[id] != nil {
+		d.trace.lost(id)
 		d.perform(d.router.Lost(time.Now(), id))
 	}
 	d.links[id] = conn
@@ -231,6 +241,7 @@
 		}
 		delete(d.links, id)
 		d.log.Warn("target lost", zap.String("target", id), zap.String("peer", conn.Peer().ID))
+		d.trace.lost(id)
 		d.perform(d.router.Lost(time.Now(), id))
 	}
 	delete(d.owned, conn)
@@ -241,6 +252,7 @@
 	if err != nil {
 		resp = request.Undecided(request.ReasonDamaged)
 	}
+	d.trace.ended(m.GetAttempt(), resp.Reason)
 	d.perform(d.router.Answer(time.Now(), m.GetAttempt(), m.GetRequestId(), resp, load))
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -20,12 +20,14 @@
 // Defaults of Options.
 const (
 	DefaultRetention = 24 * time.Hour
-	DefaultMaxKeys   = 400_000
+	// DefaultMaxKeys and DefaultMaxBodyBytes keep the ledger below 140 MB at
+	// 227 bytes a key, next to 63 MB for the tasks and changes in two years.
+	DefaultMaxKeys = 400_000
 	// DefaultMaxBody is the largest body that is recorded. A duplicate of a
 	// request with a larger one learns the outcome and the status only.
 	DefaultMaxBody = 16 << 10
 	// DefaultMaxBodyBytes bounds the bodies of all keys. The oldest go first.
-	DefaultMaxBodyBytes = 64 << 20
+	DefaultMaxBodyBytes = 48 << 20
 	// expiryMargin keeps a key longer than requests of its age are taken, which
 	// covers the difference between the clocks of successive leaders.
 	expiryMargin = time.Minute
@@ -166,7 +168,7 @@
 }
 
 // Resolve records the outcome of the claim with an epoch and reports whether
-// the epoch is current. "not run" frees the key. "unknown" may later be
+// the outcome is the one that holds for that claim. "not run" frees the key. "unknown" may later be
 // replaced by what the holder proves; the other outcomes are final, and the
 // first one stays.
 func (l *Ledger) Resolve(now time.Time, r controlapi.ResolveRequest) bool {
@@ -176,10 +178,15 @@
 		return false
 	}
 	k := l.records.at(position)
-	if k.Epoch != r.Epoch || k.Epoch == 0 {
+	notRun := r.Outcome.Outcome == "not-run"
+	switch {
+	case r.Epoch == 0 || r.Epoch > k.Epoch:
 		return false
+	case r.Epoch < k.Epoch:
+		// The key was claimed anew, so "not run" was accepted for the earlier
+		// claims. A copy of that gets the first answer; nothing changes.
+		return notRun
 	}
-	notRun := r.Outcome.Outcome == "not-run"
 	switch {
 	case k.Phase == Free:
 		return notRun
--- a/routing/call.go
+++ b/routing/call.go
@@ -147,10 +147,22 @@
 	r.send(now, c, t, 0)
 }
 
+// cause tells why the next attempt is made.
+func (c *call) cause() request.Cause {
+	switch {
+	case c.tries == 0:
+		return request.First
+	case len(c.attempts) > 0:
+		return request.Hedge
+	default:
+		return request.Retry
+	}
+}
+
 func (r *Router) send(now time.Time, c *call, t *target, epoch uint64) {
 	r.attempt++
 	a := &attempt{
-		Attempt: request.Attempt{Number: r.attempt, Target: t.ID, ClaimEpoch: epoch, Request: c.request},
+		Attempt: request.Attempt{Number: r.attempt, Target: t.ID, ClaimEpoch: epoch, Cause: c.cause(), Request: c.request},
 		target:  t,
 		call:    c,
 		sent:    now,
@@ -258,10 +270,13 @@
 	// A draining target refuses at most what was under way to it when it
 	// announced its leave, so these retries cannot add up and a planned stop
 	// must not fail requests.
-	if reason != request.ReasonDraining && !r.retries.Spend() {
+	if reason == request.ReasonDraining {
+		r.stats.Moved++
+	} else if r.retries.Spend() {
+		r.stats.Retries++
+	} else {
 		return false
 	}
-	r.stats.Retries++
 	c.phase = backingOff
 	c.hedgeAt = time.Time{}
 	c.retryAt = now.Add(delay)
