applier, state, plan: bound answers to the size of a message; refuse changes on a full disk

Cause: a listing of all tasks, or the starts of many large tasks, would exceed the frame limit and close the link again and again. Change: listings of at most 1,000 tasks without payloads and 500 proposals, starts of at most 1 MiB an answer, bounds on lists; a read-only replica refuses changes at once and raises an alarm; members are listed without a leader. Result: go test ./plan ./state/... ./daemon/control/applier passes.

--- a/daemon/control/applier/agents.go
+++ b/daemon/control/applier/agents.go
@@ -20,6 +20,9 @@
 	startPatience = 5 * time.Second
 	// tailInterval is how often a changed tail latency goes to the scheduler.
 	tailInterval = time.Second
+	// maxStartBytes bounds the payloads in one answer, which is one message. The
+	// other starts follow with the next answer.
+	maxStartBytes = 1 << 20
 )
 
 // agent is what the leader knows of an agent from its reports.
@@ -140,15 +143,7 @@
 	for _, r := range h.report.Tasks {
 		e.answerTask(now, h.report.Worker.Agent, r, mentioned, answer)
 	}
-	for id, t := range e.machine.OnAgent(h.report.Worker.Agent) {
-		if !mentioned[id] && e.startable(now, t) && e.leader.leases.Renew(now, leaseOf(t)) {
-			answer.Renewed = append(answer.Renewed, controlapi.Lease{Task: id, Epoch: t.Epoch})
-			answer.Commands = append(answer.Commands, controlapi.Command{
-				Action: controlapi.ActionStart, Epoch: t.Epoch, Task: t.Task,
-				Checkpoint: t.Checkpoint, CheckpointSequence: t.CheckpointSequence,
-			})
-		}
-	}
+	e.answerStarts(now, h.report.Worker.Agent, mentioned, answer)
 	if a := e.leader.agents[h.report.Worker.Agent]; a != nil {
 		answer.Commands = append(answer.Commands, a.throttles...)
 		a.throttles = nil
@@ -156,6 +151,26 @@
 	h.request.reply(answer)
 }
 
+// answerStarts tells an agent to start the placed tasks that it has not
+// mentioned.
+func (e *engine) answerStarts(now time.Time, agent string, mentioned map[string]bool, answer *controlapi.AgentCommands) {
+	size := 0
+	for id, t := range e.machine.OnAgent(agent) {
+		if mentioned[id] || !e.startable(now, t) || size > 0 && size+len(t.Payload) > maxStartBytes {
+			continue
+		}
+		if !e.leader.leases.Renew(now, leaseOf(t)) {
+			continue
+		}
+		size += len(t.Payload)
+		answer.Renewed = append(answer.Renewed, controlapi.Lease{Task: id, Epoch: t.Epoch})
+		answer.Commands = append(answer.Commands, controlapi.Command{
+			Action: controlapi.ActionStart, Epoch: t.Epoch, Task: t.Task,
+			Checkpoint: t.Checkpoint, CheckpointSequence: t.CheckpointSequence,
+		})
+	}
+}
+
 // answerTask answers one reported task. A report of an old placement gets no
 // lease: a task that still runs is stopped, and an end is confirmed, so that the
 // agent forgets it.
--- a/daemon/control/applier/engine.go
+++ b/daemon/control/applier/engine.go
@@ -62,8 +62,13 @@
 }
 
 // propose appends a command. done is called when it is applied, fail when that
-// is not known any more.
+// is not known any more. A replica whose disk is full takes no commands, and
+// reads go on.
 func (e *engine) propose(now time.Time, c *state.Command, deadline time.Time, done func(time.Time, state.Result), fail func()) {
+	if e.status.ReadOnly {
+		fail()
+		return
+	}
 	e.id.Sequence++
 	c.ID = e.id
 	c.Now = now
--- a/daemon/control/applier/engine_test.go
+++ b/daemon/control/applier/engine_test.go
@@ -86,6 +86,31 @@
 	}
 }
 
+// Guards against an answer that is larger than a message and closes the link
+// again and again: the starts must arrive in several answers.
+func TestStartsAreSpreadOverAnswers(t *testing.T) {
+	c := started(8)
+	c.renewed(t, 0, reportOf("w"))
+	const tasks = 40
+	for i := range tasks {
+		id := fmt.Sprint("t", i)
+		mustAsk[*controlapi.TaskStatus](t, c, 0, controlapi.OpSubmit, &controlapi.Task{
+			ID: id, Customer: "c", Kind: controlapi.KindBatch, Payload: make([]byte, 60<<10)})
+		c.place(t, 0, id, "w")
+	}
+	var known []controlapi.ReportedTask
+	for answers := 0; len(known) < tasks; answers++ {
+		size := 0
+		for _, x := range c.renewed(t, 0, reportOf("w", known...)).Commands {
+			size += len(x.Task.Payload)
+			known = append(known, running(x.Task.ID, x.Epoch))
+		}
+		if size > maxStartBytes || answers > tasks {
+			t.Fatalf("answer %d has %d bytes, %d of %d tasks are started", answers, size, len(known), tasks)
+		}
+	}
+}
+
 // Guards against a task with two holders: an agent with an old epoch must get no
 // renewal and be told to stop, and a task whose agent is silent is queued again
 // only after the whole fence, also under a new leader that counts anew.
--- a/daemon/control/applier/serve.go
+++ b/daemon/control/applier/serve.go
@@ -18,6 +18,8 @@
 	switch {
 	case r.Operation == controlapi.OpMembership:
 		e.changeMembers(r)
+	case r.Operation == controlapi.OpMembers && e.status.Leader == "":
+		r.reply(e.membersResponse()) // what this member knows helps while there is no leader
 	case e.leader == nil:
 		r.notLeader(e.status.Leader)
 	default:
--- a/daemon/control/applier/status.go
+++ b/daemon/control/applier/status.go
@@ -130,5 +130,13 @@
 			Since:   now,
 		})
 	}
+	if e.status.ReadOnly {
+		alarms = append(alarms, controlapi.Alarm{
+			Name:    "disk_full",
+			Subject: e.status.Leader,
+			Message: "the disk of the leader is full; changes are refused and reads go on",
+			Since:   now,
+		})
+	}
 	return alarms
 }
--- a/plan/book.go
+++ b/plan/book.go
@@ -238,11 +238,15 @@
 	return e.Proposal, true
 }
 
-// Proposals returns up to limit proposals, newest first.
+// MaxListed bounds one listing of proposals, so that it fits into a message.
+const MaxListed = 500
+
+// Proposals returns up to limit and MaxListed proposals, newest first.
 func (b *Book) Proposals(limit int) []controlapi.Proposal {
-	if limit <= 0 || limit > len(b.order) {
-		limit = len(b.order)
+	if limit <= 0 {
+		limit = MaxListed
 	}
+	limit = min(limit, MaxListed, len(b.order))
 	list := make([]controlapi.Proposal, 0, limit)
 	for i := len(b.order) - 1; len(list) < limit; i-- {
 		list = append(list, b.entries[b.order[i]].Proposal)
--- a/plan/change.go
+++ b/plan/change.go
@@ -48,7 +48,16 @@
 	}
 }
 
+// Bounds of the lists, which travel in one message.
+const (
+	maxCustomers = 20_000
+	maxPlans     = 1000
+)
+
 func checkLists(customers []controlapi.Subscription, plans []controlapi.Plan) error {
+	if len(customers) > maxCustomers || len(plans) > maxPlans {
+		return refuse("too_large", "at most %d customers and %d plans are taken", maxCustomers, maxPlans)
+	}
 	named := map[string]bool{}
 	for _, p := range plans {
 		if err := checkPlan(p); err != nil {
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -126,6 +126,29 @@
 	}
 }
 
+// Guards against a listing that does not fit into a message, or that leaves out
+// the tasks that were submitted first.
+func TestListingIsBounded(t *testing.T) {
+	m := New(DefaultOptions())
+	for i := range MaxListed + 100 {
+		r := task(fmt.Sprint(i), controlapi.KindBatch)
+		m.Apply(&Command{Now: start.Add(time.Duration(i) * time.Second), Submit: &r})
+	}
+	for _, limit := range []int{0, 1, 10, MaxListed + 50} {
+		list := m.Tasks(controlapi.TasksQuery{Limit: limit, Customer: "c"})
+		want := min(limit, MaxListed)
+		if limit == 0 {
+			want = MaxListed
+		}
+		if len(list) != want || list[0].ID != "0" || list[want-1].ID != fmt.Sprint(want-1) || list[0].Payload != nil {
+			t.Errorf("limit %d: %d tasks from %s to %s", limit, len(list), list[0].ID, list[len(list)-1].ID)
+		}
+	}
+	if list := m.Tasks(controlapi.TasksQuery{Customer: "other"}); len(list) != 0 {
+		t.Errorf("%d tasks of another customer", len(list))
+	}
+}
+
 // model is the oracle of one task: the placement that is valid, if any, and
 // counters of what has happened to it.
 type model struct {
--- a/state/tasks.go
+++ b/state/tasks.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"container/heap"
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
@@ -243,26 +244,59 @@
 	}
 }
 
-// Tasks returns tasks by submission time and id.
+// MaxListed bounds one listing of tasks, so that it fits into a message.
+const MaxListed = 1000
+
+// Tasks returns the first tasks by submission time and id, without payloads, at
+// most q.Limit and MaxListed.
 func (m *Machine) Tasks(q controlapi.TasksQuery) []controlapi.TaskStatus {
-	var list []controlapi.TaskStatus
+	limit := MaxListed
+	if q.Limit > 0 {
+		limit = min(limit, q.Limit)
+	}
+	var first taskHeap
 	for _, t := range m.tasks.byID {
-		if (q.Customer == "" || q.Customer == t.Customer) && (q.State == "" || q.State == t.State) {
-			list = append(list, t.TaskStatus)
+		if (q.Customer != "" && q.Customer != t.Customer) || (q.State != "" && q.State != t.State) {
+			continue
 		}
-	}
-	sort.Slice(list, func(i, j int) bool {
-		if !list[i].SubmittedAt.Equal(list[j].SubmittedAt) {
-			return list[i].SubmittedAt.Before(list[j].SubmittedAt)
+		if len(first) < limit {
+			heap.Push(&first, t)
+		} else if earlier(t, first[0]) {
+			first[0] = t
+			heap.Fix(&first, 0)
 		}
-		return list[i].ID < list[j].ID
-	})
-	if q.Limit > 0 && len(list) > q.Limit {
-		list = list[:q.Limit]
+	}
+	sort.Slice(first, func(i, j int) bool { return earlier(first[i], first[j]) })
+	list := make([]controlapi.TaskStatus, 0, len(first))
+	for _, t := range first {
+		status := t.TaskStatus
+		status.Payload = nil
+		list = append(list, status)
 	}
 	return list
 }
 
+func earlier(a, b *Task) bool {
+	if !a.SubmittedAt.Equal(b.SubmittedAt) {
+		return a.SubmittedAt.Before(b.SubmittedAt)
+	}
+	return a.ID < b.ID
+}
+
+// taskHeap has the latest task first, so that an earlier one can replace it.
+type taskHeap []*Task
+
+func (h taskHeap) Len() int           { return len(h) }
+func (h taskHeap) Less(i, j int) bool { return earlier(h[j], h[i]) }
+func (h taskHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *taskHeap) Push(x any)        { *h = append(*h, x.(*Task)) }
+func (h *taskHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
 // Counts returns the number of tasks by state.
 func (m *Machine) Counts() map[string]int {
 	counts := map[string]int{}
