scheduler: drive the placement decisions from the changes of the applier

Cause: the duty placed tasks first fit; spread, fairness, interference, quarantine and evacuation were not in force. Change: the duty keeps placement.Scheduler up to date and offers its placements, actions and quarantine entries; decisions that the ring refuses wait in the duty. Tasks are judged never to run only once the workers have had 5 s to report.

--- /dev/null
+++ b/daemon/control/scheduler/changes.go
@@ -0,0 +1,216 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/placement"
+	"github.com/ibispier/ibispier/quarantine"
+	"github.com/ibispier/ibispier/resource"
+)
+
+const (
+	jobKind     = quarantine.Job
+	quarantined = quarantine.Quarantined
+)
+
+// take brings the core up to date with one change of the applier.
+func (d *Duty) take(c applier.Change, now time.Time) {
+	if c.Reset {
+		d.reset()
+	}
+	d.leading = c.Leading
+	d.dirty = true
+	if c.Config != nil {
+		d.setConfig(*c.Config, now)
+	}
+	for _, q := range c.Quarantine {
+		d.core.SetAside(quarantine.Kind(q.Kind), q.Name, q.Reason, now)
+	}
+	for _, q := range c.Released {
+		d.core.Release(quarantine.Kind(q.Kind), q.Name, now)
+	}
+	for _, w := range c.Workers {
+		d.setWorker(w, now)
+	}
+	for _, f := range c.Failures {
+		d.fail(f, now)
+	}
+	for _, t := range c.Tasks {
+		d.setTask(t, now)
+	}
+	d.observe(c.Usage, now)
+	for _, r := range c.Rejected {
+		d.rejected = append(d.rejected, rejection{r.Task, now})
+	}
+}
+
+// setConfig applies the zones that are out and the limits of the plans. Before
+// the first configuration nothing is limited, as in the state machine.
+func (d *Duty) setConfig(c controlapi.Config, now time.Time) {
+	out := map[string]bool{}
+	for _, zone := range c.ZonesOut {
+		out[zone] = true
+		d.core.SetZone(zone, true, now)
+	}
+	for zone := range d.zonesOut {
+		if !out[zone] {
+			d.core.SetZone(zone, false, now)
+		}
+	}
+	d.zonesOut = out
+	d.core.SetDefaultQuota(nil)
+	if c.Revision == 0 {
+		d.core.SetDefaultQuota(&placement.Quota{Limit: unlimited, Tasks: math.MaxInt})
+	}
+	d.setQuotas(c)
+}
+
+var unlimited = resource.Vector{CPUMilli: math.MaxInt64, MemoryMiB: math.MaxInt64, Accelerators: math.MaxInt64}
+
+func (d *Duty) setQuotas(c controlapi.Config) {
+	plans := map[string]placement.Quota{}
+	for _, p := range c.Plans {
+		limit := resource.Vector{CPUMilli: p.CPUMilli, MemoryMiB: p.MemoryMiB, Accelerators: p.Accelerators}
+		plans[p.Name] = placement.Quota{Limit: limit, Tasks: p.Tasks}
+	}
+	customers := map[string]bool{}
+	for _, s := range c.Customers {
+		customers[s.Customer] = true
+		d.core.SetQuota(s.Customer, plans[s.Plan])
+	}
+	for customer := range d.quotas {
+		if !customers[customer] {
+			d.core.RemoveQuota(customer)
+		}
+	}
+	d.quotas = customers
+}
+
+func (d *Duty) setWorker(c applier.WorkerChange, now time.Time) {
+	id := c.Worker.Agent
+	if c.Lost {
+		d.core.Remove(serviceTask(id), now)
+		d.core.RemoveWorker(id, now)
+		return
+	}
+	d.core.SetWorker(placement.Worker{
+		ID: id, Rack: c.Worker.Rack, Zone: c.Worker.Zone, Capacity: vector(c.Worker.Capacity), Draining: c.Draining,
+	}, now)
+	if c.Service == "" {
+		return
+	}
+	class := "service " + c.Service
+	d.core.Placed(placement.Task{ID: serviceTask(id), Kind: placement.Service, Class: class}, id, now)
+	if slowdown := d.tails.slowdown(c.Service, c.TailMs); slowdown > 0 {
+		d.core.Observe(id, []placement.Usage{{Task: serviceTask(id), Slowdown: slowdown, MeasuredAt: now}}, now)
+	}
+}
+
+// serviceTask is the name of the target beside a worker in the core. A task id
+// of a customer is never empty before the separator.
+func serviceTask(agent string) string { return " service " + agent }
+
+// fail records a failed attempt. A refused one says nothing about the task or
+// the worker, since it was not started.
+func (d *Duty) fail(f applier.Failure, now time.Time) {
+	if f.Refused {
+		d.core.Requeue(f.Task, now)
+		return
+	}
+	d.core.Finished(f.Task, true, now)
+}
+
+func (d *Duty) setTask(c applier.TaskChange, now time.Time) {
+	old, known := d.tasks[c.ID]
+	d.tasks[c.ID] = c
+	switch c.State {
+	case controlapi.TaskQueued:
+		d.queue(c, known && old.Epoch != c.Epoch, now)
+	case controlapi.TaskPlaced, controlapi.TaskRunning, controlapi.TaskEvicting:
+		d.core.Placed(task(c), c.Agent, now)
+	case controlapi.TaskQuarantined:
+		d.core.Requeue(c.ID, now)
+		d.core.Submit(task(c), c.QueuedAt)
+	case controlapi.TaskCompleted:
+		d.core.Finished(c.ID, false, now)
+		d.forget(c.ID, now)
+	default:
+		d.forget(c.ID, now)
+	}
+}
+
+// queue submits a queued task. A placement that has ended has raised the epoch;
+// with the same epoch a proposal for the task may be under way still.
+func (d *Duty) queue(c applier.TaskChange, ended bool, now time.Time) {
+	if c.Cancelling {
+		d.core.Remove(c.ID, now)
+		return
+	}
+	if ended {
+		d.core.Requeue(c.ID, now)
+	}
+	d.core.Submit(task(c), c.QueuedAt)
+}
+
+func (d *Duty) forget(id string, now time.Time) {
+	d.core.Remove(id, now)
+	delete(d.tasks, id)
+}
+
+// observe passes the measurements on, those of one worker together.
+func (d *Duty) observe(samples []applier.UsageSample, now time.Time) {
+	byAgent := map[string][]placement.Usage{}
+	var agents []string
+	for _, s := range samples {
+		if byAgent[s.Agent] == nil {
+			agents = append(agents, s.Agent)
+		}
+		byAgent[s.Agent] = append(byAgent[s.Agent], placement.Usage{
+			Task: s.Task, Used: vector(s.Used), Slowdown: s.Slowdown,
+			MeasuredAt: s.ReceivedAt.Add(-time.Duration(s.AgeMillis) * time.Millisecond),
+		})
+	}
+	for _, agent := range agents {
+		d.core.Observe(agent, byAgent[agent], now)
+	}
+}
+
+func task(c applier.TaskChange) placement.Task {
+	kind := placement.Batch
+	if c.Kind == controlapi.KindWatcher {
+		kind = placement.Watcher
+	}
+	return placement.Task{
+		ID: c.ID, Customer: c.Customer, Kind: kind, Class: c.Class, Urgent: c.Urgent, Size: vector(c.Size), Zones: c.Zones,
+	}
+}
+
+func vector(r controlapi.Resources) resource.Vector {
+	return resource.Vector{CPUMilli: r.CPUMilli, MemoryMiB: r.MemoryMiB, Accelerators: r.Accelerators}
+}
+
+// tails holds the best recent tail latency of each service, which stands for
+// the undisturbed one.
+type tails map[string]float64
+
+// tailDrift lets the best value rise by a thousandth with each report, so that
+// a service that has become slower for good is not called disturbed for ever.
+const tailDrift = 1.001
+
+// slowdown returns the tail latency relative to the best recent one, or 0.
+func (t tails) slowdown(service string, tailMs float64) float64 {
+	if tailMs <= 0 {
+		return 0
+	}
+	best, known := t[service]
+	if !known || tailMs < best*tailDrift {
+		best = tailMs
+	} else {
+		best *= tailDrift
+	}
+	t[service] = best
+	return tailMs / best
+}
--- a/daemon/control/scheduler/scheduler.go
+++ b/daemon/control/scheduler/scheduler.go
@@ -1,184 +1,175 @@
-// Package scheduler is the duty that proposes placements from a cache of the
-// control state. This one takes the first worker with room.
+// Package scheduler is the duty that proposes placements and actions. It keeps
+// the pure placement.Scheduler up to date with the changes that the applier
+// tells, and offers its decisions to the applier, the only committer.
 package scheduler
 
 import (
 	"context"
-	"slices"
-	"sort"
 	"time"
 
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/placement"
 	"github.com/ibispier/ibispier/ring"
 )
 
-// Duty places queued tasks, urgent ones and those that wait longest first.
+const (
+	// stepInterval gathers the changes of a burst into one step. Urgent work
+	// has 1.1 s, and a step at the size of two years takes about 15 ms.
+	stepInterval = 50 * time.Millisecond
+	// idleInterval bounds how late timers of the decisions are noticed when
+	// nothing changes.
+	idleInterval = time.Second
+	// retryInterval is the pause before a rejected placement is proposed again.
+	retryInterval = 200 * time.Millisecond
+	// settleTime is many reports of every agent. Before, a new leader does not
+	// know all workers, and would call tasks too large that are not.
+	settleTime = 5 * time.Second
+	maxBatch   = 256
+)
+
+// Duty drives the placement decisions of the leader.
 type Duty struct {
 	changes   *ring.Ring[applier.Change]
 	decisions *ring.Ring[applier.Decision]
 
-	leading    bool
-	tasks      map[string]applier.TaskChange
-	workers    map[string]applier.WorkerChange
-	used       map[string]controlapi.Resources
-	zonesOut   []string
-	quarantine map[string]bool // workers
-	proposed   map[string]uint64
-	rejected   []string // may be proposed again at the next retry
+	core     *placement.Scheduler
+	leading  bool
+	dirty    bool      // something has changed since the last step
+	stepped  time.Time // the last step
+	tasks    map[string]applier.TaskChange
+	zonesOut map[string]bool
+	quotas   map[string]bool // customers with a quota
+	tails    tails
+	rejected []rejection
+	unsent   []applier.Decision // refused by the ring of the applier
 }
 
-// retryInterval is the pause before a rejected placement is proposed again.
-const retryInterval = 200 * time.Millisecond
+type rejection struct {
+	task string
+	at   time.Time
+}
 
 // New returns the duty between the rings of the applier.
 func New(changes *ring.Ring[applier.Change], decisions *ring.Ring[applier.Decision]) *Duty {
 	return &Duty{changes: changes, decisions: decisions}
 }
 
-// Run decides until ctx ends.
+// Run decides until ctx ends. It waits for the state of the applier, so nothing
+// of an earlier run is used.
 func (d *Duty) Run(ctx context.Context) error {
+	d.core = placement.New(placement.Options{SettleTime: settleTime})
+	d.leading = false
 	d.reset()
-	ticker := time.NewTicker(retryInterval)
+	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case c := <-d.changes.C():
-			d.take(c)
-			for _, c := range d.changes.Drain(nil, 64) {
-				d.take(c)
+			now := time.Now()
+			d.take(c, now)
+			for _, c := range d.changes.Drain(nil, maxBatch) {
+				d.take(c, now)
 			}
 		case <-ticker.C:
-			d.retry()
-		}
-		if d.leading {
-			d.place()
+			d.decide(time.Now())
 		}
 	}
 }
 
-func (d *Duty) retry() {
-	for _, id := range d.rejected {
-		delete(d.proposed, id)
-	}
-	d.rejected = nil
-}
-
+// reset forgets the state of the applier and keeps what was learned.
 func (d *Duty) reset() {
+	d.core = d.core.Restart()
 	d.tasks = map[string]applier.TaskChange{}
-	d.workers = map[string]applier.WorkerChange{}
-	d.used = map[string]controlapi.Resources{}
-	d.quarantine = map[string]bool{}
-	d.proposed = map[string]uint64{}
+	d.zonesOut = map[string]bool{}
+	d.quotas = map[string]bool{}
+	d.tails = tails{}
+	d.rejected, d.unsent = nil, nil
+	d.dirty = true
 }
 
-func (d *Duty) take(c applier.Change) {
-	if c.Reset {
-		d.reset()
+// decide runs a step when there is something to decide and room for the result.
+func (d *Duty) decide(now time.Time) {
+	if !d.leading {
+		return
 	}
-	d.leading = c.Leading
-	for _, t := range c.Tasks {
-		d.setTask(t)
-	}
-	for _, w := range c.Workers {
-		d.workers[w.Worker.Agent] = w
-	}
-	if c.Config != nil {
-		d.zonesOut = c.Config.ZonesOut
-	}
-	for _, q := range c.Quarantine {
-		d.quarantine[q.Kind+" "+q.Name] = true
-	}
-	for _, q := range c.Released {
-		delete(d.quarantine, q.Kind+" "+q.Name)
-	}
-	for _, r := range c.Rejected {
-		d.rejected = append(d.rejected, r.Task)
+	d.retry(now)
+	d.flush()
+	if len(d.unsent) > 0 || (!d.dirty && now.Sub(d.stepped) < idleInterval) {
+		return
 	}
+	d.dirty, d.stepped = false, now
+	d.offer(d.core.Step(now))
+	d.flush()
 }
 
-func (d *Duty) setTask(t applier.TaskChange) {
-	if old, known := d.tasks[t.ID]; known && old.Agent != "" {
-		d.use(old.Agent, old.Size, -1)
-	}
-	if t.Agent != "" {
-		d.use(t.Agent, t.Size, 1)
-	}
-	d.tasks[t.ID] = t
-	if t.State != controlapi.TaskQueued || d.proposed[t.ID] != t.Epoch {
-		delete(d.proposed, t.ID)
+// retry returns rejected placements to the queue.
+func (d *Duty) retry(now time.Time) {
+	for len(d.rejected) > 0 && now.Sub(d.rejected[0].at) >= retryInterval {
+		d.core.Refuse(d.rejected[0].task, now)
+		d.rejected = d.rejected[1:]
+		d.dirty = true
 	}
-	switch t.State {
-	case controlapi.TaskCompleted, controlapi.TaskFailed, controlapi.TaskCancelled:
-		delete(d.tasks, t.ID)
-	}
-}
-
-func (d *Duty) use(agent string, r controlapi.Resources, sign int64) {
-	u := d.used[agent]
-	u.CPUMilli += sign * r.CPUMilli
-	u.MemoryMiB += sign * r.MemoryMiB
-	u.Accelerators += sign * r.Accelerators
-	d.used[agent] = u
 }
 
-// place proposes a worker for each queued task that has none proposed yet.
-func (d *Duty) place() {
-	var queued []applier.TaskChange
-	for id, t := range d.tasks {
-		if _, proposed := d.proposed[id]; t.State == controlapi.TaskQueued && !proposed {
-			queued = append(queued, t)
-		}
-	}
-	sort.Slice(queued, func(i, j int) bool {
-		if queued[i].Urgent != queued[j].Urgent {
-			return queued[i].Urgent
-		}
-		return queued[i].QueuedAt.Before(queued[j].QueuedAt)
-	})
-	taken := map[string]controlapi.Resources{} // proposed in this round
-	for _, t := range queued {
-		agent := d.firstFit(t, taken)
-		if agent == "" {
-			continue
-		}
-		if d.decisions.Offer(applier.Decision{Place: &applier.Placement{Task: t.ID, Epoch: t.Epoch, Agent: agent}}) != nil {
+// flush offers the decisions that wait, without blocking.
+func (d *Duty) flush() {
+	for len(d.unsent) > 0 {
+		if d.decisions.Offer(d.unsent[0]) != nil {
 			return
 		}
-		d.proposed[t.ID] = t.Epoch
-		taken[agent] = sum(taken[agent], t.Size)
+		d.unsent = d.unsent[1:]
 	}
 }
 
-func (d *Duty) firstFit(t applier.TaskChange, taken map[string]controlapi.Resources) string {
-	names := make([]string, 0, len(d.workers))
-	for name := range d.workers {
-		names = append(names, name)
+// offer turns the decisions of a step into those of the applier. A release from
+// quarantine goes before the placement of the task that it frees.
+func (d *Duty) offer(step placement.Decisions) {
+	for _, h := range step.Held {
+		d.quarantine(string(jobKind), h.Task, h.Reason, false)
 	}
-	sort.Strings(names)
-	for _, name := range names {
-		w := d.workers[name]
-		used := sum(sum(d.used[name], taken[name]), t.Size)
-		if d.takes(w, t) && used.CPUMilli <= w.Worker.Capacity.CPUMilli &&
-			used.MemoryMiB <= w.Worker.Capacity.MemoryMiB && used.Accelerators <= w.Worker.Capacity.Accelerators {
-			return name
-		}
+	for _, id := range step.Freed {
+		d.quarantine(string(jobKind), id, "", true)
+	}
+	for _, e := range step.Quarantine {
+		d.quarantine(string(e.Kind), e.Name, e.Reason, e.State != quarantined)
+	}
+	for _, p := range step.Placements {
+		d.unsent = append(d.unsent, applier.Decision{Place: &applier.Placement{
+			Task: p.Task, Epoch: d.tasks[p.Task].Epoch, Agent: p.Worker,
+		}})
+	}
+	for _, a := range step.Actions {
+		d.unsent = append(d.unsent, applier.Decision{Act: d.action(a)})
 	}
-	return ""
 }
 
-func (d *Duty) takes(w applier.WorkerChange, t applier.TaskChange) bool {
-	zone := w.Worker.Zone
-	return !w.Lost && !w.Draining && !slices.Contains(d.zonesOut, zone) && !d.quarantine["worker "+w.Worker.Agent] &&
-		(len(t.Zones) == 0 || slices.Contains(t.Zones, zone))
+func (d *Duty) quarantine(kind, name, reason string, release bool) {
+	isHeld := d.tasks[name].State == controlapi.TaskQuarantined
+	if kind == string(jobKind) && isHeld != release {
+		return // the applier knows
+	}
+	d.unsent = append(d.unsent, applier.Decision{Quarantine: &applier.QuarantineDecision{
+		Kind: kind, Name: name, Reason: reason, Release: release,
+	}})
 }
 
-func sum(a, b controlapi.Resources) controlapi.Resources {
-	return controlapi.Resources{
-		CPUMilli:     a.CPUMilli + b.CPUMilli,
-		MemoryMiB:    a.MemoryMiB + b.MemoryMiB,
-		Accelerators: a.Accelerators + b.Accelerators,
-	}
+// throttlePercent is by how much a throttled task is slowed down.
+const throttlePercent = 50
+
+func (d *Duty) action(a placement.Action) *applier.Action {
+	action := &applier.Action{Task: a.Task, Epoch: d.tasks[a.Task].Epoch, Reason: a.Reason}
+	switch a.Kind {
+	case placement.Throttle:
+		action.Action, action.ThrottlePercent = controlapi.ActionThrottle, throttlePercent
+	case placement.Restore:
+		action.Action = controlapi.ActionThrottle
+	case placement.Checkpoint:
+		action.Action = controlapi.ActionCheckpoint
+	case placement.Stop:
+		action.Action = controlapi.ActionStop
+	}
+	return action
 }
--- /dev/null
+++ b/daemon/control/scheduler/scheduler_test.go
@@ -0,0 +1,166 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/ring"
+)
+
+type harness struct {
+	*testing.T
+	changes   *ring.Ring[applier.Change]
+	decisions *ring.Ring[applier.Decision]
+	ctx       context.Context
+}
+
+func start(t *testing.T) *harness {
+	h := &harness{
+		T:         t,
+		changes:   ring.New[applier.Change]("changes", 16),
+		decisions: ring.New[applier.Decision]("decisions", 2), // small, so that the duty has to wait
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	h.ctx = ctx
+	done := make(chan error, 1)
+	go func() { done <- New(h.changes, h.decisions).Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return h
+}
+
+func (h *harness) send(c applier.Change) {
+	h.Helper()
+	c.Leading = true
+	if err := h.changes.Put(h.ctx, c); err != nil {
+		h.Fatal(err)
+	}
+}
+
+func (h *harness) take() applier.Decision {
+	h.Helper()
+	d, err := h.decisions.Take(h.ctx)
+	if err != nil {
+		h.Fatalf("no decision: %v", err)
+	}
+	return d
+}
+
+func queued(id string, cores int64) applier.TaskChange {
+	return applier.TaskChange{
+		ID: id, Customer: "desk", Kind: controlapi.KindBatch, Class: "scan", State: controlapi.TaskQueued, Epoch: 1,
+		Size: controlapi.Resources{CPUMilli: cores * 1000}, QueuedAt: time.Now(),
+	}
+}
+
+func workers(zones ...string) []applier.WorkerChange {
+	var list []applier.WorkerChange
+	for _, zone := range zones {
+		list = append(list, applier.WorkerChange{Worker: controlapi.Worker{
+			Agent: "agent-" + zone, Zone: zone, Rack: "1", Capacity: controlapi.Resources{CPUMilli: 8000},
+		}})
+	}
+	return list
+}
+
+// Guards against a duty that proposes a task twice, loses decisions when the
+// ring of the applier is full, or does not propose a rejected task again.
+func TestProposesEachTaskOnceAndRejectedOnesAgain(t *testing.T) {
+	h := start(t)
+	var tasks []applier.TaskChange
+	for i := range 8 {
+		tasks = append(tasks, queued(fmt.Sprint("task-", i), 2))
+	}
+	h.send(applier.Change{Reset: true, Config: &controlapi.Config{}, Workers: workers("a", "b"), Tasks: tasks})
+	seen := map[string]string{}
+	for range tasks {
+		p := h.take().Place
+		if p == nil || p.Epoch != 1 || seen[p.Task] != "" {
+			t.Fatalf("unexpected decision %+v after %v", p, seen)
+		}
+		seen[p.Task] = p.Agent
+	}
+	h.send(applier.Change{Rejected: []applier.Rejection{{Task: "task-3", Agent: seen["task-3"]}}})
+	if p := h.take().Place; p == nil || p.Task != "task-3" {
+		t.Fatalf("got %+v, want the rejected task", p)
+	}
+}
+
+// Guards against tasks that stay in a zone that is out, placements there, and a
+// task that is placed twice because its eviction was not noticed.
+func TestEvacuatesAZoneAndPlacesElsewhere(t *testing.T) {
+	h := start(t)
+	h.send(applier.Change{Reset: true, Config: &controlapi.Config{}, Workers: workers("a"), Tasks: []applier.TaskChange{queued("task", 2)}})
+	if p := h.take().Place; p == nil || p.Agent != "agent-a" {
+		t.Fatalf("got %+v", p)
+	}
+	placed := queued("task", 2)
+	placed.State, placed.Epoch, placed.Agent = controlapi.TaskRunning, 2, "agent-a"
+	h.send(applier.Change{Tasks: []applier.TaskChange{placed}})
+	h.send(applier.Change{Config: &controlapi.Config{ZonesOut: []string{"a"}}, Workers: workers("b")})
+	if a := h.take().Act; a == nil || a.Action != controlapi.ActionCheckpoint || a.Epoch != 2 {
+		t.Fatalf("got %+v, want a checkpoint", a)
+	}
+	evicted := queued("task", 2)
+	evicted.Epoch = 3
+	h.send(applier.Change{Tasks: []applier.TaskChange{evicted}})
+	if p := h.take().Place; p == nil || p.Agent != "agent-b" || p.Epoch != 3 {
+		t.Fatalf("got %+v, want a placement on agent-b", p)
+	}
+}
+
+// Guards against jobs that can never run and wait without a report, and against
+// a job that stays quarantined once a worker is large enough.
+func TestReportsJobsThatNeverRun(t *testing.T) {
+	h := start(t)
+	h.send(applier.Change{Reset: true, Config: &controlapi.Config{}, Workers: workers("a"), Tasks: []applier.TaskChange{queued("large", 64)}})
+	q := h.take().Quarantine
+	if q == nil || q.Name != "large" || q.Release || q.Reason == "" {
+		t.Fatalf("got %+v, want the large task in quarantine", q)
+	}
+	task := queued("large", 64)
+	task.State = controlapi.TaskQuarantined
+	h.send(applier.Change{
+		Tasks:      []applier.TaskChange{task},
+		Quarantine: []controlapi.Quarantined{{Kind: q.Kind, Name: q.Name, Reason: q.Reason}},
+	})
+	large := workers("b")
+	large[0].Worker.Capacity.CPUMilli = 128_000
+	h.send(applier.Change{Workers: large})
+	if q := h.take().Quarantine; q == nil || q.Name != "large" || !q.Release {
+		t.Fatalf("got %+v, want the release", q)
+	}
+}
+
+// Guards against limits of plans that are not applied, and against decisions
+// after the leadership has ended.
+func TestQuotasAndLeadership(t *testing.T) {
+	h := start(t)
+	config := controlapi.Config{
+		Revision:  1,
+		Customers: []controlapi.Subscription{{Customer: "desk", Plan: "small"}},
+		Plans:     []controlapi.Plan{{Name: "small", CPUMilli: 2000, Tasks: 5}},
+	}
+	h.send(applier.Change{Reset: true, Config: &config, Workers: workers("a"), Tasks: []applier.TaskChange{queued("1", 2), queued("2", 2)}})
+	h.take()
+	config.Plans[0].CPUMilli = 4000
+	h.send(applier.Change{Config: &config})
+	if p := h.take().Place; p == nil || p.Task != "2" {
+		t.Fatalf("got %+v, want the second task once the plan allows it", p)
+	}
+	if err := h.changes.Put(h.ctx, applier.Change{Leading: false, Tasks: []applier.TaskChange{queued("3", 1)}}); err != nil {
+		t.Fatal(err)
+	}
+	h.send(applier.Change{Reset: true, Config: &controlapi.Config{}, Workers: workers("a"), Tasks: []applier.TaskChange{queued("4", 1)}})
+	if p := h.take().Place; p == nil || p.Task != "4" {
+		t.Fatalf("got %+v, want only the task of the new leadership", p)
+	}
+}
--- a/placement/cache.go
+++ b/placement/cache.go
@@ -17,6 +17,7 @@
 	zones     map[string]*zone
 	groups    map[string]*group
 	customers map[string]*customer
+	quota     *Quota          // of customers without one of their own
 	capacity  resource.Vector // of all workers
 }
 
@@ -233,14 +234,24 @@
 	}
 }
 
+// quotaOf returns the quota of a customer, or false when it has none.
+func (c *Cache) quotaOf(u *customer) (Quota, bool) {
+	if !u.hasQuota && c.quota != nil {
+		return *c.quota, true
+	}
+	return u.quota, u.hasQuota
+}
+
 // quotaRefusal returns why the quota of the customer has no room for size, or "".
-func (u *customer) quotaRefusal(size resource.Vector) string {
+func (c *Cache) quotaRefusal(name string, size resource.Vector) string {
+	u := c.customer(name)
+	quota, found := c.quotaOf(u)
 	switch {
-	case !u.hasQuota:
+	case !found:
 		return "customer has no plan"
-	case u.tasks >= u.quota.Tasks:
+	case u.tasks >= quota.Tasks:
 		return "quota: all tasks at once in use"
-	case !u.used.Add(size).FitsIn(u.quota.Limit):
+	case !u.used.Add(size).FitsIn(quota.Limit):
 		return "quota: resources in use"
 	}
 	return ""
--- a/placement/events.go
+++ b/placement/events.go
@@ -10,12 +10,16 @@
 
 // SetWorker adds a worker or replaces what is known of it.
 func (s *Scheduler) SetWorker(info Worker, now time.Time) {
+	if len(s.cache.workers) == 0 {
+		s.settleAt = now.Add(s.options.SettleTime)
+	}
 	known := s.cache.byID[info.ID]
 	leaves := info.Draining && (known == nil || !known.Draining)
 	if known == nil || known.Capacity != info.Capacity || known.Zone != info.Zone || known.absent {
 		s.recheck = true
 	}
 	w := s.cache.setWorker(info)
+	s.markWorker(s.matrix.Status(quarantine.Worker, info.ID))
 	if leaves || w.zone.out {
 		s.leaving = append(s.leaving, w.tasks...)
 	}
@@ -62,6 +66,13 @@
 	}
 }
 
+// SetDefaultQuota sets the quota of customers without one of their own; nil
+// makes their tasks wait.
+func (s *Scheduler) SetDefaultQuota(q *Quota) {
+	s.cache.quota = q
+	s.recheck = true
+}
+
 // RemoveQuota makes the tasks of a customer wait until it has a plan again.
 func (s *Scheduler) RemoveQuota(name string) {
 	s.cache.customer(name).hasQuota = false
@@ -80,9 +91,7 @@
 // reported by the next step.
 func (s *Scheduler) admit(t *task) {
 	if why := s.neverRuns(t); why != "" {
-		t.reason = reason{text: why}
-		s.held[t.ID] = t
-		s.newlyHeld = append(s.newlyHeld, Held{Task: t.ID, Reason: why})
+		s.hold(t, why)
 		return
 	}
 	s.enqueue(t)
@@ -216,6 +225,23 @@
 	return true
 }
 
+// SetAside quarantines a job or worker that the committer lists as such and
+// that is not set aside here.
+func (s *Scheduler) SetAside(kind quarantine.Kind, name, why string, now time.Time) {
+	if s.held[name] != nil && kind == quarantine.Job {
+		return
+	}
+	s.matrix.SetAside(kind, name, why, now)
+	if kind == quarantine.Worker {
+		s.markWorker(s.matrix.Status(kind, name))
+		return
+	}
+	if t := s.pending[name]; t != nil {
+		s.queue.Remove(name)
+		s.hold(t, "quarantined: "+why)
+	}
+}
+
 // Observe takes the lagged measurements of the tasks of one worker.
 func (s *Scheduler) Observe(workerID string, usage []Usage, now time.Time) {
 	w := s.cache.byID[workerID]
--- a/placement/machine_test.go
+++ b/placement/machine_test.go
@@ -262,7 +262,7 @@
 		if task == nil {
 			t.Fatalf("task %s is neither pending nor held", id)
 		}
-		if o.s.cache.customer(task.Customer).quotaRefusal(task.Size) != "" || o.quotaBlocked(task) {
+		if o.s.cache.quotaRefusal(task.Customer, task.Size) != "" || o.quotaBlocked(task) {
 			continue
 		}
 		for _, w := range o.s.cache.workers {
@@ -277,7 +277,7 @@
 // quotaBlocked: an earlier task of the customer waits for the quota.
 func (o *oracle) quotaBlocked(task *task) bool {
 	for _, other := range o.s.pending {
-		if other.Customer == task.Customer && o.s.cache.customer(task.Customer).quotaRefusal(other.Size) != "" {
+		if other.Customer == task.Customer && o.s.cache.quotaRefusal(task.Customer, other.Size) != "" {
 			return true
 		}
 	}
--- a/placement/pass.go
+++ b/placement/pass.go
@@ -30,7 +30,7 @@
 }
 
 func (s *Scheduler) offer(t *task, item fairqueue.Item) {
-	if why := s.cache.customer(t.Customer).quotaRefusal(t.Size); why != "" {
+	if why := s.cache.quotaRefusal(t.Customer, t.Size); why != "" {
 		t.reason = reason{text: why}
 		s.queue.SkipCustomer()
 		return
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -36,6 +36,7 @@
 	ReturnPeriod       time.Duration // how long that rate holds
 	AvoidMoved         time.Duration // a moved task stays off its old worker
 	AvoidFailed        time.Duration // a failed task stays off the worker
+	SettleTime         time.Duration // from the first worker until tasks are judged never to run
 }
 
 // withDefaults: 32 scored workers keep a placement far below 200 microseconds
@@ -81,7 +82,9 @@
 	proposed  map[string]*task                // placements that are not confirmed
 	leaving   []*task                         // to evacuate in the next step
 	newlyHeld []Held                          // since the last step
-	recheck   bool                            // held tasks may fit by now
+	settleAt  time.Time
+	settled   bool // the workers are known
+	recheck   bool // held tasks may fit by now
 	cursor    int
 	misses    []miss
 	reserved  int
@@ -109,18 +112,27 @@
 	}
 }
 
+// Restart returns a scheduler without workers and tasks that keeps what this
+// one has learned, for an owner that rebuilds its state.
+func (s *Scheduler) Restart() *Scheduler {
+	fresh := New(s.options)
+	fresh.model, fresh.matrix, fresh.runTimes, fresh.budget = s.model, s.matrix, s.runTimes, s.budget
+	return fresh
+}
+
 // Step decides at time now. The proposals are valid until the next call.
 func (s *Scheduler) Step(now time.Time) Decisions {
 	s.now = now
-	s.decisions = Decisions{Held: s.newlyHeld}
-	s.newlyHeld = nil
+	s.decisions = Decisions{}
 	s.queue.SetTotal(s.cache.capacity)
 	s.expireProposals()
 	s.applyQuarantine()
+	s.settle()
 	s.reconsiderHeld()
 	s.evacuate()
 	s.runPass()
 	s.mitigate()
+	s.decisions.Held, s.newlyHeld = s.newlyHeld, nil
 	return s.decisions
 }
 
@@ -175,6 +187,7 @@
 	for _, e := range s.matrix.Evaluate(s.now) {
 		if e.Kind == quarantine.Worker {
 			s.markWorker(e)
+			s.decisions.Quarantine = append(s.decisions.Quarantine, e)
 			continue
 		}
 		s.recheck = true
@@ -201,7 +214,21 @@
 	s.unreserve(t)
 	t.reason = reason{text: why}
 	s.held[t.ID] = t
-	s.decisions.Held = append(s.decisions.Held, Held{Task: t.ID, Reason: why})
+	s.newlyHeld = append(s.newlyHeld, Held{Task: t.ID, Reason: why})
+}
+
+// settle judges the pending tasks once the workers have had time to report.
+func (s *Scheduler) settle() {
+	if s.settled || len(s.cache.workers) == 0 || s.now.Before(s.settleAt) {
+		return
+	}
+	s.settled = true
+	for _, id := range sortedKeys(s.pending) {
+		if why := s.neverRuns(s.pending[id]); why != "" {
+			s.queue.Remove(id)
+			s.hold(s.pending[id], why)
+		}
+	}
 }
 
 // reconsiderHeld returns held tasks to the queue once their reason is gone.
@@ -217,6 +244,7 @@
 		}
 		delete(s.held, id)
 		s.enqueue(t)
+		s.decisions.Freed = append(s.decisions.Freed, id)
 	}
 }
 
@@ -232,11 +260,11 @@
 	if e := s.matrix.Status(quarantine.Job, t.ID); e.State == quarantine.Quarantined {
 		return "quarantined: " + e.Reason
 	}
-	u := s.cache.customer(t.Customer)
-	if u.hasQuota && (!t.Size.FitsIn(u.quota.Limit) || u.quota.Tasks == 0) {
-		return "never runs: larger than the quota of " + t.Customer + ": " + u.quota.Limit.String()
+	quota, found := s.cache.quotaOf(s.cache.customer(t.Customer))
+	if found && (!t.Size.FitsIn(quota.Limit) || quota.Tasks == 0) {
+		return "never runs: larger than the quota of " + t.Customer + ": " + quota.Limit.String()
 	}
-	if len(s.cache.workers) == 0 {
+	if !s.settled {
 		return ""
 	}
 	var largest resource.Vector
--- a/placement/types.go
+++ b/placement/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ibispier/ibispier/quarantine"
 	"github.com/ibispier/ibispier/resource"
 )
 
@@ -108,5 +109,7 @@
 type Decisions struct {
 	Placements []Placement
 	Actions    []Action
-	Held       []Held // newly held
+	Held       []Held             // newly held
+	Freed      []string           // tasks that were held and wait for a worker again
+	Quarantine []quarantine.Entry // workers whose state has changed
 }
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -143,6 +143,18 @@
 	return changes
 }
 
+// SetAside quarantines a subject that was set aside elsewhere, for example by
+// the leader before.
+func (m *Matrix) SetAside(kind Kind, name, reason string, now time.Time) {
+	all := m.jobs
+	if kind == Worker {
+		all = m.workers
+	}
+	if s := m.subject(all, kind, name); s.state != Quarantined {
+		m.quarantine(s, now, reason)
+	}
+}
+
 // Release moves a quarantined subject to probation on behalf of an operator.
 func (m *Matrix) Release(kind Kind, name string, now time.Time) bool {
 	s := m.find(kind, name)
