--- a/daemon/control/fault_test.go
+++ b/daemon/control/fault_test.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/ibispier/ibispier/daemon/control/replica"
 	"github.com/ibispier/ibispier/datafolder"
@@ -88,10 +89,15 @@
 	cause := syscall.EIO
 	files.sync.Store(&cause)
 	_ = p.role.Inputs.Offer(replica.Input{Propose: []byte("not synced")})
-	if err := <-p.done; !supervise.IsFatal(err) {
-		t.Errorf("got %v, want a fatal error", err)
+	select {
+	case err := <-p.done:
+		p.cancel = nil
+		if !supervise.IsFatal(err) {
+			t.Errorf("got %v, want a fatal error", err)
+		}
+	case <-time.After(bound):
+		t.Fatalf("the tree still runs %s after a failed sync", bound)
 	}
-	p.cancel = nil
 	if p.applier.has("not synced") {
 		t.Error("a command that is not synced was applied")
 	}
--- a/daemon/control/replica/replica.go
+++ b/daemon/control/replica/replica.go
@@ -10,6 +10,7 @@
 	"github.com/ibispier/ibispier/consensus"
 	"github.com/ibispier/ibispier/daemon/control/logwriter"
 	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/wire"
 )
 
 // Error is the class of all errors of this package.
@@ -27,6 +28,10 @@
 	maxDrain = 1024
 )
 
+// MaxCommandBytes bounds a command. A larger one could exceed the largest frame
+// and would close the links to the other members again and again.
+const MaxCommandBytes = wire.MaxFrameBytes / 2
+
 // PeerState is what a control member tells about itself.
 type PeerState struct {
 	ID            consensus.ReplicaID
--- a/daemon/control/replica/run.go
+++ b/daemon/control/replica/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -114,6 +115,8 @@
 
 func (r *run) input(in Input) {
 	switch {
+	case len(in.Propose) > MaxCommandBytes:
+		r.duty.options.Log.Error("command refused: too large", zap.Int("bytes", len(in.Propose)))
 	case in.Propose != nil:
 		r.proposals = append(r.proposals, in.Propose)
 	case in.Read != 0:
@@ -227,10 +230,17 @@
 		len(u.MemberResults) == 0 && u.Status == nil && !u.SnapshotWanted
 }
 
-// wantsSnapshot reports once that the log has grown enough.
+// wantsSnapshot reports once that the log has grown enough. The members take
+// their first snapshot at different lengths and so stay apart: saving blocks the
+// log writer, and a quorum must be free to commit meanwhile.
 func (r *run) wantsSnapshot() bool {
+	o := r.duty.options
 	last := max(r.node.SnapshotIndex(), r.snapshotAsk)
-	if r.node.Applied() < last+uint64(r.duty.options.SnapshotEntries) {
+	length := uint64(o.SnapshotEntries)
+	if last == 0 {
+		length += length * uint64(slices.Index(o.Members, o.Self.ID)+1) / 8
+	}
+	if r.node.Applied() < last+length {
 		return false
 	}
 	r.snapshotAsk = r.node.Applied()
