--- /dev/null
+++ b/consensus/membership_test.go
@@ -0,0 +1,152 @@
+package consensus
+
+import "testing"
+
+var (
+	replicaA = ReplicaID{"a", 1}
+	replicaB = ReplicaID{"b", 2}
+	replicaC = ReplicaID{"c", 3}
+)
+
+// newLeaderOfThree returns a leader of term 5 in a group of three that has committed
+// nothing in that term.
+func newLeaderOfThree(t *testing.T) *Node {
+	t.Helper()
+	n, err := New(Config{Self: replicaA}, State{
+		Hard: HardState{Term: 4},
+		Snapshot: Snapshot{Index: 1, Term: 1, Membership: Membership{
+			Group: 1, Members: []Member{{replicaA, true}, {replicaB, true}, {replicaC, true}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.startElection(0)
+	n.Step(Message{Type: MsgVoteReply, From: replicaB, To: replicaA, Term: 5, Group: 1})
+	if n.Role() != Leader {
+		t.Fatal("not elected by two of three")
+	}
+	return n
+}
+
+// Guards against a change by a leader that has committed nothing in its term:
+// its membership may be older than that of the leader before it.
+func TestNoChangeBeforeACommitOfTheTerm(t *testing.T) {
+	n := newLeaderOfThree(t)
+	change := Change{Kind: AddLearner, Replica: ReplicaID{"d", 4}}
+	if _, err := n.ChangeMembership(change); err != ErrChangePending {
+		t.Fatalf("got %v, want %v", err, ErrChangePending)
+	}
+	n.Synced(n.Take().Batch.Sequence)
+	n.Step(Message{Type: MsgAppendReply, From: replicaB, To: replicaA, Term: 5, Group: 1, LogIndex: 2})
+	if _, err := n.ChangeMembership(change); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a read that a leader confirms by itself, or with the answer of
+// a learner or to an earlier round.
+func TestReadNeedsAQuorumOfTheRound(t *testing.T) {
+	n := newLeaderOfThree(t)
+	n.Synced(n.Take().Batch.Sequence)
+	n.Step(Message{Type: MsgAppendReply, From: replicaB, To: replicaA, Term: 5, Group: 1, LogIndex: 2})
+	if err := n.Read(7); err != nil {
+		t.Fatal(err)
+	}
+	if reads := n.Take().Reads; len(reads) > 0 {
+		t.Fatal("a read was confirmed without a quorum")
+	}
+	for round, confirmed := range []bool{false, true} {
+		n.Step(Message{Type: MsgHeartbeatReply, From: replicaB, To: replicaA, Term: 5, Group: 1, LogIndex: 2, Context: uint64(round)})
+		if got := len(n.Take().Reads) > 0; got != confirmed {
+			t.Fatalf("answer to round %d: confirmed is %v", round, got)
+		}
+	}
+}
+
+// Guards against changes that alter more than one voter, count a learner as a
+// voter, or leave two incarnations of an id in the group.
+func TestApplyChange(t *testing.T) {
+	m := Membership{Group: 1, Members: []Member{{replicaA, true}, {replicaB, true}, {ReplicaID{"d", 4}, false}}}
+	for name, c := range map[string]struct {
+		change Change
+		voters int // 0 for a refusal
+	}{
+		"add":                      {Change{Kind: AddLearner, Replica: replicaC}, 2},
+		"add beside old":           {Change{Kind: AddLearner, Replica: ReplicaID{"b", 9}}, 0},
+		"promote":                  {Change{Kind: Promote, Replica: ReplicaID{"d", 4}}, 3},
+		"promote stranger":         {Change{Kind: Promote, Replica: replicaC}, 0},
+		"promote old incarnation":  {Change{Kind: Promote, Replica: ReplicaID{"d", 3}}, 0},
+		"remove voter":             {Change{Kind: Remove, Replica: replicaB}, 1},
+		"remove learner":           {Change{Kind: Remove, Replica: ReplicaID{"d", 4}}, 2},
+		"remove other incarnation": {Change{Kind: Remove, Replica: ReplicaID{"b", 9}}, 0},
+	} {
+		next, err := m.apply(c.change)
+		if (err != nil) != (c.voters == 0) {
+			t.Errorf("%s: got %v", name, err)
+		}
+		if err == nil && (len(next.Voters()) != c.voters || next.Quorum() != c.voters/2+1) {
+			t.Errorf("%s: %d voters, quorum %d", name, len(next.Voters()), next.Quorum())
+		}
+	}
+	last := Membership{Members: []Member{{replicaA, true}}}
+	if _, err := last.apply(Change{Kind: Remove, Replica: replicaA}); err == nil {
+		t.Error("the last voter was removed")
+	}
+}
+
+// Guards against a membership that stays in effect after its entry was
+// overwritten.
+func TestTruncatedMembershipIsUndone(t *testing.T) {
+	n := newLeaderOfThree(t)
+	n.Synced(n.Take().Batch.Sequence)
+	n.Step(Message{Type: MsgAppendReply, From: replicaB, To: replicaA, Term: 5, Group: 1, LogIndex: 2})
+	if _, err := n.ChangeMembership(Change{Kind: Remove, Replica: replicaC}); err != nil {
+		t.Fatal(err)
+	}
+	if len(n.Membership().Members) != 2 {
+		t.Fatal("a change does not take effect when it is appended")
+	}
+	n.Step(Message{
+		Type: MsgAppend, From: replicaB, To: replicaA, Term: 6, Group: 1, LogIndex: 2, LogTerm: 5,
+		Entries: []Entry{{Index: 3, Term: 6, Kind: EntryEmpty}},
+	})
+	if len(n.Membership().Members) != 3 {
+		t.Fatalf("membership %v after its entry was overwritten", n.Membership().Members)
+	}
+}
+
+// Guards against the repair of a wiped replica in another order, against the
+// removal of an incarnation that still answers, and against the return of an id
+// that an operator has removed.
+func TestNextChange(t *testing.T) {
+	wiped := ReplicaID{"b", 9}
+	all := []Member{{replicaA, true}, {replicaB, true}, {replicaC, true}}
+	for name, c := range map[string]struct {
+		members  []Member
+		excluded []string
+		active   bool // the old incarnation answers
+		caughtUp bool
+		want     Change
+	}{
+		"remove the old incarnation": {members: all, want: Change{Kind: Remove, Replica: replicaB}},
+		"old incarnation answers":    {members: all, active: true},
+		"add the new incarnation":    {members: []Member{{replicaA, true}, {replicaC, true}}, want: Change{Kind: AddLearner, Replica: wiped}},
+		"removed by an operator":     {members: []Member{{replicaA, true}, {replicaC, true}}, excluded: []string{"b"}},
+		"not caught up":              {members: []Member{{replicaA, true}, {replicaC, true}, {wiped, false}}},
+		"promote": {members: []Member{{replicaA, true}, {replicaC, true}, {wiped, false}}, caughtUp: true,
+			want: Change{Kind: Promote, Replica: wiped}},
+	} {
+		got, needed := NextChange(View{
+			Self:       replicaA,
+			Wanted:     []string{"a", "b", "c", "never seen"},
+			Membership: Membership{Members: c.members, Excluded: c.excluded},
+			Seen:       map[string]uint64{"b": wiped.Incarnation, "c": replicaC.Incarnation},
+			Progress:   []Progress{{Member: Member{ID: replicaB, Voter: true}, Active: c.active}},
+			IsCaughtUp: func(ReplicaID) bool { return c.caughtUp },
+		})
+		if got != c.want || needed != (c.want != Change{}) {
+			t.Errorf("%s: got %+v, want %+v", name, got, c.want)
+		}
+	}
+}
