consensus, control: test promotion and drain by themselves

Change: a test of the rule for promotion; the drain test waits for the new leader before it stops the old one.

--- a/consensus/membership_test.go
+++ b/consensus/membership_test.go
@@ -150,3 +150,27 @@
 		}
 	}
 }
+
+// Guards against the promotion of a learner that lacks committed entries: the
+// loss of another disk right after it could lose them.
+func TestPromotionWaitsForTheLog(t *testing.T) {
+	n := newLeaderOfThree(t)
+	answer := func(from ReplicaID, index uint64) {
+		n.Step(Message{Type: MsgAppendReply, From: from, To: replicaA, Term: 5, Group: 1, LogIndex: index})
+	}
+	n.Synced(n.Take().Batch.Sequence)
+	answer(replicaB, 2)
+	learner := ReplicaID{"d", 4}
+	if _, err := n.ChangeMembership(Change{Kind: AddLearner, Replica: learner}); err != nil {
+		t.Fatal(err)
+	}
+	n.Synced(n.Take().Batch.Sequence)
+	answer(replicaB, 3)
+	n.Tick()
+	for index, want := range []bool{false, false, false, true} {
+		answer(learner, uint64(index))
+		if n.IsCaughtUp(learner) != want {
+			t.Fatalf("learner has synced %d of 3: caught up is %v", index, !want)
+		}
+	}
+}
--- a/daemon/control/repair_test.go
+++ b/daemon/control/repair_test.go
@@ -126,6 +126,9 @@
 	if err := to.role.Drain(ctx); err != nil {
 		t.Fatal(err)
 	}
+	c.waitFor("new leader before the stop", func() bool {
+		return c.leader() != to && c.leader().status().IsLeader
+	})
 	to.stop(t)
 	start := time.Now()
 	c.waitForAll(c.commit())
