state: mark resent submissions, and refuse tasks that their plan could never run

Cause: the callers' interface tells a resent submission by the field Resent; a task larger than the plan of its customer would wait for ever. Change: Resent is set in the answer to a resent submission; such a task is refused with over_limit. Result: go test ./state/... passes.

--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -106,6 +106,46 @@
 	}
 }
 
+// Guards against customers that get more than their plan, or a task that waits
+// for ever because its plan has no room for it.
+func TestPlanLimitsTasks(t *testing.T) {
+	m := New(DefaultOptions())
+	owners := controlapi.Change{Kind: controlapi.ChangeOwners, Owners: map[string]string{
+		"ann": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=", "ben": "AQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="}}
+	m.Apply(&Command{Now: start, Propose: &Propose{Request: controlapi.ProposeRequest{ChangeID: "o", Change: owners}}})
+	m.plans = map[string]controlapi.Plan{"c": {CPUMilli: 2500, Tasks: 2}, anyCustomer: {CPUMilli: 1000, Tasks: 1}}
+	submit := func(id, customer string, cpu int64) error {
+		r := task(id, controlapi.KindBatch)
+		r.Customer, r.Size.CPUMilli = customer, cpu
+		return m.Apply(&Command{Now: start, Submit: &r}).Err
+	}
+	place := func(id string) error {
+		return m.Apply(&Command{Now: start, Place: &Place{Task: id, Agent: id, Capacity: large}}).Err
+	}
+	for _, c := range []struct {
+		id, customer string
+		cpu          int64
+		taken        bool
+		placed       bool
+	}{
+		{"large", "c", 2501, false, false},
+		{"c1", "c", 2000, true, true},
+		{"c2", "c", 501, true, false},
+		{"c3", "c", 500, true, true},
+		{"c4", "c", 0, true, false},
+		{"d1", "d", 1000, true, true},
+		{"d2", "d", 1001, false, false},
+		{"e1", "e", 1000, true, true},
+	} {
+		if err := submit(c.id, c.customer, c.cpu); (err == nil) != c.taken {
+			t.Errorf("%s submitted: %v", c.id, err)
+		}
+		if err := place(c.id); (err == nil) != c.placed {
+			t.Errorf("%s placed: %v", c.id, err)
+		}
+	}
+}
+
 // Guards against memory that grows with the number of tasks ever run.
 func TestFinishedTasksAreBounded(t *testing.T) {
 	o := DefaultOptions()
@@ -215,8 +255,8 @@
 			t.Fatalf("not created: %v", r.Err)
 		}
 	case reflect.DeepEqual(first.body, body):
-		if r.Err != nil || r.Created {
-			t.Fatalf("resent: created %v, error %v", r.Created, r.Err)
+		if r.Err != nil || r.Created || !r.Task.Resent {
+			t.Fatalf("resent: %+v", r)
 		}
 	case r.Err == nil:
 		t.Fatal("one id was taken for two tasks")
--- a/state/table.go
+++ b/state/table.go
@@ -34,20 +34,19 @@
 	size  controlapi.Resources
 }
 
-func (u *usage) add(r controlapi.Resources, sign int64) {
-	u.tasks += int(sign)
-	u.size.CPUMilli += sign * r.CPUMilli
-	u.size.MemoryMiB += sign * r.MemoryMiB
-	u.size.Accelerators += sign * r.Accelerators
+func (u *usage) add(r controlapi.Resources) {
+	u.tasks++
+	u.size = u.size.Plus(r)
 }
 
-// fits reports whether r more fits into limit.
-func (u *usage) fits(r, limit controlapi.Resources) bool {
-	return u.size.CPUMilli+r.CPUMilli <= limit.CPUMilli &&
-		u.size.MemoryMiB+r.MemoryMiB <= limit.MemoryMiB &&
-		u.size.Accelerators+r.Accelerators <= limit.Accelerators
+func (u *usage) remove(r controlapi.Resources) {
+	u.tasks--
+	u.size = u.size.Minus(r)
 }
 
+// fits reports whether r more fits into limit.
+func (u *usage) fits(r, limit controlapi.Resources) bool { return u.size.Plus(r).Fits(limit) }
+
 // taskTable holds the tasks and the indexes over them.
 //
 // Invariant: the indexes agree with the states of the tasks; setState,
@@ -108,8 +107,8 @@
 		tt.byAgent[agent] = map[string]*Task{}
 	}
 	tt.byAgent[agent][t.ID] = t
-	usageOf(tt.agents, agent).add(t.Size, 1)
-	usageOf(tt.customers, t.Customer).add(t.Size, 1)
+	usageOf(tt.agents, agent).add(t.Size)
+	usageOf(tt.customers, t.Customer).add(t.Size)
 }
 
 // unassign takes a task from its agent.
@@ -138,7 +137,7 @@
 
 func release(m map[string]*usage, name string, size controlapi.Resources) {
 	u := usageOf(m, name)
-	u.add(size, -1)
+	u.remove(size)
 	if u.tasks == 0 {
 		delete(m, name)
 	}
--- a/state/tasks.go
+++ b/state/tasks.go
@@ -20,7 +20,9 @@
 		if t.Digest != digest {
 			return Result{Err: refuse(controlapi.ReasonConflict, "task id %q was used for another task", r.ID)}
 		}
-		return statusOf(t)
+		result := statusOf(t)
+		result.Task.Resent = true
+		return result
 	}
 	if err := m.checkTask(r); err != nil {
 		return Result{Err: err}
@@ -47,7 +49,8 @@
 // checkTask refuses tasks that can not be taken. Before the first accepted
 // change nothing limits customers, so that a new deployment can be tried.
 func (m *Machine) checkTask(r controlapi.Task) error {
-	_, hasPlan := m.planOf(r.Customer)
+	limit, hasPlan := m.planOf(r.Customer)
+	resources := controlapi.Resources{CPUMilli: limit.CPUMilli, MemoryMiB: limit.MemoryMiB, Accelerators: limit.Accelerators}
 	switch {
 	case r.ID == "" || len(r.ID) > 128:
 		return refuse(controlapi.ReasonBadRequest, "a task id has 1 to 128 bytes")
@@ -55,6 +58,8 @@
 		return refuse(controlapi.ReasonBadRequest, "a task is a batch task or a watcher, not %q", r.Kind)
 	case r.Customer == "" || m.Config().Revision > 0 && !hasPlan:
 		return refuse("unknown_customer", "customer %q has no plan", r.Customer)
+	case hasPlan && (limit.Tasks == 0 || !r.Size.Fits(resources)):
+		return refuse("over_limit", "task %q is larger than the plan of customer %q and could never run", r.ID, r.Customer)
 	case r.Size.CPUMilli < 0 || r.Size.MemoryMiB < 0 || r.Size.Accelerators < 0:
 		return refuse(controlapi.ReasonBadRequest, "a task has no negative size")
 	case len(r.Payload) > m.options.MaxPayload:
