applier: bound the commands that wait, and forget silent processes

Cause: commands could pile up while the quorum is lost, and names of processes were kept for ever. Change: at most 16,384 commands wait; processes and entry instances are forgotten after their window. Result: go test ./daemon/control/applier passes; -dev completes a batch task with the merged scheduler.

--- a/daemon/control/applier/engine.go
+++ b/daemon/control/applier/engine.go
@@ -42,6 +42,10 @@
 	snapshotWanted bool
 }
 
+// maxProposals bounds the commands that wait for their entry, for example while
+// the quorum is lost and this member has not noticed.
+const maxProposals = 16384
+
 // proposal waits for its entry.
 type proposal struct {
 	deadline time.Time
@@ -65,7 +69,7 @@
 // is not known any more. A replica whose disk is full takes no commands, and
 // reads go on.
 func (e *engine) propose(now time.Time, c *state.Command, deadline time.Time, done func(time.Time, state.Result), fail func()) {
-	if e.status.ReadOnly {
+	if e.status.ReadOnly || len(e.proposals) >= maxProposals {
 		fail()
 		return
 	}
--- a/daemon/control/applier/leadership.go
+++ b/daemon/control/applier/leadership.go
@@ -189,6 +189,7 @@
 		return
 	}
 	l.alarmedAt = now
+	l.forgetSilent(now)
 	current := map[string]bool{}
 	for _, a := range e.alarms(now) {
 		key := a.Name + " " + a.Subject
@@ -204,3 +205,17 @@
 	}
 	l.alarmed = current
 }
+
+// forgetSilent drops what processes have told that no longer report.
+func (l *leadership) forgetSilent(now time.Time) {
+	for name, p := range l.processes {
+		if now.Sub(p.at) >= processWindow {
+			delete(l.processes, name)
+		}
+	}
+	for name, v := range l.entries {
+		if now.Sub(v.at) >= announcedWindow {
+			delete(l.entries, name)
+		}
+	}
+}
