--- a/daemon/control/applier/cluster_test.go
+++ b/daemon/control/applier/cluster_test.go
@@ -23,8 +23,9 @@
 }
 
 // cluster is a fake of the replicated log in virtual time: one leader at a time
-// appends to one log, members learn of entries and of their leadership late, and
-// what a leader has not committed is lost with its leadership.
+// appends to one log, in no promised order, members learn of entries and of their
+// leadership late, and what a leader has not committed is lost with its
+// leadership.
 type cluster struct {
 	now     time.Time
 	rnd     *rand.Rand
@@ -95,6 +96,9 @@
 	case i != c.leader:
 	case in.Propose != nil:
 		c.pending = append(c.pending, in.Propose)
+		if n := len(c.pending); n > 1 && c.rnd.Intn(3) == 0 { // no order is promised
+			c.pending[n-1], c.pending[n-2] = c.pending[n-2], c.pending[n-1]
+		}
 	case in.Read != 0:
 		c.reads = append(c.reads, askedRead{i, in.Read, uint64(len(c.log))})
 	}
