cli: keep the base of a proposal that is sent again

A proposal that was sent again with its id after another change had been accepted took the new revision as its base and was refused as a different change. The base of the recorded proposal is used.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -99,6 +99,34 @@
 	}
 }
 
+// Guards against a proposal that is sent again after another change was accepted
+// and is refused as a different one, because its base has moved.
+func TestResentProposalKeepsItsBase(t *testing.T) {
+	sent := make(chan controlapi.ProposeRequest, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var out any = controlapi.Config{Revision: 9}
+		switch {
+		case r.Method == http.MethodPost:
+			var in controlapi.ProposeRequest
+			_ = json.NewDecoder(r.Body).Decode(&in)
+			sent <- in
+			out = controlapi.Proposal{ChangeID: in.ChangeID}
+		case r.URL.Path == "/v1/proposals/c1":
+			out = controlapi.Proposal{ChangeID: "c1", Base: 4}
+		case r.URL.Path == "/v1/proposals/c2":
+			failure(404, "not_found").ServeHTTP(w, r)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(out)
+	})
+	for id, base := range map[string]uint64{"c1": 4, "c2": 9} {
+		code, _, stderr := run(t, handler, "zone", "out", "a", "-id", id)
+		if in := <-sent; code != ExitOK || in.Base != base {
+			t.Errorf("%s: exit code %d, base %d, want %d: %s", id, code, in.Base, base, stderr)
+		}
+	}
+}
+
 // Guards against an approval whose signature is of another text than the digest
 // of the proposal, and against a rejection sent as an approval.
 func TestSignSendsTheSignatureOfTheDigest(t *testing.T) {
--- a/cli/plan.go
+++ b/cli/plan.go
@@ -4,13 +4,16 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 
 	"github.com/ibispier/ibispier/cli/keys"
 	"github.com/ibispier/ibispier/cli/lists"
+	"github.com/ibispier/ibispier/client"
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/internal/table"
 	"github.com/ibispier/ibispier/plan"
@@ -79,11 +82,11 @@
 		in.ChangeID = newID()
 	}
 	if p.base < 0 {
-		config, err := s.client.Config(ctx)
+		base, err := s.baseOf(ctx, p.id)
 		if err != nil {
 			return err
 		}
-		in.Base = config.Revision
+		in.Base = base
 	}
 	s.note("change %s base %d", in.ChangeID, in.Base)
 	proposal, err := s.client.Propose(ctx, in)
@@ -93,6 +96,23 @@
 	return s.print(proposal, func(w io.Writer) error { return printProposal(w, proposal) })
 }
 
+// baseOf returns the base of the proposal with a given id, so that one that is
+// sent again is the same one, and otherwise the revision in force.
+func (s *session) baseOf(ctx context.Context, id string) (uint64, error) {
+	if id != "" {
+		earlier, err := s.client.Proposal(ctx, id)
+		var failed *client.Error
+		if err == nil {
+			return earlier.Base, nil
+		}
+		if !errors.As(err, &failed) || failed.Status != http.StatusNotFound {
+			return 0, err
+		}
+	}
+	config, err := s.client.Config(ctx)
+	return config.Revision, err
+}
+
 func planPropose(f *flag.FlagSet) action {
 	p := new(proposeFlags)
 	p.register(f)
