agent/tasks: tick every 100 ms

Cause: each tick compares the tasks with the last report; 50 ms was finer than any timer that depends on it. Change: 100 ms, half of the margin before the end of a lease.

--- a/daemon/agent/tasks/tasks.go
+++ b/daemon/agent/tasks/tasks.go
@@ -23,7 +23,7 @@
 const (
 	eventCapacity = 1024
 	jobCapacity   = 1024
-	tick          = 50 * time.Millisecond
+	tick          = 100 * time.Millisecond
 	// listInterval is the time between lists of the worker while it has tasks.
 	listInterval     = 200 * time.Millisecond
 	idleListInterval = time.Second
