control: test a restart of the core

Cause: nothing showed that the log writer, the replica and the applier restart together on state from disk.

Change: a test whose applier panics three times.

--- a/daemon/control/fault_test.go
+++ b/daemon/control/fault_test.go
@@ -137,3 +137,34 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a restart of the core after a failed duty that loses commands,
+// hands out entries with a gap or twice (the applier panics then, more often
+// than the policy allows), or takes answers of the run before.
+func TestCoreRestartsAfterAFailedDuty(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	p := c.processes[0]
+	c.startAll()
+	var commands []string
+	for range 3 {
+		commands = append(commands, c.commit())
+		before := 0
+		p.applier.view(func() {
+			before = p.applier.snapshots
+			p.applier.applied = 1 << 40 // the next entry makes the applier panic
+		})
+		_ = p.role.Inputs.Offer(replica.Input{Propose: []byte("panic")})
+		c.waitFor("restart", func() (restarted bool) {
+			p.applier.view(func() { restarted = p.applier.snapshots > before })
+			return restarted
+		})
+	}
+	commands = append(commands, c.commit())
+	c.waitFor("all commands in order", func() (same bool) {
+		p.applier.view(func() {
+			got := slices.DeleteFunc(slices.Clone(p.applier.commands), func(s string) bool { return s == "panic" })
+			same = slices.Equal(slices.Compact(got), commands) // commit may propose again
+		})
+		return same
+	})
+}
