--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -105,6 +105,36 @@
 	})
 }
 
+// Guards against an overshoot above one share while an instance has not noticed
+// that another one started.
+func TestOvershootWhileAnInstanceJoins(t *testing.T) {
+	const (
+		rate      = 100.0
+		burst     = 20
+		unnoticed = time.Second
+	)
+	start := time.Unix(0, 0)
+	old, joined := New(), New()
+	for _, l := range []*Limiter{old, joined} {
+		l.Configure(start, config(rate, burst, 1000))
+	}
+	joined.SetInstances(start, 2)
+	admitted := 0
+	for now := start; now.Sub(start) < unnoticed; now = now.Add(time.Millisecond) {
+		for _, l := range []*Limiter{old, joined} {
+			if _, reason := l.Admit(now, "c", "quote"); reason == request.ReasonNone {
+				admitted++
+			}
+		}
+	}
+	allowed := rate*unnoticed.Seconds() + burst
+	share := allowed / 2
+	if float64(admitted) > allowed+share {
+		t.Fatalf("%d admitted, %.0f allowed and one share of %.0f", admitted, allowed, share)
+	}
+	t.Logf("%d admitted, %.0f allowed: overshoot %.2f of a share", admitted, allowed, (float64(admitted)-allowed)/share)
+}
+
 func ExampleLimiter() {
 	now := time.Unix(0, 0)
 	l := New()
