placement, interference, experiment: act on slow services earlier and check the targets

Change: the ladder acts at 1.15, severe disturbance starts at 1.6, and placement plans for 70% of the tolerated slowdown.

--- a/experiment/run.go
+++ b/experiment/run.go
@@ -17,8 +17,8 @@
 	Options placement.Options
 }
 
-// Policies returns the baseline, the policy, and the policy with one part at a
-// time at its baseline.
+// Policies returns the baseline that the bounds refer to, the policy, the policy
+// with one part at a time at its baseline, and plain, with all parts off.
 func Policies() []Policy {
 	return []Policy{
 		{"baseline", placement.Options{Selection: placement.FirstFit, IgnoreInterference: true, Queue: fairqueue.Options{Policy: fairqueue.FIFO}}},
@@ -26,6 +26,11 @@
 		{"first_fit", placement.Options{Selection: placement.FirstFit}},
 		{"no_estimate", placement.Options{IgnoreInterference: true}},
 		{"fifo", placement.Options{Queue: fairqueue.Options{Policy: fairqueue.FIFO}}},
+		{"no_ladder", placement.Options{IgnoreDisturbance: true}},
+		{"plain", placement.Options{
+			Selection: placement.FirstFit, IgnoreInterference: true, IgnoreDisturbance: true,
+			Queue: fairqueue.Options{Policy: fairqueue.FIFO},
+		}},
 	}
 }
 
--- a/interference/ladder.go
+++ b/interference/ladder.go
@@ -32,15 +32,17 @@
 	Blame   float64       // tasks with less blame are left alone
 }
 
-// WithDefaults fills in what is not set: two reports in a row ignore a single
+// WithDefaults fills in what is not set. Services that use 75% of their slots in
+// a wave have no reserve at a slowdown of 1.33, so the ladder acts well before:
+// with 1.3 the queues of a wave grew before the first throttles showed. Two reports in a row ignore a single
 // outlier. Reports count by the time of the measurement, so the settling time
 // covers only the effect of the action and not the lag.
 func (o LadderOptions) WithDefaults() LadderOptions {
 	if o.High == 0 {
-		o.High = 1.3
+		o.High = 1.15
 	}
 	if o.Low == 0 {
-		o.Low = 1.1
+		o.Low = 1.05
 	}
 	if o.Confirm == 0 {
 		o.Confirm = 2
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -74,6 +74,9 @@
 
 // mitigate lets the ladder of every worker propose an action.
 func (s *Scheduler) mitigate() {
+	if s.options.IgnoreDisturbance {
+		return
+	}
 	for _, w := range s.cache.workers {
 		l := s.ladders[w.ID]
 		if l == nil || !l.Wants(s.now) {
@@ -128,9 +131,9 @@
 // of the estimates do not move tasks back and forth.
 const moveGain = 0.3
 
-// severeFactor: at twice the slowdown that the ladder tolerates a throttled task
+// severeFactor: at four times the excess that the ladder tolerates a throttled task
 // is better off in the queue than beside the service.
-const severeFactor = 2
+const severeFactor = 4
 
 // isMovable reports whether a worker with room suffers clearly less from the
 // task, or the disturbance is severe. Without estimates every move counts as
--- a/placement/filters.go
+++ b/placement/filters.go
@@ -74,9 +74,20 @@
 		return false
 	}
 	blame := s.blame(t, w)
-	return blame > disturbingBlame && max(w.slowdown, s.expectedSlowdown(w)+blame) > s.disturbedAbove()
+	if blame <= disturbingBlame {
+		return false
+	}
+	return w.slowdown > s.disturbedAbove() || s.expectedSlowdown(w)+blame > s.plannedSlowdown()
 }
 
+// plannedShare of the tolerated slowdown is planned for. The rest is reserve
+// for waves, in which services are slowed down more than on average.
+const plannedShare = 0.7
+
+// plannedSlowdown is the expected slowdown of services up to which placement
+// adds tasks that disturb them.
+func (s *Scheduler) plannedSlowdown() float64 { return 1 + plannedShare*(s.disturbedAbove()-1) }
+
 // expectedSlowdown is the slowdown of the services on a worker that the
 // estimates predict. The measured one is lower while few requests come in.
 // It is computed once for a set of tasks and a step.
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -24,6 +24,7 @@
 type Options struct {
 	Selection          Selection
 	IgnoreInterference bool // baseline: no estimate in scores and no blame by class
+	IgnoreDisturbance  bool // baseline: no action ladder
 	Queue              fairqueue.Options
 	Model              interference.ModelOptions
 	Ladder             interference.LadderOptions
