--- a/examples/local.sh
+++ b/examples/local.sh
@@ -40,7 +40,7 @@
 	local what=$1 i
 	shift
 	for ((i = 0; i < 200; i++)); do
-		if "$@" >/dev/null 2>&1; then return; fi
+		if "$@" >"$run/log/await.log" 2>&1; then return; fi
 		sleep 0.2
 	done
 	echo "local.sh: $what: not within 40 s; see $run/log" >&2
@@ -72,11 +72,17 @@
 	echo "  curl -i -H 'Ibispier-Customer: demo' http://127.0.0.1:8401/v1/services/price-check/lots/1"
 }
 
+# quorum forms the quorum. A bootstrap whose answer was lost is refused when it is
+# sent again, and then the members answer.
+quorum() {
+	"$run/bin/ibispier" control bootstrap -timeout 2s || "$run/bin/ibispier" control members -timeout 2s
+}
+
 # set_up forms the quorum, names two owners and puts the lists in force.
 set_up() {
 	local cli=$run/bin/ibispier
 	await "health of control-1" curl -fsS http://127.0.0.1:8111/healthz
-	await "quorum" "$cli" control bootstrap -timeout 2s
+	await "quorum" quorum
 	{
 		echo "[owners]"
 		echo "ada = $("$cli" key generate "$run/ada.key")"
