e2e: prove that work moves with its progress when its zone is taken out

Cause: evicted work must resume exactly once and from its checkpoint. Change: a test over real processes that takes out the zone of running batch tasks.

--- a/e2e/zones_test.go
+++ b/e2e/zones_test.go
@@ -9,6 +9,7 @@
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/internal/testcluster"
 	"github.com/ibispier/ibispier/standin/worker"
+	"github.com/ibispier/ibispier/workerapi"
 )
 
 // zoneOutBound is the stated target: no start in a zone later than this after
@@ -85,3 +86,43 @@
 	}
 	return count
 }
+
+// Guards against running work that is lost, doubled or started from the
+// beginning when its zone is taken out: it must be checkpointed and resumed
+// once elsewhere, from its checkpoint.
+func TestZoneOutMovesRunningWork(t *testing.T) {
+	const count, work = 6, 6 * time.Second
+	c := start(t, testcluster.Options{Controls: 3, Entries: 2, Agents: 3, Workers: true})
+	for i := range count {
+		submit(t, c, fmt.Sprintf("long-%d", i), controlapi.KindBatch, work)
+	}
+	for i := range count {
+		awaitState(t, c, fmt.Sprintf("long-%d", i), controlapi.TaskRunning)
+	}
+	zone := stateOf(t, c, "long-0").Zone
+	c.Change("out", controlapi.Change{Kind: controlapi.ChangeZoneOut, Zone: zone})
+	for i := range count {
+		awaitState(t, c, fmt.Sprintf("long-%d", i), controlapi.TaskCompleted)
+	}
+	events := records(c)
+	checkRecords(t, events)
+	checkResumed(t, events)
+}
+
+// checkResumed fails the test when a task started with less progress than its
+// last checkpoint had, or when no task was checkpointed.
+func checkResumed(t *testing.T, events []worker.Event) {
+	t.Helper()
+	checkpoints := map[string]int64{}
+	for _, e := range events {
+		switch {
+		case e.Kind == worker.EventEnd && e.State == workerapi.Checkpointed:
+			checkpoints[e.Task] = e.Progress
+		case e.Kind == worker.EventStart && e.Progress < checkpoints[e.Task]:
+			t.Errorf("task %s started at %d ms, its checkpoint was at %d ms", e.Task, e.Progress, checkpoints[e.Task])
+		}
+	}
+	if len(checkpoints) == 0 {
+		t.Error("no task was checkpointed")
+	}
+}
