executor: do not report a running task as lost or refused

Cause: e2e TestTasksSurviveLeaderLoss failed once under a load average of 50: a task started on agent-3 while it ran on agent-1. Two ways to such a report were found by reading: a list that overtook the start does not show the task, and a start whose answer was lost is followed by a refusal ('start is too late'). Change: a list counts only when it was asked for after the start became known; after a start without an answer only a later list proves that the task does not run. Result: both new tests fail without the change and pass with it; 12 runs of the e2e test had passed before the change too, so it is not shown that this was the cause of that failure.

--- a/executor/commands.go
+++ b/executor/commands.go
@@ -197,6 +197,7 @@
 	t.busy = false
 	switch {
 	case r.Failed:
+		t.uncertain = t.uncertain || r.Call.Kind == Start
 		t.retry(now, r.Call.Kind)
 		return nil
 	case r.Call.Kind == Forget:
@@ -205,8 +206,9 @@
 	case r.Refused != "":
 		t.refused(r)
 	case r.Gone:
-		t.missing()
+		t.missing(now)
 	case r.Task != nil:
+		t.seen(now)
 		t.observe(r.Task)
 	}
 	e.issueWanted(t)
@@ -223,8 +225,11 @@
 	e.want(t, kind)
 }
 
+// refused ends a task whose start was refused. After an earlier start without an
+// answer a refusal proves nothing, because the worker may have started the task
+// then; a later list decides.
 func (t *task) refused(r Result) {
-	if r.Call.Kind == Start {
+	if r.Call.Kind == Start && !t.uncertain {
 		t.end(controlapi.ReportedRefused, ReasonStartFailed+": "+r.Refused)
 	}
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -70,13 +70,14 @@
 	sequence   uint64
 	deadline   time.Duration
 	notAfter   time.Duration
-	startedAt  time.Duration
-	busy       bool // a call for the task is outstanding
+	startedAt  time.Duration // of the command, and then of the news that the worker has started it
+	busy       bool          // a call for the task is outstanding
 	wanted     CallKind
 	throttle   int
 	// unconfirmed is set when the lease ended before the worker confirmed the
 	// end of the task. Its size stays committed until then.
 	unconfirmed bool
+	uncertain   bool // a start had no answer, so its effect is unknown
 }
 
 // New returns the executor of a worker. It refuses starts until Adopt.
@@ -132,21 +133,33 @@
 		case t == nil:
 			e.adopt(now, w)
 		case t.epoch == w.Epoch:
+			t.seen(now)
 			t.observe(w)
 		}
 	}
 	for id, t := range e.tasks {
 		if !present[id] && t.startedAt < askedAt {
-			t.missing()
+			t.missing(askedAt)
 		}
 	}
 }
 
-// missing handles a task that the worker does not list.
-func (t *task) missing() {
+// seen notes when the start of a task became known. A list that was asked for
+// before can be older than the start, because calls run side by side.
+func (t *task) seen(now time.Duration) {
+	if t.phase == starting {
+		t.startedAt = now
+	}
+}
+
+// missing handles a task that the worker did not list at askedAt.
+func (t *task) missing(askedAt time.Duration) {
 	t.unconfirmed = false
-	if t.phase == running {
+	switch {
+	case t.phase == running:
 		t.end(controlapi.ReportedStopped, ReasonLost)
+	case t.phase == starting && t.uncertain && askedAt > t.notAfter:
+		t.end(controlapi.ReportedRefused, ReasonStartFailed)
 	}
 }
 
--- /dev/null
+++ b/executor/race_test.go
@@ -0,0 +1,62 @@
+package executor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/workerapi"
+)
+
+// startingTask returns an executor with the start of one task under way, and its call.
+func startingTask(t *testing.T) (*Executor, Call) {
+	t.Helper()
+	e := New(controlapi.Worker{Agent: "a", Epoch: 1, Capacity: controlapi.Resources{CPUMilli: 1000}})
+	e.Adopt(0, workerapi.Tasks{})
+	e.SetPermit(0, 2*time.Second)
+	calls := e.Commands(0, 0, controlapi.AgentCommands{LeaseMillis: 3000, Commands: []controlapi.Command{
+		{Action: controlapi.ActionStart, Epoch: 1, Task: controlapi.Task{ID: "t"}}}})
+	if len(calls) != 1 || calls[0].Kind != Start {
+		t.Fatalf("calls %+v", calls)
+	}
+	return e, calls[0]
+}
+
+func reportedState(e *Executor, now time.Duration) controlapi.ReportedState {
+	return e.Report(now).Tasks[0].State
+}
+
+// Guards against a task that is reported as lost while it runs, so that control
+// places it a second time: a list that overtook the start does not show it.
+func TestListOlderThanTheStartProvesNothing(t *testing.T) {
+	e, call := startingTask(t)
+	askedAt := 10 * time.Millisecond
+	e.CallDone(30*time.Millisecond, Result{Call: call, Task: &workerapi.Task{ID: "t", Epoch: 1, State: workerapi.Running}})
+	e.Observe(40*time.Millisecond, askedAt, workerapi.Tasks{})
+	if got := reportedState(e, 50*time.Millisecond); got != controlapi.ReportedRunning {
+		t.Fatalf("reported %s", got)
+	}
+	e.Observe(70*time.Millisecond, 60*time.Millisecond, workerapi.Tasks{})
+	if got := reportedState(e, 80*time.Millisecond); got != controlapi.ReportedStopped {
+		t.Fatalf("reported %s after a later list without the task", got)
+	}
+}
+
+// Guards against a task that is reported as refused while it runs: after a start
+// without an answer, the refusal of the next one proves nothing.
+func TestRefusalAfterALostAnswerProvesNothing(t *testing.T) {
+	e, call := startingTask(t)
+	e.CallDone(time.Second, Result{Call: call, Failed: true})
+	again := e.Tick(1100 * time.Millisecond)
+	if len(again) != 1 {
+		t.Fatalf("calls %+v", again)
+	}
+	e.CallDone(2100*time.Millisecond, Result{Call: again[0], Refused: "start is too late"})
+	if got := reportedState(e, 2200*time.Millisecond); got != controlapi.ReportedStarting {
+		t.Fatalf("reported %s", got)
+	}
+	e.Observe(2400*time.Millisecond, 2300*time.Millisecond, workerapi.Tasks{})
+	if got := reportedState(e, 2500*time.Millisecond); got != controlapi.ReportedRefused {
+		t.Fatalf("reported %s after a list without the task that is later than the start could be", got)
+	}
+}
