--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -112,6 +112,32 @@
 	})
 }
 
+// Guards against an agent that accepts what it must refuse.
+func TestRefusals(t *testing.T) {
+	now := time.Unix(1000, 0)
+	later := now.Add(time.Second)
+	for _, c := range []struct {
+		name    string
+		prepare func(c *Controller)
+		work    *Work
+		want    request.Reason
+	}{
+		{"draining", func(c *Controller) { c.SetState(Draining) }, work(1, "", 0, 0, later), request.ReasonDraining},
+		{"down", func(c *Controller) { c.SetState(Down) }, work(1, "", 0, 0, later), request.ReasonNoTarget},
+		{"late", func(*Controller) {}, work(1, "", 0, 0, now), request.ReasonDeadline},
+		{"full", func(c *Controller) { c.Submit(now, work(9, "", 0, 0, later)) }, work(1, "", 0, 0, later), request.ReasonOverloaded},
+		{"without a claim", func(*Controller) {}, work(1, "k", 0, 0, later), request.ReasonDuplicateExpired},
+		{"fenced epoch", func(c *Controller) { c.Query(now, request.Key{Key: "k"}, 3) }, work(1, "k", 3, 0, later), request.ReasonDuplicateExpired},
+		{"epoch after a fence", func(c *Controller) { c.Query(now, request.Key{Key: "k"}, 3) }, work(1, "k", 4, 0, later), request.ReasonNone},
+	} {
+		controller := NewController(Options{Slots: 1})
+		c.prepare(controller)
+		if _, reason, _ := controller.Submit(now, c.work); reason != c.want {
+			t.Errorf("%s: %q, want %q", c.name, reason, c.want)
+		}
+	}
+}
+
 // Guards against latency-critical work that waits behind the rest.
 func TestPriority(t *testing.T) {
 	c := NewController(Options{Slots: 1, Queue: 2})
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,8 @@
 	Workers  bool                         // a stand-in worker beside each agent
 	Relays   bool                         // a relay on every link, for cuts
 	Settings map[string]map[string]string // section and key to value, for every process
+	// Announce lets the targets announce themselves and their leave to their agents.
+	Announce bool
 	// TargetArgs returns more arguments for the stand-in target of agent i.
 	TargetArgs func(i int) []string
 }
@@ -51,6 +54,7 @@
 	DataPath      string
 	Target        string // address of the stand-in target of an agent
 	TargetProcess *Process
+	Announcements string            // address of an agent for announcements of its target; may be empty
 	Worker        string            // address of the stand-in worker of an agent
 	Relays        map[string]*Relay // by the id of the process that this one dials
 }
@@ -132,11 +136,17 @@
 	ports     = 20_000
 )
 
+// nextPort counts up from a random port, so that one test program never hands
+// out a port twice and several programs rarely meet.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(ports)) }
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
 		socket, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = socket.Close()
@@ -151,6 +161,10 @@
 	for i, n := range c.Agents {
 		n.Target = freeAddress(c.t)
 		args := []string{"-kind", "target", "-listen", n.Target, "-id", n.ID}
+		if c.options.Announce {
+			n.Announcements = freeAddress(c.t)
+			args = append(args, "-agent", n.Announcements)
+		}
 		if c.options.TargetArgs != nil {
 			args = append(args, c.options.TargetArgs(i)...)
 		}
@@ -206,6 +220,7 @@
 
 func (c *Cluster) setAgent(set func(section, key, value string), n *Node) {
 	set("agent", "target", "http://"+n.Target)
+	set("agent", "listen", n.Announcements)
 	set("agent", "service", c.options.Service)
 	set("agent", "rack", "rack-"+n.Zone)
 	if n.Worker != "" {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -117,6 +117,51 @@
 	}
 }
 
+// Guards against hedges beyond their budget when all requests are late.
+func TestHedgesStayInBudget(t *testing.T) {
+	const requests = 200
+	r := newRouter(Options{Policy: ChoiceOfTwo, Hedging: true, HedgeShare: 0.05}, 2)
+	r.groups["s"].latency = percentile{samples: enoughSamples, value: 20 * time.Millisecond}
+	hedges := 0
+	for i := range requests {
+		req := quote(fmt.Sprint(i))
+		r.Submit(start, req)
+		for _, a := range r.Tick(start.Add(20 * time.Millisecond)) {
+			if a.Kind == Send {
+				hedges++
+			}
+		}
+		r.Abandon(start, req)
+	}
+	if hedges == 0 || hedges > hedgeBurst+requests/20 {
+		t.Fatalf("%d hedges for %d requests", hedges, requests)
+	}
+}
+
+// Guards against a concurrency limit that does not follow the target, or that
+// leaves its bounds.
+func TestConcurrencyLimitAdapts(t *testing.T) {
+	r := newRouter(Options{Policy: ChoiceOfTwo}, 1)
+	x := r.targets["t0"]
+	for range 100 {
+		x.adapt(true)
+	}
+	if x.limit != 1 {
+		t.Fatalf("limit %.1f after refusals, want 1", x.limit)
+	}
+	x.outstanding = 100
+	for range 1000 {
+		x.adapt(false)
+	}
+	if x.limit != maxLimit {
+		t.Fatalf("limit %.1f after good answers, want %.0f", x.limit, maxLimit)
+	}
+	x.Load.Queued = 10
+	if x.adapt(false); x.limit >= maxLimit {
+		t.Fatalf("limit %.1f with a long queue", x.limit)
+	}
+}
+
 // Guards against latency-critical requests that wait behind the others when
 // the targets are full.
 func TestWaitingOrder(t *testing.T) {
