--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -36,6 +36,8 @@
 	Workers  bool                         // a stand-in worker beside each agent
 	Relays   bool                         // a relay on every link, for cuts
 	Settings map[string]map[string]string // section and key to value, for every process
+	// Announce lets the targets announce themselves and their leave to their agents.
+	Announce bool
 	// TargetArgs returns more arguments for the stand-in target of agent i.
 	TargetArgs func(i int) []string
 }
@@ -51,6 +53,7 @@
 	DataPath      string
 	Target        string // address of the stand-in target of an agent
 	TargetProcess *Process
+	Announcements string            // address of an agent for announcements of its target; may be empty
 	Worker        string            // address of the stand-in worker of an agent
 	Relays        map[string]*Relay // by the id of the process that this one dials
 }
@@ -147,6 +150,10 @@
 	for i, n := range c.Agents {
 		n.Target = freeAddress(c.t)
 		args := []string{"-kind", "target", "-listen", n.Target, "-id", n.ID}
+		if c.options.Announce {
+			n.Announcements = freeAddress(c.t)
+			args = append(args, "-agent", n.Announcements)
+		}
 		if c.options.TargetArgs != nil {
 			args = append(args, c.options.TargetArgs(i)...)
 		}
@@ -202,6 +209,7 @@
 
 func (c *Cluster) setAgent(set func(section, key, value string), n *Node) {
 	set("agent", "target", "http://"+n.Target)
+	set("agent", "listen", n.Announcements)
 	set("agent", "service", c.options.Service)
 	set("agent", "rack", "rack-"+n.Zone)
 	if n.Worker != "" {
