placement: judge pending tasks by their declared size, keep failures of completed jobs

Cause: the blame of a pending task used its measured use, which is 0, so the filter against disturbance let new tasks pass. Change: the declared size stands in for a pending task; failures stay until they expire. Tests cover quarantine, probation, preemption, expiry, spread and disturbance.

--- a/placement/actions.go
+++ b/placement/actions.go
@@ -172,10 +172,14 @@
 	if s.options.IgnoreInterference {
 		return ratio(t.Size.CPUMilli, w.Capacity.CPUMilli)
 	}
+	use := t.used
+	if t.worker == nil {
+		use = t.Size.CPUMilli // not running, so nothing is measured
+	}
 	worst := 0.0
 	for _, v := range w.tasks {
 		if v.Kind == Service {
-			worst = max(worst, s.model.Blame(t.resident(w, t.used), v.resident(w, v.used), s.now))
+			worst = max(worst, s.model.Blame(t.resident(w, use), v.resident(w, v.used), s.now))
 		}
 	}
 	return worst
--- a/placement/events.go
+++ b/placement/events.go
@@ -163,8 +163,7 @@
 	s.refreshProbation(w)
 	if !failed {
 		s.runTimes.Record(t.Class, t.RunTime, now.Sub(t.placedAt))
-		s.Remove(id, now)
-		s.matrix.Forget(quarantine.Job, id)
+		s.Remove(id, now) // the matrix keeps earlier failures: they speak against workers
 		return
 	}
 	t.exclude(w.ID, now, s.options.AvoidFailed)
--- /dev/null
+++ b/placement/scheduler_test.go
@@ -0,0 +1,183 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/quarantine"
+)
+
+// newSmall returns a scheduler with workers of 8 cores in zones a and b in turn.
+func newSmall(o Options, workers int) *Scheduler {
+	s := New(o)
+	s.SetDefaultQuota(&Quota{Limit: size(1000, 1000), Tasks: 1000})
+	for i := range workers {
+		s.SetWorker(Worker{ID: fmt.Sprint("w", i), Zone: string(rune('a' + i%2)), Rack: "r", Capacity: size(8, 64)}, epoch)
+	}
+	return s
+}
+
+func batch(id, class string, cores int) Task {
+	return Task{ID: id, Customer: "c", Class: class, Size: size(cores, 1)}
+}
+
+// Guards against work for a worker that fails everything, a worker that never
+// returns, and one that returns without probation.
+func TestQuarantinedWorkerReturnsThroughProbation(t *testing.T) {
+	s, now := newSmall(Options{}, 8), epoch
+	for i := range 4 {
+		id := fmt.Sprint("failing", i)
+		s.Placed(batch(id, "scan", 1), "w0", now)
+		s.Finished(id, true, now)
+		s.Placed(batch(id, "scan", 1), "w1", now)
+		s.Finished(id, false, now)
+	}
+	d := s.Step(now)
+	if len(d.Quarantine) != 1 || d.Quarantine[0].Name != "w0" {
+		t.Fatalf("quarantine is %+v, want w0", d.Quarantine)
+	}
+	fill := func() (onFirst int) {
+		for i := range 64 {
+			s.Submit(batch(fmt.Sprint(now.Unix(), "-", i), "sort", 1), now)
+		}
+		for _, p := range s.Step(now).Placements {
+			if p.Worker == "w0" {
+				onFirst++
+			}
+		}
+		return onFirst
+	}
+	if n := fill(); n != 0 {
+		t.Fatalf("%d tasks on a worker in quarantine", n)
+	}
+	now = now.Add(11 * time.Minute)
+	if n := fill(); n != 1 {
+		t.Fatalf("%d tasks on a worker on probation, want 1", n)
+	}
+}
+
+// Guards against a job that fails everywhere and is tried for ever.
+func TestQuarantinedJobIsHeldAndReleased(t *testing.T) {
+	s, now := newSmall(Options{}, 8), epoch
+	for i := range 8 {
+		for j := range 4 {
+			s.Placed(batch(fmt.Sprint("ok", j), "sort", 1), fmt.Sprint("w", i), now)
+			s.Finished(fmt.Sprint("ok", j), false, now)
+		}
+	}
+	var held []Held
+	attempts := 0
+	s.Submit(batch("bad", "scan", 1), now)
+	for ; attempts < 50 && len(held) == 0; attempts++ {
+		now = now.Add(time.Second)
+		d := s.Step(now)
+		held = d.Held
+		s.Finished("bad", true, now)
+	}
+	if len(held) != 1 || !strings.HasPrefix(held[0].Reason, "quarantined") || attempts > 10 {
+		t.Fatalf("held %+v after %d steps", held, attempts)
+	}
+	if !s.Release(quarantine.Job, "bad", now) {
+		t.Fatal("no release")
+	}
+	if d := s.Step(now); len(d.Freed) != 1 || len(d.Placements) != 1 {
+		t.Fatalf("after the release: %+v", d)
+	}
+}
+
+// Guards against urgent work that waits behind batch work on a full cluster, and
+// against more than one victim for one urgent task.
+func TestUrgentTaskPreemptsOneBatchTask(t *testing.T) {
+	s, now := newSmall(Options{EvictionsPerHour: 1}, 2), epoch
+	for i := range 4 {
+		s.Placed(batch(fmt.Sprint("b", i), "sort", 4), fmt.Sprint("w", i%2), now)
+	}
+	urgent := batch("urgent", "sort", 4)
+	urgent.Urgent = true
+	s.Submit(urgent, now)
+	d := s.Step(now)
+	if len(d.Actions) != 1 || d.Actions[0].Cause != Preemption || d.Actions[0].Kind != Checkpoint {
+		t.Fatalf("got %+v, want one preemption", d.Actions)
+	}
+	if d := s.Step(now.Add(time.Second)); len(d.Actions) != 0 {
+		t.Fatalf("a second victim: %+v", d.Actions)
+	}
+	s.Submit(batch("other", "sort", 4), now)
+	s.Requeue(d.Actions[0].Task, now)
+	p := s.Step(now.Add(2 * time.Second)).Placements
+	if len(p) != 1 || p[0].Task != "urgent" || p[0].Worker != d.Actions[0].Worker {
+		t.Fatalf("got %v, want the urgent task in the room of the victim", p)
+	}
+	// A second urgent task finds the budget of evictions used up.
+	urgent.ID = "urgent2"
+	s.Submit(urgent, now)
+	if d := s.Step(now.Add(time.Minute)); len(d.Actions) != 0 {
+		t.Fatalf("more evictions than the budget: %+v", d.Actions)
+	}
+}
+
+// Guards against a placement whose confirmation is lost and that blocks room
+// for ever, and against a moved task that returns to the worker it disturbed.
+func TestUnconfirmedPlacementExpiresAndMovedTaskStaysAway(t *testing.T) {
+	s, now := newSmall(Options{}, 2), epoch
+	s.Submit(batch("t", "sort", 8), now)
+	first := s.Step(now).Placements[0].Worker
+	if p := s.Step(now.Add(6 * time.Second)).Placements; len(p) != 1 {
+		t.Fatalf("got %v, want the task proposed again", p)
+	}
+	s.Remove("t", now)
+	s.Placed(batch("moved", "sort", 8), first, now)
+	s.cache.tasks["moved"].leaving = true
+	s.Requeue("moved", now)
+	if p := s.Step(now.Add(7 * time.Second)).Placements; len(p) != 1 || p[0].Worker == first {
+		t.Fatalf("got %v, want the other worker than %s", p, first)
+	}
+}
+
+// Guards against scores that have no effect: a task goes to the zone without
+// its like, and away from the service that its class slows down.
+func TestScoresSpreadAndAvoidHarm(t *testing.T) {
+	s, now := newSmall(Options{}, 2), epoch
+	s.Placed(batch("like", "scan", 1), "w0", now)
+	other := batch("other", "sort", 2)
+	other.Customer = "d"
+	s.Placed(other, "w1", now)
+	s.Submit(batch("t", "scan", 1), now)
+	if p := s.Step(now).Placements; len(p) != 1 || p[0].Worker != "w1" {
+		t.Fatalf("got %v, want the zone without a task of the class", p)
+	}
+
+	s = newSmall(Options{}, 2)
+	s.Placed(Task{ID: "s0", Kind: Service, Class: "sensitive"}, "w0", now)
+	s.Placed(Task{ID: "s1", Kind: Service, Class: "robust"}, "w1", now)
+	s.Placed(batch("filler", "sort", 3), "w1", now)
+	for i, slowdown := range []float64{3, 1} {
+		for range 20 {
+			s.Placed(batch("probe", "scan", 4), fmt.Sprint("w", i), now)
+			now = now.Add(time.Second)
+			service := fmt.Sprint("s", i)
+			s.Observe(fmt.Sprint("w", i), []Usage{{Task: service, Slowdown: slowdown, MeasuredAt: now}}, now)
+			s.Remove("probe", now)
+		}
+	}
+	s.cache.byID["w0"].slowdown = 1
+	task := batch("t", "scan", 1)
+	task.Urgent = true // the filter against disturbance lets it pass, so the score decides
+	s.Submit(task, now)
+	if p := s.Step(now).Placements; len(p) != 1 || p[0].Worker != "w1" {
+		t.Fatalf("got %v, want the worker with the robust service", p)
+	}
+}
+
+// Guards against tasks that are placed beside services that they slow down.
+func TestDisturbingTaskWaits(t *testing.T) {
+	s, now := newSmall(Options{}, 1), epoch
+	s.Placed(Task{ID: "s", Kind: Service, Class: "service"}, "w0", now)
+	s.Observe("w0", []Usage{{Task: "s", Slowdown: 2, MeasuredAt: now}}, now)
+	s.Submit(batch("t", "scan", 2), now)
+	if p := s.Step(now.Add(time.Second)).Placements; len(p) != 0 || !strings.Contains(s.Explain("t"), "slowed down") {
+		t.Fatalf("placed %v, reason %q", p, s.Explain("t"))
+	}
+}
