--- a/daemon/control.go
+++ b/daemon/control.go
@@ -25,5 +25,11 @@
 	role.AddCore("snapshots", state.Snapshotter())
 	role.AddCore("scheduler", scheduler.New(state.Changes, state.Decisions))
 	role.HandleClients(server.New(state.Requests))
+	m := d.telemetry.Metrics
+	m.Ring(role.Inputs.Stats)
+	m.Ring(role.Updates.Stats)
+	m.Ring(state.Requests.Stats)
+	m.Ring(state.Changes.Stats)
+	m.Ring(state.Decisions.Stats)
 	return role, nil
 }
