routing, relay: let requests need a zone permit too

Cause: the setting permit.scope was read and had no effect. Result: TestRequestsNeedAPermit passes and fails without the check of the permit.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -57,6 +57,7 @@
 			Zone:     s.Daemon.Zone,
 			Control:  control,
 			OnConfig: requests.SetConfig,
+			OnPermit: requests.SetPermit,
 			Log:      t.Log,
 		}),
 	}
@@ -100,6 +101,7 @@
 		RetryShare: float64(s.Routing.RetryPercent) / 100,
 		HedgeShare: float64(s.Routing.HedgePercent) / 100,
 		Claims:     len(s.Cluster.Control) > 0,
+		NeedPermit: s.Permit.Scope == settings.PermitAll && !s.Entry.Standalone,
 	}
 }
 
--- a/daemon/entry/relay/permits.go
+++ b/daemon/entry/relay/permits.go
@@ -65,9 +65,12 @@
 	p.reason = grant.Reason
 	if grant.TTLMillis <= 0 {
 		p.ends = 0
-		return
+	} else {
+		p.ends = max(p.ends, call.sentAt+time.Duration(grant.TTLMillis)*time.Millisecond)
+	}
+	if d.options.OnPermit != nil {
+		d.options.OnPermit(call.zone, time.Now().Add(p.ends-bootclock.Now()))
 	}
-	p.ends = max(p.ends, call.sentAt+time.Duration(grant.TTLMillis)*time.Millisecond)
 }
 
 // answerPermit hands out what is left of the zone's permit. The agent counts it
--- a/daemon/entry/relay/relay.go
+++ b/daemon/entry/relay/relay.go
@@ -44,6 +44,9 @@
 	Zone     string
 	Control  Control
 	OnConfig func(controlapi.Config) // gets every accepted configuration; must not block
+	// OnPermit gets the end of the permit of a zone, the zero time after a
+	// refusal; must not block. It may be nil.
+	OnPermit func(zone string, until time.Time)
 	Log      *zap.Logger
 }
 
--- a/daemon/entry/router/router.go
+++ b/daemon/entry/router/router.go
@@ -28,6 +28,7 @@
 // operation of control in flight.
 const (
 	callCapacity   = 4096
+	permitCapacity = 64 // zones with agents here, renewed every 400 ms
 	eventCapacity  = 8192
 	resultCapacity = 4096
 	maxBatch       = 256
@@ -53,6 +54,7 @@
 type Duty struct {
 	calls   *ring.Ring[*Call]
 	events  *ring.Ring[event]
+	permits *ring.Ring[zonePermit]
 	configs *ring.Ring[controlapi.Config]
 	results *ring.Ring[controlclient.Result]
 	control Control
@@ -79,6 +81,7 @@
 	return &Duty{
 		calls:   ring.New[*Call]("router.calls", callCapacity),
 		events:  ring.New[event]("router.events", eventCapacity),
+		permits: ring.New[zonePermit]("router.permits", permitCapacity),
 		configs: ring.New[controlapi.Config]("router.configs", 1),
 		results: ring.New[controlclient.Result]("router.results", resultCapacity),
 		control: control,
@@ -94,6 +97,18 @@
 // newer configuration replaces one that was not taken yet.
 func (d *Duty) SetConfig(c controlapi.Config) { _ = d.configs.PutLatest(c) }
 
+// zonePermit is the end of the permit of a zone.
+type zonePermit struct {
+	zone  string
+	until time.Time
+}
+
+// SetPermit hands the end of a zone's permit to the router. It never blocks; a
+// permit that is dropped is renewed soon.
+func (d *Duty) SetPermit(zone string, until time.Time) {
+	_ = d.permits.PutLatest(zonePermit{zone: zone, until: until})
+}
+
 // Run routes until ctx ends.
 func (d *Duty) Run(ctx context.Context) error {
 	d.reset()
@@ -113,6 +128,8 @@
 		case c := <-d.configs.C():
 			d.config = &c
 			d.perform(d.router.SetConfig(time.Now(), c))
+		case p := <-d.permits.C():
+			d.perform(d.router.SetPermit(time.Now(), p.zone, p.until))
 		case <-timer.C:
 			d.armed = time.Time{}
 			d.perform(d.router.Tick(time.Now()))
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -139,13 +139,15 @@
 
 // absence tells why a service has no target for an attempt.
 func (r *Router) absence(now time.Time, g *group) request.Reason {
-	usable, out := 0, 0
+	usable, out, unpermitted := 0, 0, 0
 	for _, t := range g.targets {
 		switch {
 		case t.isUsable(now):
 			usable++
 		case t.zoneOut:
 			out++
+		case !now.Before(t.permit):
+			unpermitted++
 		}
 	}
 	switch {
@@ -153,6 +155,8 @@
 		return request.ReasonOverloaded
 	case out > 0 && out == len(g.targets):
 		return request.ReasonZoneOut
+	case unpermitted > 0 && out+unpermitted == len(g.targets):
+		return request.ReasonNoQuorum
 	}
 	return request.ReasonNoTarget
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -31,6 +31,7 @@
 	HedgeShare  float64 // hedges as a share of the requests
 	Waiting     int     // requests of a service that wait for a target; default 1024
 	Claims      bool    // there is a quorum that claims non-idempotent requests
+	NeedPermit  bool    // a target gets work only while its zone has a permit
 }
 
 // Bursts of the budgets: the extra attempts that are saved up. A lost agent
@@ -65,6 +66,7 @@
 	random     *rand.Rand
 	limiter    *limit.Limiter
 	configured bool
+	permits    map[string]time.Time
 	zonesOut   map[string]bool
 	targets    map[string]*target
 	groups     map[string]*group
@@ -105,6 +107,7 @@
 		// results are dropped.
 		attempt:   o.Incarnation,
 		operation: o.Incarnation,
+		permits:   map[string]time.Time{},
 		retries:   budget.New(o.RetryShare, retryBurst),
 		hedges:    budget.New(o.HedgeShare, hedgeBurst),
 	}
@@ -134,6 +137,32 @@
 	return r.actions
 }
 
+// SetPermit sets until when the quorum permits work in a zone. It has an effect
+// only with Options.NeedPermit.
+func (r *Router) SetPermit(now time.Time, zone string, until time.Time) []Action {
+	r.begin()
+	r.permits[zone] = until
+	for _, t := range r.targets {
+		if t.Zone == zone {
+			t.permit = r.permitOf(zone)
+		}
+	}
+	for _, name := range sortedKeys(r.groups) {
+		r.pump(now, r.groups[name])
+	}
+	return r.actions
+}
+
+// unlimited is the end of the permit when none is needed.
+var unlimited = time.Unix(1<<40, 0)
+
+func (r *Router) permitOf(zone string) time.Time {
+	if !r.options.NeedPermit {
+		return unlimited
+	}
+	return r.permits[zone]
+}
+
 // Submit routes a new request.
 func (r *Router) Submit(now time.Time, req *request.Request) []Action {
 	r.begin()
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -230,3 +230,19 @@
 	// send to runner-1
 	// reply done
 }
+
+// Guards against requests to a zone whose permit has run out, in a deployment
+// where requests need one.
+func TestRequestsNeedAPermit(t *testing.T) {
+	r := newRouter(Options{Policy: ChoiceOfTwo, NeedPermit: true}, 1)
+	a := only(t, r.Submit(start, quote("a")), Reply)
+	if a.Response.Outcome != request.NotRun || a.Response.Reason != request.ReasonNoQuorum {
+		t.Fatalf("without a permit: %+v", a.Response)
+	}
+	r.SetPermit(start, r.targets["t0"].Zone, start.Add(time.Millisecond))
+	only(t, r.Submit(start, quote("b")), Send)
+	a = only(t, r.Submit(start.Add(time.Millisecond), quote("c")), Reply)
+	if a.Response.Reason != request.ReasonNoQuorum {
+		t.Fatalf("after the permit: %+v", a.Response)
+	}
+}
--- a/routing/target.go
+++ b/routing/target.go
@@ -73,8 +73,9 @@
 	announcedAt time.Time
 	lostAt      time.Time
 	zoneOut     bool
-	outstanding int     // attempts of this process that have no answer yet
-	others      float64 // attempts of other entry instances at othersAt
+	permit      time.Time // end of the permit of its zone
+	outstanding int       // attempts of this process that have no answer yet
+	others      float64   // attempts of other entry instances at othersAt
 	othersAt    time.Time
 	work        estimate // time at work
 	limit       float64  // of outstanding
@@ -113,6 +114,7 @@
 	t.linked = true
 	t.announcedAt = now
 	t.zoneOut = r.zonesOut[a.Zone]
+	t.permit = r.permitOf(a.Zone)
 	t.limit = min(max(t.limit, 1), maxLimit*slotsOf(t))
 	t.observeLoad(now, a.Load)
 	r.limiter.SetInstances(now, r.instances.report(now, a.Instances))
@@ -181,7 +183,7 @@
 
 // isUsable reports whether t takes work as far as it has announced.
 func (t *target) isUsable(now time.Time) bool {
-	return t.linked && t.State == Serving && !t.zoneOut && now.Sub(t.announcedAt) < announceTimeout
+	return t.linked && t.State == Serving && !t.zoneOut && now.Before(t.permit) && now.Sub(t.announcedAt) < announceTimeout
 }
 
 // isReturning reports whether t may take work again soon.
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -43,7 +43,7 @@
 		{"routing", "retry_percent", "percent", "10", "retries as a share of requests", integer(&s.Routing.RetryPercent, 0, 100)},
 		{"routing", "hedge_percent", "percent", "5", "hedges as a share of requests", integer(&s.Routing.HedgePercent, 0, 100)},
 
-		{"permit", "scope", "", "starts", "what needs a zone permit: starts (of tasks) or all (requests too)", choice(&s.Permit.Scope, "starts", "all")},
+		{"permit", "scope", "", PermitStarts, "what needs a zone permit: starts (of tasks) or all (requests too)", choice(&s.Permit.Scope, PermitStarts, PermitAll)},
 		{"permit", "ttl", "duration", "2s", "length of a zone permit", duration(&s.Permit.TTL, 0.1, 3)},
 
 		{"admin", "listen", "ip:port", "127.0.0.1:8081", "address for operators", address(&s.Admin.Listen)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,6 +93,12 @@
 	HedgePercent int
 }
 
+// Scopes of permits.
+const (
+	PermitStarts = "starts"
+	PermitAll    = "all"
+)
+
 // Permit says what needs a permit of the zone.
 type Permit struct {
 	Scope string
