--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -7,7 +7,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -128,33 +127,23 @@
 	}
 }
 
-// Ports of the tests lie below those that the system gives to outgoing
-// connections: a port of theirs can be taken between the check and the start of
-// the process, while other tests run.
-const (
-	firstPort = 10_000
-	ports     = 20_000
-)
+// firstPort is below the ports that the kernel gives to outgoing connections,
+// so that none of them can take the address of a process that is starting.
+const firstPort = 20000
 
-// nextPort counts up from a random port, so that one test program never hands
-// out a port twice and several programs rarely meet.
-var nextPort atomic.Uint32
+var nextPort atomic.Int32
 
-func init() { nextPort.Store(rand.Uint32N(ports)) }
-
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address that nothing else uses: the host part
+// is the process id of the test, and each port is given out once.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
-		socket, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = socket.Close()
-			return address
-		}
+	pid := os.Getpid()
+	host := net.IPv4(127, byte(64+pid>>16&63), byte(pid>>8), byte(pid))
+	port := firstPort + int(nextPort.Add(1))
+	if port >= 32768 {
+		t.Fatal("no ports left for this test process")
 	}
-	t.Fatal("no free port")
-	return ""
+	return net.JoinHostPort(host.String(), strconv.Itoa(port))
 }
 
 func (c *Cluster) startStandins() {
