--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -55,6 +55,12 @@
 	if math.Abs(later.Coefficient-m.options.Prior) > 0.05 || later.Deviation < 0.45 {
 		t.Errorf("after ten hours without reports: %+v, want the prior", later)
 	}
+	m.Observe(Observation{
+		Victim: "v", Slowdown: 1, Neighbours: []Resident{{Class: "0", Intensity: 0.1}}, MeasuredAt: epoch.Add(10 * time.Hour),
+	})
+	if after := m.Pair("v", "3", epoch.Add(10*time.Hour)); math.Abs(after.Coefficient-later.Coefficient) > 0.05 {
+		t.Errorf("a report on another pair brought an old estimate back: %+v", after)
+	}
 }
 
 // Guards against two actions at once on a worker, actions before the last has
@@ -88,7 +94,7 @@
 				}
 			},
 			"next": func(t *rapid.T) {
-				candidates := []Candidate{{"a", 0.2, throttled["a"], false}, {"b", 0.5, throttled["b"], true}}
+				candidates := []Candidate{{"a", 0.5, throttled["a"], false}, {"b", 0.2, throttled["b"], true}}
 				d := l.Next(now, candidates, budget.HasRoom(now))
 				if l.Pending().Step == None && pending.Step != None {
 					pending, lastEnd, high, low = Decision{}, now, 0, 0 // given up after the timeout
@@ -106,8 +112,8 @@
 				if !isEscalation && high < 3 && low < 3 {
 					t.Fatalf("%v without three reports in a row", d)
 				}
-				if d.Step == Move && !throttled[d.Task] {
-					t.Fatalf("%v of a task that was not throttled first", d)
+				if d.Step == Move && !(throttled["a"] && throttled["b"]) {
+					t.Fatalf("%v before all tasks were throttled", d)
 				}
 				if d.Step == Move && d.Task != "b" {
 					t.Fatalf("%v of a task that no other worker takes better", d)
@@ -136,3 +142,36 @@
 	}
 	return 0
 }
+
+// Guards against a move before all tasks with blame are throttled, against a
+// move that helps no worker, and against a throttle that never ends.
+func TestLadderOrder(t *testing.T) {
+	l, now := NewLadder(LadderOptions{}), epoch
+	candidates := []Candidate{{Task: "a", Blame: 0.5}, {Task: "b", Blame: 0.2, Movable: true}, {Task: "harmless", Movable: true}}
+	next := func(slowdown float64) Decision {
+		for range 2 {
+			now = now.Add(3 * time.Second)
+			l.Report(slowdown, now)
+		}
+		d := l.Next(now, candidates, true)
+		l.Confirm(d.Task, now)
+		for i := range candidates {
+			if candidates[i].Task == d.Task {
+				candidates[i].Throttled = d.Step == Throttle
+			}
+		}
+		return d
+	}
+	slow := []Decision{{Throttle, "a"}, {Throttle, "b"}, {Move, "b"}}
+	for _, want := range slow {
+		if got := next(2); got != want {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	}
+	candidates[1].Throttled = true
+	for _, want := range []Decision{{Restore, "b"}, {Restore, "a"}, {}} {
+		if got := next(1); got != want {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	}
+}
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -181,3 +183,30 @@
 		t.Fatalf("placed %v, reason %q", p, s.Explain("t"))
 	}
 }
+
+// Guards against a large task that small ones pass for ever because the room is
+// never free at one time.
+func TestAgedLargeTaskIsNotPassedForEver(t *testing.T) {
+	s, now := newSmall(Options{}, 1), epoch
+	for i := range 8 {
+		s.Placed(batch(fmt.Sprint("first", i), "sort", 1), "w0", now)
+	}
+	s.Submit(batch("large", "sort", 8), now)
+	now = now.Add(6 * time.Minute)
+	running := slices.Sorted(maps.Keys(s.cache.tasks))
+	for i := range 20 {
+		s.Submit(batch(fmt.Sprint("small", i), "sort", 1), now)
+		for _, p := range s.Step(now).Placements {
+			if p.Task == "large" {
+				return
+			}
+			running = append(running, p.Task)
+		}
+		if len(running) > 0 {
+			s.Finished(running[0], false, now)
+			running = running[1:]
+		}
+		now = now.Add(time.Second)
+	}
+	t.Fatal("the large task was not placed although each step ended one task")
+}
