--- a/interference/model.go
+++ b/interference/model.go
@@ -141,12 +141,6 @@
 	return harm
 }
 
-// Blame is the slowdown that a task causes to one resident, without caution.
-func (m *Model) Blame(task, victim Resident, t time.Time) float64 {
-	mean, _ := m.estimate(victim.Class, task.Class, t)
-	return mean * task.Intensity
-}
-
 func (m *Model) cautious(victim, aggressor string, t time.Time) float64 {
 	mean, variance := m.estimate(victim, aggressor, t)
 	return mean + m.options.Caution*math.Sqrt(variance)
--- a/interference/victim.go
+++ b/interference/victim.go
@@ -14,6 +14,10 @@
 	mean       []float64
 	covariance [][]float64
 	at         time.Time
+
+	// Memo of kept, which is asked many times for one moment.
+	keptFor   time.Time
+	keptValue float64
 }
 
 // grow adds an aggressor class with the prior.
@@ -35,7 +39,10 @@
 	if age <= 0 {
 		return 1
 	}
-	return math.Exp2(-float64(age) / float64(o.HalfLife))
+	if !v.keptFor.Equal(t) {
+		v.keptFor, v.keptValue = t, math.Exp2(-float64(age)/float64(o.HalfLife))
+	}
+	return v.keptValue
 }
 
 // decay moves the estimates towards the prior.
@@ -52,7 +59,7 @@
 		}
 		row[i] += prior * (1 - kept)
 	}
-	v.at = t
+	v.at, v.keptFor = t, time.Time{}
 }
 
 // update applies the equation y = x . mean with the given noise.
--- a/placement/actions.go
+++ b/placement/actions.go
@@ -179,8 +179,24 @@
 	worst := 0.0
 	for _, v := range w.tasks {
 		if v.Kind == Service {
-			worst = max(worst, s.model.Blame(t.resident(w, use), v.resident(w, v.used), s.now))
+			worst = max(worst, s.coefficient(v.Class, t.Class))
 		}
 	}
-	return worst
+	return worst * ratio(use, w.Capacity.CPUMilli)
+}
+
+// coefficient is the estimate for a pair of classes. It is asked for every
+// worker and task of a step, so it is kept for the step.
+func (s *Scheduler) coefficient(victim, aggressor string) float64 {
+	if !s.coefficientsAt.Equal(s.now) {
+		clear(s.coefficients)
+		s.coefficientsAt = s.now
+	}
+	key := [2]string{victim, aggressor}
+	value, known := s.coefficients[key]
+	if !known {
+		value = s.model.Pair(victim, aggressor, s.now).Coefficient
+		s.coefficients[key] = value
+	}
+	return value
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -90,6 +90,9 @@
 	misses    []miss
 	reserved  int
 
+	coefficients   map[[2]string]float64
+	coefficientsAt time.Time
+
 	decisions  Decisions
 	candidates []*worker
 	residents  []interference.Resident
@@ -110,6 +113,8 @@
 		pending:  map[string]*task{},
 		held:     map[string]*task{},
 		proposed: map[string]*task{},
+
+		coefficients: map[[2]string]float64{},
 	}
 }
 
