--- a/daemon/control/fault_test.go
+++ b/daemon/control/fault_test.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/ibispier/ibispier/daemon/control/replica"
 	"github.com/ibispier/ibispier/datafolder"
@@ -88,10 +89,15 @@
 	cause := syscall.EIO
 	files.sync.Store(&cause)
 	_ = p.role.Inputs.Offer(replica.Input{Propose: []byte("not synced")})
-	if err := <-p.done; !supervise.IsFatal(err) {
-		t.Errorf("got %v, want a fatal error", err)
+	select {
+	case err := <-p.done:
+		p.cancel = nil
+		if !supervise.IsFatal(err) {
+			t.Errorf("got %v, want a fatal error", err)
+		}
+	case <-time.After(bound):
+		t.Fatalf("the tree still runs %s after a failed sync", bound)
 	}
-	p.cancel = nil
 	if p.applier.has("not synced") {
 		t.Error("a command that is not synced was applied")
 	}
@@ -131,3 +137,34 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a restart of the core after a failed duty that loses commands,
+// hands out entries with a gap or twice (the applier panics then, more often
+// than the policy allows), or takes answers of the run before.
+func TestCoreRestartsAfterAFailedDuty(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	p := c.processes[0]
+	c.startAll()
+	var commands []string
+	for range 3 {
+		commands = append(commands, c.commit())
+		before := 0
+		p.applier.view(func() {
+			before = p.applier.snapshots
+			p.applier.applied = 1 << 40 // the next entry makes the applier panic
+		})
+		_ = p.role.Inputs.Offer(replica.Input{Propose: []byte("panic")})
+		c.waitFor("restart", func() (restarted bool) {
+			p.applier.view(func() { restarted = p.applier.snapshots > before })
+			return restarted
+		})
+	}
+	commands = append(commands, c.commit())
+	c.waitFor("all commands in order", func() (same bool) {
+		p.applier.view(func() {
+			got := slices.DeleteFunc(slices.Clone(p.applier.commands), func(s string) bool { return s == "panic" })
+			same = slices.Equal(slices.Compact(got), commands) // commit may propose again
+		})
+		return same
+	})
+}
--- a/daemon/entry/relay/relay.go
+++ b/daemon/entry/relay/relay.go
@@ -30,7 +30,7 @@
 	// maxRelayTimeout bounds what an agent may ask for.
 	maxRelayTimeout = 5 * time.Second
 	// reportHold is how long control may hold the answer to a report.
-	reportHold = 200 * time.Millisecond
+	reportHold = 600 * time.Millisecond
 )
 
 // Control starts calls to control without blocking.
@@ -44,6 +44,9 @@
 	Zone     string
 	Control  Control
 	OnConfig func(controlapi.Config) // gets every accepted configuration; must not block
+	// OnPermit gets the end of the permit of a zone, the zero time after a
+	// refusal; must not block. It may be nil.
+	OnPermit func(zone string, until time.Time)
 	Log      *zap.Logger
 }
 
--- a/executor/commands.go
+++ b/executor/commands.go
@@ -45,14 +45,33 @@
 // later.
 func (e *Executor) Commands(now, sentAt time.Duration, c controlapi.AgentCommands) []Call {
 	e.calls = nil
+	switch {
+	case c.Resend:
+		e.known = false
+	case c.Sequence == e.namedBy:
+		e.known = true
+	}
 	lease := time.Duration(c.LeaseMillis) * time.Millisecond
-	e.renew(sentAt+lease, c.Renewed)
+	e.renew(sentAt+lease, e.renewed(c))
 	for i := range c.Commands {
 		e.command(now, sentAt+lease, &c.Commands[i])
 	}
 	return e.calls
 }
 
+// renewed returns the leases that an answer renews. An answer that renews all
+// leases means the tasks that its report named.
+func (e *Executor) renewed(c controlapi.AgentCommands) []controlapi.Lease {
+	if !c.RenewedAll {
+		return c.Renewed
+	}
+	leases := c.Renewed
+	for _, r := range e.history[c.Sequence] {
+		leases = append(leases, controlapi.Lease{Task: r.Task, Epoch: r.Epoch})
+	}
+	return leases
+}
+
 func (e *Executor) renew(deadline time.Duration, leases []controlapi.Lease) {
 	renewal := &workerapi.Renew{AgentEpoch: e.worker.Epoch}
 	for _, l := range leases {
@@ -178,6 +197,7 @@
 	t.busy = false
 	switch {
 	case r.Failed:
+		t.uncertain = t.uncertain || r.Call.Kind == Start
 		t.retry(now, r.Call.Kind)
 		return nil
 	case r.Call.Kind == Forget:
@@ -186,8 +206,9 @@
 	case r.Refused != "":
 		t.refused(r)
 	case r.Gone:
-		t.missing()
+		t.missing(now)
 	case r.Task != nil:
+		t.seen(now)
 		t.observe(r.Task)
 	}
 	e.issueWanted(t)
@@ -204,8 +225,11 @@
 	e.want(t, kind)
 }
 
+// refused ends a task whose start was refused. After an earlier start without an
+// answer a refusal proves nothing, because the worker may have started the task
+// then; a later list decides.
 func (t *task) refused(r Result) {
-	if r.Call.Kind == Start {
+	if r.Call.Kind == Start && !t.uncertain {
 		t.end(controlapi.ReportedRefused, ReasonStartFailed+": "+r.Refused)
 	}
 }
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	Workers  bool                         // a stand-in worker beside each agent
 	Relays   bool                         // a relay on every link, for cuts
 	Settings map[string]map[string]string // section and key to value, for every process
+	// Announce lets the targets announce themselves and their leave to their agents.
+	Announce bool
 	// TargetArgs returns more arguments for the stand-in target of agent i.
 	TargetArgs func(i int) []string
 }
@@ -50,6 +53,7 @@
 	DataPath      string
 	Target        string // address of the stand-in target of an agent
 	TargetProcess *Process
+	Announcements string            // address of an agent for announcements of its target; may be empty
 	Worker        string            // address of the stand-in worker of an agent
 	Relays        map[string]*Relay // by the id of the process that this one dials
 }
@@ -123,21 +127,33 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// firstPort is below the ports that the kernel gives to outgoing connections,
+// so that none of them can take the address of a process that is starting.
+const firstPort = 20000
+
+var nextPort atomic.Int32
+
+// freeAddress returns a loopback address that nothing else uses: the host part
+// is the process id of the test, and each port is given out once.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	pid := os.Getpid()
+	host := net.IPv4(127, byte(64+pid>>16&63), byte(pid>>8), byte(pid))
+	port := firstPort + int(nextPort.Add(1))
+	if port >= 32768 {
+		t.Fatal("no ports left for this test process")
 	}
-	defer socket.Close()
-	return socket.Addr().String()
+	return net.JoinHostPort(host.String(), strconv.Itoa(port))
 }
 
 func (c *Cluster) startStandins() {
 	for i, n := range c.Agents {
 		n.Target = freeAddress(c.t)
 		args := []string{"-kind", "target", "-listen", n.Target, "-id", n.ID}
+		if c.options.Announce {
+			n.Announcements = freeAddress(c.t)
+			args = append(args, "-agent", n.Announcements)
+		}
 		if c.options.TargetArgs != nil {
 			args = append(args, c.options.TargetArgs(i)...)
 		}
@@ -193,6 +209,7 @@
 
 func (c *Cluster) setAgent(set func(section, key, value string), n *Node) {
 	set("agent", "target", "http://"+n.Target)
+	set("agent", "listen", n.Announcements)
 	set("agent", "service", c.options.Service)
 	set("agent", "rack", "rack-"+n.Zone)
 	if n.Worker != "" {
