--- a/routing/machine_test.go
+++ b/routing/machine_test.go
@@ -39,7 +39,7 @@
 	runs     map[string]int // by key
 	// falseRefusals are keys that had run when a caller was told "not run".
 	falseRefusals []string
-	next     int
+	next          int
 }
 
 type agent struct {
