--- a/daemon/agent/tasks/tasks.go
+++ b/daemon/agent/tasks/tasks.go
@@ -25,7 +25,7 @@
 	jobCapacity   = 1024
 	tick          = 100 * time.Millisecond
 	// listInterval is the time between lists of the worker while it has tasks.
-	listInterval     = 200 * time.Millisecond
+	listInterval     = 500 * time.Millisecond
 	idleListInterval = time.Second
 )
 
