--- a/client/client.go
+++ b/client/client.go
@@ -129,15 +129,15 @@
 }
 
 func (c *Client) send(ctx context.Context, address string, call call, out any) error {
-	patience := c.options.Timeout / attemptsPerTimeout
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	timeout := c.options.Timeout / attemptsPerTimeout
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+address+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return ErrorClass.Wrap(err)
 	}
 	// The process answers first, so that its reason is not lost to the timeout.
-	deadline := patience * 4 / 5
+	deadline := timeout * 4 / 5
 	req.Header.Set("Ibispier-Deadline-Ms", strconv.FormatInt(max(deadline.Milliseconds(), 1), 10))
 	if call.body != nil {
 		req.Header.Set("Content-Type", "application/json")
--- a/consensus/change.go
+++ b/consensus/change.go
@@ -64,7 +64,7 @@
 		return ErrNoSuchMember
 	}
 	n.leading.transfer = to
-	n.leading.patience = n.config.ElectionTicks
+	n.leading.timeout = n.config.ElectionTicks
 	n.tryTransfer()
 	return nil
 }
@@ -88,8 +88,8 @@
 	if l.transfer.IsZero() {
 		return
 	}
-	l.patience--
-	if l.patience <= 0 || !n.log.membership().IsVoter(l.transfer) {
+	l.timeout--
+	if l.timeout <= 0 || !n.log.membership().IsVoter(l.transfer) {
 		l.transfer = ReplicaID{}
 	}
 }
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -2,9 +2,9 @@
 
 import "slices"
 
-// snapshotPatience is how many election timeouts the leader waits for an answer
+// snapshotTimeout is how many election timeouts the leader waits for an answer
 // to a snapshot before it offers the snapshot again.
-const snapshotPatience = 4
+const snapshotTimeout = 4
 
 // idleHeartbeats is how many heartbeats are answered without progress before
 // appends count as lost. One is too few: a slow sync is not a loss.
@@ -48,7 +48,7 @@
 		if p.state != snapshotting {
 			continue
 		}
-		if p.patience--; p.patience <= 0 {
+		if p.timeout--; p.timeout <= 0 {
 			p.probe(p.match + 1)
 		}
 	}
@@ -146,7 +146,7 @@
 	s := n.snapshot
 	p.state = snapshotting
 	p.snapshot = s.Index
-	p.patience = snapshotPatience * n.config.ElectionTicks
+	p.timeout = snapshotTimeout * n.config.ElectionTicks
 	n.send(Message{Type: MsgSnapshot, To: to, Snapshot: &s})
 }
 
--- a/daemon/agent/admission/admission.go
+++ b/daemon/agent/admission/admission.go
@@ -26,7 +26,6 @@
 
 const (
 	eventCapacity    = 4096
-	eventPatience    = time.Second
 	announceInterval = 200 * time.Millisecond
 	// idleAnnounceInterval is a third of the time after which an entry instance
 	// stops using a target that is not announced.
--- a/daemon/agent/admission/links.go
+++ b/daemon/agent/admission/links.go
@@ -43,10 +43,5 @@
 }
 
 func (d *Duty) put(ctx context.Context, e event) error {
-	if err := d.events.Offer(e); err == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, eventPatience)
-	defer cancel()
-	return d.events.Put(ctx, e)
+	return d.events.PutWithin(ctx, link.EventTimeout, e)
 }
--- a/daemon/control/applier/agents.go
+++ b/daemon/control/applier/agents.go
@@ -16,9 +16,9 @@
 	// held, so that a placement reaches its agent without waiting for the next
 	// report.
 	maxReportHold = time.Second
-	// startPatience is how long a start command is repeated. An agent that has
+	// startTimeout is how long a start command is repeated. An agent that has
 	// not started a task by then loses its lease, and the task is queued again.
-	startPatience = 5 * time.Second
+	startTimeout = 5 * time.Second
 	// tailInterval is how often a changed tail latency goes to the scheduler.
 	tailInterval = time.Second
 	// maxStartBytes bounds the payloads in one answer, which is one message. The
@@ -238,7 +238,7 @@
 // Without it the lease expires, and the task is queued again.
 func (e *engine) startable(now time.Time, t *state.Task) bool {
 	return t.State == controlapi.TaskPlaced && !t.Cancelling && !e.machine.ZoneOut(t.Zone) &&
-		now.Sub(t.PlacedAt) < startPatience
+		now.Sub(t.PlacedAt) < startTimeout
 }
 
 func (e *engine) hasCommands(now time.Time, r *controlapi.AgentReport) bool {
--- a/daemon/control/applier/decisions.go
+++ b/daemon/control/applier/decisions.go
@@ -23,7 +23,7 @@
 }
 
 func (e *engine) proposeOwn(now time.Time, c *state.Command) {
-	e.propose(now, c, now.Add(commandPatience), func(time.Time, state.Result) {}, func() {})
+	e.propose(now, c, now.Add(commandTimeout), func(time.Time, state.Result) {}, func() {})
 }
 
 func (e *engine) place(now time.Time, p Placement) {
@@ -38,7 +38,7 @@
 	c := &state.Command{Place: &state.Place{
 		Task: p.Task, Epoch: p.Epoch, Agent: p.Agent, Zone: a.worker.Zone, Capacity: a.worker.Capacity,
 	}}
-	e.propose(now, c, now.Add(commandPatience), func(_ time.Time, r state.Result) {
+	e.propose(now, c, now.Add(commandTimeout), func(_ time.Time, r state.Result) {
 		if r.Err != nil {
 			reject(reasonOf(r.Err))
 		}
--- a/daemon/control/applier/engine_test.go
+++ b/daemon/control/applier/engine_test.go
@@ -331,7 +331,7 @@
 		t.Fatalf("answered %v after the first confirmation", answered)
 	}
 	r.issue(now, submit)
-	r.expire(now.Add(readPatience)) // lost
+	r.expire(now.Add(readTimeout)) // lost
 	r.issue(now, submit)
 	r.confirmed(replica.ReadReady{Context: asked[1], Index: 3}) // late
 	if r.run(now, 3); answered["second"] {
--- a/daemon/control/applier/leadership.go
+++ b/daemon/control/applier/leadership.go
@@ -15,8 +15,8 @@
 const (
 	// expiryBatch bounds one Expire command.
 	expiryBatch = 500
-	// commandPatience is how long the applier waits for its own commands.
-	commandPatience = 5 * time.Second
+	// commandTimeout is how long the applier waits for its own commands.
+	commandTimeout = 5 * time.Second
 	// processWindow is how long a silent process counts for "in force".
 	processWindow = 30 * time.Second
 	// announcedWindow is how long the announcements of a silent entry instance
@@ -149,7 +149,7 @@
 		}
 	}
 	e.log.Info("leases expired", zap.Int("tasks", len(fresh)), zap.String("first", fresh[0].Task))
-	e.propose(now, &state.Command{Expire: &state.Expire{Leases: fresh}}, now.Add(commandPatience),
+	e.propose(now, &state.Command{Expire: &state.Expire{Leases: fresh}}, now.Add(commandTimeout),
 		func(time.Time, state.Result) {
 			forget()
 			// A lease whose placement had ended before has no task to release it.
--- a/daemon/control/applier/reads.go
+++ b/daemon/control/applier/reads.go
@@ -6,9 +6,9 @@
 	"github.com/ibispier/ibispier/daemon/control/replica"
 )
 
-// readPatience is the time after which a read that the replica has not
+// readTimeout is the time after which a read that the replica has not
 // confirmed is asked again. It is above a round of heartbeats across zones.
-const readPatience = 300 * time.Millisecond
+const readTimeout = 300 * time.Millisecond
 
 // read waits for the confirmation that this member leads.
 type read struct {
@@ -76,7 +76,7 @@
 // expire asks again for a confirmation that has not come, and fails requests
 // whose deadline has passed.
 func (r *reads) expire(now time.Time) {
-	if r.context != 0 && now.Sub(r.issuedAt) >= readPatience {
+	if r.context != 0 && now.Sub(r.issuedAt) >= readTimeout {
 		r.context = 0
 		r.waiting = append(r.asked, r.waiting...)
 		r.asked = nil
--- a/daemon/control/applier/serve.go
+++ b/daemon/control/applier/serve.go
@@ -188,10 +188,10 @@
 }
 
 func (e *engine) announced(now time.Time, r *Request) {
-	said := r.Body.(*controlapi.AnnouncedRequest)
-	e.leader.entries[said.Entry] = &entryView{at: now, targets: said.Targets}
-	e.leader.processes[said.Entry] = processView{revision: said.Revision, at: now}
-	for _, t := range said.Targets {
+	view := r.Body.(*controlapi.AnnouncedRequest)
+	e.leader.entries[view.Entry] = &entryView{at: now, targets: view.Targets}
+	e.leader.processes[view.Entry] = processView{revision: view.Revision, at: now}
+	for _, t := range view.Targets {
 		e.leader.processes[t.Target] = processView{revision: t.Revision, at: now}
 	}
 	r.reply(controlapi.Empty{})
--- a/daemon/control/applier/snapshotter.go
+++ b/daemon/control/applier/snapshotter.go
@@ -13,9 +13,9 @@
 	"github.com/ibispier/ibispier/supervise"
 )
 
-// snapshotPatience bounds how long a snapshot waits for room in the ring of the
+// snapshotTimeout bounds how long a snapshot waits for room in the ring of the
 // replica. A snapshot that is dropped is asked for again.
-const snapshotPatience = 5 * time.Second
+const snapshotTimeout = 5 * time.Second
 
 // snapshot is an image of the state after the entry with index.
 type snapshot struct {
@@ -54,7 +54,7 @@
 	if err != nil {
 		return Error.New("step=snapshot index=%d: %w", x.index, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, snapshotPatience)
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	input := replica.Input{Snapshot: &replica.SnapshotData{Index: x.index, Data: data}}
 	if err := s.inputs.Put(ctx, input); err != nil {
--- a/daemon/control/peers/peers.go
+++ b/daemon/control/peers/peers.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
@@ -26,9 +25,6 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("peers")
 
-// eventPatience bounds how long a link waits for a duty of this member.
-const eventPatience = time.Second
-
 // Options configure the links.
 type Options struct {
 	Self     consensus.ReplicaID
@@ -175,10 +171,5 @@
 }
 
 func put[T any](ctx context.Context, to *ring.Ring[T], v T) error {
-	if err := to.Offer(v); err == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, eventPatience)
-	defer cancel()
-	return to.Put(ctx, v)
+	return to.PutWithin(ctx, link.EventTimeout, v)
 }
--- a/daemon/control/peers/sender.go
+++ b/daemon/control/peers/sender.go
@@ -17,9 +17,9 @@
 	// chunkBytes is the size of the parts of a snapshot. One part is in flight
 	// at a time, so that appends and snapshots share the data stream fairly.
 	chunkBytes = 256 << 10
-	// chunkPatience is how long the sender waits for the answer to a part before
+	// chunkTimeout is how long the sender waits for the answer to a part before
 	// it sends the part again.
-	chunkPatience = 500 * time.Millisecond
+	chunkTimeout = 500 * time.Millisecond
 	// chunkAttempts without an answer end a transfer.
 	chunkAttempts = 10
 )
@@ -33,7 +33,7 @@
 // Run sends until ctx ends.
 func (s *sender) Run(ctx context.Context) error {
 	r := &sending{sender: s}
-	ticker := time.NewTicker(chunkPatience)
+	ticker := time.NewTicker(chunkTimeout)
 	defer ticker.Stop()
 	for {
 		select {
@@ -136,7 +136,7 @@
 
 func (r *sending) resend() {
 	t := r.transfer
-	if t == nil || time.Since(t.sentAt) < chunkPatience {
+	if t == nil || time.Since(t.sentAt) < chunkTimeout {
 		return
 	}
 	if t.attempts++; t.attempts >= chunkAttempts {
--- a/daemon/controlclient/duty.go
+++ b/daemon/controlclient/duty.go
@@ -12,7 +12,6 @@
 
 const (
 	eventCapacity = 4096
-	eventPatience = time.Second // a duty that is slower than this has failed, and the link is closed
 	maxBatch      = 256
 	idleTick      = time.Second
 )
@@ -188,10 +187,5 @@
 }
 
 func (h *memberHandler) put(ctx context.Context, e event) error {
-	if err := h.duty.events.Offer(e); err == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, eventPatience)
-	defer cancel()
-	return h.duty.events.Put(ctx, e)
+	return h.duty.events.PutWithin(ctx, link.EventTimeout, e)
 }
--- a/daemon/entry/relay/config.go
+++ b/daemon/entry/relay/config.go
@@ -106,13 +106,13 @@
 	}
 }
 
-func (d *Duty) tellAnnounced(now time.Duration) {
-	said := controlapi.AnnouncedRequest{Entry: d.options.Entry, Revision: d.config.Revision}
+func (d *Duty) reportTargets(now time.Duration) {
+	report := controlapi.AnnouncedRequest{Entry: d.options.Entry, Revision: d.config.Revision}
 	for _, t := range d.targets {
 		t.Revision = t.conn.PeerRevision()
-		said.Targets = append(said.Targets, t.AnnouncedTarget)
+		report.Targets = append(report.Targets, t.AnnouncedTarget)
 	}
-	payload, err := json.Marshal(said)
+	payload, err := json.Marshal(report)
 	if err != nil {
 		return
 	}
--- a/daemon/entry/relay/links.go
+++ b/daemon/entry/relay/links.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/wire"
 )
 
-// eventPatience bounds how long a link waits for this duty.
-const eventPatience = time.Second
-
 // Handles reports whether the duty takes frames of this kind.
 func (d *Duty) Handles(f *wire.Frame) bool {
 	switch f.GetBody().(type) {
@@ -45,7 +41,5 @@
 }
 
 func (d *Duty) put(ctx context.Context, e event) error {
-	ctx, cancel := context.WithTimeout(ctx, eventPatience)
-	defer cancel()
-	return d.events.Put(ctx, e)
+	return d.events.PutWithin(ctx, link.EventTimeout, e)
 }
--- a/daemon/entry/relay/relay.go
+++ b/daemon/entry/relay/relay.go
@@ -66,14 +66,14 @@
 	revision atomic.Uint64
 	ready    atomic.Bool
 
-	conns    map[*link.Conn]bool
-	targets  map[string]announced
-	pending  map[uint64]pending
-	permits  map[string]*zonePermit
-	config   controlapi.Config
-	token    uint64
-	watching bool
-	saidAt   time.Duration
+	conns      map[*link.Conn]bool
+	targets    map[string]announced
+	pending    map[uint64]pending
+	permits    map[string]*zonePermit
+	config     controlapi.Config
+	token      uint64
+	watching   bool
+	reportedAt time.Duration
 }
 
 // pending is a call to control that has no result yet.
@@ -151,9 +151,9 @@
 	if !d.watching {
 		d.watchConfig(now)
 	}
-	if now-d.saidAt >= announcedInterval {
-		d.saidAt = now
-		d.tellAnnounced(now)
+	if now-d.reportedAt >= announcedInterval {
+		d.reportedAt = now
+		d.reportTargets(now)
 	}
 }
 
--- a/daemon/entry/router/links.go
+++ b/daemon/entry/router/links.go
@@ -2,16 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/wire"
 )
 
-// eventPatience bounds how long a link waits for the router. A router that is
-// slower than this has failed, and the link is closed.
-const eventPatience = time.Second
-
 // Handles reports whether the duty takes frames of this kind.
 func (d *Duty) Handles(f *wire.Frame) bool {
 	switch f.GetBody().(type) {
@@ -46,10 +41,5 @@
 }
 
 func (d *Duty) put(ctx context.Context, e event) error {
-	if err := d.events.Offer(e); err == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, eventPatience)
-	defer cancel()
-	return d.events.Put(ctx, e)
+	return d.events.PutWithin(ctx, link.EventTimeout, e)
 }
--- a/daemon/pathtest/path_test.go
+++ b/daemon/pathtest/path_test.go
@@ -149,7 +149,7 @@
 		{"from the entry", func(r *testcluster.Relay) { r.SilenceOneWay(false) }},
 	} {
 		t.Run(silence.name, func(t *testing.T) {
-			const patience = 2 * time.Second
+			const timeout = 2 * time.Second
 			for _, n := range c.Agents {
 				silence.do(n.Relays[entry.ID])
 			}
@@ -160,8 +160,8 @@
 			}
 			group.Wait()
 			for _, r := range replies {
-				if r.err != nil || r.outcome != "done" || r.latency > patience {
-					t.Errorf("want an answer within %s: %s", patience, r)
+				if r.err != nil || r.outcome != "done" || r.latency > timeout {
+					t.Errorf("want an answer within %s: %s", timeout, r)
 				}
 			}
 		})
--- a/internal/testcluster/cluster.go
+++ b/internal/testcluster/cluster.go
@@ -260,7 +260,7 @@
 }
 
 func (c *Cluster) newClient() *client.Client {
-	o := client.Options{Timeout: Patience}
+	o := client.Options{Timeout: WaitTimeout}
 	for _, n := range c.Controls {
 		o.Admin = append(o.Admin, n.Admin)
 	}
@@ -270,16 +270,16 @@
 	return client.New(o)
 }
 
-// Context returns a context that ends after Patience.
+// Context returns a context that ends after WaitTimeout.
 func (c *Cluster) Context() context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), Patience)
+	ctx, cancel := context.WithTimeout(context.Background(), WaitTimeout)
 	c.t.Cleanup(cancel)
 	return ctx
 }
 
 func (c *Cluster) bootstrap() {
 	c.t.Helper()
-	first := client.New(client.Options{Admin: []string{c.Controls[0].Admin}, Timeout: Patience})
+	first := client.New(client.Options{Admin: []string{c.Controls[0].Admin}, Timeout: WaitTimeout})
 	if _, err := first.Membership(c.Context(), controlapi.MembershipRequest{Action: "bootstrap", ID: c.Controls[0].ID}); err != nil {
 		c.t.Fatalf("bootstrap: %v", err)
 	}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -12,9 +12,9 @@
 	"time"
 )
 
-// Patience bounds every wait for a condition. It is generous, because the
+// WaitTimeout bounds every wait for a condition. It is generous, because the
 // machine is shared.
-const Patience = 60 * time.Second
+const WaitTimeout = 60 * time.Second
 
 var build struct {
 	once sync.Once
@@ -153,8 +153,8 @@
 	select {
 	case <-p.done:
 		return p.cmd.ProcessState.ExitCode()
-	case <-time.After(Patience):
-		p.t.Fatalf("%s did not end within %s", p.Name, Patience)
+	case <-time.After(WaitTimeout):
+		p.t.Fatalf("%s did not end within %s", p.Name, WaitTimeout)
 		return -1
 	}
 }
@@ -178,10 +178,10 @@
 // Eventually waits until the condition holds.
 func Eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
-	deadline := time.Now().Add(Patience)
+	deadline := time.Now().Add(WaitTimeout)
 	for !condition() {
 		if time.Now().After(deadline) {
-			t.Fatalf("not within %s: %s", Patience, what)
+			t.Fatalf("not within %s: %s", WaitTimeout, what)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/link/conn.go
+++ b/link/conn.go
@@ -29,6 +29,10 @@
 	maxBatch                 = 128
 )
 
+// EventTimeout bounds how long a link waits for the duty that handles its
+// events. A duty that is slower has failed, and the link is closed.
+const EventTimeout = time.Second
+
 // Identity describes one end of a link.
 type Identity struct {
 	Role        wire.Role
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -98,6 +98,16 @@
 	}
 }
 
+// PutWithin is Put with a timeout.
+func (r *Ring[T]) PutWithin(ctx context.Context, timeout time.Duration, v T) error {
+	if err := r.Offer(v); err != ErrFull {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return r.Put(ctx, v)
+}
+
 // PutLatest adds v and drops the oldest elements while the ring is full.
 func (r *Ring[T]) PutLatest(v T) error {
 	for {
--- a/routing/target.go
+++ b/routing/target.go
@@ -37,9 +37,9 @@
 	// misses them gets no new work. It is below the bound of 2 s for a target
 	// that leaves; a silent link is noticed earlier.
 	announceTimeout = 1500 * time.Millisecond
-	// lostPatience is how long requests wait for a target whose link was lost
+	// reconnectTimeout is how long requests wait for a target whose link was lost
 	// and is being opened again.
-	lostPatience = time.Second
+	reconnectTimeout = time.Second
 	// forgetAfter is when a lost target is forgotten with its estimates.
 	forgetAfter = time.Minute
 	// loadLife is the time in which a reported load of others loses most of its
@@ -191,7 +191,7 @@
 	if t.zoneOut {
 		return false
 	}
-	return !t.linked && now.Sub(t.lostAt) < lostPatience
+	return !t.linked && now.Sub(t.lostAt) < reconnectTimeout
 }
 
 func slotsOf(t *target) float64 { return float64(max(t.Slots, 1)) }
