agent/slots: encode requests with net/http

Cause: the client of the slots wrote HTTP requests by hand, which a library does. Change: http.Request.Write encodes; the connection stays the slot's own, because http.Transport may send a keyed request twice.

--- a/daemon/agent/slots/client.go
+++ b/daemon/agent/slots/client.go
@@ -2,13 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -36,12 +37,11 @@
 	limit    io.LimitedReader // bounds the bytes read for one answer
 	reader   *bufio.Reader
 	stop     func() bool
-	scratch  []byte
+	scratch  bytes.Buffer // the encoded request
 }
 
 // call performs one request, with traceParent in the header unless it is empty.
-// The outcome is NotRun only when no byte of the
-// request was sent.
+// The outcome is NotRun only when no byte of the request was sent.
 func (c *client) call(ctx context.Context, e *Endpoint, r *request.Request, traceParent string) *request.Response {
 	if !time.Now().Before(r.Deadline) {
 		return request.Refused(request.ReasonDeadline)
@@ -106,7 +106,7 @@
 // whether a byte of the answer arrived.
 func (c *client) exchange(r *request.Request) (resp *request.Response, started bool) {
 	_ = c.conn.SetDeadline(r.Deadline)
-	if n, err := c.conn.Write(c.scratch); err != nil {
+	if n, err := c.conn.Write(c.scratch.Bytes()); err != nil {
 		c.close()
 		if n == 0 {
 			return request.Refused(request.ReasonNoTarget), false
@@ -125,49 +125,61 @@
 	return resp, true
 }
 
-// encode writes the request into the scratch buffer. It reports false when a
-// part of the request would break the framing of HTTP.
+// encode writes the request into the scratch buffer with the writer of
+// net/http. It reports false when a part of the request would break the framing
+// of HTTP.
 func (c *client) encode(e *Endpoint, r *request.Request, traceParent string) bool {
-	if cap(c.scratch) > maxScratch {
-		c.scratch = nil
-	}
-	b := c.scratch[:0]
-	b = append(append(b, r.Method...), ' ')
-	b = append(append(b, e.prefix...), r.Path...)
-	b = append(append(b, " HTTP/1.1\r\nHost: "...), e.host...)
-	ok := isToken(r.Method) && isPath(r.Path)
+	path := e.prefix + r.Path
+	// A path with two slashes would be taken for the start of an absolute URL.
+	if !isToken(r.Method) || !isPath(path) || strings.HasPrefix(path, "//") {
+		return false
+	}
+	header, ok := headerOf(r, traceParent)
+	if !ok {
+		return false
+	}
+	out := &http.Request{
+		Method:        r.Method,
+		URL:           &url.URL{Scheme: "http", Host: e.host, Opaque: path}, // the path as the caller sent it
+		Host:          e.host,
+		Header:        header,
+		Body:          http.NoBody,
+		ContentLength: int64(len(r.Body)),
+	}
+	if len(r.Body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(r.Body))
+	}
+	if c.scratch.Cap() > maxScratch {
+		c.scratch = bytes.Buffer{}
+	}
+	c.scratch.Reset()
+	return out.Write(&c.scratch) == nil
+}
+
+// headerOf returns the header for the target, or false when a field would break
+// the framing.
+func headerOf(r *request.Request, traceParent string) (http.Header, bool) {
+	header := make(http.Header, len(r.Header)+4)
+	ok := isLine(r.ID) && isLine(r.Customer) && isLine(r.Key) && isLine(traceParent)
 	for _, f := range r.Header {
-		if isReplaced(f.Name) {
-			continue
-		}
 		ok = ok && isToken(f.Name) && isLine(f.Value)
-		b = appendField(b, f.Name, f.Value)
-	}
-	b = appendField(b, "Ibispier-Request-Id", r.ID)
-	b = appendField(b, "Ibispier-Customer", r.Customer)
-	if traceParent != "" {
-		b = appendField(b, "Traceparent", traceParent)
+		header.Add(f.Name, f.Value)
 	}
-	if r.Key != "" {
-		b = appendField(b, "Idempotency-Key", r.Key)
+	if header.Get("User-Agent") == "" {
+		header.Set("User-Agent", "") // net/http would name itself
 	}
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
-	}
-	b = append(b, "\r\n\r\n"...)
-	c.scratch = append(b, r.Body...)
-	return ok && isLine(r.ID) && isLine(r.Customer) && isLine(r.Key) && isLine(traceParent)
-}
-
-// isReplaced reports whether the client sets the field itself.
-func isReplaced(name string) bool {
-	return strings.EqualFold(name, "Host") || strings.EqualFold(name, "Idempotency-Key") || strings.EqualFold(name, "Traceparent")
+	header.Set("Ibispier-Request-Id", r.ID)
+	header.Set("Ibispier-Customer", r.Customer)
+	setOrDelete(header, "Traceparent", traceParent)
+	setOrDelete(header, "Idempotency-Key", r.Key)
+	return header, ok
 }
 
-func appendField(b []byte, name, value string) []byte {
-	b = append(append(b, "\r\n"...), name...)
-	return append(append(b, ": "...), value...)
+func setOrDelete(h http.Header, name, value string) {
+	h.Del(name)
+	if value != "" {
+		h.Set(name, value)
+	}
 }
 
 // decode reads the whole answer. An answer cut short leaves the outcome
--- a/daemon/agent/slots/client_test.go
+++ b/daemon/agent/slots/client_test.go
@@ -60,42 +60,42 @@
 	return err == nil
 }
 
-func call(c *client, e *Endpoint, idempotent bool, patience time.Duration) *request.Response {
+func call(c *client, e *Endpoint, idempotent bool, timeout time.Duration) *request.Response {
 	return c.call(context.Background(), e, &request.Request{
 		ID: "r1", Customer: "c", Method: "POST", Path: "/x", Key: "k", Idempotent: idempotent,
-		Deadline: time.Now().Add(patience),
+		Deadline: time.Now().Add(timeout),
 	}, "")
 }
 
 // Guards against a request that is sent twice because it carries an
 // Idempotency-Key, and against outcomes that claim more than is known.
 func TestOutcomeOfBrokenCalls(t *testing.T) {
-	const patience = 5 * time.Second
+	const timeout = 5 * time.Second
 	for _, c := range []struct {
-		name     string
-		handle   func(n int64, conn net.Conn) bool
-		patience time.Duration
-		outcome  request.Outcome
-		reason   request.Reason
+		name    string
+		handle  func(n int64, conn net.Conn) bool
+		timeout time.Duration
+		outcome request.Outcome
+		reason  request.Reason
 	}{
-		{"closed without an answer", func(int64, net.Conn) bool { return false }, patience, request.Unknown, request.ReasonTargetFailed},
+		{"closed without an answer", func(int64, net.Conn) bool { return false }, timeout, request.Unknown, request.ReasonTargetFailed},
 		{"cut answer", func(_ int64, conn net.Conn) bool {
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok")
 			return false
-		}, patience, request.Unknown, request.ReasonTargetFailed},
+		}, timeout, request.Unknown, request.ReasonTargetFailed},
 		{"no answer in time", func(int64, net.Conn) bool { time.Sleep(time.Second); return false }, 50 * time.Millisecond, request.Unknown, request.ReasonDeadline},
 		{"too large", func(_ int64, conn net.Conn) bool {
 			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n%2000d", 1)
 			return true
-		}, patience, request.Unknown, request.ReasonTooLarge},
+		}, timeout, request.Unknown, request.ReasonTooLarge},
 		{"after an interim answer", func(n int64, conn net.Conn) bool {
 			_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n\r\n")
 			return whole(n, conn)
-		}, patience, request.Done, request.ReasonNone},
+		}, timeout, request.Done, request.ReasonNone},
 	} {
 		e, received := target(t, c.handle)
 		cl := &client{maxBody: 1000}
-		resp := call(cl, e, false, c.patience)
+		resp := call(cl, e, false, c.timeout)
 		if resp.Outcome != c.outcome || resp.Reason != c.reason || received.Load() != 1 {
 			t.Errorf("%s: %s %q after %d requests", c.name, resp.Outcome, resp.Reason, received.Load())
 		}
