--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -22,7 +22,7 @@
 	idle     int      // heartbeat replies since the last progress
 	probed   uint64   // probing: last index of the unanswered append
 	snapshot uint64   // snapshotting: its index
-	timeout int      // snapshotting: ticks until it is sent again
+	timeout  int      // snapshotting: ticks until it is sent again
 }
 
 func (p *progress) probe(next uint64) {
@@ -72,7 +72,7 @@
 	reads    []openRead
 	newReads []uint64 // contexts that wait for the next round
 	transfer ReplicaID
-	timeout int    // ticks until the transfer is given up
+	timeout  int    // ticks until the transfer is given up
 	lagged   uint64 // commit index at the previous tick
 }
 
