--- a/cmd/ibispierd/dev.go
+++ b/cmd/ibispierd/dev.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/base64"
 	"fmt"
 	"net"
 
@@ -54,7 +55,17 @@
 	d.Add("worker", tasks)
 	d.Add("worker.clock", supervise.Func(tasks.Clock))
 	addSetup(d, s)
-	fmt.Printf("curl -i -X POST -d '{\"id\":\"t1\",\"customer\":\"demo\",\"kind\":\"batch\",\"class\":\"any\",\"size\":{\"cpu_milli\":100,\"memory_mib\":64}}' http://%s/v1/tasks\n", s.Entry.Listen)
-	fmt.Printf("curl -i -H 'Ibispier-Customer: demo' http://%s/v1/services/price-check/lots/1\n", s.Entry.Listen)
+	printExamples(s.Entry.Listen)
 	return nil
 }
+
+// printExamples prints lines to paste for a request, a batch task and a
+// watcher. A task without a payload never ends on the stand-in worker.
+func printExamples(entry string) {
+	const task = `curl -i -X POST -d '{"id":%q,"customer":"demo","kind":%q,"class":"any",` +
+		`"size":{"cpu_milli":100,"memory_mib":64}%s}' http://%s/v1/tasks` + "\n"
+	payload := base64.StdEncoding.EncodeToString([]byte(`{"work_ms":500}`))
+	fmt.Printf("curl -i -H 'Ibispier-Customer: demo' http://%s/v1/services/price-check/lots/1\n", entry)
+	fmt.Printf(task, "t1", controlapi.KindBatch, `,"payload":"`+payload+`"`, entry)
+	fmt.Printf(task, "w1", controlapi.KindWatcher, "", entry)
+}
