httpduty, link: open sockets anew for each run

Cause: a restarted duty that served HTTP or accepted links used its closed socket. http.Server then ends without an error, so after a restart of the agent's tree the target interface was gone silently, and after one of the role entry the callers' interface too. Change: httpduty.Server replaces three copies of a server duty; link.Socket is opened again.

--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -2,24 +2,18 @@
 package admin
 
 import (
-	"context"
-	"errors"
-	"io"
-	"log"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"sync/atomic"
-	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/httpduty"
 )
 
 // Error is the class of all errors of this package.
 var Error = errs.Class("admin")
 
-const readHeaderTimeout = 5 * time.Second
-
 // Readiness tells whether the process should get new work. The root sets it,
 // and every duty may read it.
 type Readiness struct {
@@ -48,48 +42,28 @@
 
 // Duty serves operators.
 type Duty struct {
-	server *http.Server
-	socket net.Listener
-	mux    *http.ServeMux
+	*httpduty.Server
+	mux *http.ServeMux
 }
 
 // New opens the socket and returns the duty.
 func New(address string, readiness *Readiness) (*Duty, error) {
-	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, Error.New("step=listen addr=%s: %w", address, err)
-	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { serveReady(w, readiness) })
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
-	return &Duty{
-		server: &http.Server{
-			Handler:           mux,
-			ReadHeaderTimeout: readHeaderTimeout,
-			ErrorLog:          log.New(io.Discard, "", 0),
-		},
-		socket: socket,
-		mux:    mux,
-	}, nil
+	server, err := httpduty.New(address, httpduty.Options{Handler: mux})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Duty{Server: server, mux: mux}, nil
 }
 
 // Handle adds a handler. It must be called before Run.
 func (d *Duty) Handle(pattern string, h http.Handler) { d.mux.Handle(pattern, h) }
 
-// Run serves until ctx ends.
-func (d *Duty) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = d.server.Close() })
-	defer stop()
-	err := d.server.Serve(d.socket)
-	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return Error.New("step=serve addr=%s: %w", d.socket.Addr(), err)
-}
-
 func serveReady(w http.ResponseWriter, readiness *Readiness) {
 	if !readiness.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
--- a/daemon/agent/targetapi/targetapi.go
+++ b/daemon/agent/targetapi/targetapi.go
@@ -3,33 +3,27 @@
 package targetapi
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
-	"io"
-	"log"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/ibispier/ibispier/daemon/agent/admission"
+	"github.com/ibispier/ibispier/httpduty"
 )
 
 // Error is the class of all errors of this package.
 var Error = errs.Class("targetapi")
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	maxBody           = 64 << 10
+	maxBody = 64 << 10
 )
 
 // Duty serves the target.
 type Duty struct {
-	server *http.Server
-	socket net.Listener
-	admit  *admission.Duty
+	*httpduty.Server
+	admit *admission.Duty
 }
 
 // announcement is the body of PUT /v1/target. With a TTL the target must
@@ -41,33 +35,18 @@
 
 // New opens the socket and returns the duty.
 func New(address string, admit *admission.Duty) (*Duty, error) {
-	socket, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, Error.New("step=listen addr=%s: %w", address, err)
-	}
-	d := &Duty{socket: socket, admit: admit}
+	d := &Duty{admit: admit}
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/target", d.announce)
 	mux.HandleFunc("DELETE /v1/target", d.leave)
-	d.server = &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ErrorLog:          log.New(io.Discard, "", 0),
+	server, err := httpduty.New(address, httpduty.Options{Handler: mux})
+	if err != nil {
+		return nil, Error.Wrap(err)
 	}
+	d.Server = server
 	return d, nil
 }
 
-// Run serves until ctx ends.
-func (d *Duty) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = d.server.Close() })
-	defer stop()
-	err := d.server.Serve(d.socket)
-	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return Error.New("step=serve addr=%s: %w", d.socket.Addr(), err)
-}
-
 func (d *Duty) announce(w http.ResponseWriter, r *http.Request) {
 	var a announcement
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&a); err != nil {
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
@@ -43,7 +42,7 @@
 	observer supervise.Observer
 
 	folder  *datafolder.Folder
-	socket  net.Listener
+	socket  *link.Socket
 	writer  *logwriter.Duty
 	replica *replica.Duty
 	clients link.Handler
@@ -101,10 +100,10 @@
 		_ = folder.Close()
 		return supervise.Fatal(Error.New("step=open path=%s: data folder was replaced while running", folder.Path))
 	}
-	socket, err := net.Listen("tcp", r.settings.Control.Listen)
+	socket, err := link.Listen(r.settings.Control.Listen)
 	if err != nil {
 		_ = folder.Close()
-		return Error.New("step=listen addr=%s: %w", r.settings.Control.Listen, err)
+		return Error.Wrap(err)
 	}
 	r.folder, r.socket = folder, socket
 	return nil
--- a/daemon/control/server/server_test.go
+++ b/daemon/control/server/server_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"testing"
 	"time"
 
@@ -21,7 +20,7 @@
 // silence.
 func member(t *testing.T, tree *supervise.Supervisor, id string, answer func(*applier.Request) *applier.Response) settings.Member {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := link.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +40,7 @@
 		Local:  link.Identity{Role: wire.Role_ROLE_CONTROL, ID: id},
 		Accept: []wire.Role{wire.Role_ROLE_ENTRY},
 	}, New(requests)))
-	return settings.Member{ID: id, Address: socket.Addr().String()}
+	return settings.Member{ID: id, Address: socket.Addr()}
 }
 
 // Guards against a client that does not find the leader: a member that refuses
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/controlclient"
@@ -36,22 +35,21 @@
 
 // New opens the sockets and returns the role.
 func New(s *settings.Settings, t telemetry.Telemetry, observer supervise.Observer) (*Role, error) {
-	callers, err := net.Listen("tcp", s.Entry.Listen)
-	if err != nil {
-		return nil, Error.New("step=listen addr=%s: %w", s.Entry.Listen, err)
-	}
-	agents, err := net.Listen("tcp", s.Entry.AgentListen)
-	if err != nil {
-		_ = callers.Close()
-		return nil, Error.New("step=listen addr=%s: %w", s.Entry.AgentListen, err)
-	}
 	local := link.Identity{Role: wire.Role_ROLE_ENTRY, ID: s.Daemon.ID, Zone: s.Daemon.Zone}
 	control := controlclient.New(controlclient.Options{Local: local, Members: s.Cluster.Control, Observer: observer})
 	requests := router.New(routingOptions(s), control, t.Log)
 	requests.Observe(t)
+	callers, err := frontend.New(s.Entry, requests, t.Log)
+	if err != nil {
+		return nil, err
+	}
+	agents, err := link.Listen(s.Entry.AgentListen)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
 	role := &Role{
 		Supervisor: supervise.New("entry", supervise.Policy{}, observer),
-		frontend:   frontend.New(callers, s.Entry, requests, t.Log),
+		frontend:   callers,
 		relay: relay.New(relay.Options{
 			Entry:    s.Daemon.ID,
 			Zone:     s.Daemon.Zone,
--- a/daemon/entry/frontend/frontend.go
+++ b/daemon/entry/frontend/frontend.go
@@ -3,10 +3,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"log"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/daemon/entry/router"
+	"github.com/ibispier/ibispier/httpduty"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/telemetry"
 )
@@ -23,15 +20,13 @@
 var Error = errs.Class("frontend")
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
 )
 
 // Duty serves callers.
 type Duty struct {
-	server   *http.Server
+	*httpduty.Server
 	mux      *http.ServeMux
-	socket   net.Listener
 	calls    *router.Duty
 	settings settings.Entry
 	leaving  atomic.Bool
@@ -40,31 +35,20 @@
 	telemetry telemetry.Telemetry
 }
 
-// New returns the duty for callers that connect to socket.
-func New(socket net.Listener, s settings.Entry, calls *router.Duty, logger *zap.Logger) *Duty {
-	d := &Duty{socket: socket, calls: calls, settings: s, log: logger}
-	mux := http.NewServeMux()
-	d.mux = mux
-	mux.HandleFunc("/v1/services/{service}/{path...}", d.observed(d.serveRequest))
-	d.server = &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    s.MaxHeader,
-		ErrorLog:          log.New(io.Discard, "", 0),
+// New opens the socket for callers and returns the duty.
+func New(s settings.Entry, calls *router.Duty, logger *zap.Logger) (*Duty, error) {
+	d := &Duty{mux: http.NewServeMux(), calls: calls, settings: s, log: logger}
+	d.mux.HandleFunc("/v1/services/{service}/{path...}", d.observed(d.serveRequest))
+	server, err := httpduty.New(s.Listen, httpduty.Options{
+		Handler:        d.mux,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: s.MaxHeader,
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
 	}
-	return d
-}
-
-// Run serves until ctx ends or Drain is called.
-func (d *Duty) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = d.server.Close() })
-	defer stop()
-	err := d.server.Serve(d.socket)
-	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return Error.New("step=serve addr=%s: %w", d.socket.Addr(), err)
+	d.Server = server
+	return d, nil
 }
 
 // Quiesce makes callers with open connections connect elsewhere: from now on
@@ -73,7 +57,7 @@
 
 // Drain stops accepting connections and waits for the requests in flight.
 func (d *Duty) Drain(ctx context.Context) error {
-	return Error.Wrap(d.server.Shutdown(ctx))
+	return Error.Wrap(d.Shutdown(ctx))
 }
 
 func (d *Duty) serveRequest(w http.ResponseWriter, r *http.Request) {
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -67,9 +67,49 @@
 	}
 }
 
+// Socket is a listening address. It is opened again after it was closed, so
+// that a listener can be restarted.
+type Socket struct {
+	address string
+	open    net.Listener
+}
+
+// Listen opens a socket.
+func Listen(address string) (*Socket, error) {
+	open, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, Error.New("step=listen addr=%s: %w", address, err)
+	}
+	return &Socket{address: open.Addr().String(), open: open}, nil
+}
+
+// Addr returns the address.
+func (s *Socket) Addr() string { return s.address }
+
+// take returns the open socket, and a new one for a later run.
+func (s *Socket) take() (net.Listener, error) {
+	if open := s.open; open != nil {
+		s.open = nil
+		return open, nil
+	}
+	open, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return nil, Error.New("step=listen addr=%s: %w", s.address, err)
+	}
+	return open, nil
+}
+
+// Close closes a socket that no listener has taken.
+func (s *Socket) Close() error {
+	if s.open == nil {
+		return nil
+	}
+	return s.open.Close()
+}
+
 // Listener is a duty that accepts links.
 type Listener struct {
-	socket  net.Listener
+	socket  *Socket
 	options Options
 	handler Handler
 	links   *supervise.Supervisor
@@ -77,23 +117,28 @@
 
 // NewListener returns the supervisor of a listener on socket and of the links
 // that it accepts.
-func NewListener(name string, socket net.Listener, o Options, h Handler) *supervise.Supervisor {
+func NewListener(name string, socket *Socket, o Options, h Handler) *supervise.Supervisor {
 	s := supervise.New(name, supervise.Policy{Intensity: supervise.Unlimited}, o.Observer)
-	l := &Listener{socket: socket, options: o.withDefaults(), handler: h, links: s}
-	s.Add("accept", l)
-	s.Add("close", supervise.Func(l.closeOnCancel))
+	s.Add("accept", &Listener{socket: socket, options: o.withDefaults(), handler: h, links: s})
 	return s
 }
 
 // Run accepts connections until ctx ends.
 func (l *Listener) Run(ctx context.Context) error {
+	open, err := l.socket.take()
+	if err != nil {
+		return err
+	}
+	defer open.Close()
+	stop := context.AfterFunc(ctx, func() { _ = open.Close() })
+	defer stop()
 	for {
-		raw, err := l.socket.Accept()
+		raw, err := open.Accept()
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
 			}
-			return Error.New("step=accept addr=%s: %w", l.socket.Addr(), err)
+			return Error.New("step=accept addr=%s: %w", l.socket.address, err)
 		}
 		if err := l.links.Start(ctx, "link "+raw.RemoteAddr().String(), l.serve(raw)); err != nil {
 			_ = raw.Close()
@@ -111,8 +156,3 @@
 		return c.run(ctx, l.handler)
 	})
 }
-
-func (l *Listener) closeOnCancel(ctx context.Context) error {
-	<-ctx.Done()
-	return l.socket.Close()
-}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -71,6 +71,15 @@
 	return socket
 }
 
+func open(t *testing.T) *Socket {
+	t.Helper()
+	socket, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return socket
+}
+
 func options(role wire.Role, id string, accepts ...wire.Role) Options {
 	return Options{Local: Identity{Role: role, ID: id, Zone: "zone-a"}, Accept: accepts}
 }
@@ -80,9 +89,9 @@
 func pair(t *testing.T, through func(string) string) (server, client *recorder) {
 	t.Helper()
 	server, client = newRecorder(), newRecorder()
-	socket := listen(t)
+	socket := open(t)
 	run(t, NewListener("test", socket, options(wire.Role_ROLE_ENTRY, "entry-1", wire.Role_ROLE_AGENT), server))
-	address := through(socket.Addr().String())
+	address := through(socket.Addr())
 	run(t, NewDialer(address, options(wire.Role_ROLE_AGENT, "agent-1", wire.Role_ROLE_ENTRY), client))
 	return server, client
 }
@@ -117,7 +126,7 @@
 // Guards against a process of the wrong role at the other end.
 func TestWrongRoleIsRefused(t *testing.T) {
 	server := newRecorder()
-	socket := listen(t)
+	socket := open(t)
 	run(t, NewListener("test", socket, options(wire.Role_ROLE_ENTRY, "entry-1", wire.Role_ROLE_AGENT), server))
 	refused := make(chan error, 64)
 	o := options(wire.Role_ROLE_CONTROL, "control-1", wire.Role_ROLE_ENTRY)
@@ -127,7 +136,7 @@
 		default:
 		}
 	}
-	run(t, NewDialer(socket.Addr().String(), o, newRecorder()))
+	run(t, NewDialer(socket.Addr(), o, newRecorder()))
 	if err := receive(t, refused, "refusal"); !Error.Has(err) {
 		t.Fatalf("unexpected error %v", err)
 	}
@@ -208,3 +217,21 @@
 		f = receive(t, server.frames, "frame")
 	}
 }
+
+// Guards against a listener that is gone after its supervisor has restarted it.
+func TestListenerAcceptsAgainAfterARestart(t *testing.T) {
+	socket := open(t)
+	for range 3 {
+		server, client := newRecorder(), newRecorder()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 2)
+		l := NewListener("test", socket, options(wire.Role_ROLE_ENTRY, "entry-1", wire.Role_ROLE_AGENT), server)
+		d := NewDialer(socket.Addr(), options(wire.Role_ROLE_AGENT, "agent-1", wire.Role_ROLE_ENTRY), client)
+		go func() { done <- l.Run(ctx) }()
+		go func() { done <- d.Run(ctx) }()
+		receive(t, server.up, "link")
+		cancel()
+		receive(t, done, "end of a duty")
+		receive(t, done, "end of a duty")
+	}
+}
