daemon: let the folders mirror the supervisor tree

Cause: two supervisors had no folder of their own, and two folders under daemon were not part of the tree.

--- a/daemon/operations/operations.go
+++ b/controlhttp/operations.go
@@ -1,7 +1,7 @@
-// Package operations carries out operations of control for HTTP handlers and
+// Package controlhttp carries out operations of control for HTTP handlers and
 // encodes their results as JSON. The operators' and the callers' interfaces
 // share it.
-package operations
+package controlhttp
 
 import (
 	"bytes"
--- a/daemon/operations/page_test.go
+++ b/controlhttp/page_test.go
@@ -1,4 +1,4 @@
-package operations
+package controlhttp
 
 import (
 	"os"
@@ -11,10 +11,10 @@
 
 // Guards against a path or a reason that docs/api.md does not describe.
 func TestPageDescribesEveryPathAndReason(t *testing.T) {
-	page := read(t, "../../docs/api.md")
+	page := read(t, "../docs/api.md")
 	routes := regexp.MustCompile(`"(?:GET|POST|DELETE) (/[^"]*)"`)
 	found := 0
-	for _, source := range []string{"../admin/admin.go", "../admin/operators.go", "../entry/frontend/tasks.go"} {
+	for _, source := range []string{"../daemon/admin/admin.go", "../daemon/admin/operators.go", "../daemon/entry/frontend/tasks.go"} {
 		for _, m := range routes.FindAllStringSubmatch(read(t, source), -1) {
 			path := strings.Replace(m[1], "{action}", "bootstrap", 1)
 			if found++; !strings.Contains(page, path) && !strings.HasPrefix(path, "/debug/pprof/") {
--- a/daemon/admin/operators.go
+++ b/daemon/admin/operators.go
@@ -5,7 +5,7 @@
 	"strconv"
 
 	"github.com/ibispier/ibispier/controlapi"
-	"github.com/ibispier/ibispier/daemon/operations"
+	"github.com/ibispier/ibispier/controlhttp"
 	"github.com/ibispier/ibispier/telemetry"
 )
 
@@ -16,10 +16,10 @@
 }
 
 // operators serves the operators' interface.
-type operators struct{ control operations.Control }
+type operators struct{ control controlhttp.Control }
 
 // ServeOperators adds the operators' interface. It must be called before Run.
-func (d *Duty) ServeOperators(control operations.Control) {
+func (d *Duty) ServeOperators(control controlhttp.Control) {
 	o := &operators{control: control}
 	d.mux.HandleFunc("GET /v1/status", o.status)
 	d.mux.HandleFunc("GET /v1/alarms", o.alarms)
@@ -41,58 +41,58 @@
 func (d *Duty) ServeMetrics(m *telemetry.Metrics) { d.mux.Handle("GET /metrics", m) }
 
 func (o *operators) status(w http.ResponseWriter, r *http.Request) {
-	operations.Serve(w, r, o.control, controlapi.OpStatus, controlapi.Empty{}, new(controlapi.StatusResponse))
+	controlhttp.Serve(w, r, o.control, controlapi.OpStatus, controlapi.Empty{}, new(controlapi.StatusResponse))
 }
 
 func (o *operators) alarms(w http.ResponseWriter, r *http.Request) {
 	var status controlapi.StatusResponse
-	if err := operations.Do(r, o.control, controlapi.OpStatus, controlapi.Empty{}, &status); err != nil {
-		operations.WriteError(w, controlapi.OpStatus, err)
+	if err := controlhttp.Do(r, o.control, controlapi.OpStatus, controlapi.Empty{}, &status); err != nil {
+		controlhttp.WriteError(w, controlapi.OpStatus, err)
 		return
 	}
 	alarms := status.Alarms
 	if alarms == nil {
 		alarms = []controlapi.Alarm{}
 	}
-	operations.Write(w, http.StatusOK, map[string][]controlapi.Alarm{"alarms": alarms})
+	controlhttp.Write(w, http.StatusOK, map[string][]controlapi.Alarm{"alarms": alarms})
 }
 
 // config returns the accepted configuration. Process is empty, so that an
 // operator's query does not count as a process that runs with revision 0.
 func (o *operators) config(w http.ResponseWriter, r *http.Request) {
 	var config controlapi.ConfigResponse
-	if err := operations.Do(r, o.control, controlapi.OpConfig, controlapi.ConfigRequest{}, &config); err != nil {
-		operations.WriteError(w, controlapi.OpConfig, err)
+	if err := controlhttp.Do(r, o.control, controlapi.OpConfig, controlapi.ConfigRequest{}, &config); err != nil {
+		controlhttp.WriteError(w, controlapi.OpConfig, err)
 		return
 	}
 	if config.Config.ZonesOut == nil {
 		config.Config.ZonesOut = []string{}
 	}
-	operations.Write(w, http.StatusOK, config.Config)
+	controlhttp.Write(w, http.StatusOK, config.Config)
 }
 
 func (o *operators) proposals(w http.ResponseWriter, r *http.Request) {
 	limit, err := limitOf(r)
 	if err != nil {
-		operations.WriteError(w, controlapi.OpProposals, err)
+		controlhttp.WriteError(w, controlapi.OpProposals, err)
 		return
 	}
-	operations.Serve(w, r, o.control, controlapi.OpProposals,
+	controlhttp.Serve(w, r, o.control, controlapi.OpProposals,
 		controlapi.ProposalsRequest{Limit: limit}, new(controlapi.ProposalsResponse))
 }
 
 func (o *operators) proposal(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
 	var found controlapi.ProposalsResponse
-	err := operations.Do(r, o.control, controlapi.OpProposals, controlapi.ProposalsRequest{ChangeID: id}, &found)
+	err := controlhttp.Do(r, o.control, controlapi.OpProposals, controlapi.ProposalsRequest{ChangeID: id}, &found)
 	if err == nil && len(found.Proposals) == 0 {
 		err = &controlapi.Error{Reason: controlapi.ReasonNotFound, Message: "no proposal with change id " + id}
 	}
 	if err != nil {
-		operations.WriteError(w, controlapi.OpProposals, err)
+		controlhttp.WriteError(w, controlapi.OpProposals, err)
 		return
 	}
-	operations.Write(w, http.StatusOK, found.Proposals[0])
+	controlhttp.Write(w, http.StatusOK, found.Proposals[0])
 }
 
 // history lists the proposals that are decided.
@@ -100,10 +100,10 @@
 	limit, err := limitOf(r)
 	var all controlapi.ProposalsResponse
 	if err == nil {
-		err = operations.Do(r, o.control, controlapi.OpProposals, controlapi.ProposalsRequest{}, &all)
+		err = controlhttp.Do(r, o.control, controlapi.OpProposals, controlapi.ProposalsRequest{}, &all)
 	}
 	if err != nil {
-		operations.WriteError(w, controlapi.OpProposals, err)
+		controlhttp.WriteError(w, controlapi.OpProposals, err)
 		return
 	}
 	decided := []controlapi.Proposal{}
@@ -112,13 +112,13 @@
 			decided = append(decided, p)
 		}
 	}
-	operations.Write(w, http.StatusOK, controlapi.ProposalsResponse{Proposals: decided})
+	controlhttp.Write(w, http.StatusOK, controlapi.ProposalsResponse{Proposals: decided})
 }
 
 func (o *operators) propose(w http.ResponseWriter, r *http.Request) {
 	var in controlapi.ProposeRequest
-	if err := operations.Read(w, r, &in); err != nil {
-		operations.WriteError(w, controlapi.OpPropose, err)
+	if err := controlhttp.Read(w, r, &in); err != nil {
+		controlhttp.WriteError(w, controlapi.OpPropose, err)
 		return
 	}
 	o.change(w, r, controlapi.OpPropose, in)
@@ -126,8 +126,8 @@
 
 func (o *operators) sign(w http.ResponseWriter, r *http.Request, reject bool) {
 	var in Signature
-	if err := operations.Read(w, r, &in); err != nil {
-		operations.WriteError(w, controlapi.OpSign, err)
+	if err := controlhttp.Read(w, r, &in); err != nil {
+		controlhttp.WriteError(w, controlapi.OpSign, err)
 		return
 	}
 	o.change(w, r, controlapi.OpSign, controlapi.SignRequest{
@@ -139,7 +139,7 @@
 // another one is an error that names the winner.
 func (o *operators) change(w http.ResponseWriter, r *http.Request, op controlapi.Operation, in any) {
 	var p controlapi.Proposal
-	err := operations.Do(r, o.control, op, in, &p)
+	err := controlhttp.Do(r, o.control, op, in, &p)
 	if err == nil && p.State == controlapi.ProposalConflict {
 		err = &controlapi.Error{
 			Reason:  controlapi.ReasonConflict,
@@ -147,31 +147,31 @@
 		}
 	}
 	if err != nil {
-		operations.WriteError(w, op, err)
+		controlhttp.WriteError(w, op, err)
 		return
 	}
-	operations.Write(w, http.StatusOK, p)
+	controlhttp.Write(w, http.StatusOK, p)
 }
 
 func (o *operators) members(w http.ResponseWriter, r *http.Request) {
-	operations.Serve(w, r, o.control, controlapi.OpMembers, controlapi.Empty{}, new(controlapi.MembersResponse))
+	controlhttp.Serve(w, r, o.control, controlapi.OpMembers, controlapi.Empty{}, new(controlapi.MembersResponse))
 }
 
 func (o *operators) membership(w http.ResponseWriter, r *http.Request) {
 	in := controlapi.MembershipRequest{}
 	var err error
 	if r.ContentLength != 0 {
-		err = operations.Read(w, r, &in)
+		err = controlhttp.Read(w, r, &in)
 	}
 	in.Action = r.PathValue("action")
 	if err == nil {
 		err = checkMembership(in)
 	}
 	if err != nil {
-		operations.WriteError(w, controlapi.OpMembership, err)
+		controlhttp.WriteError(w, controlapi.OpMembership, err)
 		return
 	}
-	operations.Serve(w, r, o.control, controlapi.OpMembership, in, new(controlapi.MembersResponse))
+	controlhttp.Serve(w, r, o.control, controlapi.OpMembership, in, new(controlapi.MembersResponse))
 }
 
 func checkMembership(in controlapi.MembershipRequest) error {
@@ -189,22 +189,22 @@
 }
 
 func (o *operators) snapshot(w http.ResponseWriter, r *http.Request) {
-	operations.Serve(w, r, o.control, controlapi.OpSnapshot, controlapi.Empty{}, new(controlapi.Empty))
+	controlhttp.Serve(w, r, o.control, controlapi.OpSnapshot, controlapi.Empty{}, new(controlapi.Empty))
 }
 
 func (o *operators) quarantine(w http.ResponseWriter, r *http.Request) {
-	operations.Serve(w, r, o.control, controlapi.OpQuarantine, controlapi.Empty{}, new(controlapi.QuarantineResponse))
+	controlhttp.Serve(w, r, o.control, controlapi.OpQuarantine, controlapi.Empty{}, new(controlapi.QuarantineResponse))
 }
 
 func (o *operators) release(w http.ResponseWriter, r *http.Request) {
 	in := controlapi.ReleaseRequest{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
 	if in.Kind != "job" && in.Kind != "worker" {
-		operations.WriteError(w, controlapi.OpRelease, &controlapi.Error{
+		controlhttp.WriteError(w, controlapi.OpRelease, &controlapi.Error{
 			Reason: controlapi.ReasonBadRequest, Message: "kind must be job or worker",
 		})
 		return
 	}
-	operations.Serve(w, r, o.control, controlapi.OpRelease, in, new(controlapi.Empty))
+	controlhttp.Serve(w, r, o.control, controlapi.OpRelease, in, new(controlapi.Empty))
 }
 
 // limitOf reads the query limit; 0 is no limit.
--- a/daemon/admin/operators_test.go
+++ b/daemon/admin/operators_test.go
@@ -10,8 +10,8 @@
 	"testing"
 
 	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/controlhttp"
 	"github.com/ibispier/ibispier/daemon/controlclient"
-	"github.com/ibispier/ibispier/daemon/operations"
 )
 
 // fakeControl records the operation and answers with result or err.
@@ -102,7 +102,7 @@
 	}
 	for _, test := range tests {
 		w := call(t, test.control, test.method, test.path, test.body)
-		var body operations.Errors
+		var body controlhttp.Errors
 		if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil || w.Code != test.code || body.Error.Reason != test.reason {
 			t.Errorf("%s: code %d body %s", test.name, w.Code, w.Body)
 		}
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -9,12 +9,12 @@
 	"github.com/ibispier/ibispier/daemon/agent/slots"
 	"github.com/ibispier/ibispier/daemon/agent/targetapi"
 	"github.com/ibispier/ibispier/daemon/agent/tasks"
+	"github.com/ibispier/ibispier/daemon/agent/uplinks"
 	"github.com/ibispier/ibispier/daemon/agent/workercalls"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
 	"github.com/ibispier/ibispier/telemetry"
-	"github.com/ibispier/ibispier/wire"
 )
 
 // Role is the role agent of a process.
@@ -53,23 +53,10 @@
 	if s.Agent.Worker != "" {
 		role.Add("workercalls", workercalls.New(s.Agent.Worker, role.tasks.Jobs, role.tasks.Done, observer))
 	}
-	role.Add("uplinks", newUplinks(s, link.Fanout(admit, role.tasks), role.tasks.Revision, observer))
+	role.Add("uplinks", uplinks.New(s, link.Fanout(admit, role.tasks), role.tasks.Revision, observer))
 	return role, nil
 }
 
-func newUplinks(s *settings.Settings, h link.Handler, revision func() uint64, observer supervise.Observer) *supervise.Supervisor {
-	uplinks := supervise.New("uplinks", supervise.Policy{Intensity: supervise.Unlimited}, observer)
-	for _, address := range s.Cluster.Entries {
-		uplinks.Add("entry "+address, link.NewDialer(address, link.Options{
-			Local:          link.Identity{Role: wire.Role_ROLE_AGENT, ID: s.Daemon.ID, Zone: s.Daemon.Zone},
-			Accept:         []wire.Role{wire.Role_ROLE_ENTRY},
-			Observer:       observer,
-			ConfigRevision: revision,
-		}, h))
-	}
-	return uplinks
-}
-
 // Drain announces that the target leaves and waits for the requests in flight.
 func (r *Role) Drain(ctx context.Context) error {
 	if err := r.tasks.Drain(ctx); err != nil {
--- /dev/null
+++ b/daemon/agent/uplinks/uplinks.go
@@ -0,0 +1,25 @@
+// Package uplinks is the supervisor of the links from an agent to the entry
+// instances.
+package uplinks
+
+import (
+	"github.com/ibispier/ibispier/link"
+	"github.com/ibispier/ibispier/settings"
+	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/wire"
+)
+
+// New returns the supervisor. revision is the configuration revision that the
+// agent runs with.
+func New(s *settings.Settings, h link.Handler, revision func() uint64, observer supervise.Observer) *supervise.Supervisor {
+	links := supervise.New("uplinks", supervise.Policy{Intensity: supervise.Unlimited}, observer)
+	for _, address := range s.Cluster.Entries {
+		links.Add("entry "+address, link.NewDialer(address, link.Options{
+			Local:          link.Identity{Role: wire.Role_ROLE_AGENT, ID: s.Daemon.ID, Zone: s.Daemon.Zone},
+			Accept:         []wire.Role{wire.Role_ROLE_ENTRY},
+			Observer:       observer,
+			ConfigRevision: revision,
+		}, h))
+	}
+	return links
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/controlclient"
+	"github.com/ibispier/ibispier/daemon/entry/agents"
 	"github.com/ibispier/ibispier/daemon/entry/frontend"
 	"github.com/ibispier/ibispier/daemon/entry/relay"
 	"github.com/ibispier/ibispier/daemon/entry/router"
@@ -43,10 +44,6 @@
 	if err != nil {
 		return nil, err
 	}
-	agents, err := link.Listen(s.Entry.AgentListen)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
 	role := &Role{
 		Supervisor: supervise.New("entry", supervise.Policy{}, observer),
 		frontend:   callers,
@@ -72,12 +69,11 @@
 	role.Add("frontend", role.frontend)
 	role.Add("controlclient", control)
 	role.Add("relay", role.relay)
-	role.Add("agents", link.NewListener("agents", agents, link.Options{
-		Local:          local,
-		Accept:         []wire.Role{wire.Role_ROLE_AGENT},
-		ConfigRevision: role.relay.Revision,
-		Observer:       observer,
-	}, link.Fanout(requests, role.relay)))
+	links, err := agents.New(s.Entry.AgentListen, local, link.Fanout(requests, role.relay), role.relay.Revision, observer)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	role.Add("agents", links)
 	return role, nil
 }
 
--- a/daemon/entry/frontend/tasks.go
+++ b/daemon/entry/frontend/tasks.go
@@ -5,18 +5,18 @@
 	"strconv"
 
 	"github.com/ibispier/ibispier/controlapi"
-	"github.com/ibispier/ibispier/daemon/operations"
+	"github.com/ibispier/ibispier/controlhttp"
 )
 
 // tasks serves the callers' task interface.
-type tasks struct{ control operations.Control }
+type tasks struct{ control controlhttp.Control }
 
 // ServeTasks adds the callers' task interface. It must be called before Run.
-func (d *Duty) ServeTasks(control operations.Control) {
+func (d *Duty) ServeTasks(control controlhttp.Control) {
 	registerTasks(d.mux, control)
 }
 
-func registerTasks(mux *http.ServeMux, control operations.Control) {
+func registerTasks(mux *http.ServeMux, control controlhttp.Control) {
 	t := &tasks{control: control}
 	mux.HandleFunc("POST /v1/tasks", t.submit)
 	mux.HandleFunc("GET /v1/tasks", t.list)
@@ -26,23 +26,23 @@
 
 func (t *tasks) submit(w http.ResponseWriter, r *http.Request) {
 	var task controlapi.Task
-	err := operations.Read(w, r, &task)
+	err := controlhttp.Read(w, r, &task)
 	if err == nil {
 		err = checkTask(task)
 	}
 	var status controlapi.TaskStatus
 	if err == nil {
-		err = operations.Do(r, t.control, controlapi.OpSubmit, task, &status)
+		err = controlhttp.Do(r, t.control, controlapi.OpSubmit, task, &status)
 	}
 	if err != nil {
-		operations.WriteError(w, controlapi.OpSubmit, err)
+		controlhttp.WriteError(w, controlapi.OpSubmit, err)
 		return
 	}
 	code := http.StatusCreated
 	if status.Resent {
 		code = http.StatusOK
 	}
-	operations.Write(w, code, status)
+	controlhttp.Write(w, code, status)
 }
 
 // checkTask finds what is wrong with a submission without asking control.
@@ -68,11 +68,11 @@
 }
 
 func (t *tasks) status(w http.ResponseWriter, r *http.Request) {
-	operations.Serve(w, r, t.control, controlapi.OpTask, controlapi.TaskQuery{ID: r.PathValue("id")}, new(controlapi.TaskStatus))
+	controlhttp.Serve(w, r, t.control, controlapi.OpTask, controlapi.TaskQuery{ID: r.PathValue("id")}, new(controlapi.TaskStatus))
 }
 
 func (t *tasks) cancel(w http.ResponseWriter, r *http.Request) {
-	operations.Serve(w, r, t.control, controlapi.OpCancelTask, controlapi.TaskQuery{ID: r.PathValue("id")}, new(controlapi.TaskStatus))
+	controlhttp.Serve(w, r, t.control, controlapi.OpCancelTask, controlapi.TaskQuery{ID: r.PathValue("id")}, new(controlapi.TaskStatus))
 }
 
 func (t *tasks) list(w http.ResponseWriter, r *http.Request) {
@@ -81,12 +81,12 @@
 	if text := q.Get("limit"); text != "" {
 		limit, err := strconv.Atoi(text)
 		if err != nil || limit < 1 {
-			operations.WriteError(w, controlapi.OpTasks, &controlapi.Error{
+			controlhttp.WriteError(w, controlapi.OpTasks, &controlapi.Error{
 				Reason: controlapi.ReasonBadRequest, Step: "check", Message: "limit must be a whole number from 1",
 			})
 			return
 		}
 		in.Limit = limit
 	}
-	operations.Serve(w, r, t.control, controlapi.OpTasks, in, new(controlapi.TasksResponse))
+	controlhttp.Serve(w, r, t.control, controlapi.OpTasks, in, new(controlapi.TasksResponse))
 }
