quarantine, placement: use one word for quarantined subjects

Cause: the code called the same state quarantined and set aside. Change: names and comments say quarantined.

--- a/daemon/control/fault_test.go
+++ b/daemon/control/fault_test.go
@@ -123,7 +123,7 @@
 		c.waitForAll(command)
 	}
 	if left, _ := filepath.Glob(pattern + ".damaged"); len(left) != 1 {
-		t.Errorf("damaged files set aside: %v, want one", left)
+		t.Errorf("damaged files renamed: %v, want one", left)
 	}
 }
 
--- a/daemon/control/scheduler/changes.go
+++ b/daemon/control/scheduler/changes.go
@@ -27,7 +27,7 @@
 		d.setConfig(*c.Config, now)
 	}
 	for _, q := range c.Quarantine {
-		d.core.SetAside(quarantine.Kind(q.Kind), q.Name, q.Reason, now)
+		d.core.SetQuarantined(quarantine.Kind(q.Kind), q.Name, q.Reason, now)
 	}
 	for _, q := range c.Released {
 		d.core.Release(quarantine.Kind(q.Kind), q.Name, now)
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -63,7 +63,7 @@
 	if !reflect.DeepEqual(first, second) {
 		t.Fatalf("two runs differ:\n%+v\n%+v", first, second)
 	}
-	if first.Unnoticed > 0 || first.Impossible == 0 || first.SetAside != "worker-00" {
-		t.Fatalf("unnoticed jobs that can never run: %d, workers set aside: %q", first.Unnoticed, first.SetAside)
+	if first.Unnoticed > 0 || first.Impossible == 0 || first.Quarantined != "worker-00" {
+		t.Fatalf("unnoticed jobs that can never run: %d, quarantined workers: %q", first.Unnoticed, first.Quarantined)
 	}
 }
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -119,7 +119,7 @@
 	for _, x := range r.Results {
 		fmt.Fprintf(t, "%s\t%s\t%d\t%.1f\t%.1f\t%.4f\t%.0f\t%.0f\t%d\t%d\t%d\t%d\t%d/%d\t%.2f\t%s\n",
 			x.Scenario, x.Policy, x.Seed, x.WaveP99Ms, x.QuietP99Ms, x.LostShare, x.Work, x.WindowWork, x.Completed,
-			x.Evictions, x.Throttles, x.Attempts, x.Impossible, x.Impossible+x.Unnoticed, x.UrgentP99s, x.SetAside)
+			x.Evictions, x.Throttles, x.Attempts, x.Impossible, x.Impossible+x.Unnoticed, x.UrgentP99s, x.Quarantined)
 	}
 	fmt.Fprintln(t, "\nscenario\tpolicy\twave p99\tworst\twork\tevictions\tzone work")
 	for _, x := range r.Ratios {
--- a/experiment/requests/requests_test.go
+++ b/experiment/requests/requests_test.go
@@ -86,7 +86,7 @@
 }
 
 // Guards against entry instances that all choose the same target.
-func TestInstancesDoNotHerd(t *testing.T) {
+func TestInstancesSpreadOverTargets(t *testing.T) {
 	for _, entries := range []int{1, 3, 10} {
 		o := Steady(deployment(1), 0.5)
 		o.Entries, o.Zones = entries, 1
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -52,7 +52,7 @@
 	Impossible  int     `json:"impossible"` // reported at once
 	Unnoticed   int     `json:"unnoticed"`  // jobs that can never run and were not reported
 	UrgentP99s  float64 `json:"urgent_p99_s"`
-	SetAside    string  `json:"set_aside"`
+	Quarantined string  `json:"quarantined"`
 }
 
 // Run simulates a scenario with a policy.
@@ -309,5 +309,5 @@
 			names = append(names, e.Name)
 		}
 	}
-	r.SetAside = strings.Join(names, " ")
+	r.Quarantined = strings.Join(names, " ")
 }
--- a/placement/events.go
+++ b/placement/events.go
@@ -224,13 +224,13 @@
 	return true
 }
 
-// SetAside quarantines a job or worker that the committer lists as such and
-// that is not set aside here.
-func (s *Scheduler) SetAside(kind quarantine.Kind, name, why string, now time.Time) {
+// SetQuarantined quarantines a job or worker that the committer lists as such and
+// that is not quarantined here.
+func (s *Scheduler) SetQuarantined(kind quarantine.Kind, name, why string, now time.Time) {
 	if s.held[name] != nil && kind == quarantine.Job {
 		return
 	}
-	s.matrix.SetAside(kind, name, why, now)
+	s.matrix.SetQuarantined(kind, name, why, now)
 	if kind == quarantine.Worker {
 		s.markWorker(s.matrix.Status(kind, name))
 		return
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -156,7 +156,7 @@
 	return ""
 }
 
-// Quarantine lists the jobs and workers that are set aside or on probation.
+// Quarantine lists the jobs and workers that are quarantined or on probation.
 func (s *Scheduler) Quarantine() []quarantine.Entry { return s.matrix.Entries() }
 
 // Evictions returns how many evictions were proposed.
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,4 +1,4 @@
-// Package quarantine sets aside jobs that fail everywhere and workers that fail
+// Package quarantine takes out of service jobs that fail everywhere and workers that fail
 // everything. It is pure: the caller passes the time.
 //
 // Matrix keeps who failed where. A failure has two possible causes, the job or
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -143,9 +143,9 @@
 	return changes
 }
 
-// SetAside quarantines a subject that was set aside elsewhere, for example by
+// SetQuarantined quarantines a subject that was quarantined elsewhere, for example by
 // the leader before.
-func (m *Matrix) SetAside(kind Kind, name, reason string, now time.Time) {
+func (m *Matrix) SetQuarantined(kind Kind, name, reason string, now time.Time) {
 	all := m.jobs
 	if kind == Worker {
 		all = m.workers
--- a/quarantine/matrix.go
+++ b/quarantine/matrix.go
@@ -32,7 +32,7 @@
 	Term          time.Duration // first quarantine; doubles with every relapse
 	LongestTerm   time.Duration
 	ReleaseAfter  int     // successes in a row that end the probation of a worker
-	WorkerShare   float64 // largest share of the workers that is set aside
+	WorkerShare   float64 // largest share of the workers that is quarantined
 	FailuresLimit int     // failures that are kept
 }
 
@@ -66,7 +66,7 @@
 	At     time.Time
 }
 
-// Entry is a subject that is set aside or on probation.
+// Entry is a subject that is quarantined or on probation.
 type Entry struct {
 	Kind   Kind
 	Name   string
@@ -83,7 +83,7 @@
 	at     time.Time
 }
 
-// Matrix holds the recent outcomes and the subjects that are set aside.
+// Matrix holds the recent outcomes and the subjects that are quarantined.
 type Matrix struct {
 	options  Options
 	cells    map[cellKey]*cell
@@ -120,7 +120,7 @@
 	}
 }
 
-// SetFleet sets the number of workers, for the bound on those set aside.
+// SetFleet sets the number of workers, for the bound on those quarantined.
 func (m *Matrix) SetFleet(workers int) { m.fleet = workers }
 
 const (
@@ -238,7 +238,7 @@
 	m.order = kept
 }
 
-// forgetIdle drops a job without failures that is not set aside.
+// forgetIdle drops a job without failures that is not quarantined.
 func (m *Matrix) forgetIdle(name string) {
 	if j := m.jobs[name]; j != nil && j.state == Clear && len(j.cells) == 0 {
 		delete(m.jobs, name)
@@ -253,7 +253,7 @@
 	return Entry{Kind: kind, Name: name, State: Clear}
 }
 
-// Entries lists the subjects that are set aside or on probation.
+// Entries lists the subjects that are quarantined or on probation.
 func (m *Matrix) Entries() []Entry {
 	var entries []Entry
 	for _, all := range []map[string]*subject{m.jobs, m.workers} {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -116,7 +116,7 @@
 
 // Guards against setting a whole fleet aside when a broken release of one
 // customer fails on every worker.
-func TestBoundsTheWorkersSetAside(t *testing.T) {
+func TestBoundsTheQuarantinedWorkers(t *testing.T) {
 	m := New(Options{})
 	m.SetFleet(10)
 	for w := range 10 {
@@ -126,7 +126,7 @@
 	}
 	m.Evaluate(epoch)
 	if n := len(m.Entries()); n > 2 {
-		t.Fatalf("%d subjects set aside, want at most a fifth of 10 workers", n)
+		t.Fatalf("%d subjects quarantined, want at most a fifth of 10 workers", n)
 	}
 }
 
