e2e: hit two processes at a time

Cause: faults come together, and the test injected one at a time. Change: two sources of faults over disjoint halves of the processes.

--- a/e2e/keys_test.go
+++ b/e2e/keys_test.go
@@ -61,11 +61,9 @@
 	return outcome
 }
 
-// disturb injects faults from a fixed seed until stop is closed.
-func disturb(c *testcluster.Cluster, seed uint64, stop <-chan struct{}) {
+// disturb injects faults into nodes from a fixed seed until stop is closed.
+func disturb(nodes []*testcluster.Node, seed uint64, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(seed, seed))
-	var nodes []*testcluster.Node
-	nodes = append(append(append(nodes, c.Controls...), c.Entries...), c.Agents...)
 	for {
 		select {
 		case <-stop:
@@ -111,7 +109,17 @@
 	until := time.Now().Add(duration)
 	stop := make(chan struct{})
 	var faults, work sync.WaitGroup
-	faults.Go(func() { disturb(c, seed, stop) })
+	// Two sources of faults, so that two processes are hit at a time.
+	var odd, even []*testcluster.Node
+	for i, n := range c.Nodes() {
+		if i%2 == 0 {
+			even = append(even, n)
+		} else {
+			odd = append(odd, n)
+		}
+	}
+	faults.Go(func() { disturb(even, seed, stop) })
+	faults.Go(func() { disturb(odd, seed+100, stop) })
 	for caller := range callers {
 		work.Go(func() {
 			for i := range each {
