agent/tasks: tick every 200 ms

Cause: an agent with 10 tasks used 1.3 to 1.9% of a core on a quiet machine, against 1.4%; each tick wakes it. Change: one tick of 200 ms; tasks are stopped 400 ms before the end of their lease in place of 200 ms, which is two ticks.

--- a/daemon/agent/tasks/tasks.go
+++ b/daemon/agent/tasks/tasks.go
@@ -23,8 +23,9 @@
 const (
 	eventCapacity = 1024
 	jobCapacity   = 1024
-	tick          = 100 * time.Millisecond
-	idleTick      = 200 * time.Millisecond
+	// tick is half of the margin before the end of a lease. The wake-ups of an
+	// agent are most of its processor time.
+	tick = 200 * time.Millisecond
 	// listInterval is the time between lists of the worker while it has tasks.
 	listInterval     = 500 * time.Millisecond
 	idleListInterval = time.Second
@@ -110,7 +111,6 @@
 			d.finished(done)
 		case <-ticker.C:
 			d.onTick()
-			ticker.Reset(d.tickPause())
 		}
 	}
 }
@@ -138,15 +138,6 @@
 	}
 }
 
-// tickPause is longer while there are no leases to watch, because the wake-ups
-// of an idle agent are most of its processor time.
-func (d *Duty) tickPause() time.Duration {
-	if d.adoption == complete && d.executor.Idle() {
-		return idleTick
-	}
-	return tick
-}
-
 func (d *Duty) listPause() time.Duration {
 	if d.adoption == complete && d.executor.Idle() {
 		return idleListInterval
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -23,7 +23,7 @@
 
 // stopMargin is how long before the end of a lease the executor stops a task.
 // The worker stops it at the end of the lease even without the executor.
-const stopMargin = 200 * time.Millisecond
+const stopMargin = 400 * time.Millisecond
 
 // Executor is the state of the tasks of one instance.
 //
