entry/relay: start no more calls than results have room for

Cause: a result that did not fit its ring was lost. A lost result of the configuration watch would have stopped the watch for good; at 4,000 agents the 4,096 places can be used up. Change: relayed calls are refused above the bound, and 128 places stay for the relay's own calls. Result: the tests of watchers, zones and batch tasks over real processes pass; no test fills the ring.

--- a/daemon/entry/relay/relay.go
+++ b/daemon/entry/relay/relay.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/bootclock"
@@ -21,7 +22,10 @@
 const (
 	eventCapacity  = 8192
 	resultCapacity = 4096
-	tick           = 50 * time.Millisecond
+	// ownCalls is the part of the results kept for calls of the relay itself:
+	// the configuration, one permit for each zone, and the announced targets.
+	ownCalls = 128
+	tick     = 50 * time.Millisecond
 
 	permitInterval    = 400 * time.Millisecond
 	announcedInterval = time.Second
@@ -38,6 +42,9 @@
 	Start(call controlclient.Call) error
 }
 
+// errBusy is the cause of a refused call while too many wait for control.
+var errBusy = errs.New("relay: too many calls wait for control")
+
 // Options configure the duty.
 type Options struct {
 	Entry    string // id of this entry instance
@@ -192,8 +199,17 @@
 	}
 }
 
-// start starts a call and remembers who waits for its result.
+// start starts a call and remembers who waits for its result. It starts no
+// more calls than the ring of the results has room for, so that no result is
+// lost.
 func (d *Duty) start(call controlclient.Call, p pending) error {
+	room := resultCapacity
+	if p.kind == relayed {
+		room -= ownCalls
+	}
+	if len(d.pending) >= room {
+		return errBusy
+	}
 	d.token++
 	call.Token = d.token
 	call.Reply = d.results
