--- a/cmd/ibispierd/main.go
+++ b/cmd/ibispierd/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/ibispier/ibispier/daemon"
@@ -21,10 +22,13 @@
 	exitUsage  = 2
 )
 
+// configVariable names the settings file where -config does not.
+const configVariable = "IBISPIER_CONFIG"
+
 func main() { os.Exit(run()) }
 
 func run() int {
-	path := flag.String("config", "", "settings file (INI)")
+	path := flag.String("config", os.Getenv(configVariable), "settings file (INI); by default the file that "+configVariable+" names")
 	check := flag.Bool("check", false, "check the settings file, print the effective settings and end")
 	dev := flag.Bool("dev", false, "run all roles, a stand-in target and a stand-in worker in this process")
 	flag.Usage = usage
@@ -61,6 +65,9 @@
 }
 
 func serve(s *settings.Settings, dev bool) int {
+	if s.Daemon.MemoryMiB > 0 {
+		debug.SetMemoryLimit(s.Daemon.MemoryMiB << 20)
+	}
 	observed, err := observe(s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "ibispierd:", err)
--- /dev/null
+++ b/controlapi/jobs.go
@@ -0,0 +1,120 @@
+package controlapi
+
+import (
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/resource"
+)
+
+// Operations on jobs.
+const (
+	OpJobSubmit    Operation = "job-submit"    // JobSubmit -> JobAnswer
+	OpJobStatus    Operation = "job-status"    // JobQuery -> JobAnswer
+	OpJobCancel    Operation = "job-cancel"    // JobQuery -> JobAnswer
+	OpJobWaiting   Operation = "job-waiting"   // JobQuery -> JobAnswer
+	OpManifest     Operation = "manifest"      // ManifestRequest -> ManifestAnswer
+	OpManifestRead Operation = "manifest-read" // Empty -> ManifestAnswer
+	OpZone         Operation = "zone"          // job.ZoneChange -> Empty
+	OpTarget       Operation = "target"        // TargetReport -> TargetOrders; held until there are orders
+)
+
+// JobOutcome is the result of an operation on a job.
+type JobOutcome string
+
+// Outcomes of operations on jobs.
+const (
+	JobOK         JobOutcome = "ok"
+	JobNoQueue    JobOutcome = "no-queue"    // no queue has the host and path
+	JobUnknown    JobOutcome = "unknown-job" // no such job
+	JobRefused    JobOutcome = "refused"     // not accepted; it never runs
+	JobNoManifest JobOutcome = "no-manifest" // no configuration yet; not accepted
+	JobInvalid    JobOutcome = "invalid"     // cannot be carried out as written
+)
+
+// JobSubmit hands a job in. The path is the prefix of a queue and the id.
+type JobSubmit struct {
+	Host string
+	Path string
+	Spec job.Spec
+}
+
+// JobQuery names a job, or a queue, by the host and path of a request.
+type JobQuery struct {
+	Host string
+	Path string
+}
+
+// JobAnswer answers an operation on a job.
+type JobAnswer struct {
+	Outcome          JobOutcome
+	State            job.State `json:",omitempty"`
+	Waiting          int       `json:",omitempty"`
+	RetryAfterMillis int64     `json:",omitempty"`
+}
+
+// ManifestRequest hands a configuration in that was approved outside.
+type ManifestRequest struct {
+	Config job.Config
+}
+
+// ManifestAnswer is a configuration as it was submitted. Source is empty when
+// there is none yet.
+type ManifestAnswer struct {
+	Source []byte
+}
+
+// RunReport is a run that a target holds.
+type RunReport struct {
+	Task       job.Ref
+	Run        int
+	Checkpoint string `json:",omitempty"`
+}
+
+// TargetReport is what an agent tells about its target.
+type TargetReport struct {
+	Life     job.Life
+	Service  string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity resource.Vector
+	Draining bool
+	// RemainingMillis is the least time that a draining target stays.
+	RemainingMillis int64 `json:",omitempty"`
+	Strained        bool  `json:",omitempty"` // a serving task is near or over its tail target
+
+	Agent uint64 // chosen at random at the start of the agent
+	Seen  uint64 // newest TargetOrders.Number that the agent has taken
+	// LeaseWanted tells that the target answers its agent.
+	LeaseWanted bool        `json:",omitempty"`
+	Running     []RunReport `json:",omitempty"` // also starts and stops that are under way
+	Ends        []job.End   `json:",omitempty"` // beyond the newest noted one
+	Gone        []job.Life  `json:",omitempty"` // earlier lives that the agent knows to be over
+	HoldMillis  int64       `json:",omitempty"` // time that control may hold the answer
+}
+
+// StartOrder asks the agent to start a run.
+type StartOrder struct {
+	Task             job.Ref
+	Run              int
+	Payload          string
+	Checkpoint       string `json:",omitempty"`
+	Filling          bool   `json:",omitempty"`
+	Image            string `json:",omitempty"`
+	TailTargetMillis int64  `json:",omitempty"`
+}
+
+// StopOrder asks the agent to stop a run.
+type StopOrder struct {
+	Task job.Ref
+	Run  int
+}
+
+// TargetOrders answers a TargetReport.
+type TargetOrders struct {
+	Term        uint64       // of the leader; the fencing token of the orders
+	Number      uint64       // of these orders in this leadership
+	Noted       uint64       // ends up to this number are in the log
+	LeaseMillis int64        // counted from when the report was sent; 0 for no lease
+	Starts      []StartOrder `json:",omitempty"`
+	Stops       []StopOrder  `json:",omitempty"`
+}
--- a/daemon/admin/role.go
+++ b/daemon/admin/role.go
@@ -16,7 +16,8 @@
 }
 
 // NewRole opens the socket and returns the role. A process without control
-// members in its settings answers operations of control with "unavailable".
+// members in its settings answers operations of control with "unavailable". So
+// does one that serves jobs, whose operators call control members directly.
 func NewRole(s *settings.Settings, readiness *Readiness, observer supervise.Observer) (*Role, error) {
 	duty, err := New(s.Admin.Listen, readiness)
 	if err != nil {
@@ -24,7 +25,7 @@
 	}
 	role := &Role{Supervisor: supervise.New("admin", supervise.Policy{}, observer), HTTP: duty}
 	role.Add("http", duty)
-	if len(s.Cluster.Control) == 0 {
+	if len(s.Cluster.Control) == 0 || s.Jobs.Enabled {
 		duty.ServeOperators(nil)
 		return role, nil
 	}
--- a/daemon/control/applier/agents.go
+++ b/daemon/control/applier/agents.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/readindex"
 	"github.com/ibispier/ibispier/lease"
 	"github.com/ibispier/ibispier/state"
 )
@@ -74,7 +75,7 @@
 		}
 	}
 	if len(changes) == 0 {
-		e.reads.add(read{deadline: req.Deadline, fail: req.unavailable, run: func(now time.Time) { e.answerOrHold(now, h) }})
+		e.reads.Add(readindex.Read{Deadline: req.Deadline, Fail: req.unavailable, Run: func(now time.Time) { e.answerOrHold(now, h) }})
 		return
 	}
 	e.propose(now, &state.Command{Report: &state.Report{Agent: r.Worker.Agent, Tasks: changes}}, req.Deadline,
--- a/daemon/control/applier/engine.go
+++ b/daemon/control/applier/engine.go
@@ -8,6 +8,7 @@
 
 	"github.com/ibispier/ibispier/consensus"
 	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/readindex"
 	"github.com/ibispier/ibispier/daemon/control/replica"
 	"github.com/ibispier/ibispier/state"
 	"github.com/ibispier/ibispier/state/codec"
@@ -33,7 +34,7 @@
 	status    replica.Status
 	id        state.ID // of the last proposal
 	proposals map[state.ID]*proposal
-	reads     reads
+	reads     readindex.Queue
 	members   map[uint64]*Request // membership changes by context
 	context   uint64              // of the last membership change
 	leader    *leadership         // nil unless this member leads
@@ -104,9 +105,9 @@
 		e.setStatus(now, *u.Status)
 	}
 	for _, r := range u.Reads {
-		e.reads.confirmed(r)
+		e.reads.Confirmed(r)
 	}
-	e.reads.run(now, e.applied)
+	e.reads.Apply(now, e.applied)
 	for _, r := range u.MemberResults {
 		e.memberResult(r)
 	}
@@ -177,7 +178,7 @@
 	for _, p := range proposals {
 		p.fail()
 	}
-	e.reads.failAll()
+	e.reads.FailAll()
 	e.leader.failAll()
 	e.leader = nil
 	e.feed.stop()
@@ -200,7 +201,7 @@
 	if e.leader == nil {
 		return
 	}
-	e.reads.expire(now)
+	e.reads.Expire(now)
 	e.expireLeases(now)
 	e.expireHeld(now)
 	e.loseAgents(now)
@@ -214,7 +215,7 @@
 		return
 	}
 	e.wakeAgents(now)
-	e.reads.issue(now, e.submit)
+	e.reads.Issue(now, e.submit)
 	e.feed.flush(e.leader, e)
 }
 
--- a/daemon/control/applier/engine_test.go
+++ b/daemon/control/applier/engine_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ibispier/ibispier/controlapi"
-	"github.com/ibispier/ibispier/daemon/control/replica"
 	"github.com/ibispier/ibispier/lease"
 	"github.com/ibispier/ibispier/permit"
 )
@@ -305,44 +304,6 @@
 	}
 }
 
-// Guards against a read that is answered by a confirmation which was asked for
-// before it arrived: another member may have led in between.
-func TestReadWaitsForALaterConfirmation(t *testing.T) {
-	var r reads
-	var asked []uint64
-	submit := func(in replica.Input) error {
-		asked = append(asked, in.Read)
-		return nil
-	}
-	answered := map[string]bool{}
-	add := func(name string) {
-		r.add(read{deadline: time.Unix(10, 0), run: func(time.Time) { answered[name] = true }, fail: func() { t.Error(name, "failed") }})
-	}
-	now := time.Unix(0, 0)
-	add("first")
-	r.issue(now, submit)
-	add("second")
-	r.issue(now, submit)
-	r.confirmed(replica.ReadReady{Context: asked[0], Index: 3})
-	if r.run(now, 2); len(answered) > 0 {
-		t.Fatalf("answered %v before the index was applied", answered)
-	}
-	if r.run(now, 3); !answered["first"] || answered["second"] {
-		t.Fatalf("answered %v after the first confirmation", answered)
-	}
-	r.issue(now, submit)
-	r.expire(now.Add(readTimeout)) // lost
-	r.issue(now, submit)
-	r.confirmed(replica.ReadReady{Context: asked[1], Index: 3}) // late
-	if r.run(now, 3); answered["second"] {
-		t.Fatal("answered by a confirmation that was given up")
-	}
-	r.confirmed(replica.ReadReady{Context: asked[2], Index: 3})
-	if r.run(now, 3); !answered["second"] {
-		t.Fatal("the second read was lost")
-	}
-}
-
 // Guards against an agent whose leases a leader renews although it has not seen
 // the report that the agent refers to, and against leases that are lost because
 // the report names no tasks.
--- a/daemon/control/applier/serve.go
+++ b/daemon/control/applier/serve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/readindex"
 	"github.com/ibispier/ibispier/daemon/control/replica"
 	"github.com/ibispier/ibispier/plan"
 	"github.com/ibispier/ibispier/state"
@@ -121,7 +122,7 @@
 }
 
 func (e *engine) afterRead(r *Request, answer func(now time.Time)) {
-	e.reads.add(read{deadline: r.Deadline, run: answer, fail: r.unavailable})
+	e.reads.Add(readindex.Read{Deadline: r.Deadline, Run: answer, Fail: r.unavailable})
 }
 
 func (e *engine) task(r *Request, id string) {
--- /dev/null
+++ b/daemon/control/jobs/duty.go
@@ -0,0 +1,110 @@
+// Package jobs is the duty that owns the jobs of a control member. It proposes
+// the commands of callers, agents and the dispatcher, applies what is
+// committed, and answers. Leases of targets live with the leader.
+package jobs
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/bootclock"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/job/dispatch"
+	"github.com/ibispier/ibispier/lease"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/telemetry"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("jobs")
+
+const (
+	requestCapacity = 4096 // requests of a second at twice the peak
+	maxBatch        = 256  // events that share one step
+	// tickInterval bounds how late a lease or a held answer is noticed.
+	tickInterval = 50 * time.Millisecond
+)
+
+// Options configure the duty.
+type Options struct {
+	Lease     lease.Terms   // of a target
+	Retention time.Duration // of a job that is over
+	MinVoters int           // voters below which a new group accepts nothing
+	Bootstrap bool          // this member forms the group when none exists
+	Limits    dispatch.Limits
+	Log       *zap.Logger
+	Metrics   *telemetry.Metrics
+}
+
+// now is a clock that goes on while the instance is suspended and that nobody
+// sets, so that a leader that was frozen sees that leases have expired.
+func now() time.Time { return time.Unix(0, 0).Add(bootclock.Now()) }
+
+// Duty owns the jobs.
+type Duty struct {
+	Requests *ring.Ring[*applier.Request] // refuse when full: the caller is told "unavailable"
+
+	options Options
+	inputs  *ring.Ring[replica.Input]
+	updates *ring.Ring[replica.Update]
+}
+
+// New returns the duty between the rings of the replica.
+func New(o Options, inputs *ring.Ring[replica.Input], updates *ring.Ring[replica.Update]) *Duty {
+	return &Duty{
+		Requests: ring.New[*applier.Request]("jobs.requests", requestCapacity),
+		options:  o,
+		inputs:   inputs,
+		updates:  updates,
+	}
+}
+
+// Run serves until ctx ends. Each run starts without state, which the replica
+// sends again.
+func (d *Duty) Run(ctx context.Context) error {
+	e := newEngine(d.options, rand.Uint64(), d.inputs.Offer)
+	defer e.abandon()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		var err error
+		select {
+		case <-ctx.Done():
+			return nil
+		case u := <-d.updates.C():
+			err = d.update(e, u)
+		case r := <-d.Requests.C():
+			d.serve(e, r)
+		case <-ticker.C:
+			e.tick(now())
+		}
+		if err != nil {
+			return err
+		}
+		e.flush(now())
+	}
+}
+
+func (d *Duty) update(e *engine, first replica.Update) error {
+	if err := e.update(now(), first); err != nil {
+		return err
+	}
+	for _, u := range d.updates.Drain(nil, maxBatch) {
+		if err := e.update(now(), u); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Duty) serve(e *engine, first *applier.Request) {
+	e.request(now(), first)
+	for _, r := range d.Requests.Drain(nil, maxBatch) {
+		e.request(now(), r)
+	}
+}
--- /dev/null
+++ b/daemon/control/jobs/engine.go
@@ -0,0 +1,348 @@
+package jobs
+
+import (
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/daemon/control/readindex"
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/supervise"
+)
+
+const (
+	// proposalTimeout is how long a command waits for its entry. Its outcome is
+	// not known afterwards.
+	proposalTimeout = 2 * time.Second
+	// readTimeout is how long a read waits for the confirmation of a quorum.
+	readTimeout = 2 * time.Second
+	// bootstrapInterval is the pause between attempts to form the group.
+	bootstrapInterval = 500 * time.Millisecond
+)
+
+// engine decides what the duty does. It has no clock and no ring: time, requests
+// and updates of the replica come in, and inputs for the replica and answers go
+// out.
+//
+// Invariants: every request is answered once; an acceptance is answered only
+// after its entry is applied; everything else is answered, and every order is
+// sent, only after a quorum has confirmed later than the request arrived that
+// this member leads.
+type engine struct {
+	options Options
+	submit  func(replica.Input) error
+	log     *zap.Logger
+
+	book     *job.Book
+	applied  uint64
+	status   replica.Status
+	origin   uint64
+	sequence uint64
+	batch    batch
+	open     map[uint64]*batch // proposed and not applied, by sequence
+	reads    readindex.Queue
+	leader   *leadership // nil unless this member leads
+
+	snapshotWanted bool
+	bootstrapAt    time.Time // of the next attempt
+	context        uint64    // of the last membership change
+}
+
+// batch is a command that is being put together or that waits for its entry.
+type batch struct {
+	command  job.Command
+	parts    int
+	deadline time.Time
+	done     []func(now time.Time)
+	fail     []func()
+}
+
+func newEngine(o Options, origin uint64, submit func(replica.Input) error) *engine {
+	return &engine{
+		options: o,
+		submit:  submit,
+		log:     o.Log,
+		book:    job.NewBook(),
+		origin:  origin,
+		open:    map[uint64]*batch{},
+	}
+}
+
+// add puts a part into the next command. done is called once it is applied,
+// fail when that is not known any more. Either may be nil.
+func (e *engine) add(part func(*job.Command), done func(time.Time), fail func()) {
+	part(&e.batch.command)
+	e.batch.parts++
+	if done != nil {
+		e.batch.done = append(e.batch.done, done)
+	}
+	if fail != nil {
+		e.batch.fail = append(e.batch.fail, fail)
+	}
+}
+
+// propose hands the collected parts to the replica as one command.
+func (e *engine) propose(now time.Time) {
+	if e.batch.parts == 0 {
+		return
+	}
+	b := e.batch
+	e.batch = batch{}
+	e.sequence++
+	b.command.Origin, b.command.Sequence = e.origin, e.sequence
+	b.deadline = now.Add(proposalTimeout)
+	data, err := json.Marshal(&b.command)
+	if err == nil && e.leader != nil && !e.status.ReadOnly {
+		err = e.submit(replica.Input{Propose: data})
+	} else if err == nil {
+		err = consensus.ErrNotLeader
+	}
+	if err != nil {
+		e.log.Warn("proposal refused", zap.Int("parts", b.parts), zap.Error(err))
+		b.failAll()
+		return
+	}
+	e.open[e.sequence] = &b
+}
+
+func (b *batch) failAll() {
+	for _, fail := range b.fail {
+		fail()
+	}
+}
+
+// update takes what the replica tells.
+func (e *engine) update(now time.Time, u replica.Update) error {
+	if u.Snapshot != nil {
+		if err := e.restore(u.Snapshot); err != nil {
+			return err
+		}
+	}
+	for _, entry := range u.Entries {
+		if err := e.apply(now, entry); err != nil {
+			return err
+		}
+	}
+	if u.Status != nil {
+		e.setStatus(now, *u.Status)
+	}
+	for _, r := range u.Reads {
+		e.reads.Confirmed(r)
+	}
+	e.reads.Apply(now, e.applied)
+	for _, r := range u.MemberResults {
+		if r.Err != nil {
+			e.log.Info("membership change refused", zap.Error(r.Err))
+		}
+	}
+	e.snapshotWanted = e.snapshotWanted || u.SnapshotWanted
+	return nil
+}
+
+func (e *engine) restore(s *replica.SnapshotData) error {
+	e.book, e.applied = job.NewBook(), s.Index
+	if len(s.Data) > 0 {
+		if err := json.Unmarshal(s.Data, e.book); err != nil {
+			return supervise.Fatal(Error.New("step=restore index=%d: %w", s.Index, err))
+		}
+		e.book.Index()
+	}
+	return nil
+}
+
+// apply carries out one entry. An entry that cannot be decoded would make this
+// replica differ from the others, so it ends the process.
+func (e *engine) apply(now time.Time, entry consensus.Entry) error {
+	e.applied = entry.Index
+	if entry.Kind != consensus.EntryNormal {
+		return nil
+	}
+	c := new(job.Command)
+	if err := json.Unmarshal(entry.Data, c); err != nil {
+		return supervise.Fatal(Error.New("step=apply index=%d: %w", entry.Index, err))
+	}
+	if e.leader != nil {
+		e.leader.before(e.book, c)
+	}
+	e.book.Apply(c)
+	if e.leader != nil {
+		e.leader.dirty = true
+	}
+	if b := e.open[c.Sequence]; b != nil && c.Origin == e.origin {
+		delete(e.open, c.Sequence)
+		for _, done := range b.done {
+			done(now)
+		}
+	}
+	return nil
+}
+
+// setStatus follows the leadership of this member. Another term is another
+// leadership, even when this member leads again.
+func (e *engine) setStatus(now time.Time, s replica.Status) {
+	led := e.leader != nil
+	changed := led != s.IsLeader || led && s.Term != e.leader.term
+	if s.Leader != e.status.Leader {
+		e.log.Info("leader changed", zap.String("leader", s.Leader), zap.Uint64("term", s.Term))
+	}
+	e.status = s
+	if !changed {
+		return
+	}
+	if led {
+		e.endLeadership()
+	}
+	if s.IsLeader {
+		e.startLeadership(now, s.Term)
+	}
+}
+
+func (e *engine) startLeadership(now time.Time, term uint64) {
+	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
+		zap.Int("live_jobs", len(e.book.Live())), zap.Uint64("manifest", e.book.Config.Version))
+	e.leader = newLeadership(now, term, e.options.Lease, e.book)
+	e.confirmLeadership(now)
+}
+
+// confirmLeadership lets the leader act once a quorum has confirmed it, because
+// only then all entries of earlier leaders are applied.
+func (e *engine) confirmLeadership(now time.Time) {
+	l := e.leader
+	e.reads.Add(readindex.Read{
+		Deadline: now.Add(readTimeout),
+		Run: func(time.Time) {
+			if e.leader == l {
+				l.confirmed, l.dirty = true, true
+				e.log.Info("leadership confirmed", zap.Uint64("term", l.term), zap.Uint64("applied", e.applied))
+			}
+		},
+		Fail: func() {
+			if e.leader == l {
+				e.confirmLeadership(now.Add(readTimeout))
+			}
+		},
+	})
+}
+
+// endLeadership answers everyone who waits. Their commands may be committed by
+// the next leader, so the outcome is not known here.
+func (e *engine) endLeadership() {
+	e.log.Info("leadership ended", zap.Uint64("term", e.leader.term))
+	l := e.leader
+	e.leader = nil
+	open := e.open
+	e.open = map[uint64]*batch{}
+	for _, b := range open {
+		b.failAll()
+	}
+	e.batch.failAll()
+	e.batch = batch{}
+	e.reads.FailAll()
+	l.abandon()
+}
+
+// tick does what depends on time alone.
+func (e *engine) tick(now time.Time) {
+	for sequence, b := range e.open {
+		if !b.deadline.After(now) {
+			delete(e.open, sequence)
+			b.failAll()
+		}
+	}
+	e.bootstrap(now)
+	if e.leader == nil {
+		return
+	}
+	e.reads.Expire(now)
+	if !e.serving() {
+		return
+	}
+	e.loseTargets(now)
+	e.forgetJobs(now)
+	e.leader.dirty = true
+}
+
+// bootstrap forms the group at the very first start.
+func (e *engine) bootstrap(now time.Time) {
+	if !e.options.Bootstrap || e.status.Members == nil || len(e.status.Members) > 0 || now.Before(e.bootstrapAt) {
+		return
+	}
+	e.bootstrapAt = now.Add(bootstrapInterval)
+	e.context++
+	change := &replica.MemberChange{Action: replica.ActionBootstrap, Context: e.context}
+	if err := e.submit(replica.Input{Member: change}); err != nil {
+		e.log.Warn("bootstrap not started", zap.Error(err))
+	}
+}
+
+// serving reports whether the leader may accept and order. A new group accepts
+// nothing before it has the members that the tolerated losses need.
+func (e *engine) serving() bool {
+	if e.leader == nil || !e.leader.confirmed {
+		return false
+	}
+	if e.book.Orders > 0 || e.book.Config.Version > 0 {
+		return true
+	}
+	voters := 0
+	for _, m := range e.status.Members {
+		if m.Voter {
+			voters++
+		}
+	}
+	return voters >= e.options.MinVoters
+}
+
+// flush sends what the calls before have collected.
+func (e *engine) flush(now time.Time) {
+	if e.leader == nil {
+		e.offerSnapshot()
+		return
+	}
+	if e.serving() {
+		e.dispatch(now)
+		e.answerTargets(now)
+	}
+	e.propose(now)
+	e.reads.Issue(now, e.submit)
+	e.offerSnapshot()
+}
+
+// offerSnapshot hands the state to the replica.
+func (e *engine) offerSnapshot() {
+	if !e.snapshotWanted {
+		return
+	}
+	data, err := json.Marshal(e.book)
+	if err != nil {
+		e.log.Error("snapshot not encoded", zap.Error(err))
+		e.snapshotWanted = false
+		return
+	}
+	if e.submit(replica.Input{Snapshot: &replica.SnapshotData{Index: e.applied, Data: data}}) == nil {
+		e.snapshotWanted = false
+	}
+}
+
+// abandon answers everyone who waits when the duty ends.
+func (e *engine) abandon() {
+	if e.leader != nil {
+		e.endLeadership()
+	}
+}
+
+func reply(r *applier.Request, body any) {
+	r.Replier.Reply(applier.Response{Status: applier.OK, Body: body})
+}
+
+func unavailable(r *applier.Request) {
+	r.Replier.Reply(applier.Response{Status: applier.Unavailable})
+}
+
+func refuse(r *applier.Request, reason string) {
+	r.Replier.Reply(applier.Response{Status: applier.Refused, Reason: reason})
+}
--- /dev/null
+++ b/daemon/control/jobs/local.go
@@ -0,0 +1,57 @@
+package jobs
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/daemon/controlclient"
+	"github.com/ibispier/ibispier/ring"
+)
+
+// localTimeout bounds a call without a deadline.
+const localTimeout = 2 * time.Second
+
+// NotLeaderError names the member that leads, if this one knows it.
+type NotLeaderError struct {
+	Leader string
+}
+
+// Error says that this member does not lead.
+func (e *NotLeaderError) Error() string { return "jobs: not the leader; leader=" + e.Leader }
+
+// ringReplier delivers the response to a handler in this process.
+type ringReplier struct{ to *ring.Ring[applier.Response] }
+
+// Reply implements applier.Replier.
+func (r ringReplier) Reply(resp applier.Response) { _ = r.to.Offer(resp) }
+
+// Do performs an operation in this process. in is a pointer to the request type,
+// and out a pointer to the response type or to any.
+func (d *Duty) Do(ctx context.Context, op controlapi.Operation, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, localTimeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	responses := ring.New[applier.Response]("jobs.reply", 1)
+	request := &applier.Request{Operation: op, Body: in, Deadline: deadline, Replier: ringReplier{responses}}
+	if err := d.Requests.Offer(request); err != nil {
+		return Error.New("step=offer operation=%s cause=%v: %w", op, err, controlclient.ErrUnavailable)
+	}
+	resp, err := responses.Take(ctx)
+	if err != nil {
+		return Error.New("step=await operation=%s cause=%v: %w", op, err, controlclient.ErrUnavailable)
+	}
+	switch resp.Status {
+	case applier.OK:
+		reflect.ValueOf(out).Elem().Set(reflect.ValueOf(resp.Body))
+		return nil
+	case applier.NotLeader:
+		return &NotLeaderError{Leader: resp.Leader}
+	case applier.Refused:
+		return &controlclient.RefusedError{Reason: resp.Reason}
+	default:
+		return Error.New("step=await operation=%s: %w", op, controlclient.ErrUnavailable)
+	}
+}
--- /dev/null
+++ b/daemon/control/jobs/requests.go
@@ -0,0 +1,192 @@
+package jobs
+
+import (
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/daemon/control/readindex"
+	"github.com/ibispier/ibispier/job"
+)
+
+// request serves one operation.
+func (e *engine) request(now time.Time, r *applier.Request) {
+	if e.leader == nil {
+		r.Replier.Reply(applier.Response{Status: applier.NotLeader, Leader: e.status.Leader})
+		return
+	}
+	if !e.serving() {
+		unavailable(r)
+		return
+	}
+	switch body := r.Body.(type) {
+	case *controlapi.JobSubmit:
+		e.submitJob(now, r, body)
+	case *controlapi.ManifestRequest:
+		e.putManifest(r, body)
+	case *job.ZoneChange:
+		e.changeZone(r, *body)
+	case *controlapi.TargetReport:
+		e.report(now, r, body)
+	case *controlapi.JobQuery:
+		e.query(now, r, body)
+	case *controlapi.Empty:
+		if r.Operation == controlapi.OpManifestRead {
+			e.afterRead(now, r, func(time.Time) {
+				reply(r, controlapi.ManifestAnswer{Source: e.book.Config.Source})
+			})
+			return
+		}
+		refuse(r, controlapi.ReasonBadRequest+": unknown operation "+string(r.Operation))
+	default:
+		refuse(r, controlapi.ReasonBadRequest+": unknown operation "+string(r.Operation))
+	}
+}
+
+// afterRead calls answer once a quorum has confirmed that this member leads.
+func (e *engine) afterRead(now time.Time, r *applier.Request, answer func(now time.Time)) {
+	e.reads.Add(readindex.Read{
+		Deadline: now.Add(readTimeout),
+		Run:      answer,
+		Fail:     func() { unavailable(r) },
+	})
+}
+
+// submitJob accepts a job, or refuses it once it is certain that no earlier
+// attempt under its id is accepted.
+func (e *engine) submitJob(now time.Time, r *applier.Request, s *controlapi.JobSubmit) {
+	if e.book.Jobs[s.Spec.ID] != nil {
+		reply(r, controlapi.JobAnswer{Outcome: controlapi.JobOK})
+		return
+	}
+	queue, rest := e.book.Config.Match(s.Host, s.Path)
+	if refusal, refused := e.refusal(queue, rest, s); refused {
+		e.afterRead(now, r, func(time.Time) {
+			if e.book.Jobs[s.Spec.ID] != nil {
+				refusal = controlapi.JobAnswer{Outcome: controlapi.JobOK}
+			}
+			e.log.Info("job refused", zap.String("job", s.Spec.ID), zap.String("host", s.Host), zap.String("path", s.Path),
+				zap.String("outcome", string(refusal.Outcome)), zap.Uint64("manifest", e.book.Config.Version))
+			reply(r, refusal)
+		})
+		return
+	}
+	submission := &job.Submission{Spec: s.Spec, Queue: *queue}
+	e.add(func(c *job.Command) { c.Submit = append(c.Submit, submission) }, func(time.Time) {
+		e.log.Info("job accepted", zap.String("job", s.Spec.ID), zap.String("queue", submission.Queue.Name),
+			zap.Int("steps", len(s.Spec.Steps)), zap.Int("live_jobs", len(e.book.Live())), zap.Uint64("index", e.applied))
+		reply(r, controlapi.JobAnswer{Outcome: controlapi.JobOK})
+	}, func() { unavailable(r) })
+}
+
+func (e *engine) refusal(q *job.Queue, rest string, s *controlapi.JobSubmit) (controlapi.JobAnswer, bool) {
+	switch {
+	case e.book.Config.Version == 0:
+		return controlapi.JobAnswer{Outcome: controlapi.JobNoManifest, RetryAfterMillis: noManifestRetry.Milliseconds()}, true
+	case q == nil:
+		return controlapi.JobAnswer{Outcome: controlapi.JobNoQueue}, true
+	case rest != s.Spec.ID || s.Spec.Check() != nil:
+		return controlapi.JobAnswer{Outcome: controlapi.JobInvalid}, true
+	default:
+		return controlapi.JobAnswer{}, false
+	}
+}
+
+// noManifestRetry is when a caller may come back to a system that has no
+// configuration yet. Operators resend it about each second.
+const noManifestRetry = time.Second
+
+// query answers what does not hand a job in.
+func (e *engine) query(now time.Time, r *applier.Request, q *controlapi.JobQuery) {
+	e.afterRead(now, r, func(now time.Time) {
+		if e.book.Config.Version == 0 {
+			reply(r, controlapi.JobAnswer{Outcome: controlapi.JobNoManifest, RetryAfterMillis: noManifestRetry.Milliseconds()})
+			return
+		}
+		queue, rest := e.book.Config.Match(q.Host, q.Path)
+		switch r.Operation {
+		case controlapi.OpJobWaiting:
+			e.answerWaiting(r, queue)
+		case controlapi.OpJobCancel:
+			e.cancelJob(r, q, queue, rest)
+		default:
+			e.answerStatus(r, q, queue, rest)
+		}
+	})
+}
+
+func (e *engine) answerWaiting(r *applier.Request, queue *job.Queue) {
+	if queue == nil {
+		reply(r, controlapi.JobAnswer{Outcome: controlapi.JobNoQueue})
+		return
+	}
+	reply(r, controlapi.JobAnswer{Outcome: controlapi.JobOK, Waiting: e.book.Waiting(queue)})
+}
+
+// find returns the job that the path names. The queue of a known job may be
+// gone from the configuration; the job is still known.
+func (e *engine) find(q *controlapi.JobQuery, queue *job.Queue, rest string) (*job.Job, controlapi.JobOutcome) {
+	id := rest
+	if queue == nil {
+		id = q.Path[strings.LastIndexByte(q.Path, '/')+1:]
+	}
+	switch j := e.book.Jobs[id]; {
+	case j != nil:
+		return j, controlapi.JobOK
+	case queue == nil:
+		return nil, controlapi.JobNoQueue
+	default:
+		return nil, controlapi.JobUnknown
+	}
+}
+
+func (e *engine) answerStatus(r *applier.Request, q *controlapi.JobQuery, queue *job.Queue, rest string) {
+	j, outcome := e.find(q, queue, rest)
+	answer := controlapi.JobAnswer{Outcome: outcome}
+	if j != nil {
+		answer.State = j.State()
+	}
+	reply(r, answer)
+}
+
+func (e *engine) cancelJob(r *applier.Request, q *controlapi.JobQuery, queue *job.Queue, rest string) {
+	j, outcome := e.find(q, queue, rest)
+	if j == nil {
+		reply(r, controlapi.JobAnswer{Outcome: outcome})
+		return
+	}
+	id := j.Spec.ID
+	e.add(func(c *job.Command) { c.Cancel = append(c.Cancel, id) }, func(time.Time) {
+		e.log.Info("job cancelled", zap.String("job", id), zap.Uint64("index", e.applied))
+		reply(r, controlapi.JobAnswer{Outcome: controlapi.JobOK})
+	}, func() { unavailable(r) })
+}
+
+// putManifest takes a configuration that was approved outside. One that is not
+// newer is acknowledged and changes nothing.
+func (e *engine) putManifest(r *applier.Request, m *controlapi.ManifestRequest) {
+	if err := m.Config.Check(); err != nil {
+		e.log.Info("manifest refused", zap.Uint64("manifest", m.Config.Version), zap.Error(err))
+		refuse(r, err.Error())
+		return
+	}
+	if e.batch.command.Config != nil && e.batch.command.Config.Version >= m.Config.Version {
+		e.add(func(*job.Command) {}, func(time.Time) { reply(r, controlapi.Empty{}) }, func() { unavailable(r) })
+		return
+	}
+	e.add(func(c *job.Command) { c.Config = &m.Config }, func(time.Time) {
+		e.log.Info("manifest acknowledged", zap.Uint64("manifest", m.Config.Version),
+			zap.Uint64("in_force", e.book.Config.Version), zap.Uint64("index", e.applied))
+		reply(r, controlapi.Empty{})
+	}, func() { unavailable(r) })
+}
+
+func (e *engine) changeZone(r *applier.Request, z job.ZoneChange) {
+	e.add(func(c *job.Command) { c.Zones = append(c.Zones, z) }, func(time.Time) {
+		e.log.Info("zone changed", zap.String("zone", z.Zone), zap.Bool("out", z.Out), zap.Uint64("index", e.applied))
+		reply(r, controlapi.Empty{})
+	}, func() { unavailable(r) })
+}
--- /dev/null
+++ b/daemon/control/jobs/targets.go
@@ -0,0 +1,411 @@
+package jobs
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/daemon/control/readindex"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/job/dispatch"
+	"github.com/ibispier/ibispier/lease"
+)
+
+const (
+	// silentAfter is the silence after which a target gets no new starts. An
+	// agent reports at least every TargetReport.HoldMillis, below a second.
+	silentAfter = 1500 * time.Millisecond
+	// resendAfter is the time after which an order that the reports do not show
+	// is sent again. It is above the silence limit of the agent's calls.
+	resendAfter = time.Second
+	// failStreak is the number of failed runs in a row after which a target is
+	// suspended, and suspension how long at first.
+	failStreak    = 4
+	suspension    = 2 * time.Second
+	maxSuspension = 16 * time.Second
+)
+
+// leadership is what lives and ends with the leadership of this member.
+type leadership struct {
+	term      uint64
+	confirmed bool // all entries of earlier leaders are applied
+	sessions  map[job.Life]*session
+	settling  map[job.Ref]int // runs whose end is proposed
+	losing    map[job.Life]bool
+	over      map[string]time.Time // jobs that are over, by when this leader saw it
+	starting  bool                 // starts are proposed
+	dirty     bool                 // something has changed since the last dispatch
+}
+
+// session is what the leader knows about one life of a target.
+type session struct {
+	life    job.Life
+	report  *controlapi.TargetReport // nil for a target that is only known from the log
+	runs    map[job.Ref]int          // runs in the report
+	request *applier.Request         // held answer
+	until   time.Time                // when the held answer is due
+	asked   bool                     // the answer waits for a confirmation
+	seenAt  time.Time
+	expiry  time.Time // the lease may be in force until then
+	number  uint64    // of the last orders
+	noted   uint64    // as last told
+	ends    uint64    // proposed up to this number
+	started map[job.Ref]sent
+	stopped map[job.Ref]sent
+
+	streak      int // failed runs since the last one that was done
+	suspensions int
+	suspended   time.Time // no starts before
+}
+
+// sent is an order that the report does not show yet.
+type sent struct {
+	run    int
+	number uint64
+	at     time.Time
+}
+
+// inEffect reports whether an order for the run was sent a moment ago.
+func (o sent) inEffect(now time.Time, run int) bool {
+	return o.run == run && now.Sub(o.at) < resendAfter
+}
+
+// newLeadership counts the lease of every target in the log from now, because
+// it is not known when the leader before granted last.
+func newLeadership(now time.Time, term uint64, terms lease.Terms, b *job.Book) *leadership {
+	l := &leadership{
+		term:     term,
+		sessions: map[job.Life]*session{},
+		settling: map[job.Ref]int{},
+		losing:   map[job.Life]bool{},
+		over:     map[string]time.Time{},
+	}
+	for _, life := range b.Lives() {
+		l.session(life).expiry = now.Add(terms.Fence())
+	}
+	return l
+}
+
+func (l *leadership) session(life job.Life) *session {
+	s := l.sessions[life]
+	if s == nil {
+		s = &session{life: life, started: map[job.Ref]sent{}, stopped: map[job.Ref]sent{}}
+		l.sessions[life] = s
+	}
+	return s
+}
+
+func (l *leadership) abandon() {
+	for _, s := range l.sessions {
+		if s.request != nil {
+			unavailable(s.request)
+			s.request = nil
+		}
+	}
+}
+
+// before follows a command that is about to be applied.
+func (l *leadership) before(b *job.Book, c *job.Command) {
+	for i := range c.Ends {
+		end := &c.Ends[i]
+		if l.settling[end.Task] == end.Run {
+			delete(l.settling, end.Task)
+		}
+		if s := l.sessions[end.Target]; s != nil && end.Number > b.NotedOf(end.Target) {
+			s.outcome(end.Outcome)
+		}
+	}
+}
+
+// outcome follows whether the target carries out what it starts.
+func (s *session) outcome(o job.Outcome) {
+	switch o {
+	case job.RunDone:
+		s.streak, s.suspensions = 0, 0
+	case job.RunFailed:
+		s.streak++
+	}
+}
+
+// report takes the report of an agent and holds the answer.
+func (e *engine) report(now time.Time, r *applier.Request, report *controlapi.TargetReport) {
+	s := e.leader.session(report.Life)
+	if s.request != nil && !s.asked {
+		reply(s.request, controlapi.TargetOrders{}) // superseded
+	}
+	if s.report == nil || s.report.Agent != report.Agent {
+		s.started, s.stopped = map[job.Ref]sent{}, map[job.Ref]sent{}
+		s.number, s.noted = max(s.number, report.Seen), 0
+		e.log.Info("target connected", zap.String("target", s.life.ID), zap.Int64("born", s.life.Born),
+			zap.String("zone", report.Zone), zap.Bool("draining", report.Draining), zap.Int("running", len(report.Running)))
+	} else if s.report.Draining != report.Draining {
+		e.log.Info("target draining", zap.String("target", s.life.ID), zap.Int64("remaining_ms", report.RemainingMillis))
+	}
+	e.leader.dirty = e.leader.dirty || s.report == nil || s.report.Draining != report.Draining || s.report.Strained != report.Strained
+	s.report, s.request, s.seenAt, s.asked = report, r, now, false
+	s.until = now.Add(time.Duration(report.HoldMillis) * time.Millisecond)
+	s.runs = make(map[job.Ref]int, len(report.Running))
+	for _, run := range report.Running {
+		s.runs[run.Task] = run.Run
+	}
+	s.prune(report.Seen)
+	e.takeEnds(s)
+	for _, gone := range report.Gone {
+		e.lose(gone, "gone")
+	}
+}
+
+// prune forgets the orders that the report takes into account.
+func (s *session) prune(seen uint64) {
+	for ref, o := range s.started {
+		if o.number <= seen {
+			delete(s.started, ref)
+		}
+	}
+}
+
+// takeEnds proposes the ends that are new.
+func (e *engine) takeEnds(s *session) {
+	noted := max(e.book.NotedOf(s.life), s.ends)
+	for _, end := range s.report.Ends {
+		if end.Number > 0 && end.Number <= noted || end.Number == 0 && e.leader.settling[end.Task] == end.Run {
+			continue
+		}
+		end.Target = s.life
+		e.leader.settling[end.Task] = end.Run
+		s.ends = max(s.ends, end.Number)
+		e.log.Info("run ended", zap.Stringer("task", end.Task), zap.Int("run", end.Run), zap.String("outcome", string(end.Outcome)),
+			zap.String("target", s.life.ID), zap.Uint64("number", end.Number))
+		e.add(func(c *job.Command) { c.Ends = append(c.Ends, end) }, nil, func() {
+			if e.leader != nil {
+				delete(e.leader.settling, end.Task)
+				s.ends = 0
+			}
+		})
+	}
+}
+
+// answerTargets answers the reports for which there are orders, and those whose
+// time is over. An answer waits for a confirmation, because it renews a lease.
+func (e *engine) answerTargets(now time.Time) {
+	for _, s := range e.leader.sessions {
+		if s.request == nil || s.asked {
+			continue
+		}
+		if s.until.After(now) && !e.hasNews(now, s) {
+			continue
+		}
+		s.asked = true
+		e.afterTargetRead(now, s, s.request)
+	}
+}
+
+func (e *engine) afterTargetRead(now time.Time, s *session, r *applier.Request) {
+	l := e.leader
+	e.reads.Add(readindex.Read{
+		Deadline: now.Add(readTimeout),
+		Run: func(now time.Time) {
+			if e.leader != l {
+				unavailable(r)
+				return
+			}
+			e.sendOrders(now, s, r)
+		},
+		Fail: func() {
+			unavailable(r)
+			if s.request == r {
+				s.request = nil
+			}
+		},
+	})
+}
+
+// sendOrders answers a report. When a newer report has come meanwhile, its own
+// answer brings the orders.
+func (e *engine) sendOrders(now time.Time, s *session, r *applier.Request) {
+	if s.request != r {
+		reply(r, controlapi.TargetOrders{})
+		return
+	}
+	s.request, s.asked = nil, false
+	s.number++
+	orders := controlapi.TargetOrders{Term: e.leader.term, Number: s.number, Noted: e.book.NotedOf(s.life)}
+	s.noted = orders.Noted
+	if s.report.LeaseWanted && !e.leader.losing[s.life] {
+		orders.LeaseMillis = e.options.Lease.Length.Milliseconds()
+		s.expiry = now.Add(e.options.Lease.Fence())
+	}
+	orders.Starts = e.startOrders(now, s)
+	orders.Stops = e.stopOrders(now, s)
+	reply(r, orders)
+}
+
+func (e *engine) hasNews(now time.Time, s *session) bool {
+	if e.book.NotedOf(s.life) > s.noted {
+		return true
+	}
+	for ref, t := range e.book.On(s.life) {
+		if e.unordered(now, s, ref, t) {
+			return true
+		}
+	}
+	for ref, run := range s.runs {
+		if e.unwanted(now, s, ref, run) {
+			return true
+		}
+	}
+	return false
+}
+
+// unordered reports whether the target does not know of a start in the log. A
+// start may be ordered again: a target starts a run at most once.
+func (e *engine) unordered(now time.Time, s *session, ref job.Ref, t *job.Task) bool {
+	if t.State != job.Placed || s.runs[ref] == t.Run || e.leader.settling[ref] == t.Run {
+		return false
+	}
+	return !s.started[ref].inEffect(now, t.Run)
+}
+
+func (e *engine) startOrders(now time.Time, s *session) []controlapi.StartOrder {
+	var orders []controlapi.StartOrder
+	for ref, t := range e.book.On(s.life) {
+		if !e.unordered(now, s, ref, t) {
+			continue
+		}
+		j := e.book.Jobs[ref.Job]
+		step := &j.Spec.Steps[ref.Step]
+		s.started[ref] = sent{run: t.Run, number: s.number, at: now}
+		orders = append(orders, controlapi.StartOrder{
+			Task:             ref,
+			Run:              t.Run,
+			Payload:          j.Spec.Payload,
+			Checkpoint:       t.Checkpoint,
+			Filling:          step.Filling,
+			Image:            step.Image,
+			TailTargetMillis: step.TailTargetMillis,
+		})
+		e.log.Info("start ordered", zap.Stringer("task", ref), zap.Int("run", t.Run),
+			zap.String("target", s.life.ID), zap.Uint64("term", e.leader.term))
+	}
+	return orders
+}
+
+// unwanted reports whether a run that the target holds is not in the log.
+func (e *engine) unwanted(now time.Time, s *session, ref job.Ref, run int) bool {
+	if e.leader.settling[ref] == run || s.stopped[ref].inEffect(now, run) {
+		return false
+	}
+	_, t := e.book.Find(ref)
+	return t == nil || t.State != job.Placed || t.Run != run || t.Target != s.life
+}
+
+func (e *engine) stopOrders(now time.Time, s *session) []controlapi.StopOrder {
+	var orders []controlapi.StopOrder
+	for ref, run := range s.runs {
+		if !e.unwanted(now, s, ref, run) {
+			continue
+		}
+		s.stopped[ref] = sent{run: run, number: s.number, at: now}
+		orders = append(orders, controlapi.StopOrder{Task: ref, Run: run})
+		e.log.Info("stop ordered", zap.Stringer("task", ref), zap.Int("run", run), zap.String("target", s.life.ID))
+	}
+	return orders
+}
+
+// loseTargets gives up the targets whose lease has expired.
+func (e *engine) loseTargets(now time.Time) {
+	for life, s := range e.leader.sessions {
+		if s.expiry.After(now) {
+			continue
+		}
+		if len(e.book.On(life)) > 0 {
+			e.lose(life, "lease expired")
+		} else if s.request == nil && now.Sub(s.seenAt) > e.options.Lease.Fence() {
+			delete(e.leader.sessions, life)
+		}
+	}
+}
+
+func (e *engine) lose(life job.Life, why string) {
+	if e.leader.losing[life] || len(e.book.On(life)) == 0 {
+		return
+	}
+	l := e.leader
+	l.losing[life] = true
+	e.log.Info("target lost", zap.String("target", life.ID), zap.Int64("born", life.Born),
+		zap.String("why", why), zap.Int("tasks", len(e.book.On(life))))
+	forget := func() { delete(l.losing, life) }
+	e.add(func(c *job.Command) { c.Lost = append(c.Lost, life) }, func(time.Time) { forget() }, forget)
+}
+
+// dispatch proposes starts. One proposal is under way at a time, so that each
+// decision sees the starts of the one before.
+func (e *engine) dispatch(now time.Time) {
+	if e.leader.starting || !e.leader.dirty {
+		return
+	}
+	e.leader.dirty = false
+	starts := dispatch.Run(e.book, e.targets(now), time.Now().UnixMilli(), e.options.Limits)
+	if len(starts) == 0 {
+		return
+	}
+	l := e.leader
+	l.starting = true
+	e.add(func(c *job.Command) { c.Starts = starts },
+		func(time.Time) { l.starting = false },
+		func() { l.starting, l.dirty = false, true })
+}
+
+func (e *engine) targets(now time.Time) []*dispatch.Target {
+	targets := make([]*dispatch.Target, 0, len(e.leader.sessions))
+	for _, s := range e.leader.sessions {
+		if s.report == nil {
+			continue
+		}
+		targets = append(targets, &dispatch.Target{
+			Life:      s.life,
+			Service:   s.report.Service,
+			Zone:      s.report.Zone,
+			Rack:      s.report.Rack,
+			Labels:    s.report.Labels,
+			Capacity:  s.report.Capacity,
+			Startable: e.startable(now, s),
+			Strained:  s.report.Strained,
+		})
+	}
+	return targets
+}
+
+func (e *engine) startable(now time.Time, s *session) bool {
+	if s.streak >= failStreak {
+		s.suspended = now.Add(min(suspension<<s.suspensions, maxSuspension))
+		s.suspensions = min(s.suspensions+1, 4)
+		s.streak = 0
+		e.log.Info("target suspended", zap.String("target", s.life.ID), zap.Duration("for", s.suspended.Sub(now)))
+	}
+	return !s.report.Draining && s.report.LeaseWanted && !e.leader.losing[s.life] &&
+		now.Sub(s.seenAt) < silentAfter && s.expiry.After(now) && !s.suspended.After(now)
+}
+
+// forgetJobs drops jobs that have been over for the retention time.
+func (e *engine) forgetJobs(now time.Time) {
+	if len(e.book.Jobs) == len(e.book.Live()) {
+		return
+	}
+	for id, j := range e.book.Jobs {
+		if j.Live() {
+			continue
+		}
+		since, known := e.leader.over[id]
+		if !known {
+			e.leader.over[id] = now
+			continue
+		}
+		if now.Sub(since) >= e.options.Retention {
+			delete(e.leader.over, id)
+			e.add(func(c *job.Command) { c.Forget = append(c.Forget, id) }, nil, nil)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/control/readindex/readindex.go
@@ -0,0 +1,112 @@
+// Package readindex batches reads until a quorum has confirmed, later than each
+// read arrived, that this member leads.
+package readindex
+
+import (
+	"time"
+
+	"github.com/ibispier/ibispier/daemon/control/replica"
+)
+
+// readTimeout is the time after which a read that the replica has not
+// confirmed is asked again. It is above a round of heartbeats across zones.
+const readTimeout = 300 * time.Millisecond
+
+// Read waits for the confirmation that this member leads.
+type Read struct {
+	Deadline time.Time
+	Run      func(now time.Time)
+	Fail     func()
+}
+
+// confirmedReads wait until the entry with index is applied.
+type confirmedReads struct {
+	index uint64
+	reads []Read
+}
+
+// Queue batches read requests: those that arrive while a confirmation is under
+// way wait for the next one, because a confirmation counts only for requests
+// that arrived before it was asked for.
+type Queue struct {
+	context  uint64 // of the confirmation under way, 0 without one
+	last     uint64
+	issuedAt time.Time
+	asked    []Read // wait for the confirmation under way
+	waiting  []Read // wait for the next one
+	ready    []confirmedReads
+}
+
+// Add takes a read.
+func (q *Queue) Add(x Read) { q.waiting = append(q.waiting, x) }
+
+// Issue asks for a confirmation when requests wait and none is under way.
+func (q *Queue) Issue(now time.Time, submit func(replica.Input) error) {
+	if q.context != 0 || len(q.waiting) == 0 {
+		return
+	}
+	if submit(replica.Input{Read: q.last + 1}) != nil {
+		return // the next flush tries again
+	}
+	q.last++
+	q.context = q.last
+	q.issuedAt = now
+	q.asked, q.waiting = q.waiting, q.asked[:0]
+}
+
+// Confirmed takes the answer of the replica. An answer to an earlier question
+// is dropped: its requests were asked again.
+func (q *Queue) Confirmed(answer replica.ReadReady) {
+	if answer.Context != q.context {
+		return
+	}
+	q.context = 0
+	q.ready = append(q.ready, confirmedReads{index: answer.Index, reads: q.asked})
+	q.asked = nil
+}
+
+// Apply answers the confirmed reads whose entry is applied.
+func (q *Queue) Apply(now time.Time, applied uint64) {
+	for len(q.ready) > 0 && q.ready[0].index <= applied {
+		batch := q.ready[0].reads
+		q.ready = q.ready[1:]
+		for _, x := range batch {
+			x.Run(now)
+		}
+	}
+}
+
+// Expire asks again for a confirmation that has not come, and fails requests
+// whose deadline has passed.
+func (q *Queue) Expire(now time.Time) {
+	if q.context != 0 && now.Sub(q.issuedAt) >= readTimeout {
+		q.context = 0
+		q.waiting = append(q.asked, q.waiting...)
+		q.asked = nil
+	}
+	q.waiting = failExpired(now, q.waiting)
+}
+
+func failExpired(now time.Time, list []Read) []Read {
+	kept := list[:0]
+	for _, x := range list {
+		if x.Deadline.After(now) {
+			kept = append(kept, x)
+			continue
+		}
+		x.Fail()
+	}
+	return kept
+}
+
+// FailAll fails every request that waits.
+func (q *Queue) FailAll() {
+	all := append(q.asked, q.waiting...)
+	for _, c := range q.ready {
+		all = append(all, c.reads...)
+	}
+	*q = Queue{last: q.last}
+	for _, x := range all {
+		x.Fail()
+	}
+}
--- /dev/null
+++ b/daemon/control/readindex/readindex_test.go
@@ -0,0 +1,46 @@
+package readindex
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/daemon/control/replica"
+)
+
+// Guards against a read that is answered by a confirmation which was asked for
+// before it arrived: another member may have led in between.
+func TestReadWaitsForALaterConfirmation(t *testing.T) {
+	var r Queue
+	var asked []uint64
+	submit := func(in replica.Input) error {
+		asked = append(asked, in.Read)
+		return nil
+	}
+	answered := map[string]bool{}
+	add := func(name string) {
+		r.Add(Read{Deadline: time.Unix(10, 0), Run: func(time.Time) { answered[name] = true }, Fail: func() { t.Error(name, "failed") }})
+	}
+	now := time.Unix(0, 0)
+	add("first")
+	r.Issue(now, submit)
+	add("second")
+	r.Issue(now, submit)
+	r.Confirmed(replica.ReadReady{Context: asked[0], Index: 3})
+	if r.Apply(now, 2); len(answered) > 0 {
+		t.Fatalf("answered %v before the index was applied", answered)
+	}
+	if r.Apply(now, 3); !answered["first"] || answered["second"] {
+		t.Fatalf("answered %v after the first confirmation", answered)
+	}
+	r.Issue(now, submit)
+	r.Expire(now.Add(readTimeout)) // lost
+	r.Issue(now, submit)
+	r.Confirmed(replica.ReadReady{Context: asked[1], Index: 3}) // late
+	if r.Apply(now, 3); answered["second"] {
+		t.Fatal("answered by a confirmation that was given up")
+	}
+	r.Confirmed(replica.ReadReady{Context: asked[2], Index: 3})
+	if r.Apply(now, 3); !answered["second"] {
+		t.Fatal("the second read was lost")
+	}
+}
--- a/daemon/control/server/decode.go
+++ b/daemon/control/server/decode.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/job"
 )
 
 // bodies gives the request type of each operation.
@@ -28,6 +29,15 @@
 	controlapi.OpMembers:    body[controlapi.Empty],
 	controlapi.OpMembership: body[controlapi.MembershipRequest],
 	controlapi.OpSnapshot:   body[controlapi.Empty],
+
+	controlapi.OpJobSubmit:    body[controlapi.JobSubmit],
+	controlapi.OpJobStatus:    body[controlapi.JobQuery],
+	controlapi.OpJobCancel:    body[controlapi.JobQuery],
+	controlapi.OpJobWaiting:   body[controlapi.JobQuery],
+	controlapi.OpManifest:     body[controlapi.ManifestRequest],
+	controlapi.OpManifestRead: body[controlapi.Empty],
+	controlapi.OpZone:         body[job.ZoneChange],
+	controlapi.OpTarget:       body[controlapi.TargetReport],
 }
 
 func body[T any]() any { return new(T) }
--- a/daemon/controlclient/client.go
+++ b/daemon/controlclient/client.go
@@ -61,6 +61,8 @@
 	Local          link.Identity // the role is entry, agent or admin
 	Members        []settings.Member
 	ConfigRevision func() uint64 // sent in heartbeats; may be nil
+	Heartbeat      time.Duration // between heartbeats; 0 for the default of package link
+	Silence        time.Duration // after which a link is closed; 0 for the default of package link
 	Observer       supervise.Observer
 }
 
@@ -84,7 +86,10 @@
 			Local:          o.Local,
 			Accept:         []wire.Role{wire.Role_ROLE_CONTROL},
 			ConfigRevision: o.ConfigRevision,
-			Observer:       o.Observer,
+
+			HeartbeatInterval: o.Heartbeat,
+			SilenceTimeout:    o.Silence,
+			Observer:          o.Observer,
 		}, &memberHandler{member: m.ID, duty: c.duty}))
 	}
 	if len(o.Members) > 0 {
@@ -145,6 +150,8 @@
 		return time.Duration(r.WaitMillis) * time.Millisecond
 	case *controlapi.ConfigRequest:
 		return time.Duration(r.WaitMillis) * time.Millisecond
+	case controlapi.TargetReport:
+		return time.Duration(r.HoldMillis) * time.Millisecond
 	default:
 		return 0
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,6 +66,10 @@
 		return err
 	}
 	operators.HTTP.ServeMetrics(d.telemetry.Metrics)
+	if d.settings.Jobs.Enabled {
+		d.root.Add("admin", operators)
+		return d.buildJobs()
+	}
 	if d.settings.HasRole(settings.RoleControl) {
 		role, err := d.newControl()
 		if err != nil {
--- /dev/null
+++ b/daemon/targetagent/calls/calls.go
@@ -0,0 +1,100 @@
+// Package calls has the duties that call the target, one call at a time each.
+package calls
+
+import (
+	"context"
+	"time"
+
+	"github.com/ibispier/ibispier/bootclock"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/runapi"
+)
+
+const (
+	// callTimeout bounds a call to the target on the same instance. The target
+	// may carry the call out later all the same.
+	callTimeout = time.Second
+	// callCapacity is the number of calls that wait for one duty.
+	callCapacity = 256
+)
+
+// Kind is what a call does.
+type Kind uint8
+
+// Kinds of calls.
+const (
+	Start Kind = iota
+	Stop
+	Pace
+	Watch
+)
+
+// Call is one call to the target.
+type Call struct {
+	Kind    Kind
+	Life    job.Life
+	Task    job.Ref
+	Run     int
+	Percent int
+	Start   runapi.Start
+	Watch   runapi.Watch
+	Token   uint64
+	// ValidUntil is the instance clock after which a start must not be sent.
+	ValidUntil time.Duration
+}
+
+// Result is the outcome of a call.
+type Result struct {
+	Call
+	Sent   time.Duration // instance clock just before the call
+	Status runapi.Status
+	Err    error
+}
+
+// Duty carries out calls.
+type Duty struct {
+	Calls   *ring.Ring[Call]
+	results *ring.Ring[Result]
+	target  runapi.Target
+}
+
+// New returns a duty that gives results to the ring of the owner.
+func New(name string, target runapi.Target, results *ring.Ring[Result]) *Duty {
+	return &Duty{Calls: ring.New[Call](name, callCapacity), results: results, target: target}
+}
+
+// Run carries out calls until ctx ends.
+func (d *Duty) Run(ctx context.Context) error {
+	for {
+		call, err := d.Calls.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		if err := d.results.Put(ctx, d.perform(ctx, call)); err != nil {
+			return nil
+		}
+	}
+}
+
+func (d *Duty) perform(ctx context.Context, c Call) Result {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+c.Watch.Wait)
+	defer cancel()
+	r := Result{Call: c, Sent: bootclock.Now()}
+	switch c.Kind {
+	case Start:
+		// The instance may have been frozen since the call was queued.
+		if r.Sent >= c.ValidUntil {
+			r.Err = &runapi.RefusedError{Reason: runapi.ReasonLate}
+			return r
+		}
+		r.Err = d.target.Start(ctx, c.Life, c.Start)
+	case Stop:
+		r.Err = d.target.Stop(ctx, c.Life, c.Task, c.Run, c.Token)
+	case Pace:
+		r.Err = d.target.Pace(ctx, c.Life, c.Task, c.Run, c.Percent, c.Token)
+	case Watch:
+		r.Status, r.Err = d.target.Watch(ctx, c.Life, c.Watch)
+	}
+	return r
+}
--- /dev/null
+++ b/daemon/targetagent/runs/duty.go
@@ -0,0 +1,144 @@
+// Package runs is the duty that owns the runs of one target. It carries out the
+// orders of control, renews the lease of the target, reports ends, and paces
+// filling tasks beside serving ones.
+package runs
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/bootclock"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/controlclient"
+	"github.com/ibispier/ibispier/daemon/targetagent/calls"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/runapi"
+	"github.com/ibispier/ibispier/telemetry"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("runs")
+
+const (
+	announcementCapacity = 64
+	resultCapacity       = 256
+	answerCapacity       = 64
+	maxBatch             = 64
+	// reportTimeout bounds a report. Control holds it for up to reportHold, and
+	// the calls move to another member after silence.
+	reportTimeout = 4 * time.Second
+	idleWait      = time.Second
+)
+
+// Options configure the duty.
+type Options struct {
+	Control   func(controlclient.Call) error // starts a call to control
+	Callers   []*ring.Ring[calls.Call]       // for starts, stops and paces
+	Watcher   *ring.Ring[calls.Call]
+	Telemetry telemetry.Telemetry
+}
+
+// Duty owns the runs.
+type Duty struct {
+	Announcements *ring.Ring[runapi.Announcement] // drop the oldest: the target announces itself again
+	Results       *ring.Ring[calls.Result]        // block: the callers wait
+
+	options Options
+	answers *ring.Ring[controlclient.Result]
+}
+
+// New returns the duty.
+func New() *Duty {
+	return &Duty{
+		Announcements: ring.New[runapi.Announcement]("runs.announcements", announcementCapacity),
+		Results:       ring.New[calls.Result]("runs.results", resultCapacity),
+		answers:       ring.New[controlclient.Result]("runs.answers", answerCapacity),
+	}
+}
+
+// Configure sets where calls go. It must be called before Run.
+func (d *Duty) Configure(o Options) { d.options = o }
+
+// Run owns the runs until ctx ends. A new run knows nothing and learns from the
+// target and from control.
+func (d *Duty) Run(ctx context.Context) error {
+	o := newOwner(rand.Uint64(), d.options.Telemetry.Log)
+	timer := time.NewTimer(idleWait)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case a := <-d.Announcements.C():
+			o.announced(bootclock.Now(), a)
+		case r := <-d.Results.C():
+			o.result(bootclock.Now(), r)
+		case a := <-d.answers.C():
+			d.answer(o, a)
+		case <-timer.C:
+		}
+		for _, r := range d.Results.Drain(nil, maxBatch) {
+			o.result(bootclock.Now(), r)
+		}
+		d.perform(o)
+		timer.Reset(max(o.wake(bootclock.Now()), 0))
+	}
+}
+
+func (d *Duty) answer(o *owner, a controlclient.Result) {
+	var orders controlapi.TargetOrders
+	err := a.Err
+	if err == nil {
+		err = json.Unmarshal(a.Payload, &orders)
+	}
+	o.answer(bootclock.Now(), a.Token, orders, err)
+}
+
+// perform carries out what the owner decides now.
+func (d *Duty) perform(o *owner) {
+	now := bootclock.Now()
+	o.decide(now)
+	for i, c := range o.calls {
+		to := d.options.Callers[(int(o.called)+i)%len(d.options.Callers)]
+		if c.Kind == calls.Watch {
+			to = d.options.Watcher
+		}
+		if err := to.Offer(c); err != nil {
+			o.result(now, calls.Result{Call: c, Sent: now, Err: Error.New("step=call: %w", err)})
+		}
+	}
+	o.called += uint64(len(o.calls))
+	o.calls = o.calls[:0]
+	if o.outgoing == nil {
+		return
+	}
+	report := *o.outgoing
+	o.outgoing = nil
+	payload, err := json.Marshal(report)
+	if err == nil {
+		err = d.options.Control(controlclient.Call{
+			Operation: controlapi.OpTarget,
+			Payload:   payload,
+			Deadline:  time.Now().Add(reportTimeout),
+			Hold:      controlclient.HoldOf(report),
+			Token:     o.token,
+			Reply:     d.answers,
+		})
+	}
+	if err != nil {
+		o.answer(now, o.token, controlapi.TargetOrders{}, Error.New("step=report: %w", err))
+	}
+}
+
+// nop is the log of an owner without one, in tests.
+func logOrNop(log *zap.Logger) *zap.Logger {
+	if log == nil {
+		return zap.NewNop()
+	}
+	return log
+}
--- /dev/null
+++ b/daemon/targetagent/runs/owner.go
@@ -0,0 +1,531 @@
+package runs
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/targetagent/calls"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/pacing"
+	"github.com/ibispier/ibispier/runapi"
+)
+
+const (
+	// driftPercent is how much slower the clock of the target may run.
+	driftPercent = 2
+	// watchWait is how long a watch waits for an end, and pacedWait where
+	// serving and filling tasks share the target: their figures cover the last
+	// half second.
+	watchWait = 900 * time.Millisecond
+	pacedWait = 400 * time.Millisecond
+	// notedWait is how long the next watch waits for control to take note of
+	// ends. Until then a watch returns at once.
+	notedWait = 150 * time.Millisecond
+	// watchRetry is the pause after a failed watch.
+	watchRetry = 200 * time.Millisecond
+	// soundFor is how long after an answer the target counts as reachable.
+	soundFor = 1500 * time.Millisecond
+	// doubtWait is how long an unanswered start may still show up before the
+	// run is stopped.
+	doubtWait = 100 * time.Millisecond
+	// stopRetry is the pause before an unanswered stop is sent again.
+	stopRetry = 500 * time.Millisecond
+	// reportHold is how long control may hold the answer to a report. It bounds
+	// the age of a lease.
+	reportHold = 700 * time.Millisecond
+	// reportGap separates reports, so that ends that come together share one.
+	reportGap = 5 * time.Millisecond
+	// reportRetry is the pause after a report without an answer.
+	reportRetry = 50 * time.Millisecond
+)
+
+// runState is what the owner knows about a run.
+type runState uint8
+
+const (
+	starting runState = iota // the start is under way
+	doubtful                 // the start was not answered; it may be carried out later
+	running
+	stopping // a stop is under way or was carried out
+)
+
+// run is a run that control has ordered or that the target reports.
+type run struct {
+	number     int
+	state      runState
+	order      controlapi.StartOrder
+	known      bool // control has ordered it from this agent, so its kind is known
+	checkpoint string
+	level      int64
+	pace       int           // percent that was asked for
+	since      time.Duration // of the state
+	stopSent   time.Duration
+	stopped    time.Duration // answer to the stop; 0 without one
+}
+
+// owner is the state of the duty. Its methods are the inputs; calls and outgoing
+// hold what it asks of the duty.
+type owner struct {
+	log *zap.Logger
+
+	agent  uint64
+	life   job.Life
+	told   runapi.Announcement // newest announcement of the life
+	gone   []job.Life
+	stale  bool // the life does not answer any more: another one does
+	runs   map[job.Ref]*run
+	ends   []job.End // not noted, by number
+	reject []job.End // starts that the target did not carry out and never will
+	noted  uint64
+	seen   uint64 // number of the newest orders
+	term   uint64
+	lease  time.Duration // instance clock at which the lease ends
+	pacer  *pacing.Pacer
+
+	watching  bool
+	watchAt   time.Duration // of the next watch
+	answered  time.Duration // when the target last answered a watch
+	clock     int64         // of the target, at clockAt
+	clockAt   time.Duration
+	strained  bool
+	paceTurn  bool // figures have arrived since the last decision about the pace
+	endsSince time.Duration
+
+	token    uint64 // of the newest report
+	pending  bool   // the newest report has no answer
+	sentAt   time.Duration
+	reported reportMark
+	dirty    bool // something to report at once
+	retryAt  time.Duration
+
+	calls    []calls.Call
+	called   uint64
+	outgoing *controlapi.TargetReport
+}
+
+// reportMark is what the newest report contained.
+type reportMark struct {
+	gone, reject int
+}
+
+func newOwner(agent uint64, log *zap.Logger) *owner {
+	return &owner{log: logOrNop(log), agent: agent, runs: map[job.Ref]*run{}, pacer: pacing.New()}
+}
+
+// announced takes an announcement of the target.
+func (o *owner) announced(now time.Duration, a runapi.Announcement) {
+	switch {
+	case a.Life == o.life:
+		if a.Sequence <= o.told.Sequence && !a.Leaving {
+			return
+		}
+		if a.Leaving {
+			a = o.leave(a)
+		}
+		o.dirty = o.dirty || a.Draining != o.told.Draining
+		o.told = a
+	case a.Leaving:
+		return
+	case o.life.ID == "" || a.Life.Born > o.life.Born || o.stale:
+		o.adopt(now, a)
+	default:
+		o.log.Info("announcement of an earlier life ignored", zap.String("target", a.Life.ID), zap.Int64("born", a.Life.Born))
+	}
+}
+
+// leave keeps what was told before: a leave says only who leaves.
+func (o *owner) leave(a runapi.Announcement) runapi.Announcement {
+	last := o.told
+	last.Draining, last.RemainingMillis = true, 0
+	last.Sequence = max(last.Sequence, a.Sequence)
+	return last
+}
+
+// adopt makes a new life of the target the current one. Nothing of the earlier
+// one runs any more.
+func (o *owner) adopt(now time.Duration, a runapi.Announcement) {
+	o.log.Info("target announced", zap.String("target", a.Life.ID), zap.Int64("born", a.Life.Born),
+		zap.String("earlier", o.life.ID), zap.Int64("earlier_born", o.life.Born), zap.Bool("draining", a.Draining))
+	if o.life.ID != "" {
+		o.gone = append(o.gone, o.life)
+	}
+	o.life, o.told, o.stale = a.Life, a, false
+	o.runs, o.ends, o.reject = map[job.Ref]*run{}, nil, nil
+	o.noted, o.lease, o.answered, o.clock, o.clockAt = 0, 0, 0, 0, 0
+	o.pacer = pacing.New()
+	o.watching, o.watchAt = false, now
+	o.dirty = true
+}
+
+// answer takes the answer of control to the report with the token.
+func (o *owner) answer(now time.Duration, token uint64, orders controlapi.TargetOrders, err error) {
+	if token != o.token {
+		return // superseded
+	}
+	o.pending = false
+	if err != nil {
+		o.retryAt = now + reportRetry
+		o.log.Debug("report not answered", zap.Error(err))
+		return
+	}
+	if orders.Number == 0 || orders.Term < o.term {
+		return
+	}
+	if orders.Term > o.term {
+		o.log.Info("leader changed", zap.Uint64("term", orders.Term))
+	}
+	o.term, o.seen = orders.Term, orders.Number
+	o.gone = o.gone[min(o.reported.gone, len(o.gone)):]
+	o.reject = o.reject[min(o.reported.reject, len(o.reject)):]
+	o.reported = reportMark{}
+	if orders.LeaseMillis > 0 {
+		o.lease = max(o.lease, o.sentAt+time.Duration(orders.LeaseMillis)*time.Millisecond)
+	}
+	o.note(now, orders.Noted)
+	for _, s := range orders.Starts {
+		o.start(now, s)
+	}
+	for _, s := range orders.Stops {
+		o.stop(now, s.Task, s.Run)
+	}
+}
+
+// note forgets the ends that are in the log.
+func (o *owner) note(now time.Duration, number uint64) {
+	if number <= o.noted {
+		return
+	}
+	o.noted = number
+	o.ends = slices.DeleteFunc(o.ends, func(e job.End) bool { return e.Number <= number })
+	if len(o.ends) == 0 && !o.watching {
+		o.watchAt = now
+	}
+}
+
+// start carries out an order to start, at most once for each run.
+func (o *owner) start(now time.Duration, s controlapi.StartOrder) {
+	r := o.runs[s.Task]
+	if r != nil && r.number == s.Run {
+		r.order, r.known = s, true
+		return
+	}
+	if r != nil && r.number > s.Run || o.hasEnded(s.Task, s.Run) {
+		return
+	}
+	if o.told.Draining || o.lease <= now || o.clockAt == 0 {
+		o.rejected(s.Task, s.Run, "target drains or has no lease")
+		return
+	}
+	o.runs[s.Task] = &run{number: s.Run, state: starting, order: s, known: true, checkpoint: s.Checkpoint, pace: 100, since: now}
+	o.calls = append(o.calls, calls.Call{
+		Kind: calls.Start, Life: o.life, Task: s.Task, Run: s.Run, ValidUntil: o.lease,
+		Start: runapi.Start{Task: s.Task, Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Lease: o.leaseOrder()},
+	})
+}
+
+func (o *owner) hasEnded(task job.Ref, number int) bool {
+	return slices.ContainsFunc(o.ends, func(e job.End) bool { return e.Task == task && e.Run == number })
+}
+
+// rejected reports that the run does not run and never will.
+func (o *owner) rejected(task job.Ref, number int, why string) {
+	delete(o.runs, task)
+	o.reject = append(o.reject, job.End{Target: o.life, Task: task, Run: number, Outcome: job.RunRejected})
+	o.dirty = true
+	o.log.Info("run rejected", zap.Stringer("task", task), zap.Int("run", number), zap.String("why", why))
+}
+
+// stop makes sure that the run ends or never starts.
+func (o *owner) stop(now time.Duration, task job.Ref, number int) {
+	r := o.runs[task]
+	if r == nil || r.number != number || r.state == stopping && r.stopped > 0 {
+		return
+	}
+	o.sendStop(now, task, r)
+}
+
+func (o *owner) sendStop(now time.Duration, task job.Ref, r *run) {
+	r.state, r.stopSent, r.stopped = stopping, now, 0
+	o.calls = append(o.calls, calls.Call{Kind: calls.Stop, Life: o.life, Task: task, Run: r.number, Token: o.term})
+}
+
+// leaseOrder returns the end of the lease on the clock of the target, which may
+// run slow.
+func (o *owner) leaseOrder() runapi.Lease {
+	left := o.lease - o.clockAt
+	return runapi.Lease{
+		UntilMillis: o.clock + (left * (100 - driftPercent) / 100).Milliseconds(),
+		Token:       o.term,
+	}
+}
+
+// result takes the outcome of a call to the target.
+func (o *owner) result(now time.Duration, r calls.Result) {
+	if r.Life != o.life {
+		return
+	}
+	if errors.Is(r.Err, runapi.ErrOtherLife) {
+		o.stale = true
+	}
+	switch r.Kind {
+	case calls.Watch:
+		o.watched(now, r)
+	case calls.Start:
+		o.startAnswered(now, r)
+	case calls.Stop:
+		if state := o.runs[r.Task]; state != nil && state.number == r.Run && r.Err == nil {
+			state.stopped = now
+			o.watchAt = min(o.watchAt, now)
+		}
+	case calls.Pace:
+		if state := o.runs[r.Task]; state != nil && state.number == r.Run && r.Err != nil {
+			state.pace = -1 // sent again with the next decision
+		}
+	}
+}
+
+func (o *owner) startAnswered(now time.Duration, r calls.Result) {
+	state := o.runs[r.Task]
+	if state == nil || state.number != r.Run || state.state != starting {
+		return
+	}
+	var refused *runapi.RefusedError
+	switch {
+	case r.Err == nil:
+		state.state, state.since = running, now
+	case errors.As(r.Err, &refused) && refused.Reason == runapi.ReasonFenced:
+		// A newer leader has ordered something here and decides about the run.
+		delete(o.runs, r.Task)
+	case errors.As(r.Err, &refused):
+		o.rejected(r.Task, r.Run, string(refused.Reason))
+	default:
+		state.state, state.since = doubtful, now
+		o.log.Info("start not answered", zap.Stringer("task", r.Task), zap.Int("run", r.Run), zap.Error(r.Err))
+	}
+}
+
+// watched takes the state of the target.
+func (o *owner) watched(now time.Duration, r calls.Result) {
+	o.watching = false
+	if r.Err != nil {
+		o.watchAt = now + watchRetry
+		o.log.Debug("watch failed", zap.Error(r.Err))
+		return
+	}
+	if r.Status.Life.Born != o.life.Born {
+		o.log.Info("another life of the target answers", zap.String("target", o.life.ID),
+			zap.Int64("born", o.life.Born), zap.Int64("answers", r.Status.Life.Born))
+		o.adopt(now, o.reborn(r.Status.Life.Born))
+		return
+	}
+	first := o.answered == 0 || now-o.answered > soundFor
+	o.answered = now
+	o.clock, o.clockAt = r.Status.ClockMillis, now
+	o.dirty = o.dirty || first
+	o.takeEnds(now, r.Status.Ends)
+	o.takeRunning(now, r)
+	o.paceTurn = true
+	o.watchAt = now
+	if len(o.ends) > 0 {
+		o.watchAt = now + notedWait
+	}
+}
+
+// reborn returns the announcement of a life under the same id. Its own
+// announcement follows.
+func (o *owner) reborn(born int64) runapi.Announcement {
+	a := o.told
+	a.Life.Born, a.Sequence, a.Draining = born, 0, false
+	return a
+}
+
+func (o *owner) takeEnds(now time.Duration, ends []job.End) {
+	for _, e := range ends {
+		last := o.noted
+		if len(o.ends) > 0 {
+			last = max(last, o.ends[len(o.ends)-1].Number)
+		}
+		if e.Number <= last {
+			continue
+		}
+		e.Target = o.life
+		o.ends = append(o.ends, e)
+		o.dirty, o.endsSince = true, now
+		if r := o.runs[e.Task]; r != nil && r.number <= e.Run {
+			delete(o.runs, e.Task)
+		}
+	}
+}
+
+// takeRunning compares the runs of the target with what is known. A stopped run
+// that a later answer does not show has ended or never started.
+func (o *owner) takeRunning(now time.Duration, w calls.Result) {
+	shown := make(map[job.Ref]bool, len(w.Status.Running))
+	for _, s := range w.Status.Running {
+		shown[s.Task] = true
+		r := o.runs[s.Task]
+		if r == nil || r.number < s.Run {
+			if o.hasEnded(s.Task, s.Run) {
+				continue
+			}
+			r = &run{number: s.Run, state: running, since: now, pace: 100}
+			o.runs[s.Task] = r
+			o.dirty = true
+		}
+		r.checkpoint, r.level = s.Checkpoint, s.Level
+		if r.state == starting || r.state == doubtful {
+			r.state, r.since = running, now
+		}
+	}
+	for task, r := range o.runs {
+		if shown[task] || w.Sent < r.since {
+			continue
+		}
+		switch {
+		case r.state == running:
+			// It has ended, and its end is listed with this answer or a later one,
+			// unless it is noted already.
+			delete(o.runs, task)
+			o.dirty = true
+		case r.state == stopping && r.stopped > 0 && w.Sent > r.stopped:
+			if !o.hasEnded(task, r.number) {
+				o.rejected(task, r.number, "stopped before it started")
+			}
+		}
+	}
+}
+
+// decide asks for what is due now.
+func (o *owner) decide(now time.Duration) {
+	if o.life.ID == "" {
+		return
+	}
+	for task, r := range o.runs {
+		switch {
+		case r.state == doubtful && now-r.since >= doubtWait:
+			o.sendStop(now, task, r)
+		case r.state == stopping && r.stopped == 0 && now-r.stopSent >= stopRetry+time.Second:
+			o.sendStop(now, task, r)
+		}
+	}
+	o.pace(now)
+	o.watch(now)
+	o.report(now)
+}
+
+func (o *owner) watch(now time.Duration) {
+	if o.watching || now < o.watchAt {
+		return
+	}
+	w := runapi.Watch{Noted: o.noted, Lease: runapi.Lease{Token: o.term}, Wait: o.watchTime(now)}
+	if o.clockAt > 0 && o.lease > now {
+		w.Lease = o.leaseOrder()
+	}
+	o.watching = true
+	o.calls = append(o.calls, calls.Call{Kind: calls.Watch, Life: o.life, Watch: w})
+}
+
+func (o *owner) watchTime(now time.Duration) time.Duration {
+	if o.answered == 0 || len(o.ends) > 0 {
+		return 0
+	}
+	serving, filling := false, false
+	for _, r := range o.runs {
+		if r.state == stopping || r.state == doubtful {
+			return doubtWait
+		}
+		serving = serving || r.order.TailTargetMillis > 0
+		filling = filling || r.order.Filling
+	}
+	if serving && filling {
+		return pacedWait
+	}
+	return watchWait
+}
+
+// pace sets the pace of the filling tasks from the newest figures.
+func (o *owner) pace(now time.Duration) {
+	if !o.paceTurn {
+		return
+	}
+	o.paceTurn = false
+	ratio := 0.0
+	for _, r := range o.runs {
+		if target := r.order.TailTargetMillis; target > 0 && r.state == running {
+			ratio = max(ratio, float64(r.level)/float64(target))
+		}
+	}
+	percent := o.pacer.Observe(now, ratio)
+	if strained := o.pacer.Strained(); strained != o.strained {
+		o.strained, o.dirty = strained, true
+		o.log.Info("pace changed", zap.Int("percent", percent), zap.Float64("tail_ratio", ratio), zap.Bool("strained", strained))
+	}
+	for task, r := range o.runs {
+		if r.order.Filling && r.state == running && r.pace != percent {
+			r.pace = percent
+			o.calls = append(o.calls, calls.Call{Kind: calls.Pace, Life: o.life, Task: task, Run: r.number, Percent: percent, Token: o.term})
+		}
+	}
+}
+
+// wake returns the time until decide has something to do.
+func (o *owner) wake(now time.Duration) time.Duration {
+	next := now + idleWait
+	if o.life.ID == "" {
+		return idleWait
+	}
+	if !o.watching {
+		next = min(next, o.watchAt)
+	}
+	if !o.pending {
+		next = min(next, max(o.retryAt, o.sentAt+reportGap))
+	} else if o.dirty {
+		next = min(next, o.sentAt+reportGap)
+	}
+	for _, r := range o.runs {
+		switch {
+		case r.state == doubtful:
+			next = min(next, r.since+doubtWait)
+		case r.state == stopping && r.stopped == 0:
+			next = min(next, r.stopSent+stopRetry+time.Second)
+		}
+	}
+	return next - now
+}
+
+// report puts a report together when one is due. Without anything new, one
+// report at a time waits for orders.
+func (o *owner) report(now time.Duration) {
+	due := o.dirty && now-o.sentAt >= reportGap
+	if !due && (o.pending || now < o.retryAt || now-o.sentAt < reportGap) {
+		return
+	}
+	o.token++
+	o.pending, o.dirty, o.sentAt = true, false, now
+	o.reported = reportMark{gone: len(o.gone), reject: len(o.reject)}
+	r := &controlapi.TargetReport{
+		Life:            o.life,
+		Service:         o.told.Service,
+		Zone:            o.told.Zone,
+		Rack:            o.told.Rack,
+		Labels:          o.told.Labels,
+		Capacity:        o.told.Capacity,
+		Draining:        o.told.Draining,
+		RemainingMillis: o.told.RemainingMillis,
+		Strained:        o.strained,
+		Agent:           o.agent,
+		Seen:            o.seen,
+		LeaseWanted:     o.answered > 0 && now-o.answered < soundFor && !o.stale,
+		Ends:            append(slices.Clone(o.ends), o.reject...),
+		Gone:            slices.Clone(o.gone),
+		HoldMillis:      reportHold.Milliseconds(),
+	}
+	for task, state := range o.runs {
+		r.Running = append(r.Running, controlapi.RunReport{Task: task, Run: state.number, Checkpoint: state.checkpoint})
+	}
+	o.outgoing = r
+}
--- /dev/null
+++ b/daemon/targetagent/targetagent.go
@@ -0,0 +1,58 @@
+// Package targetagent is the supervisor of the agent of one target that runs
+// tasks: the duty that owns its runs, the duties that call it, and the links to
+// control.
+package targetagent
+
+import (
+	"strconv"
+
+	"github.com/ibispier/ibispier/daemon/controlclient"
+	"github.com/ibispier/ibispier/daemon/targetagent/calls"
+	"github.com/ibispier/ibispier/daemon/targetagent/runs"
+	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/runapi"
+	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/telemetry"
+)
+
+// callers is the number of calls to the target that may be under way beside the
+// watch. Unanswered calls hold one for a second each.
+const callers = 8
+
+// Options configure the role.
+type Options struct {
+	Target    runapi.Target
+	Control   *controlclient.Client
+	Telemetry telemetry.Telemetry
+	Observer  supervise.Observer
+}
+
+// Role is the supervisor.
+type Role struct {
+	*supervise.Supervisor
+	Announcements *ring.Ring[runapi.Announcement]
+}
+
+// New returns the supervisor.
+func New(o Options) *Role {
+	owner := runs.New()
+	role := &Role{
+		Supervisor:    supervise.New("agent", supervise.Policy{Strategy: supervise.OneForAll}, o.Observer),
+		Announcements: owner.Announcements,
+	}
+	watcher := calls.New("calls.watch", o.Target, owner.Results)
+	role.Add("watcher", watcher)
+	options := runs.Options{Control: o.Control.Start, Watcher: watcher.Calls, Telemetry: o.Telemetry}
+	for i := range callers {
+		name := "calls." + strconv.Itoa(i)
+		caller := calls.New(name, o.Target, owner.Results)
+		options.Callers = append(options.Callers, caller.Calls)
+		role.Add(name, caller)
+	}
+	owner.Configure(options)
+	role.Add("runs", owner)
+	role.Add("controlclient", o.Control)
+	o.Telemetry.Metrics.Ring(owner.Results.Stats)
+	o.Telemetry.Metrics.Ring(owner.Announcements.Stats)
+	return role
+}
--- a/httpduty/httpduty.go
+++ b/httpduty/httpduty.go
@@ -80,6 +80,14 @@
 	return Error.Wrap(server.Shutdown(ctx))
 }
 
+// DisableKeepAlives closes connections after their next response, so that
+// callers open new ones elsewhere.
+func (s *Server) DisableKeepAlives() {
+	if server := s.current.Load(); server != nil {
+		server.SetKeepAlivesEnabled(false)
+	}
+}
+
 // listen returns the socket that New opened, and a new one for a later run.
 func (s *Server) listen() (net.Listener, error) {
 	if socket := s.first; socket != nil {
--- /dev/null
+++ b/job/dispatch/scores.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import "github.com/ibispier/ibispier/job"
+
+// Weights of the scores. Data on another rack costs a multiple of the run time,
+// so it outweighs everything else.
+const (
+	dataWeight   = 10.0
+	idleWeight   = 1.0
+	packWeight   = 1.0
+	apartPenalty = 0.2
+)
+
+// score is higher for a better target.
+func (p *Pass) score(r *room, s *job.Step) float64 {
+	score := dataScore(r, s)
+	switch {
+	case s.Filling:
+		score += idleWeight*idleScore(r) - apartPenalty*float64(r.serving)
+	case s.Serves():
+		score += idleWeight * idleScore(r)
+	default:
+		score += packWeight * packScore(r, s)
+	}
+	return score
+}
+
+func dataScore(r *room, s *job.Step) float64 {
+	if s.DataRack != "" && r.Rack == s.DataRack {
+		return dataWeight
+	}
+	return 0
+}
+
+// idleScore prefers the target with the most idle processor time.
+func idleScore(r *room) float64 {
+	if r.Capacity.CPUMilli == 0 {
+		return 0
+	}
+	return float64(r.idleCPU) / float64(r.Capacity.CPUMilli)
+}
+
+// packScore prefers the target on which the task leaves the least room, so that
+// wide tasks find room elsewhere.
+func packScore(r *room, s *job.Step) float64 {
+	left := r.free.Sub(s.Reserved())
+	return 1 - left.DominantShare(r.Capacity)
+}
--- /dev/null
+++ b/runapi/runapi.go
@@ -0,0 +1,101 @@
+// Package runapi is the interface of a target that runs tasks, as its agent
+// uses it. An adapter for a platform implements it.
+package runapi
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/resource"
+)
+
+// ErrOtherLife is returned when another life of the target has answered.
+var ErrOtherLife = errors.New("runapi: another life of the target answers")
+
+// RefusedError tells that the target has refused a call and has done nothing.
+type RefusedError struct {
+	Reason Reason
+}
+
+// Error returns the reason.
+func (e *RefusedError) Error() string { return "runapi: refused: " + string(e.Reason) }
+
+// Reason is why a target refuses a call.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonFenced    Reason = "fenced"    // a newer fencing token was seen
+	ReasonOld       Reason = "old"       // the run, or a later one, has ended or was stopped there
+	ReasonLate      Reason = "late"      // the lease in the order has expired
+	ReasonNoRoom    Reason = "no-room"   // the task does not fit
+	ReasonTicket    Reason = "ticket"    // the permit for the step is missing or not valid
+	ReasonUnhealthy Reason = "unhealthy" // the target takes no work now
+	ReasonInvalid   Reason = "invalid"   // the target cannot read the order
+)
+
+// Lease bounds what runs on a target, on the target's own steady clock.
+type Lease struct {
+	UntilMillis int64 // 0 to leave the lease as it is
+	Token       uint64
+}
+
+// Start is an order to start a run.
+type Start struct {
+	Task       job.Ref
+	Run        int
+	Payload    string
+	Checkpoint string
+	Lease      Lease
+}
+
+// Watch renews the lease and waits for an end of a run.
+type Watch struct {
+	Lease Lease
+	Noted uint64        // ends up to this number are forgotten
+	Wait  time.Duration // 0 to return at once
+}
+
+// Run is a run that the target holds.
+type Run struct {
+	Task       job.Ref
+	Run        int
+	Checkpoint string
+	// Percent is 100 for a task that is at work at full pace.
+	Percent int
+	// Level is the tail latency in milliseconds of a serving task, and the
+	// processor time in use, in thousandths, of any other.
+	Level int64
+}
+
+// Status is what a target tells about its runs.
+type Status struct {
+	Life        job.Life
+	ClockMillis int64 // steady clock of the target
+	Running     []Run
+	Ends        []job.End
+}
+
+// Target runs tasks. Calls name the life that they are meant for.
+type Target interface {
+	Start(ctx context.Context, life job.Life, s Start) error
+	Stop(ctx context.Context, life job.Life, task job.Ref, run int, token uint64) error
+	Pace(ctx context.Context, life job.Life, task job.Ref, run, percent int, token uint64) error
+	Watch(ctx context.Context, life job.Life, w Watch) (Status, error)
+}
+
+// Announcement is what a target tells about itself.
+type Announcement struct {
+	Life            job.Life
+	Sequence        uint64 // rises with each announcement of a life
+	Service         string
+	Zone            string
+	Rack            string
+	Labels          []string
+	Capacity        resource.Vector
+	Draining        bool
+	RemainingMillis int64
+	Leaving         bool // the target ends now
+}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -9,9 +9,14 @@
 		{"daemon", "data", "", "data", "data folder", text(&s.Daemon.Data)},
 		{"daemon", "grace", "duration", "3s", "time a stopping process keeps serving while it is not ready", duration(&s.Daemon.Grace, 0, 60)},
 		{"daemon", "drain_timeout", "duration", "30s", "bound on finishing work in flight at a planned stop", duration(&s.Daemon.DrainTimeout, 0, 600)},
+		{"daemon", "memory", "MiB", "0", "memory that the process may use; 0 for no limit", integer(&s.Daemon.MemoryMiB, 0, 1<<20)},
 
 		{"cluster", "entries", "list", "", "link addresses (ip:port) of the entry instances", addresses(&s.Cluster.Entries)},
 		{"cluster", "control", "list", "", "control members as id@ip:port", members(&s.Cluster.Control)},
+		{"cluster", "seeds", "list", "", "addresses (ip:port) on control instances; their IP numbers with cluster.port make cluster.control", addresses(&s.Cluster.Seeds)},
+		{"cluster", "port", "port", "7071", "port of control.listen on all control instances named by cluster.seeds", integer(&s.Cluster.Port, 1, 65535)},
+		{"cluster", "heartbeat", "duration", "200ms", "time between heartbeats on links to control", duration(&s.Cluster.Heartbeat, 0.01, 10)},
+		{"cluster", "silence", "duration", "600ms", "silence after which a link to control is closed", duration(&s.Cluster.Silence, 0.03, 30)},
 
 		{"entry", "listen", "ip:port", "127.0.0.1:8080", "address for callers", address(&s.Entry.Listen)},
 		{"entry", "agent_listen", "ip:port", "127.0.0.1:7070", "address for links from agents", address(&s.Entry.AgentListen)},
@@ -54,5 +59,16 @@
 		{"trace", "file", "", "traces.jsonl", "file of the exporter file", text(&s.Trace.File)},
 		{"trace", "endpoint", "ip:port", "127.0.0.1:4318", "address of the exporter otlp", address(&s.Trace.Endpoint)},
 		{"trace", "ratio", "share", "1", "share of the traces that are recorded", fraction(&s.Trace.Ratio)},
+
+		{"jobs", "enabled", "bool", "false", "serve jobs for the users' platform", boolean(&s.Jobs.Enabled)},
+		{"jobs", "bootstrap", "bool", "false", "the whole system starts for the first time, with empty disks", boolean(&s.Jobs.Bootstrap)},
+		{"jobs", "tolerated", "disks", "1", "disks that may be lost at once; a new group accepts nothing with fewer than twice as many voters and one", integer(&s.Jobs.Tolerated, 0, 10)},
+		{"jobs", "lease", "duration", "4s", "lease of a target; its work starts elsewhere after that", duration(&s.Jobs.Lease, 1, 60)},
+		{"jobs", "retention", "duration", "4m", "time that the state of a job that is over stays known", duration(&s.Jobs.Retention, 1, 86400)},
+
+		{"platform", "front", "ip:port", "", "address for callers of the platform; role entry", optional(address(&s.Platform.Front))},
+		{"platform", "ready", "ip:port", "", "address for readiness checks; role entry", optional(address(&s.Platform.Ready))},
+		{"platform", "control", "ip:port", "", "address for operators (role control) or for the target (role agent)", optional(address(&s.Platform.Control))},
+		{"platform", "target", "ip:port", "", "address of the target; role agent", optional(address(&s.Platform.Target))},
 	}
 }
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -96,9 +96,23 @@
 		}
 		s.texts[k.id()] = text
 	}
+	s.expandSeeds()
 	return s, nil
 }
 
+// expandSeeds makes the control members from the seeds. The id of a member is
+// its IP number, because seeds do not tell names.
+func (s *Settings) expandSeeds() {
+	if len(s.Cluster.Seeds) == 0 || len(s.Cluster.Control) > 0 {
+		return
+	}
+	for _, seed := range s.Cluster.Seeds {
+		ip := netip.MustParseAddrPort(seed).Addr().String()
+		address := netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(s.Cluster.Port)).String()
+		s.Cluster.Control = append(s.Cluster.Control, Member{ID: ip, Address: address})
+	}
+}
+
 func rejectUnknown(path string, file *ini.File, keys []Key) error {
 	known := map[string]map[string]bool{ini.DefaultSection: {}}
 	for _, k := range keys {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,9 @@
 	Log     Log
 	Trace   Trace
 
+	Jobs     Jobs
+	Platform Platform
+
 	texts map[string]string // effective text of each setting, for Write
 }
 
@@ -36,12 +39,19 @@
 	Data         string
 	Grace        time.Duration
 	DrainTimeout time.Duration
+	MemoryMiB    int64 // limit of the process; 0 for none
 }
 
 // Cluster lists the addresses of the other processes.
 type Cluster struct {
 	Entries []string // link addresses of the entry instances
 	Control []Member
+	// Seeds are addresses of control instances. Where they are given, Control is
+	// made from their IP numbers and Port.
+	Seeds     []string
+	Port      int
+	Heartbeat time.Duration // of the links to control
+	Silence   time.Duration // after which such a link is closed
 }
 
 // Member is one control member.
@@ -110,6 +120,23 @@
 	Listen string
 }
 
+// Jobs configures jobs, which replace single tasks where they are enabled.
+type Jobs struct {
+	Enabled   bool
+	Bootstrap bool // the system starts for the first time, with empty disks
+	Tolerated int  // disks that may be lost at once
+	Lease     time.Duration
+	Retention time.Duration
+}
+
+// Platform configures the interfaces of the users' platform.
+type Platform struct {
+	Front   string // address for callers
+	Ready   string // address for readiness checks
+	Control string // address for operators, or for the target of this instance
+	Target  string // address of the target of this instance
+}
+
 // Log configures logging.
 type Log struct {
 	Level string
