control/jobs: count inherited leases from the first sight of a target; follow the settings file

Cause: the status of a new leader comes before the entries of earlier ones, so the leases were taken from an empty book: targets that reported were lost at once (TWICE after kill_all), silent ones never (LOST after power_off_all). SIGHUP ended the process, and links of clients had half the silence that their heartbeats need. Ruled out: loss of log entries (the state was recovered whole).

--- a/cmd/ibispierd/devsetup.go
+++ b/cmd/ibispierd/devsetup.go
@@ -33,7 +33,7 @@
 	}
 	defer os.RemoveAll(data)
 	s.Daemon.Data = data
-	return serve(s, true)
+	return serve(s, "", true)
 }
 
 // setup is the duty that makes a new deployment usable: it bootstraps control
--- a/cmd/ibispierd/main.go
+++ b/cmd/ibispierd/main.go
@@ -48,7 +48,7 @@
 	if *check {
 		return printSettings(s)
 	}
-	return serve(s, false)
+	return serve(s, *path, false)
 }
 
 func usage() {
@@ -64,7 +64,8 @@
 	return 0
 }
 
-func serve(s *settings.Settings, dev bool) int {
+// serve runs the daemon. The path is empty for settings that no file holds.
+func serve(s *settings.Settings, path string, dev bool) int {
 	if s.Daemon.MemoryMiB > 0 {
 		debug.SetMemoryLimit(s.Daemon.MemoryMiB << 20)
 	}
@@ -75,10 +76,15 @@
 	}
 	signals := daemon.Signals()
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	reloads := daemon.Signals()
+	signal.Notify(reloads, syscall.SIGHUP)
 	d, err := daemon.NewObserved(s, observed, signals)
 	if err == nil && dev {
 		err = addStandins(d, s)
 	}
+	if err == nil && path != "" {
+		d.Add("reload", daemon.NewReloader(path, s, reloads, observed.Log))
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "ibispierd:", err)
 		return exitFailed
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -153,9 +153,13 @@
 		core.Add(d.name, d.duty)
 	}
 	others := peers.New(peers.Options{
-		Self:     r.Self(),
-		Zone:     r.settings.Daemon.Zone,
-		Members:  r.settings.Cluster.Control,
+		Self:    r.Self(),
+		Zone:    r.settings.Daemon.Zone,
+		Members: r.settings.Cluster.Control,
+
+		Heartbeat: r.settings.Cluster.Heartbeat,
+		Silence:   r.settings.Cluster.Silence,
+
 		Observer: r.observer,
 		Log:      r.log,
 	}, r.replica)
@@ -177,5 +181,8 @@
 		},
 		Accept:   handler.accepted(),
 		Observer: r.observer,
+
+		HeartbeatInterval: r.settings.Cluster.Heartbeat,
+		SilenceTimeout:    r.settings.Cluster.Silence,
 	}, handler)
 }
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -204,7 +204,7 @@
 func (e *engine) startLeadership(now time.Time, term uint64) {
 	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
 		zap.Int("live_jobs", len(e.book.Live())), zap.Uint64("manifest", e.book.Config.Version))
-	e.leader = newLeadership(now, term, e.options.Lease, e.book)
+	e.leader = newLeadership(term, e.options.Lease)
 	e.confirmLeadership(now)
 }
 
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -30,6 +30,7 @@
 // leadership is what lives and ends with the leadership of this member.
 type leadership struct {
 	term      uint64
+	terms     lease.Terms
 	confirmed bool // all entries of earlier leaders are applied
 	sessions  map[job.Life]*session
 	settling  map[job.Ref]int // runs whose end is proposed
@@ -72,26 +73,24 @@
 	return o.run == run && now.Sub(o.at) < resendAfter
 }
 
-// newLeadership counts the lease of every target in the log from now, because
-// it is not known when the leader before granted last.
-func newLeadership(now time.Time, term uint64, terms lease.Terms, b *job.Book) *leadership {
-	l := &leadership{
+func newLeadership(term uint64, terms lease.Terms) *leadership {
+	return &leadership{
 		term:     term,
+		terms:    terms,
 		sessions: map[job.Life]*session{},
 		settling: map[job.Ref]int{},
 		losing:   map[job.Life]bool{},
 		over:     map[string]time.Time{},
 	}
-	for _, life := range b.Lives() {
-		l.session(life).expiry = now.Add(terms.Fence())
-	}
-	return l
 }
 
-func (l *leadership) session(life job.Life) *session {
+// session returns the session of the target. The lease of a target that this
+// leader has not heard of counts from now, because it is not known when the
+// leader before granted last.
+func (l *leadership) session(now time.Time, life job.Life) *session {
 	s := l.sessions[life]
 	if s == nil {
-		s = &session{life: life, started: map[job.Ref]sent{}, stopped: map[job.Ref]sent{}}
+		s = &session{life: life, expiry: now.Add(l.terms.Fence()), started: map[job.Ref]sent{}, stopped: map[job.Ref]sent{}}
 		l.sessions[life] = s
 	}
 	return s
@@ -131,7 +130,7 @@
 
 // report takes the report of an agent and holds the answer.
 func (e *engine) report(now time.Time, r *applier.Request, report *controlapi.TargetReport) {
-	s := e.leader.session(report.Life)
+	s := e.leader.session(now, report.Life)
 	if s.request != nil && !s.asked {
 		reply(s.request, controlapi.TargetOrders{}) // superseded
 	}
@@ -316,6 +315,9 @@
 
 // loseTargets gives up the targets whose lease has expired.
 func (e *engine) loseTargets(now time.Time) {
+	for _, life := range e.book.Lives() {
+		e.leader.session(now, life)
+	}
 	for life, s := range e.leader.sessions {
 		if s.expiry.After(now) {
 			continue
--- a/daemon/control/peers/peers.go
+++ b/daemon/control/peers/peers.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
@@ -32,6 +33,9 @@
 	Members  []settings.Member // with this one
 	Observer supervise.Observer
 	Log      *zap.Logger
+
+	Heartbeat time.Duration // between heartbeats; 0 for the default of package link
+	Silence   time.Duration // after which a link is closed; 0 for the default of package link
 }
 
 // Peers is the supervisor and the handler of the links.
@@ -92,6 +96,9 @@
 		},
 		Accept:   []wire.Role{wire.Role_ROLE_CONTROL},
 		Observer: o.Observer,
+
+		HeartbeatInterval: o.Heartbeat,
+		SilenceTimeout:    o.Silence,
 	}, &dialed{peers: p, member: m}))
 	p.Add("sender "+s.ID, &sender{member: m, log: o.Log})
 	p.Add("receiver "+s.ID, &receiver{member: m, events: p.events, log: o.Log})
--- /dev/null
+++ b/daemon/reload.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/settings"
+)
+
+// reloadInterval is how often the settings file is compared with the settings
+// in force. It may change without a signal.
+const reloadInterval = 2 * time.Second
+
+// Reloader is the duty that follows the settings file. Settings that need new
+// sockets or links take effect at the next start; the log says which differ.
+type Reloader struct {
+	path    string
+	current *settings.Settings
+	signals <-chan os.Signal
+	log     *zap.Logger
+	changed time.Time // modification time of the file that was read last
+}
+
+// NewReloader returns the duty for the file that s was read from.
+func NewReloader(path string, s *settings.Settings, signals <-chan os.Signal, log *zap.Logger) *Reloader {
+	r := &Reloader{path: path, current: s, signals: signals, log: log}
+	if info, err := os.Stat(path); err == nil {
+		r.changed = info.ModTime()
+	}
+	return r
+}
+
+// Run reads the file at each signal and at each change until ctx ends.
+func (r *Reloader) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.signals:
+			r.reload("signal")
+		case <-ticker.C:
+			info, err := os.Stat(r.path)
+			if err == nil && !info.ModTime().Equal(r.changed) {
+				r.changed = info.ModTime()
+				r.reload("file changed")
+			}
+		}
+	}
+}
+
+// reload checks the file. A file that is not valid leaves the settings as they
+// are.
+func (r *Reloader) reload(why string) {
+	s, err := settings.Load(r.path)
+	if err != nil {
+		r.log.Warn("settings refused", zap.String("why", why), zap.Error(err))
+		return
+	}
+	differing := settings.Diff(r.current, s)
+	r.current = s
+	r.log.Info("settings reloaded", zap.String("why", why), zap.Strings("changed", differing))
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -63,3 +63,14 @@
 	}
 	return nil
 }
+
+// Diff returns the names of the settings that differ between a and b.
+func Diff(a, b *Settings) []string {
+	var names []string
+	for _, k := range Keys(b) {
+		if a.texts[k.id()] != b.texts[k.id()] {
+			names = append(names, k.id())
+		}
+	}
+	return names
+}
