pacing, dispatch: learn which filling images disturb which serving images

Cause: one pace for all filling tasks of a target stopped harmless images along with harmful ones; the tail ratio went to 15 for some pairs (image of filling task x image of serving task) and stayed under 1.3 for others, and the pace took 5 s to recover. Ruled out: lack of processor time (filling tasks got what they asked for at full pace). Change: the model of package interference estimates each pair, in the agent for paces and in the leader for places; start orders carry what the leader knows.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -67,6 +67,20 @@
 	Task       job.Ref
 	Run        int
 	Checkpoint string `json:",omitempty"`
+	Paused     bool   `json:",omitempty"` // a filling task that may not work beside the serving ones
+}
+
+// ServingFigure is the tail latency of a serving task as a share of its target.
+type ServingFigure struct {
+	Image string
+	Ratio float64
+}
+
+// FillingFigure is the processor time that the filling tasks of an image use, as
+// a share of the target's.
+type FillingFigure struct {
+	Image string
+	Using float64
 }
 
 // TargetReport is what an agent tells about its target.
@@ -80,7 +94,9 @@
 	Draining bool
 	// RemainingMillis is the least time that a draining target stays.
 	RemainingMillis int64 `json:",omitempty"`
-	Strained        bool  `json:",omitempty"` // a serving task is near or over its tail target
+	// Serving and Filling are the newest figures of a target that has both.
+	Serving []ServingFigure `json:",omitempty"`
+	Filling []FillingFigure `json:",omitempty"`
 
 	Agent uint64 // chosen at random at the start of the agent
 	Seen  uint64 // newest TargetOrders.Number that the agent has taken
@@ -99,8 +115,11 @@
 	Payload          string
 	Checkpoint       string `json:",omitempty"`
 	Filling          bool   `json:",omitempty"`
+	CPUMilli         int64  `json:",omitempty"`
 	Image            string `json:",omitempty"`
 	TailTargetMillis int64  `json:",omitempty"`
+	// Disturbs is what is known about a filling image, by serving image.
+	Disturbs map[string]float64 `json:",omitempty"`
 }
 
 // StopOrder asks the agent to stop a run.
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -8,9 +8,11 @@
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/control/applier"
 	"github.com/ibispier/ibispier/daemon/control/readindex"
+	"github.com/ibispier/ibispier/interference"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/dispatch"
 	"github.com/ibispier/ibispier/lease"
+	"github.com/ibispier/ibispier/pacing"
 )
 
 const (
@@ -38,6 +40,8 @@
 	over      map[string]time.Time // jobs that are over, by when this leader saw it
 	starting  bool                 // starts are proposed
 	dirty     bool                 // something has changed since the last dispatch
+	model     *interference.Model  // how much filling images disturb serving ones
+	images    map[string]bool      // serving images that were seen
 }
 
 // session is what the leader knows about one life of a target.
@@ -56,7 +60,9 @@
 	started map[job.Ref]sent
 	stopped map[job.Ref]sent
 
-	streak      int // failed runs since the last one that was done
+	tails       map[string]float64 // worst tail ratio by serving image
+	learned     time.Time          // last figures that were learned from
+	streak      int                // failed runs since the last one that was done
 	suspensions int
 	suspended   time.Time // no starts before
 }
@@ -81,6 +87,8 @@
 		settling: map[job.Ref]int{},
 		losing:   map[job.Life]bool{},
 		over:     map[string]time.Time{},
+		model:    interference.NewModel(pacing.ModelOptions()),
+		images:   map[string]bool{},
 	}
 }
 
@@ -142,13 +150,14 @@
 	} else if s.report.Draining != report.Draining {
 		e.log.Info("target draining", zap.String("target", s.life.ID), zap.Int64("remaining_ms", report.RemainingMillis))
 	}
-	e.leader.dirty = e.leader.dirty || s.report == nil || s.report.Draining != report.Draining || s.report.Strained != report.Strained
+	e.leader.dirty = e.leader.dirty || s.report == nil || s.report.Draining != report.Draining
 	s.report, s.request, s.seenAt, s.asked = report, r, now, false
 	s.until = now.Add(time.Duration(report.HoldMillis) * time.Millisecond)
 	s.runs = make(map[job.Ref]int, len(report.Running))
 	for _, run := range report.Running {
 		s.runs[run.Task] = run.Run
 	}
+	e.leader.learn(s)
 	s.prune(report.Seen)
 	e.takeEnds(s)
 	for _, gone := range report.Gone {
@@ -282,8 +291,10 @@
 			Payload:          j.Spec.Payload,
 			Checkpoint:       t.Checkpoint,
 			Filling:          step.Filling,
+			CPUMilli:         step.Need.CPUMilli,
 			Image:            step.Image,
 			TailTargetMillis: step.TailTargetMillis,
+			Disturbs:         e.leader.disturbs(step),
 		})
 		e.log.Info("start ordered", zap.Stringer("task", ref), zap.Int("run", t.Run),
 			zap.String("target", s.life.ID), zap.Uint64("term", e.leader.term))
@@ -349,7 +360,7 @@
 		return
 	}
 	e.leader.dirty = false
-	starts := dispatch.Run(e.book, e.targets(now), time.Now().UnixMilli(), e.options.Limits)
+	starts := dispatch.Run(e.book, e.targets(now), e.leader.model, time.Now(), e.options.Limits)
 	if len(starts) == 0 {
 		return
 	}
@@ -374,7 +385,7 @@
 			Labels:    s.report.Labels,
 			Capacity:  s.report.Capacity,
 			Startable: e.startable(now, s),
-			Strained:  s.report.Strained,
+			Tails:     s.tails,
 		})
 	}
 	return targets
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -91,7 +91,8 @@
 	answered  time.Duration // when the target last answered a watch
 	clock     int64         // of the target, at clockAt
 	clockAt   time.Duration
-	strained  bool
+	serving   []pacing.Serving // newest figures
+	filling   []pacing.Filling
 	paceTurn  bool // figures have arrived since the last decision about the pace
 	endsSince time.Duration
 
@@ -208,6 +209,9 @@
 
 // start carries out an order to start, at most once for each run.
 func (o *owner) start(now time.Duration, s controlapi.StartOrder) {
+	for serving, coefficient := range s.Disturbs {
+		o.pacer.Hint(s.Image, serving, coefficient)
+	}
 	r := o.runs[s.Task]
 	if r != nil && r.number == s.Run {
 		r.order, r.known = s, true
@@ -453,23 +457,55 @@
 		return
 	}
 	o.paceTurn = false
-	ratio := 0.0
-	for _, r := range o.runs {
-		if target := r.order.TailTargetMillis; target > 0 && r.state == running {
-			ratio = max(ratio, float64(r.level)/float64(target))
+	o.serving, o.filling = o.figures()
+	if len(o.serving) > 0 && len(o.filling) > 0 {
+		o.pacer.Observe(now, o.serving, o.filling)
+	}
+	for task, r := range o.runs {
+		if !r.order.Filling || r.state != running {
+			continue
 		}
+		percent := 100
+		if len(o.serving) > 0 {
+			percent = o.pacer.Percent(r.order.Image)
+		}
+		if r.pace == percent {
+			continue
+		}
+		o.log.Debug("pace ordered", zap.Stringer("task", task), zap.Int("percent", percent), zap.Int("before", r.pace))
+		r.pace = percent
+		o.calls = append(o.calls, calls.Call{Kind: calls.Pace, Life: o.life, Task: task, Run: r.number, Percent: percent, Token: o.term})
 	}
-	percent := o.pacer.Observe(now, ratio)
-	if strained := o.pacer.Strained(); strained != o.strained {
-		o.strained, o.dirty = strained, true
-		o.log.Info("pace changed", zap.Int("percent", percent), zap.Float64("tail_ratio", ratio), zap.Bool("strained", strained))
+}
+
+// figures returns what the serving and the filling tasks have shown last.
+func (o *owner) figures() ([]pacing.Serving, []pacing.Filling) {
+	capacity := float64(o.told.Capacity.CPUMilli)
+	if capacity <= 0 {
+		return nil, nil
 	}
-	for task, r := range o.runs {
-		if r.order.Filling && r.state == running && r.pace != percent {
-			r.pace = percent
-			o.calls = append(o.calls, calls.Call{Kind: calls.Pace, Life: o.life, Task: task, Run: r.number, Percent: percent, Token: o.term})
+	var serving []pacing.Serving
+	byImage := map[string]*pacing.Filling{}
+	for _, r := range o.runs {
+		switch {
+		case r.state != running:
+		case r.order.TailTargetMillis > 0:
+			serving = append(serving, pacing.Serving{Image: r.order.Image, Ratio: float64(r.level) / float64(r.order.TailTargetMillis)})
+		case r.order.Filling:
+			f := byImage[r.order.Image]
+			if f == nil {
+				f = &pacing.Filling{Image: r.order.Image}
+				byImage[r.order.Image] = f
+			}
+			f.Using += float64(r.level) / capacity
+			f.Full += float64(r.order.CPUMilli) / capacity
 		}
 	}
+	filling := make([]pacing.Filling, 0, len(byImage))
+	for _, f := range byImage {
+		filling = append(filling, *f)
+	}
+	return serving, filling
 }
 
 // wake returns the time until decide has something to do.
@@ -516,7 +552,6 @@
 		Capacity:        o.told.Capacity,
 		Draining:        o.told.Draining,
 		RemainingMillis: o.told.RemainingMillis,
-		Strained:        o.strained,
 		Agent:           o.agent,
 		Seen:            o.seen,
 		LeaseWanted:     o.answered > 0 && now-o.answered < soundFor && !o.stale,
@@ -525,7 +560,17 @@
 		HoldMillis:      reportHold.Milliseconds(),
 	}
 	for task, state := range o.runs {
-		r.Running = append(r.Running, controlapi.RunReport{Task: task, Run: state.number, Checkpoint: state.checkpoint})
+		r.Running = append(r.Running, controlapi.RunReport{
+			Task: task, Run: state.number, Checkpoint: state.checkpoint, Paused: state.order.Filling && state.pace == 0,
+		})
+	}
+	if len(o.filling) > 0 {
+		for _, s := range o.serving {
+			r.Serving = append(r.Serving, controlapi.ServingFigure(s))
+		}
+	}
+	for _, f := range o.filling {
+		r.Filling = append(r.Filling, controlapi.FillingFigure{Image: f.Image, Using: f.Using})
 	}
 	o.outgoing = r
 }
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -3,9 +3,12 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"sort"
+	"time"
 
+	"github.com/ibispier/ibispier/interference"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/resource"
 )
@@ -21,10 +24,19 @@
 	// Startable is false for a target that drains, that is silent or that fails
 	// what it starts.
 	Startable bool
-	// Slots bounds the starts of one pass, so that the target is not flooded.
-	Strained bool // a serving task is over its tail target or close to it
+	// Tails holds the newest tail latencies of the serving tasks, as a share of
+	// their targets, by image. It may be empty.
+	Tails map[string]float64
 }
 
+// Figures of tail latencies as shares of their targets.
+const (
+	// QuietTail is that of an undisturbed serving task at its usual load.
+	QuietTail = 0.35
+	// MaxTail bounds a figure, so that one extreme does not outweigh all others.
+	MaxTail = 6.0
+)
+
 // Limits are the thresholds of the policy.
 type Limits struct {
 	// ServingShare is the share of its reserved processor time that a serving
@@ -33,23 +45,26 @@
 	// FillShare is the share of the idle processor time that filling tasks may
 	// ask for. Above 1 they slow each other down.
 	FillShare float64
+	// TailLimit is the tail, as a share of its target, up to which filling tasks
+	// may be placed beside a serving task.
+	TailLimit float64
 	// MaxStarts bounds the starts of one pass and so the size of one log entry.
 	MaxStarts int
 }
 
 // DefaultLimits returns the limits of a deployment.
 func DefaultLimits() Limits {
-	return Limits{ServingShare: 0.55, FillShare: 1.0, MaxStarts: 400}
+	return Limits{ServingShare: 0.55, FillShare: 1.0, TailLimit: 1.0, MaxStarts: 400}
 }
 
 // room is the state of a target during a pass.
 type room struct {
 	*Target
-	free    resource.Vector // not reserved
-	idleCPU int64           // processor time that filling tasks may still ask for
-	serving int             // serving tasks
-	filling int             // filling tasks
-	perStep map[stepKey]int // tasks of a step, for the limit per target
+	free    resource.Vector    // not reserved
+	idleCPU int64              // processor time that filling tasks may still ask for
+	serving map[string]int     // serving tasks by image
+	filling map[string]float64 // share of the processors that filling tasks ask for, by image
+	perStep map[stepKey]int    // tasks of a step, for the limit per target
 }
 
 type stepKey struct {
@@ -62,15 +77,16 @@
 type Pass struct {
 	limits Limits
 	book   *job.Book
+	model  *interference.Model
 	rooms  []*room
-	nowMS  int64
+	now    time.Time // of day
 	starts []job.Start
 }
 
-// Run returns the starts for the ready tasks. unixMillis is the time of day,
-// which only jobs with times depend on.
-func Run(b *job.Book, targets []*Target, unixMillis int64, limits Limits) []job.Start {
-	p := &Pass{limits: limits, book: b, nowMS: unixMillis}
+// Run returns the starts for the ready tasks. The model tells how much filling
+// tasks disturb serving ones. Only jobs with times depend on the time of day.
+func Run(b *job.Book, targets []*Target, model *interference.Model, now time.Time, limits Limits) []job.Start {
+	p := &Pass{limits: limits, book: b, model: model, now: now}
 	for _, t := range targets {
 		p.rooms = append(p.rooms, p.newRoom(t))
 	}
@@ -97,7 +113,7 @@
 }
 
 func (p *Pass) newRoom(t *Target) *room {
-	r := &room{Target: t, free: t.Capacity, perStep: map[stepKey]int{}}
+	r := &room{Target: t, free: t.Capacity, perStep: map[stepKey]int{}, serving: map[string]int{}, filling: map[string]float64{}}
 	r.idleCPU = t.Capacity.CPUMilli
 	for ref := range p.book.On(t.Life) {
 		j := p.book.Jobs[ref.Job]
@@ -113,19 +129,27 @@
 	switch {
 	case s.Filling:
 		r.idleCPU -= s.Need.CPUMilli
-		r.filling++
+		r.filling[s.Image] += r.share(s)
 	case s.Serves():
 		r.idleCPU -= int64(l.ServingShare * float64(s.Need.CPUMilli))
-		r.serving++
+		r.serving[s.Image]++
 	default:
 		r.idleCPU -= s.Need.CPUMilli
 	}
 }
 
+// share returns the share of the target's processors that a task asks for.
+func (r *room) share(s *job.Step) float64 {
+	if r.Capacity.CPUMilli <= 0 {
+		return 0
+	}
+	return float64(s.Need.CPUMilli) / float64(r.Capacity.CPUMilli)
+}
+
 func (p *Pass) job(j *job.Job) {
 	q := p.book.QueueOf(j)
 	for k := range j.Occurrences {
-		if due := j.Spec.DueMillis(k); due > p.nowMS {
+		if due := j.Spec.DueMillis(k); due > p.now.UnixMilli() {
 			return
 		}
 		for s := range j.Spec.Steps {
@@ -205,7 +229,9 @@
 	before := make([]room, len(p.rooms))
 	for i, r := range p.rooms {
 		before[i] = *r
-		before[i].perStep = cloneCounts(r.perStep)
+		before[i].perStep = maps.Clone(r.perStep)
+		before[i].serving = maps.Clone(r.serving)
+		before[i].filling = maps.Clone(r.filling)
 	}
 	started := len(p.starts)
 	for i := range j.Occurrences[occurrence][index].Tasks {
@@ -223,14 +249,6 @@
 	return true
 }
 
-func cloneCounts(m map[stepKey]int) map[stepKey]int {
-	c := make(map[stepKey]int, len(m))
-	for k, v := range m {
-		c[k] = v
-	}
-	return c
-}
-
 // choose returns the best target that passes every filter, or nil.
 func (p *Pass) choose(q *job.Queue, s *job.Step, ref job.Ref, rack string) *room {
 	var best *room
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/ibispier/ibispier/job"
 )
@@ -14,7 +15,8 @@
 		hasLabel(r, s) &&
 		underTargetLimit(r, s, ref) &&
 		fits(r, s) &&
-		p.hasIdleCPU(r, s)
+		p.hasIdleCPU(r, s) &&
+		p.keepsTails(r, s)
 }
 
 func servesQueue(r *room, q *job.Queue) bool { return r.Service == q.Service }
@@ -29,18 +31,35 @@
 
 func fits(r *room, s *job.Step) bool { return s.Reserved().FitsIn(r.free) }
 
-// hasIdleCPU keeps filling tasks from crowding each other, and off targets
-// whose serving tasks already miss their tail target. An idle target takes at
-// least one filling task of any size.
+// hasIdleCPU keeps filling tasks from crowding each other. A target without
+// other work takes at least one filling task of any size.
 func (p *Pass) hasIdleCPU(r *room, s *job.Step) bool {
-	if !s.Filling {
-		return true
-	}
-	if r.Strained {
-		return false
-	}
-	if r.filling == 0 && r.serving == 0 {
+	if !s.Filling || len(r.filling) == 0 && len(r.serving) == 0 {
 		return true
 	}
 	return float64(r.idleCPU)*p.limits.FillShare >= float64(s.Need.CPUMilli)
 }
+
+// keepsTails keeps filling tasks from targets whose serving tasks they are
+// expected to push over their tail target.
+func (p *Pass) keepsTails(r *room, s *job.Step) bool {
+	return !s.Filling || p.worstTail(r, s) <= p.limits.TailLimit
+}
+
+// worstTail returns the highest tail expected among the serving tasks once the
+// filling task works beside them, as a share of its target.
+func (p *Pass) worstTail(r *room, s *job.Step) float64 {
+	worst := 0.0
+	for image := range r.serving {
+		tail := QuietTail + p.coefficient(image, s.Image)*r.share(s)
+		for filling, share := range r.filling {
+			tail += p.coefficient(image, filling) * share
+		}
+		worst = max(worst, tail)
+	}
+	return worst
+}
+
+func (p *Pass) coefficient(serving, filling string) float64 {
+	return p.model.Pair(serving, filling, time.Time{}).Coefficient
+}
--- a/job/dispatch/scores.go
+++ b/job/dispatch/scores.go
@@ -5,10 +5,13 @@
 // Weights of the scores. Data on another rack costs a multiple of the run time,
 // so it outweighs everything else.
 const (
-	dataWeight   = 10.0
-	idleWeight   = 1.0
-	packWeight   = 1.0
-	apartPenalty = 0.2
+	dataWeight = 10.0
+	idleWeight = 1.0
+	packWeight = 1.0
+	tailWeight = 1.0
+	// sameWeight keeps serving tasks of one image together, so that more targets
+	// suit a filling image that disturbs only some serving images.
+	sameWeight = 0.5
 )
 
 // score is higher for a better target.
@@ -16,9 +19,9 @@
 	score := dataScore(r, s)
 	switch {
 	case s.Filling:
-		score += idleWeight*idleScore(r) - apartPenalty*float64(r.serving)
+		score += idleWeight*idleScore(r) - tailWeight*p.worstTail(r, s)
 	case s.Serves():
-		score += idleWeight * idleScore(r)
+		score += idleWeight*idleScore(r) + sameWeight*sameScore(r, s)
 	default:
 		score += packWeight * packScore(r, s)
 	}
@@ -46,3 +49,15 @@
 	left := r.free.Sub(s.Reserved())
 	return 1 - left.DominantShare(r.Capacity)
 }
+
+// sameScore is the share of the serving tasks that have the same image.
+func sameScore(r *room, s *job.Step) float64 {
+	total := 0
+	for _, count := range r.serving {
+		total += count
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(r.serving[s.Image]) / float64(total)
+}
