targetagent: report a start as rejected only when it is certain

Ruled out: leases (they were counted from the confirmed leadership). Change: without a lease an order waits; a refused start that may have been ordered before is stopped first.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -110,10 +110,13 @@
 
 // StartOrder asks the agent to start a run.
 type StartOrder struct {
-	Task             job.Ref
-	Run              int
-	Payload          string
-	Checkpoint       string `json:",omitempty"`
+	Task       job.Ref
+	Run        int
+	Payload    string
+	Checkpoint string `json:",omitempty"`
+	// Again tells that the start may have been ordered before, perhaps through an
+	// earlier agent, and may still be carried out.
+	Again            bool   `json:",omitempty"`
 	Filling          bool   `json:",omitempty"`
 	CPUMilli         int64  `json:",omitempty"`
 	Image            string `json:",omitempty"`
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -36,6 +36,7 @@
 	confirmed bool // all entries of earlier leaders are applied
 	sessions  map[job.Life]*session
 	settling  map[job.Ref]int // runs whose end is proposed
+	fresh     map[job.Ref]int // runs that were committed under this leader and not ordered yet
 	losing    map[job.Life]bool
 	over      map[string]time.Time // jobs that are over, by when this leader saw it
 	starting  bool                 // starts are proposed
@@ -85,6 +86,7 @@
 		terms:    terms,
 		sessions: map[job.Life]*session{},
 		settling: map[job.Ref]int{},
+		fresh:    map[job.Ref]int{},
 		losing:   map[job.Life]bool{},
 		over:     map[string]time.Time{},
 		model:    interference.NewModel(pacing.ModelOptions()),
@@ -124,6 +126,9 @@
 			s.outcome(end.Outcome)
 		}
 	}
+	for i := range c.Starts {
+		l.fresh[c.Starts[i].Task] = c.Starts[i].Run
+	}
 }
 
 // outcome follows whether the target carries out what it starts.
@@ -284,12 +289,15 @@
 		}
 		j := e.book.Jobs[ref.Job]
 		step := &j.Spec.Steps[ref.Step]
+		again := e.leader.fresh[ref] != t.Run
+		delete(e.leader.fresh, ref)
 		s.started[ref] = sent{run: t.Run, number: s.number, at: now}
 		orders = append(orders, controlapi.StartOrder{
 			Task:             ref,
 			Run:              t.Run,
 			Payload:          j.Spec.Payload,
 			Checkpoint:       t.Checkpoint,
+			Again:            again,
 			Filling:          step.Filling,
 			CPUMilli:         step.Need.CPUMilli,
 			Image:            step.Image,
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -220,8 +220,14 @@
 	if r != nil && r.number > s.Run || o.hasEnded(s.Task, s.Run) {
 		return
 	}
-	if o.told.Draining || o.lease <= now || o.clockAt == 0 {
-		o.rejected(s.Task, s.Run, "target drains or has no lease")
+	if o.lease <= now || o.clockAt == 0 {
+		return // control orders it again once there is a lease
+	}
+	if o.told.Draining {
+		// An earlier agent may have started it, so only a stop makes it certain.
+		r = &run{number: s.Run, order: s, known: true, since: now}
+		o.runs[s.Task] = r
+		o.sendStop(now, s.Task, r)
 		return
 	}
 	o.runs[s.Task] = &run{number: s.Run, state: starting, order: s, known: true, checkpoint: s.Checkpoint, pace: 100, since: now}
@@ -304,8 +310,11 @@
 	case errors.As(r.Err, &refused) && refused.Reason == runapi.ReasonFenced:
 		// A newer leader has ordered something here and decides about the run.
 		delete(o.runs, r.Task)
-	case errors.As(r.Err, &refused):
+	case errors.As(r.Err, &refused) && (refused.Reason == runapi.ReasonOld || !state.order.Again):
 		o.rejected(r.Task, r.Run, string(refused.Reason))
+	case errors.As(r.Err, &refused):
+		// An earlier call for the run may still be carried out.
+		o.sendStop(now, r.Task, state)
 	default:
 		state.state, state.since = doubtful, now
 		o.log.Info("start not answered", zap.Stringer("task", r.Task), zap.Int("run", r.Run), zap.Error(r.Err))
--- /dev/null
+++ b/daemon/targetagent/runs/owner_test.go
@@ -0,0 +1,234 @@
+package runs
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/targetagent/calls"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/resource"
+	"github.com/ibispier/ibispier/runapi"
+)
+
+const second = time.Second
+
+var (
+	testLife = job.Life{ID: "i-1", Born: 1000}
+	testTask = job.Ref{Job: "00000000000000aa", Index: 3}
+)
+
+// harness drives an owner without a target.
+type harness struct {
+	*testing.T
+	o   *owner
+	now time.Duration
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{T: t, o: newOwner(1, nil), now: 100 * second}
+	h.announce(testLife, 1, false)
+	return h
+}
+
+func (h *harness) announce(life job.Life, sequence uint64, draining bool) {
+	h.o.announced(h.now, runapi.Announcement{
+		Life: life, Sequence: sequence, Service: "s", Zone: "z", Capacity: resource.Vector{CPUMilli: 64000}, Draining: draining,
+	})
+	h.o.decide(h.now)
+}
+
+// take returns the calls that were asked for since the last take.
+func (h *harness) take(kind calls.Kind) []calls.Call {
+	var found []calls.Call
+	for _, c := range h.o.calls {
+		if c.Kind == kind {
+			found = append(found, c)
+		}
+	}
+	h.o.calls = nil
+	return found
+}
+
+// watch answers the watch under way.
+func (h *harness) watch(running []runapi.Run, ends ...job.End) {
+	sent := h.now
+	h.now += time.Millisecond
+	h.o.result(h.now, calls.Result{
+		Call: calls.Call{Kind: calls.Watch, Life: h.o.life}, Sent: sent,
+		Status: runapi.Status{Life: h.o.life, ClockMillis: h.now.Milliseconds(), Running: running, Ends: ends},
+	})
+	h.o.decide(h.now)
+}
+
+// orders answers the newest report.
+func (h *harness) orders(orders controlapi.TargetOrders) {
+	orders.Number = h.o.seen + 1
+	if orders.Term == 0 {
+		orders.Term = 5
+	}
+	h.o.answer(h.now, h.o.token, orders, nil)
+	h.o.decide(h.now)
+}
+
+func (h *harness) report() *controlapi.TargetReport {
+	h.Helper()
+	h.now += reportGap
+	h.o.dirty = true
+	h.o.decide(h.now)
+	if h.o.outgoing == nil {
+		h.Fatal("no report")
+	}
+	return h.o.outgoing
+}
+
+func rejections(r *controlapi.TargetReport) int {
+	count := 0
+	for _, e := range r.Ends {
+		if e.Outcome == job.RunRejected {
+			count++
+		}
+	}
+	return count
+}
+
+func start(again bool) controlapi.TargetOrders {
+	return controlapi.TargetOrders{LeaseMillis: 4000, Starts: []controlapi.StartOrder{{Task: testTask, Run: 1, Again: again}}}
+}
+
+// Guards against a run that is reported as rejected by an agent that knows
+// nothing of the target yet, while an earlier agent has started it.
+func TestUnknownAgentDoesNotReject(t *testing.T) {
+	h := newHarness(t)
+	h.orders(start(true))
+	if r := h.report(); rejections(r) > 0 {
+		t.Fatalf("rejected %v before the target has answered", r.Ends)
+	}
+	h.watch([]runapi.Run{{Task: testTask, Run: 1}})
+	r := h.report()
+	if rejections(r) > 0 || len(r.Running) != 1 || r.Running[0].Run != 1 {
+		t.Fatalf("report %+v, want the run that the target shows", r)
+	}
+}
+
+// Guards against a refused start that an earlier call, still on its way, carries
+// out after the task was started elsewhere.
+func TestRepeatedStartIsStoppedBeforeItCountsAsRejected(t *testing.T) {
+	h := newHarness(t)
+	h.watch(nil)
+	h.orders(start(true))
+	started := h.take(calls.Start)
+	if len(started) != 1 {
+		t.Fatalf("%d starts, want 1", len(started))
+	}
+	h.o.result(h.now, calls.Result{Call: started[0], Sent: h.now, Err: &runapi.RefusedError{Reason: runapi.ReasonNoRoom}})
+	if rejections(h.report()) > 0 {
+		t.Fatal("rejected without a stop")
+	}
+	stops := h.take(calls.Stop)
+	if len(stops) != 1 {
+		t.Fatalf("%d stops, want 1", len(stops))
+	}
+	h.o.result(h.now, calls.Result{Call: stops[0], Sent: h.now})
+	h.now += time.Millisecond
+	h.watch(nil)
+	if rejections(h.report()) != 1 {
+		t.Fatal("not rejected after the stop")
+	}
+}
+
+// Guards against a start without an answer that is given up while it may still
+// be carried out.
+func TestUnansweredStartIsStopped(t *testing.T) {
+	h := newHarness(t)
+	h.watch(nil)
+	h.orders(start(false))
+	h.o.result(h.now, calls.Result{Call: h.take(calls.Start)[0], Sent: h.now, Err: errors.New("timeout")})
+	h.now += doubtWait
+	h.watch(nil)
+	if rejections(h.report()) > 0 {
+		t.Fatal("rejected without a stop")
+	}
+	stops := h.take(calls.Stop)
+	if len(stops) == 0 {
+		t.Fatal("no stop")
+	}
+	h.watch(nil) // asked before the stop was answered
+	if rejections(h.report()) > 0 {
+		t.Fatal("rejected before the stop was answered")
+	}
+	h.o.result(h.now, calls.Result{Call: stops[0], Sent: h.now})
+	h.now += time.Millisecond
+	h.watch(nil)
+	if rejections(h.report()) != 1 {
+		t.Fatal("not rejected after the stop")
+	}
+}
+
+// Guards against a fresh start that a full target refuses and that is never
+// placed elsewhere.
+func TestRefusedFreshStartIsRejectedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.watch(nil)
+	h.orders(start(false))
+	h.o.result(h.now, calls.Result{Call: h.take(calls.Start)[0], Sent: h.now, Err: &runapi.RefusedError{Reason: runapi.ReasonNoRoom}})
+	if rejections(h.report()) != 1 {
+		t.Fatal("not rejected")
+	}
+}
+
+// Guards against orders of a leader that has lost its leadership.
+func TestOrdersOfAnEarlierTermAreIgnored(t *testing.T) {
+	h := newHarness(t)
+	h.watch(nil)
+	h.orders(controlapi.TargetOrders{Term: 7, LeaseMillis: 4000})
+	h.report()
+	h.orders(controlapi.TargetOrders{Term: 6, LeaseMillis: 4000, Starts: []controlapi.StartOrder{{Task: testTask, Run: 1}}})
+	if len(h.take(calls.Start)) > 0 {
+		t.Fatal("started for an earlier term")
+	}
+}
+
+// Guards against a lease on the target that outlives the one that control
+// counts: the clock of the target may be 2% slow.
+func TestLeaseCountsFromTheReportAndAllowsForDrift(t *testing.T) {
+	h := newHarness(t)
+	h.watch(nil)
+	h.report()
+	sent := h.now
+	h.now += 500 * time.Millisecond
+	h.orders(controlapi.TargetOrders{LeaseMillis: 4000})
+	if want := sent + 4*second; h.o.lease != want {
+		t.Fatalf("lease until %s, want %s", h.o.lease, want)
+	}
+	// 2% slow: the target counts 98 ms for every 100 ms.
+	end := time.Duration(h.o.leaseOrder().UntilMillis) * time.Millisecond
+	left := (end - time.Duration(h.o.clock)*time.Millisecond) * 100 / 98
+	if h.o.clockAt+left > h.o.lease {
+		t.Fatalf("a slow target holds until %s, the lease ends at %s", h.o.clockAt+left, h.o.lease)
+	}
+}
+
+// Guards against a late announcement of a crashed life that replaces the newer
+// one, and against a restart under the same id that goes unnoticed.
+func TestLivesOfATarget(t *testing.T) {
+	h := newHarness(t)
+	newer := job.Life{ID: "i-2", Born: 2000}
+	h.announce(newer, 1, false)
+	h.announce(testLife, 9, false)
+	if h.o.life != newer {
+		t.Fatalf("life %v, want %v", h.o.life, newer)
+	}
+	if gone := h.report().Gone; len(gone) != 1 || gone[0] != testLife {
+		t.Fatalf("gone %v, want %v", gone, testLife)
+	}
+	reborn := job.Life{ID: "i-2", Born: 3000}
+	h.o.result(h.now, calls.Result{
+		Call:   calls.Call{Kind: calls.Watch, Life: newer},
+		Status: runapi.Status{Life: reborn, ClockMillis: 5},
+	})
+	if h.o.life != reborn {
+		t.Fatalf("life %v, want %v", h.o.life, reborn)
+	}
+}
