--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -263,6 +263,7 @@
 	}
 	e.loseTargets(now)
 	e.forgetJobs(now)
+	e.noteOccupancy(now)
 	e.leader.dirty = true
 }
 
--- a/daemon/control/jobs/requests.go
+++ b/daemon/control/jobs/requests.go
@@ -74,10 +74,10 @@
 		})
 		return
 	}
-	submission := &job.Submission{Spec: s.Spec, Queue: *queue}
+	submission := &job.Submission{Spec: s.Spec, Queue: *queue, AtMillis: time.Now().UnixMilli()}
 	e.add(func(c *job.Command) { c.Submit = append(c.Submit, submission) }, func(time.Time) {
 		e.log.Info("job accepted", zap.String("job", s.Spec.ID), zap.String("queue", submission.Queue.Name),
-			zap.Int("steps", len(s.Spec.Steps)), zap.Int("live_jobs", len(e.book.Live())), zap.Uint64("index", e.applied))
+			zap.Int("steps", len(s.Spec.Steps)), zap.Int("max_per_target", s.Spec.Steps[0].MaxPerTarget), zap.Bool("lasting", s.Spec.Steps[0].Lasting), zap.Int64("cpu_milli", s.Spec.Steps[0].Need.CPUMilli), zap.Int("live_jobs", len(e.book.Live())), zap.Uint64("index", e.applied))
 		reply(r, controlapi.JobAnswer{Outcome: controlapi.JobOK})
 	}, func() { unavailable(r) })
 }
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"cmp"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +24,11 @@
 	// resendAfter is the time after which an order that the reports do not show
 	// is sent again. It is above the silence limit of the agent's calls.
 	resendAfter = time.Second
+	// pauseLimit is how long a filling task may stay paused on a target. The pace
+	// follows figures of half a second, so shorter pauses may end by themselves.
+	pauseLimit = 1200 * time.Millisecond
+	// occupancyInterval separates the log lines about waiting and working tasks.
+	occupancyInterval = 2 * time.Second
 	// failStreak is the number of failed runs in a row after which a target is
 	// suspended, and suspension how long at first.
 	failStreak    = 4
@@ -43,6 +50,7 @@
 	dirty     bool                 // something has changed since the last dispatch
 	model     *interference.Model  // how much filling images disturb serving ones
 	images    map[string]bool      // serving images that were seen
+	noted     time.Time            // last log line about the occupancy
 }
 
 // session is what the leader knows about one life of a target.
@@ -60,6 +68,7 @@
 	ends    uint64    // proposed up to this number
 	started map[job.Ref]sent
 	stopped map[job.Ref]sent
+	paused  map[job.Ref]time.Time // filling tasks that may not work, by since when
 
 	tails       map[string]float64 // worst tail ratio by serving image
 	learned     time.Time          // last figures that were learned from
@@ -159,9 +168,14 @@
 	s.report, s.request, s.seenAt, s.asked = report, r, now, false
 	s.until = now.Add(time.Duration(report.HoldMillis) * time.Millisecond)
 	s.runs = make(map[job.Ref]int, len(report.Running))
+	paused := map[job.Ref]time.Time{}
 	for _, run := range report.Running {
 		s.runs[run.Task] = run.Run
+		if run.Paused {
+			paused[run.Task] = cmp.Or(s.paused[run.Task], now)
+		}
 	}
+	s.paused = paused
 	e.leader.learn(s)
 	s.prune(report.Seen)
 	e.takeEnds(s)
@@ -182,6 +196,7 @@
 // takeEnds proposes the ends that are new.
 func (e *engine) takeEnds(s *session) {
 	noted := max(e.book.NotedOf(s.life), s.ends)
+	var ended []string
 	for _, end := range s.report.Ends {
 		if end.Number > 0 && end.Number <= noted || end.Number == 0 && e.leader.settling[end.Task] == end.Run {
 			continue
@@ -189,8 +204,7 @@
 		end.Target = s.life
 		e.leader.settling[end.Task] = end.Run
 		s.ends = max(s.ends, end.Number)
-		e.log.Info("run ended", zap.Stringer("task", end.Task), zap.Int("run", end.Run), zap.String("outcome", string(end.Outcome)),
-			zap.String("target", s.life.ID), zap.Uint64("number", end.Number))
+		ended = append(ended, end.Task.String()+"#"+strconv.Itoa(end.Run)+":"+string(end.Outcome))
 		e.add(func(c *job.Command) { c.Ends = append(c.Ends, end) }, nil, func() {
 			if e.leader != nil {
 				delete(e.leader.settling, end.Task)
@@ -198,6 +212,9 @@
 			}
 		})
 	}
+	if len(ended) > 0 {
+		e.log.Info("ended", zap.String("target", s.life.ID), zap.Uint64("up_to", s.ends), zap.Strings("runs", ended))
+	}
 }
 
 // answerTargets answers the reports for which there are orders, and those whose
@@ -252,9 +269,28 @@
 	}
 	orders.Starts = e.startOrders(now, s)
 	orders.Stops = e.stopOrders(now, s)
+	e.logOrders(s, &orders)
 	reply(r, orders)
 }
 
+// logOrders writes one line for all orders of an answer, so that a wave of
+// starts is neither many lines nor left out.
+func (e *engine) logOrders(s *session, orders *controlapi.TargetOrders) {
+	if len(orders.Starts)+len(orders.Stops) == 0 {
+		return
+	}
+	starts := make([]string, 0, len(orders.Starts))
+	for _, o := range orders.Starts {
+		starts = append(starts, o.Task.String()+"#"+strconv.Itoa(o.Run)+":"+o.Image)
+	}
+	stops := make([]string, 0, len(orders.Stops))
+	for _, o := range orders.Stops {
+		stops = append(stops, o.Task.String()+"#"+strconv.Itoa(o.Run))
+	}
+	e.log.Info("ordered", zap.String("target", s.life.ID), zap.Uint64("term", orders.Term), zap.Uint64("number", orders.Number),
+		zap.Int64("lease_ms", orders.LeaseMillis), zap.Strings("starts", starts), zap.Strings("stops", stops))
+}
+
 func (e *engine) hasNews(now time.Time, s *session) bool {
 	if e.book.NotedOf(s.life) > s.noted {
 		return true
@@ -304,17 +340,20 @@
 			TailTargetMillis: step.TailTargetMillis,
 			Disturbs:         e.leader.disturbs(step),
 		})
-		e.log.Info("start ordered", zap.Stringer("task", ref), zap.Int("run", t.Run),
-			zap.String("target", s.life.ID), zap.Uint64("term", e.leader.term))
 	}
 	return orders
 }
 
-// unwanted reports whether a run that the target holds is not in the log.
+// unwanted reports whether a run that the target holds is not in the log, or is
+// a filling task that the serving tasks there leave no room to work. Stopped, it
+// goes on from its checkpoint on a target that suits it.
 func (e *engine) unwanted(now time.Time, s *session, ref job.Ref, run int) bool {
 	if e.leader.settling[ref] == run || s.stopped[ref].inEffect(now, run) {
 		return false
 	}
+	if since, paused := s.paused[ref]; paused && now.Sub(since) >= pauseLimit {
+		return true
+	}
 	_, t := e.book.Find(ref)
 	return t == nil || t.State != job.Placed || t.Run != run || t.Target != s.life
 }
@@ -327,7 +366,6 @@
 		}
 		s.stopped[ref] = sent{run: run, number: s.number, at: now}
 		orders = append(orders, controlapi.StopOrder{Task: ref, Run: run})
-		e.log.Info("stop ordered", zap.Stringer("task", ref), zap.Int("run", run), zap.String("target", s.life.ID))
 	}
 	return orders
 }
@@ -361,6 +399,41 @@
 	e.add(func(c *job.Command) { c.Lost = append(c.Lost, life) }, func(time.Time) { forget() }, forget)
 }
 
+// noteOccupancy logs what waits and what works, for the question why a job has
+// not started.
+func (e *engine) noteOccupancy(now time.Time) {
+	l := e.leader
+	if now.Sub(l.noted) < occupancyInterval {
+		return
+	}
+	l.noted = now
+	ready, startable, paused := 0, 0, 0
+	for _, j := range e.book.Live() {
+		for k := range j.Occurrences {
+			for s := range j.Occurrences[k] {
+				if j.StepReady(k, s) {
+					ready += j.Occurrences[k][s].Waiting
+				}
+			}
+		}
+	}
+	for _, s := range l.sessions {
+		if s.report == nil {
+			continue
+		}
+		if e.startable(now, s) {
+			startable++
+		}
+		for _, r := range s.report.Running {
+			if r.Paused {
+				paused++
+			}
+		}
+	}
+	e.log.Info("occupancy", zap.Int("live_jobs", len(e.book.Live())), zap.Int("ready_tasks", ready),
+		zap.Int("paused_tasks", paused), zap.Int("targets", len(l.sessions)), zap.Int("startable", startable))
+}
+
 // dispatch proposes starts. One proposal is under way at a time, so that each
 // decision sees the starts of the one before.
 func (e *engine) dispatch(now time.Time) {
--- a/job/apply.go
+++ b/job/apply.go
@@ -36,8 +36,9 @@
 
 // Submission is a job that was accepted for a queue.
 type Submission struct {
-	Spec  Spec
-	Queue Queue
+	Spec     Spec
+	Queue    Queue
+	AtMillis int64 // Unix time of the acceptance, for the order of jobs only
 }
 
 // ZoneChange takes an availability zone out of service or returns it.
@@ -99,7 +100,7 @@
 		return
 	}
 	b.Orders++
-	j := &Job{Spec: s.Spec, Queue: s.Queue, Order: b.Orders}
+	j := &Job{Spec: s.Spec, Queue: s.Queue, Order: b.Orders, AtMillis: s.AtMillis}
 	for range s.Spec.Occurrences() {
 		steps := make([]StepState, len(s.Spec.Steps))
 		for i := range steps {
--- a/job/book.go
+++ b/job/book.go
@@ -45,6 +45,7 @@
 	Spec        Spec
 	Queue       Queue  // as at submission
 	Order       uint64 // position among all jobs
+	AtMillis    int64  // Unix time of the acceptance
 	Started     bool   // a task has started
 	Cancelled   bool   `json:",omitempty"`
 	Failed      bool   `json:",omitempty"`
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -100,18 +100,6 @@
 	return p.starts
 }
 
-// ordered returns the live jobs with ready tasks by priority and, within a
-// priority, in the order of their acceptance.
-func (p *Pass) ordered() []*job.Job {
-	jobs := slices.Clone(p.book.Live())
-	priority := make(map[*job.Job]int, len(jobs))
-	for _, j := range jobs {
-		priority[j] = p.book.QueueOf(j).Priority
-	}
-	sort.SliceStable(jobs, func(x, y int) bool { return priority[jobs[x]] < priority[jobs[y]] })
-	return jobs
-}
-
 func (p *Pass) newRoom(t *Target) *room {
 	r := &room{Target: t, free: t.Capacity, perStep: map[stepKey]int{}, serving: map[string]int{}, filling: map[string]float64{}}
 	r.idleCPU = t.Capacity.CPUMilli
--- a/job/dispatch/scores.go
+++ b/job/dispatch/scores.go
@@ -11,7 +11,7 @@
 	tailWeight = 1.0
 	// sameWeight keeps serving tasks of one image together, so that more targets
 	// suit a filling image that disturbs only some serving images.
-	sameWeight = 0.5
+	sameWeight = 2.0
 )
 
 // score is higher for a better target.
