dispatch: an idle filling job gets one start where room is plentiful

Ruled out: lost tasks (all were ready in the log of the leader). Change: one start where it disturbs least; the pace protects the serving tasks. Tests of the dispatcher.

--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -27,6 +27,9 @@
 	// pauseLimit is how long a filling task may stay paused on a target. The pace
 	// follows figures of half a second, so shorter pauses may end by themselves.
 	pauseLimit = 1200 * time.Millisecond
+	// idleLimit is how long a job may have ready tasks and nothing at work while
+	// room is plentiful. The platform allows 3 s.
+	idleLimit = 1500 * time.Millisecond
 	// occupancyInterval separates the log lines about waiting and working tasks.
 	occupancyInterval = 2 * time.Second
 	// failStreak is the number of failed runs in a row after which a target is
@@ -50,6 +53,7 @@
 	dirty     bool                 // something has changed since the last dispatch
 	model     *interference.Model  // how much filling images disturb serving ones
 	images    map[string]bool      // serving images that were seen
+	idleSince map[string]time.Time // jobs with ready tasks and nothing placed
 	noted     time.Time            // last log line about the occupancy
 }
 
@@ -441,7 +445,14 @@
 		return
 	}
 	e.leader.dirty = false
-	starts := dispatch.Run(e.book, e.targets(now), e.leader.model, time.Now(), e.options.Limits)
+	starts := dispatch.Run(dispatch.Input{
+		Book:    e.book,
+		Targets: e.targets(now),
+		Model:   e.leader.model,
+		Now:     time.Now(),
+		Idle:    e.leader.idleJobs(now, e.book),
+		Limits:  e.options.Limits,
+	})
 	if len(starts) == 0 {
 		return
 	}
@@ -452,6 +463,39 @@
 		func() { l.starting, l.dirty = false, true })
 }
 
+// idleJobs returns the jobs that have had ready tasks and nothing placed for
+// idleLimit.
+func (l *leadership) idleJobs(now time.Time, b *job.Book) map[string]bool {
+	idle := map[string]bool{}
+	since := make(map[string]time.Time, len(l.idleSince))
+	for _, j := range b.Live() {
+		if !isIdle(j) {
+			continue
+		}
+		id := j.Spec.ID
+		since[id] = cmp.Or(l.idleSince[id], now)
+		if now.Sub(since[id]) >= idleLimit {
+			idle[id] = true
+		}
+	}
+	l.idleSince = since
+	return idle
+}
+
+func isIdle(j *job.Job) bool {
+	ready := false
+	for k := range j.Occurrences {
+		for s := range j.Occurrences[k] {
+			state := &j.Occurrences[k][s]
+			if state.Open > state.Waiting {
+				return false // a task is placed
+			}
+			ready = ready || state.Waiting > 0 && j.StepReady(k, s)
+		}
+	}
+	return ready
+}
+
 func (e *engine) targets(now time.Time) []*dispatch.Target {
 	targets := make([]*dispatch.Target, 0, len(e.leader.sessions))
 	for _, s := range e.leader.sessions {
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -48,13 +48,16 @@
 	// TailLimit is the tail, as a share of its target, up to which filling tasks
 	// may be placed beside a serving task.
 	TailLimit float64
+	// PlentyShare is the share of reserved processors below which a filling job
+	// may not stay idle.
+	PlentyShare float64
 	// MaxStarts bounds the starts of one pass and so the size of one log entry.
 	MaxStarts int
 }
 
 // DefaultLimits returns the limits of a deployment.
 func DefaultLimits() Limits {
-	return Limits{ServingShare: 0.55, FillShare: 1.0, TailLimit: 1.0, MaxStarts: 400}
+	return Limits{ServingShare: 0.55, FillShare: 1.0, TailLimit: 1.0, PlentyShare: 0.7, MaxStarts: 400}
 }
 
 // room is the state of a target during a pass.
@@ -80,26 +83,65 @@
 	model  *interference.Model
 	rooms  []*room
 	now    time.Time // of day
+	idle   map[string]bool
+	forced bool // the filters for filling tasks do not count
 	starts []job.Start
 }
 
-// Run returns the starts for the ready tasks. The model tells how much filling
-// tasks disturb serving ones. Only jobs with times depend on the time of day.
-func Run(b *job.Book, targets []*Target, model *interference.Model, now time.Time, limits Limits) []job.Start {
-	p := &Pass{limits: limits, book: b, model: model, now: now}
-	for _, t := range targets {
+// Input is what a decision depends on.
+type Input struct {
+	Book    *job.Book
+	Targets []*Target
+	Model   *interference.Model // how much filling tasks disturb serving ones
+	Now     time.Time           // of day; only deadlines and jobs with times depend on it
+	// Idle names the jobs that have had ready tasks and nothing at work for a
+	// while. They get one start each where room is plentiful.
+	Idle   map[string]bool
+	Limits Limits
+}
+
+// Run returns the starts for the ready tasks.
+func Run(in Input) []job.Start {
+	p := &Pass{limits: in.Limits, book: in.Book, model: in.Model, now: in.Now, idle: in.Idle}
+	for _, t := range in.Targets {
 		p.rooms = append(p.rooms, p.newRoom(t))
 	}
 	sort.Slice(p.rooms, func(i, j int) bool { return p.rooms[i].Life.ID < p.rooms[j].Life.ID })
 	for _, j := range p.ordered() {
-		if len(p.starts) >= limits.MaxStarts {
+		if len(p.starts) >= p.limits.MaxStarts {
 			break
 		}
+		before := len(p.starts)
 		p.job(j)
+		if len(p.starts) == before && p.idle[j.Spec.ID] && p.plentiful() {
+			p.startOne(j)
+		}
 	}
 	return p.starts
 }
 
+// plentiful reports whether less than PlentyShare of the processors is reserved.
+func (p *Pass) plentiful() bool {
+	var free, total int64
+	for _, r := range p.rooms {
+		free += r.free.CPUMilli
+		total += r.Capacity.CPUMilli
+	}
+	return float64(total-free) < p.limits.PlentyShare*float64(total)
+}
+
+// startOne starts one filling task of a job that the tails of serving tasks keep
+// from starting, where it disturbs least. The pace protects the serving tasks,
+// and the job makes progress whenever they leave room.
+func (p *Pass) startOne(j *job.Job) {
+	p.forced = true
+	defer func() { p.forced = false }()
+	limit := p.limits.MaxStarts
+	p.limits.MaxStarts = len(p.starts) + 1
+	defer func() { p.limits.MaxStarts = limit }()
+	p.job(j)
+}
+
 func (p *Pass) newRoom(t *Target) *room {
 	r := &room{Target: t, free: t.Capacity, perStep: map[stepKey]int{}, serving: map[string]int{}, filling: map[string]float64{}}
 	r.idleCPU = t.Capacity.CPUMilli
--- /dev/null
+++ b/job/dispatch/dispatch_test.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/interference"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/pacing"
+	"github.com/ibispier/ibispier/resource"
+)
+
+var noon = time.Unix(1_800_000_000, 0)
+
+// world is a book with one queue and some targets.
+type world struct {
+	book    *job.Book
+	targets []*Target
+	model   *interference.Model
+	jobs    int
+}
+
+func newWorld(targets int) *world {
+	w := &world{book: job.NewBook(), model: interference.NewModel(pacing.ModelOptions())}
+	for i := range targets {
+		w.targets = append(w.targets, &Target{
+			Life: job.Life{ID: fmt.Sprintf("t%02d", i), Born: 1}, Service: "s", Zone: "z", Rack: fmt.Sprintf("r%d", i/2),
+			Labels: []string{"a"}, Capacity: resource.Vector{CPUMilli: 64_000, MemoryMiB: 256_000}, Startable: true,
+		})
+	}
+	return w
+}
+
+func (w *world) submit(priority int, age time.Duration, steps ...job.Step) string {
+	w.jobs++
+	id := fmt.Sprintf("%016x", w.jobs)
+	w.book.Apply(&job.Command{Submit: []*job.Submission{{
+		Spec:     job.Spec{ID: id, Steps: steps},
+		Queue:    job.Queue{Host: "h", Prefix: fmt.Sprintf("/%d/", priority), Service: "s", Priority: priority, Attempts: 2, Stretch: 2, SlackMillis: 1000},
+		AtMillis: noon.Add(-age).UnixMilli(),
+	}}})
+	return id
+}
+
+func (w *world) run(idle ...string) []job.Start {
+	in := Input{Book: w.book, Targets: w.targets, Model: w.model, Now: noon, Idle: map[string]bool{}, Limits: DefaultLimits()}
+	for _, id := range idle {
+		in.Idle[id] = true
+	}
+	return Run(in)
+}
+
+func cores(n int64) resource.Vector { return resource.Vector{CPUMilli: n * 1000, MemoryMiB: 1000} }
+
+func fill(count int) job.Step {
+	return job.Step{Count: count, Need: cores(7), EstimateMillis: 3000, Filling: true, Image: "f"}
+}
+
+func serve(count int) job.Step {
+	return job.Step{Count: count, Need: cores(13), Lasting: true, Image: "s", TailTargetMillis: 50}
+}
+
+// Guards against a target that is committed beyond what it has.
+func TestNeverBeyondCapacity(t *testing.T) {
+	w := newWorld(2)
+	w.submit(0, 0, job.Step{Count: 20, Need: cores(10)})
+	used := map[job.Life]int{}
+	for _, s := range w.run() {
+		used[s.Target]++
+	}
+	for l, n := range used {
+		if n > 6 {
+			t.Errorf("%d tasks of 10 cores on %s with 64", n, l.ID)
+		}
+	}
+	if len(used) != 2 {
+		t.Errorf("%d targets used, want 2", len(used))
+	}
+}
+
+// Guards against starts on targets that drain, in zones that are out, of other
+// services, without the label, and beyond the limit for each target.
+func TestFilters(t *testing.T) {
+	w := newWorld(6)
+	w.targets[0].Startable = false
+	w.targets[1].Zone = "out"
+	w.targets[2].Service = "other"
+	w.targets[3].Labels = []string{"b"}
+	w.book.Apply(&job.Command{Zones: []job.ZoneChange{{Zone: "out", Out: true}}})
+	w.submit(0, 0, job.Step{Count: 10, Need: cores(1), Label: "a", MaxPerTarget: 2})
+	starts := w.run()
+	if len(starts) != 4 {
+		t.Fatalf("%d starts, want 2 on each of 2 targets", len(starts))
+	}
+	for _, s := range starts {
+		if s.Target.ID != "t04" && s.Target.ID != "t05" {
+			t.Errorf("start on %s", s.Target.ID)
+		}
+	}
+}
+
+// Guards against a step that starts before the steps it depends on are done.
+func TestStepsInOrder(t *testing.T) {
+	w := newWorld(1)
+	w.submit(0, 0, job.Step{Count: 1, Need: cores(1)}, job.Step{Count: 1, Need: cores(1), After: []int{0}})
+	starts := w.run()
+	if len(starts) != 1 || starts[0].Task.Step != 0 {
+		t.Fatalf("starts %v, want the first step only", starts)
+	}
+}
+
+// Guards against a part of a gang that waits for the others.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	w := newWorld(1)
+	w.submit(0, 0, job.Step{Count: 7, Need: cores(10), Gang: true})
+	w.submit(0, 0, job.Step{Count: 6, Need: cores(10), Gang: true})
+	starts := w.run()
+	if len(starts) != 6 {
+		t.Fatalf("%d starts, want the 6 of the gang that fits", len(starts))
+	}
+	for _, s := range starts {
+		if s.Run != starts[0].Run {
+			t.Errorf("run %d beside %d", s.Run, starts[0].Run)
+		}
+	}
+}
+
+// Guards against an overload in which jobs that have missed their objective
+// delay those that can still meet it, so that all are late.
+func TestJobsThatCanBeInTimeGoFirst(t *testing.T) {
+	w := newWorld(1)
+	w.submit(2, time.Minute, fill(9)) // objective 7 s, missed
+	fresh := w.submit(2, time.Second, fill(9))
+	for _, s := range w.run() {
+		if s.Task.Job != fresh {
+			return // the rest of the room may go to the other one
+		}
+	}
+	if starts := w.run(); len(starts) == 0 || starts[0].Task.Job != fresh {
+		t.Fatalf("first start %v, want the job that can be in time", starts)
+	}
+}
+
+// Guards against filling tasks that push a serving task over its tail target,
+// and against a filling job that never starts although the targets are empty.
+func TestFillingTasksKeepOffDisturbedTargets(t *testing.T) {
+	w := newWorld(1)
+	w.submit(0, 0, serve(2))
+	w.book.Apply(&job.Command{Starts: w.run()})
+	for i := range 20 {
+		w.model.Observe(interference.Observation{Victim: "s", Slowdown: 3,
+			Neighbours: []interference.Resident{{Class: "f", Intensity: 0.1}}, MeasuredAt: noon.Add(time.Duration(i) * time.Second)})
+	}
+	id := w.submit(2, 0, fill(4))
+	if starts := w.run(); len(starts) != 0 {
+		t.Fatalf("%d filling tasks beside a serving task that they disturb", len(starts))
+	}
+	if starts := w.run(id); len(starts) != 1 {
+		t.Fatalf("%d starts for an idle job with plenty of room, want 1", len(starts))
+	}
+}
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -15,8 +15,7 @@
 		hasLabel(r, s) &&
 		underTargetLimit(r, s, ref) &&
 		fits(r, s) &&
-		p.hasIdleCPU(r, s) &&
-		p.keepsTails(r, s)
+		(p.forced || p.hasIdleCPU(r, s) && p.keepsTails(r, s))
 }
 
 func servesQueue(r *room, q *job.Queue) bool { return r.Service == q.Service }
