--- a/consensus/reconcile.go
+++ b/consensus/reconcile.go
@@ -10,17 +10,32 @@
 	Seen       map[string]uint64 // newest incarnation of each other member
 	Progress   []Progress
 	IsCaughtUp func(ReplicaID) bool
+	// Voters is the number of voters to keep where replicas come and go without
+	// settings that name them, and 0 where Wanted says all.
+	Voters int
+	// Lost reports whether a member has been silent for so long that another
+	// replica may take its place.
+	Lost func(ReplicaID) bool
 }
 
 // NextChange returns the next change, one at a time. A learner that has caught
 // up is promoted first, which restores the tolerance for failures. A wiped
 // replica is removed under its old incarnation and added under the new one as a
 // learner. Ids that an operator has removed stay out.
+//
+// With a number of voters to keep, a learner that has caught up takes the place
+// of a lost voter, and further ones stay learners.
 func NextChange(v View) (Change, bool) {
 	for _, m := range v.Membership.Members {
-		if !m.Voter && v.IsCaughtUp(m.ID) {
+		if m.Voter || !v.IsCaughtUp(m.ID) {
+			continue
+		}
+		if v.Voters == 0 || len(v.Membership.Voters()) < v.Voters {
 			return Change{Kind: Promote, Replica: m.ID}, true
 		}
+		if lost, found := v.lostVoter(); found {
+			return Change{Kind: Remove, Replica: lost}, true
+		}
 	}
 	for _, id := range v.Wanted {
 		if c, needed := v.changeFor(id); needed {
@@ -30,6 +45,15 @@
 	return Change{}, false
 }
 
+func (v View) lostVoter() (ReplicaID, bool) {
+	for _, id := range v.Membership.Voters() {
+		if id != v.Self && v.Lost(id) {
+			return id, true
+		}
+	}
+	return ReplicaID{}, false
+}
+
 func (v View) changeFor(id string) (Change, bool) {
 	incarnation, seen := v.Seen[id]
 	if id == v.Self.ID || !seen || slices.Contains(v.Membership.Excluded, id) {
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -45,6 +45,7 @@
 	socket  *link.Socket
 	writer  *logwriter.Duty
 	replica *replica.Duty
+	others  *peers.Peers
 	clients link.Handler
 	core    []namedDuty
 }
@@ -74,15 +75,26 @@
 	r.replica = replica.New(replica.Options{
 		Self:            r.Self(),
 		Members:         memberIDs(s.Cluster.Control),
+		Voters:          voters(s),
 		Tick:            s.Control.TickInterval,
 		ElectionTicks:   s.Control.ElectionTicks,
 		SnapshotEntries: s.Control.SnapshotEntries,
 		Log:             log,
 	}, r.writer.Requests)
 	r.Inputs, r.Updates = r.replica.Inputs, r.replica.Updates
+	r.others = r.newPeers()
 	return r, nil
 }
 
+// voters returns the number of voters to keep where members come and go: the
+// fewest that bear the tolerated losses.
+func voters(s *settings.Settings) int {
+	if len(s.Cluster.Seeds) == 0 {
+		return 0
+	}
+	return 2*s.Jobs.Tolerated + 1
+}
+
 func memberIDs(members []settings.Member) []string {
 	ids := make([]string, 0, len(members))
 	for _, m := range members {
@@ -152,7 +164,16 @@
 	for _, d := range r.core {
 		core.Add(d.name, d.duty)
 	}
-	others := peers.New(peers.Options{
+	others := r.others
+	role := supervise.New("control", rolePolicy, r.observer)
+	role.Add("core", core)
+	role.Add("peers", others)
+	role.Add("server", r.listener(others))
+	return role
+}
+
+func (r *Role) newPeers() *peers.Peers {
+	o := peers.Options{
 		Self:    r.Self(),
 		Zone:    r.settings.Daemon.Zone,
 		Members: r.settings.Cluster.Control,
@@ -162,12 +183,21 @@
 
 		Observer: r.observer,
 		Log:      r.log,
-	}, r.replica)
-	role := supervise.New("control", rolePolicy, r.observer)
-	role.Add("core", core)
-	role.Add("peers", others)
-	role.Add("server", r.listener(others))
-	return role
+	}
+	if len(r.settings.Cluster.Seeds) > 0 {
+		o.Address = r.settings.Cluster.MemberAddress
+	}
+	return peers.New(o, r.replica)
+}
+
+// EnsureMembers links members that the settings do not name.
+func (r *Role) EnsureMembers(ctx context.Context, ids []string) error {
+	for _, id := range ids {
+		if err := r.others.Ensure(ctx, id); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
 }
 
 func (r *Role) listener(others *peers.Peers) *supervise.Supervisor {
--- a/daemon/control/jobs/duty.go
+++ b/daemon/control/jobs/duty.go
@@ -39,6 +39,9 @@
 	Limits    dispatch.Limits
 	Log       *zap.Logger
 	Metrics   *telemetry.Metrics
+	// OnMembers is told the ids of the control members whenever they change. It
+	// may be nil.
+	OnMembers func(ctx context.Context, ids []string) error
 }
 
 // now is a clock that goes on while the instance is suspended and that nobody
@@ -87,6 +90,19 @@
 			return err
 		}
 		e.flush(now())
+		d.tellMembers(ctx, e)
+	}
+}
+
+// tellMembers hands on the members when they have changed.
+func (d *Duty) tellMembers(ctx context.Context, e *engine) {
+	if d.options.OnMembers == nil || !e.membersChanged {
+		return
+	}
+	e.membersChanged = false
+	if err := d.options.OnMembers(ctx, e.memberIDs()); err != nil {
+		d.options.Log.Warn("control members not linked", zap.Error(err))
+		e.membersChanged = true
 	}
 }
 
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -47,6 +47,7 @@
 	reads    readindex.Queue
 	leader   *leadership // nil unless this member leads
 
+	membersChanged bool
 	snapshotWanted bool
 	bootstrapAt    time.Time // of the next attempt
 	context        uint64    // of the last membership change
@@ -189,6 +190,7 @@
 	if s.Leader != e.status.Leader {
 		e.log.Info("leader changed", zap.String("leader", s.Leader), zap.Uint64("term", s.Term))
 	}
+	e.membersChanged = e.membersChanged || len(s.Members) != len(e.status.Members) || e.status.Leader != s.Leader
 	e.status = s
 	if !changed {
 		return
@@ -201,6 +203,15 @@
 	}
 }
 
+// memberIDs returns the ids of the control members.
+func (e *engine) memberIDs() []string {
+	ids := make([]string, 0, len(e.status.Members))
+	for _, m := range e.status.Members {
+		ids = append(ids, m.ID.ID)
+	}
+	return ids
+}
+
 func (e *engine) startLeadership(now time.Time, term uint64) {
 	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
 		zap.Int("live_jobs", len(e.book.Live())), zap.Uint64("manifest", e.book.Config.Version))
--- a/daemon/control/jobs/requests.go
+++ b/daemon/control/jobs/requests.go
@@ -14,6 +14,10 @@
 
 // request serves one operation.
 func (e *engine) request(now time.Time, r *applier.Request) {
+	if r.Operation == controlapi.OpMembers && (e.leader != nil || e.status.Leader == "") {
+		e.answerMembers(r) // what this member knows helps while there is no leader
+		return
+	}
 	if e.leader == nil {
 		r.Replier.Reply(applier.Response{Status: applier.NotLeader, Leader: e.status.Leader})
 		return
@@ -46,6 +50,14 @@
 	}
 }
 
+func (e *engine) answerMembers(r *applier.Request) {
+	resp := controlapi.MembersResponse{Leader: e.status.Leader}
+	for _, m := range e.status.Members {
+		resp.Members = append(resp.Members, controlapi.Member{ID: m.ID.ID, Voter: m.Voter, Active: m.Active})
+	}
+	reply(r, resp)
+}
+
 // afterRead calls answer once a quorum has confirmed that this member leads.
 func (e *engine) afterRead(now time.Time, r *applier.Request, answer func(now time.Time)) {
 	e.reads.Add(readindex.Read{
--- a/daemon/control/peers/peers.go
+++ b/daemon/control/peers/peers.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -34,6 +36,10 @@
 	Observer supervise.Observer
 	Log      *zap.Logger
 
+	// Address returns the address of a member that the settings do not name. It
+	// is nil where all members are named there.
+	Address func(id string) (string, error)
+
 	Heartbeat time.Duration // between heartbeats; 0 for the default of package link
 	Silence   time.Duration // after which a link is closed; 0 for the default of package link
 }
@@ -41,8 +47,9 @@
 // Peers is the supervisor and the handler of the links.
 type Peers struct {
 	*supervise.Supervisor
+	options Options
 	events  *ring.Ring[replica.Event]
-	members map[string]*member
+	members atomic.Pointer[map[string]*member] // replaced as a whole when a member is added
 	log     *zap.Logger
 }
 
@@ -66,28 +73,85 @@
 func New(o Options, r *replica.Duty) *Peers {
 	p := &Peers{
 		Supervisor: supervise.New("peers", supervise.Policy{Intensity: supervise.Unlimited}, o.Observer),
+		options:    o,
 		events:     r.Events,
-		members:    map[string]*member{},
 		log:        o.Log,
 	}
-	for _, m := range o.Members {
-		if m.ID != o.Self.ID {
-			p.add(o, m, r.Outgoing(m.ID))
+	members := map[string]*member{}
+	for _, s := range o.Members {
+		if s.ID == o.Self.ID {
+			continue
+		}
+		m := newMember(s, r.Outgoing(s.ID))
+		members[s.ID] = m
+		for _, d := range p.duties(s.Address, m) {
+			p.Add(d.name, d.duty)
 		}
 	}
+	p.members.Store(&members)
 	return p
 }
 
-func (p *Peers) add(o Options, s settings.Member, out *ring.Ring[replica.Outgoing]) {
-	m := &member{
+func (p *Peers) member(id string) *member { return (*p.members.Load())[id] }
+
+// Ensure links a member that the settings do not name. Its id tells its address.
+func (p *Peers) Ensure(ctx context.Context, id string) error {
+	if id == p.options.Self.ID || p.member(id) != nil || p.options.Address == nil {
+		return nil
+	}
+	address, err := p.options.Address(id)
+	if err != nil {
+		return Error.New("step=ensure peer=%s: %w", id, err)
+	}
+	m := newMember(settings.Member{ID: id, Address: address}, replica.NewOutgoing(id))
+	if !p.store(m) {
+		return nil // another link has just added it
+	}
+	if err := put(ctx, p.events, replica.Event{Peer: &replica.Peer{ID: id, Out: m.out}}); err != nil {
+		return err
+	}
+	p.log.Info("control member added", zap.String("peer", id), zap.String("addr", address))
+	own := supervise.New("peer "+id, supervise.Policy{Intensity: supervise.Unlimited}, p.options.Observer)
+	for _, d := range p.duties(address, m) {
+		own.Add(d.name, d.duty)
+	}
+	return p.Start(ctx, "peer "+id, own)
+}
+
+// store adds m unless its id is known.
+func (p *Peers) store(m *member) bool {
+	for {
+		old := p.members.Load()
+		if (*old)[m.id] != nil {
+			return false
+		}
+		next := maps.Clone(*old)
+		next[m.id] = m
+		if p.members.CompareAndSwap(old, &next) {
+			return true
+		}
+	}
+}
+
+type namedDuty struct {
+	name string
+	duty supervise.Duty
+}
+
+func newMember(s settings.Member, out *ring.Ring[replica.Outgoing]) *member {
+	return &member{
 		id:     s.ID,
 		out:    out,
 		links:  ring.New[linkEvent]("peer."+s.ID+".links", 16),
 		acks:   ring.New[*wire.SnapshotChunk]("peer."+s.ID+".acks", 16),
 		chunks: ring.New[*wire.Replication]("peer."+s.ID+".chunks", 16),
 	}
-	p.members[s.ID] = m
-	p.Add("dialer "+s.ID, link.NewDialer(s.Address, link.Options{
+}
+
+// duties returns the duties of one member.
+func (p *Peers) duties(address string, m *member) []namedDuty {
+	o := p.options
+	dialer := link.NewDialer(address, link.Options{
 		Local: link.Identity{
 			Role:        wire.Role_ROLE_CONTROL,
 			ID:          o.Self.ID,
@@ -99,9 +163,12 @@
 
 		HeartbeatInterval: o.Heartbeat,
 		SilenceTimeout:    o.Silence,
-	}, &dialed{peers: p, member: m}))
-	p.Add("sender "+s.ID, &sender{member: m, log: o.Log})
-	p.Add("receiver "+s.ID, &receiver{member: m, events: p.events, log: o.Log})
+	}, &dialed{peers: p, member: m})
+	return []namedDuty{
+		{"dialer " + m.id, dialer},
+		{"sender " + m.id, &sender{member: m, log: o.Log}},
+		{"receiver " + m.id, &receiver{member: m, events: p.events, log: o.Log}},
+	}
 }
 
 // dialed handles the link that this member has dialed to one other member.
@@ -134,7 +201,10 @@
 // Up implements link.Handler for links that other members have dialed.
 func (p *Peers) Up(ctx context.Context, c *link.Conn) error {
 	id := consensus.ReplicaID{ID: c.Peer().ID, Incarnation: c.Peer().Incarnation}
-	if p.members[id.ID] == nil || id.Incarnation == 0 {
+	if err := p.Ensure(ctx, id.ID); err != nil {
+		return err
+	}
+	if p.member(id.ID) == nil || id.Incarnation == 0 {
 		return Error.New("step=up peer=%s: not a control member of the settings", id)
 	}
 	return put(ctx, p.events, replica.Event{Up: &id})
@@ -153,7 +223,7 @@
 	if from.ID != c.Peer().ID || from.Incarnation != c.Peer().Incarnation {
 		return Error.New("step=receive peer=%s: message of %s", c.Peer().ID, from)
 	}
-	p.receive(p.members[from.ID], from, r)
+	p.receive(p.member(from.ID), from, r)
 	return nil
 }
 
--- a/daemon/control/replica/members.go
+++ b/daemon/control/replica/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -149,10 +150,49 @@
 		zap.Uint8("kind", uint8(c.Kind)), zap.Stringer("replica", c.Replica))
 }
 
+// lostAfter is the silence after which a member counts as lost and may be
+// replaced. Freezes and partitions of a few seconds are common.
+const lostAfter = 4 * time.Second
+
+// countSilence follows for how long each member has not answered.
+func (r *run) countSilence() {
+	if r.node.Role() != consensus.Leader || r.duty.options.Voters == 0 {
+		clear(r.silent)
+		return
+	}
+	for _, p := range r.node.Members() {
+		if p.Active || p.ID == r.duty.options.Self {
+			delete(r.silent, p.ID)
+		} else {
+			r.silent[p.ID]++
+		}
+	}
+}
+
+func (r *run) isLost(id consensus.ReplicaID) bool {
+	return time.Duration(r.silent[id])*r.duty.options.Tick >= lostAfter
+}
+
+// wanted returns the ids that should be members: those in the settings, and
+// where members come and go all that have been seen and answer.
+func (r *run) wanted() []string {
+	if r.duty.options.Voters == 0 {
+		return r.duty.options.Members
+	}
+	ids := make([]string, 0, len(r.seen))
+	for id := range r.seen {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func (r *run) nextChange() (consensus.Change, bool) {
 	return consensus.NextChange(consensus.View{
+		Voters:     r.duty.options.Voters,
+		Lost:       r.isLost,
 		Self:       r.duty.options.Self,
-		Wanted:     r.duty.options.Members,
+		Wanted:     r.wanted(),
 		Membership: r.node.Membership(),
 		Seen:       r.seen,
 		Progress:   r.node.Members(),
--- a/daemon/control/replica/replica.go
+++ b/daemon/control/replica/replica.go
@@ -60,12 +60,25 @@
 	Message *consensus.Message
 	State   *PeerState
 	Up      *consensus.ReplicaID // a link to this replica is established
+	Peer    *Peer
+}
+
+// Peer is another member that the settings do not name.
+type Peer struct {
+	ID  string
+	Out *ring.Ring[Outgoing]
+}
+
+// NewOutgoing returns the ring of messages to a member.
+func NewOutgoing(id string) *ring.Ring[Outgoing] {
+	return ring.New[Outgoing]("peer."+id+".out", outgoingCapacity)
 }
 
 // Options configure the duty.
 type Options struct {
 	Self            consensus.ReplicaID
 	Members         []string // ids of the control members in the settings, with this one
+	Voters          int      // voters to keep where members come and go; 0 for all in the settings
 	Tick            time.Duration
 	ElectionTicks   int
 	SnapshotEntries int
@@ -97,7 +110,7 @@
 	}
 	for _, id := range o.Members {
 		if id != o.Self.ID {
-			d.peers[id] = ring.New[Outgoing]("peer."+id+".out", outgoingCapacity)
+			d.peers[id] = NewOutgoing(id)
 		}
 	}
 	return d
@@ -138,6 +151,7 @@
 		duty:    d,
 		session: session,
 		seen:    map[string]uint64{},
+		silent:  map[consensus.ReplicaID]int{},
 	}
 	if err := r.start(ctx, recovered.State); err != nil {
 		return err
--- a/daemon/control/replica/run.go
+++ b/daemon/control/replica/run.go
@@ -25,9 +25,10 @@
 	readOnly  bool
 	ticks     int
 
-	seen      map[string]uint64 // newest incarnation of each other member
-	bootstrap *bootstrap        // nil unless a bootstrap is under way
-	changes   []openChange      // requests that wait for their entry to be committed
+	seen      map[string]uint64           // newest incarnation of each other member
+	silent    map[consensus.ReplicaID]int // ticks for which a member has not answered this leader
+	bootstrap *bootstrap                  // nil unless a bootstrap is under way
+	changes   []openChange                // requests that wait for their entry to be committed
 	draining  []*ring.Ring[error]
 
 	status       Status // as last sent
@@ -107,6 +108,7 @@
 	r.ticks++
 	r.statusAge++
 	r.node.Tick()
+	r.countSilence()
 	if r.ticks%reconcileTicks == 0 {
 		r.reconcile()
 		r.askForState()
@@ -151,6 +153,8 @@
 		r.peerState(*e.State)
 	case e.Up != nil:
 		r.seen[e.Up.ID] = e.Up.Incarnation
+	case e.Peer != nil:
+		r.duty.peers[e.Peer.ID] = e.Peer.Out
 	}
 }
 
--- a/daemon/controlclient/client.go
+++ b/daemon/controlclient/client.go
@@ -64,6 +64,9 @@
 	Heartbeat      time.Duration // between heartbeats; 0 for the default of package link
 	Silence        time.Duration // after which a link is closed; 0 for the default of package link
 	Observer       supervise.Observer
+	// Address returns the address of a member that is not in Members. With it,
+	// the client finds members that come later. It is nil where all are named.
+	Address func(id string) (string, error)
 }
 
 // Client is the supervisor of the links to the control members and of the duty
@@ -82,15 +85,16 @@
 	c.Add("calls", c.duty)
 	links := supervise.New("controlclient.links", supervise.Policy{Intensity: supervise.Unlimited}, o.Observer)
 	for _, m := range o.Members {
-		links.Add("member "+m.ID, link.NewDialer(m.Address, link.Options{
-			Local:          o.Local,
-			Accept:         []wire.Role{wire.Role_ROLE_CONTROL},
-			ConfigRevision: o.ConfigRevision,
-
-			HeartbeatInterval: o.Heartbeat,
-			SilenceTimeout:    o.Silence,
-			Observer:          o.Observer,
-		}, &memberHandler{member: m.ID, duty: c.duty}))
+		links.Add("member "+m.ID, newDialer(o, c.duty, m))
+	}
+	if o.Address != nil {
+		c.duty.discover = func(ctx context.Context, id string) error {
+			address, err := o.Address(id)
+			if err != nil {
+				return Error.Wrap(err)
+			}
+			return links.Start(ctx, "member "+id, newDialer(o, c.duty, settings.Member{ID: id, Address: address}))
+		}
 	}
 	if len(o.Members) > 0 {
 		c.Add("links", links)
@@ -98,6 +102,17 @@
 	return c
 }
 
+func newDialer(o Options, d *duty, m settings.Member) *link.Dialer {
+	return link.NewDialer(m.Address, link.Options{
+		Local:             o.Local,
+		Accept:            []wire.Role{wire.Role_ROLE_CONTROL},
+		ConfigRevision:    o.ConfigRevision,
+		HeartbeatInterval: o.Heartbeat,
+		SilenceTimeout:    o.Silence,
+		Observer:          o.Observer,
+	}, &memberHandler{member: m.ID, duty: d})
+}
+
 // Start takes a call without blocking and delivers its result to call.Reply. It
 // fails with ErrUnavailable when too many calls wait.
 func (c *Client) Start(call Call) error {
--- a/daemon/controlclient/duty.go
+++ b/daemon/controlclient/duty.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"slices"
 	"time"
 
+	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/ring"
 	"github.com/ibispier/ibispier/settings"
@@ -14,6 +17,10 @@
 	eventCapacity = 4096
 	maxBatch      = 256
 	idleTick      = time.Second
+	// membersInterval is how often a client asks for the control members, and
+	// membersTimeout bounds the question.
+	membersInterval = 5 * time.Second
+	membersTimeout  = 2 * time.Second
 )
 
 // event is a fact about the link to a member.
@@ -29,6 +36,11 @@
 	calls   *ring.Ring[Call]
 	events  *ring.Ring[event]
 	members []string
+	// discover links a member that the settings do not name; nil where they name
+	// all.
+	discover func(ctx context.Context, id string) error
+	found    *ring.Ring[Result] // answers to questions for the members
+	asked    time.Time
 
 	tracker *tracker
 	links   map[string]*link.Conn
@@ -38,6 +50,7 @@
 	d := &duty{
 		calls:  ring.New[Call]("controlclient.calls", callCapacity),
 		events: ring.New[event]("controlclient.events", eventCapacity),
+		found:  ring.New[Result]("controlclient.found", 4),
 	}
 	for _, m := range members {
 		d.members = append(d.members, m.ID)
@@ -47,7 +60,7 @@
 
 // Run sends calls until ctx ends.
 func (d *duty) Run(ctx context.Context) error {
-	d.tracker = newTracker(d.members)
+	d.tracker = newTracker(slices.Clone(d.members))
 	d.links = map[string]*link.Conn{}
 	defer d.abandon()
 	timer := time.NewTimer(idleTick)
@@ -59,15 +72,49 @@
 		case c := <-d.calls.C():
 			d.startAll(c)
 		case e := <-d.events.C():
-			d.handleAll(e)
+			d.handleAll(ctx, e)
+		case r := <-d.found.C():
+			d.addMembers(ctx, r)
 		case now := <-timer.C:
 			d.tracker.tick(now)
 		}
+		d.askMembers()
 		d.perform()
 		d.schedule(timer)
 	}
 }
 
+// askMembers asks for the control members from time to time.
+func (d *duty) askMembers() {
+	now := time.Now()
+	if d.discover == nil || now.Sub(d.asked) < membersInterval {
+		return
+	}
+	d.asked = now
+	d.tracker.start(now, Call{
+		Operation: controlapi.OpMembers, Payload: []byte("{}"), Deadline: now.Add(membersTimeout), Reply: d.found,
+	})
+}
+
+// addMembers links the members that are new.
+func (d *duty) addMembers(ctx context.Context, r Result) {
+	var resp controlapi.MembersResponse
+	if r.Err != nil || json.Unmarshal(r.Payload, &resp) != nil {
+		return // asked again later
+	}
+	for _, m := range resp.Members {
+		d.addMember(ctx, m.ID)
+	}
+}
+
+func (d *duty) addMember(ctx context.Context, id string) {
+	if d.discover == nil || slices.Contains(d.members, id) || d.discover(ctx, id) != nil {
+		return
+	}
+	d.members = append(d.members, id)
+	d.tracker.members = append(d.tracker.members, id)
+}
+
 func (d *duty) startAll(first Call) {
 	now := time.Now()
 	d.tracker.start(now, first)
@@ -76,14 +123,14 @@
 	}
 }
 
-func (d *duty) handleAll(first event) {
-	d.handle(first)
+func (d *duty) handleAll(ctx context.Context, first event) {
+	d.handle(ctx, first)
 	for _, e := range d.events.Drain(nil, maxBatch) {
-		d.handle(e)
+		d.handle(ctx, e)
 	}
 }
 
-func (d *duty) handle(e event) {
+func (d *duty) handle(ctx context.Context, e event) {
 	now := time.Now()
 	switch {
 	case e.up:
@@ -95,6 +142,9 @@
 			d.tracker.linkDown(now, e.member)
 		}
 	case e.response != nil:
+		if leader := e.response.GetLeader(); leader != "" {
+			d.addMember(ctx, leader)
+		}
 		d.tracker.answered(now, e.member, e.response.GetId(), response{
 			status:  e.response.GetStatus(),
 			reason:  e.response.GetReason(),
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -65,6 +65,7 @@
 		Limits:    dispatch.DefaultLimits(),
 		Log:       d.log,
 		Metrics:   d.telemetry.Metrics,
+		OnMembers: role.EnsureMembers,
 	}, role.Inputs, role.Updates)
 	role.AddCore("jobs", duty)
 	role.HandleClients(server.New(duty.Requests))
@@ -86,13 +87,17 @@
 
 // controlClient returns the links of this process to the control members.
 func (d *Daemon) controlClient(role wire.Role) *controlclient.Client {
-	return controlclient.New(controlclient.Options{
+	o := controlclient.Options{
 		Local:     link.Identity{Role: role, ID: d.settings.Daemon.ID, Zone: d.settings.Daemon.Zone},
 		Members:   d.settings.Cluster.Control,
 		Heartbeat: d.settings.Cluster.Heartbeat,
 		Silence:   d.settings.Cluster.Silence,
 		Observer:  d.observe,
-	})
+	}
+	if len(d.settings.Cluster.Seeds) > 0 {
+		o.Address = d.settings.Cluster.MemberAddress
+	}
+	return controlclient.New(o)
 }
 
 // jobEntry returns the callers' interface of the platform.
--- /dev/null
+++ b/job/book_test.go
@@ -0,0 +1,271 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/ibispier/ibispier/resource"
+)
+
+// oracle is the plain account of what callers and targets have seen: no states,
+// only the runs that are under way and the tasks that are done.
+type oracle struct {
+	placed   map[Ref]Start
+	done     map[Ref]bool
+	failures map[Ref]int
+	over     map[string]State
+}
+
+func testSpec(t *rapid.T, id string) Spec {
+	spec := Spec{ID: id, OccurrenceCount: rapid.SampledFrom([]int{0, 0, 2}).Draw(t, "occurrences")}
+	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
+		s := Step{
+			Count: rapid.IntRange(1, 3).Draw(t, "count"), Need: resource.Vector{CPUMilli: 1000},
+			Gang: rapid.Bool().Draw(t, "gang"), Lasting: rapid.IntRange(0, 4).Draw(t, "lasting") == 0,
+		}
+		s.Gang = s.Gang && !s.Lasting
+		if i > 0 && rapid.Bool().Draw(t, "depends") {
+			s.After = []int{i - 1}
+		}
+		spec.Steps = append(spec.Steps, s)
+	}
+	return spec
+}
+
+// Guards against a task that runs twice at a time or again after it is done, a
+// step out of order, attempts beyond the limit, a job that is shown completed
+// too early, and indexes that differ from the state.
+func TestBookAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBook()
+		o := &oracle{placed: map[Ref]Start{}, done: map[Ref]bool{}, failures: map[Ref]int{}, over: map[string]State{}}
+		numbers := map[Life]uint64{}
+		lives := []Life{{"a", 1}, {"b", 1}, {"b", 2}}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				id := fmt.Sprintf("%016x", rapid.IntRange(1, 4).Draw(t, "id"))
+				b.Apply(&Command{Submit: []*Submission{{Spec: testSpec(t, id), Queue: Queue{Attempts: 2}}}})
+			},
+			"cancel": func(t *rapid.T) {
+				id := fmt.Sprintf("%016x", rapid.IntRange(1, 4).Draw(t, "id"))
+				if j := b.Jobs[id]; j != nil && j.Live() {
+					o.over[id] = Cancelled
+				}
+				b.Apply(&Command{Cancel: []string{id}})
+			},
+			"start": func(t *rapid.T) {
+				for _, j := range b.Live() {
+					o.start(t, b, j, rapid.SampledFrom(lives).Draw(t, "life"))
+				}
+			},
+			"end": func(t *rapid.T) {
+				for r, s := range o.placed {
+					if !rapid.Bool().Draw(t, "ends") {
+						continue
+					}
+					outcome := rapid.SampledFrom([]Outcome{RunDone, RunDone, RunFailed, RunStopped, RunLapsed, RunRejected}).Draw(t, "outcome")
+					numbers[s.Target]++
+					e := End{Target: s.Target, Number: numbers[s.Target], Task: r, Run: s.Run, Outcome: outcome}
+					if outcome == RunRejected {
+						e.Number = 0
+						numbers[s.Target]--
+					}
+					o.end(b, e)
+					b.Apply(&Command{Ends: []End{e}})
+					b.Apply(&Command{Ends: []End{e}}) // a report may come again
+				}
+			},
+			"lose": func(t *rapid.T) {
+				life := rapid.SampledFrom(lives).Draw(t, "life")
+				for r, s := range o.placed {
+					if s.Target == life {
+						delete(o.placed, r)
+					}
+				}
+				b.Apply(&Command{Lost: []Life{life}})
+			},
+			"restore": func(t *rapid.T) {
+				data, err := json.Marshal(b)
+				if err != nil {
+					t.Fatal(err)
+				}
+				restored := NewBook()
+				if err := json.Unmarshal(data, restored); err != nil {
+					t.Fatal(err)
+				}
+				restored.Index()
+				if len(restored.Live()) != len(b.Live()) || !reflect.DeepEqual(restored.Lives() == nil, b.Lives() == nil) {
+					t.Fatalf("restored %d live jobs, want %d", len(restored.Live()), len(b.Live()))
+				}
+				b = restored
+			},
+			"": func(t *rapid.T) { o.check(t, b) },
+		})
+	})
+}
+
+// start starts one ready task of a step whose turn has come, and for a gang all.
+func (o *oracle) start(t *rapid.T, b *Book, j *Job, life Life) {
+	for k := range j.Occurrences {
+		for s := range j.Spec.Steps {
+			if !j.StepReady(k, s) {
+				continue
+			}
+			o.checkOrder(t, j, k, s)
+			gang := j.Spec.Steps[s].Gang
+			state := &j.Occurrences[k][s]
+			if gang && state.Waiting < len(state.Tasks) {
+				continue
+			}
+			run := 0
+			for i := range state.Tasks {
+				run = max(run, state.Tasks[i].Run+1)
+			}
+			for i := range state.Tasks {
+				ref := Ref{j.Spec.ID, k, s, i}
+				if state.Tasks[i].State != Ready {
+					continue
+				}
+				if _, twice := o.placed[ref]; twice || o.done[ref] {
+					t.Fatalf("%v is ready and placed or done", ref)
+				}
+				start := Start{Task: ref, Run: run, Target: life}
+				b.Apply(&Command{Starts: []Start{start}})
+				b.Apply(&Command{Starts: []Start{{Task: ref, Run: run + 1, Target: Life{"c", 1}}}}) // out of date
+				o.placed[ref] = start
+			}
+		}
+	}
+}
+
+func (o *oracle) checkOrder(t *rapid.T, j *Job, k, s int) {
+	for _, before := range j.Spec.Steps[s].After {
+		for i := range j.Spec.Steps[before].Count {
+			if !o.done[Ref{j.Spec.ID, k, before, i}] {
+				t.Fatalf("step %d is ready before step %d is done", s, before)
+			}
+		}
+	}
+}
+
+func (o *oracle) end(b *Book, e End) {
+	j := b.Jobs[e.Task.Job]
+	step := &j.Spec.Steps[e.Task.Step]
+	live := j.Live()
+	delete(o.placed, e.Task)
+	switch {
+	case !live:
+	case e.Outcome == RunDone && !step.Lasting:
+		for i := range step.Count {
+			ref := Ref{e.Task.Job, e.Task.Occurrence, e.Task.Step, i}
+			if step.Gang || i == e.Task.Index {
+				o.done[ref] = true
+				delete(o.placed, ref)
+			}
+		}
+	case e.Outcome == RunFailed && !step.Lasting:
+		o.failures[e.Task]++
+		if o.failures[e.Task] >= 2 {
+			o.over[e.Task.Job] = Failed
+		}
+	}
+}
+
+func (o *oracle) check(t *rapid.T, b *Book) {
+	held := 0
+	for _, life := range b.Lives() {
+		for r, task := range b.On(life) {
+			held++
+			if s, known := o.placed[r]; !known || s.Target != life || s.Run != task.Run {
+				t.Fatalf("%v is held by %v, the oracle says %v", r, life, s)
+			}
+		}
+	}
+	if held != len(o.placed) {
+		t.Fatalf("%d tasks held, the oracle says %d", held, len(o.placed))
+	}
+	for id, j := range b.Jobs {
+		if want, over := o.over[id]; over && j.State() != want {
+			t.Fatalf("job %s is %s, want %s", id, j.State(), want)
+		}
+		all := true
+		j.each(func(r Ref, _ *Task) { all = all && o.done[r] })
+		if (j.State() == Completed) != (all && o.over[id] == "") {
+			t.Fatalf("job %s is %s, all done: %v", id, j.State(), all)
+		}
+	}
+}
+
+// Guards against a configuration that goes back to an older version.
+func TestConfigNeverReverts(t *testing.T) {
+	b := NewBook()
+	for _, version := range []uint64{3, 2, 7, 5, 7} {
+		b.Apply(&Command{Config: &Config{Version: version, Source: []byte{byte(version)}}})
+	}
+	if b.Config.Version != 7 || b.Config.Source[0] != 7 {
+		t.Fatalf("version %d in force, want 7", b.Config.Version)
+	}
+}
+
+// Guards against a submission that reaches the wrong queue.
+func TestLongestPrefixMatches(t *testing.T) {
+	c := Config{Queues: []Queue{{Name: "all", Host: "h", Prefix: "/"}, {Name: "a", Host: "h", Prefix: "/a/"}, {Name: "other", Host: "i", Prefix: "/a/b/"}}}
+	for path, want := range map[string]string{"/a/b/1": "a", "/b": "all"} {
+		if q, _ := c.Match("h", path); q == nil || q.Name != want {
+			t.Errorf("%s matches %v, want %s", path, q, want)
+		}
+	}
+	if q, _ := c.Match("j", "/a/"); q != nil {
+		t.Errorf("unknown host matches %s", q.Name)
+	}
+}
+
+// Guards against a configuration that contradicts itself.
+func TestConfigCheck(t *testing.T) {
+	service := []Service{{Name: "s"}}
+	for name, c := range map[string]Config{
+		"no version":      {Queues: []Queue{{Service: "s", TimeoutMillis: 1}}, Services: service},
+		"unknown service": {Version: 1, Queues: []Queue{{Service: "x", TimeoutMillis: 1}}, Services: service},
+		"no timeout":      {Version: 1, Queues: []Queue{{Service: "s"}}, Services: service},
+		"same place":      {Version: 1, Queues: []Queue{{Host: "h", Prefix: "/", Service: "s", TimeoutMillis: 1}, {Host: "h", Prefix: "/", Service: "s", TimeoutMillis: 1}}, Services: service},
+	} {
+		if c.Check() == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+// Guards against a job that is dropped while something of it runs.
+func TestForgetWaitsForRuns(t *testing.T) {
+	b := NewBook()
+	id := "00000000000000aa"
+	b.Apply(&Command{Submit: []*Submission{{Spec: Spec{ID: id, Steps: []Step{{Count: 1}}}}}})
+	ref := Ref{Job: id}
+	b.Apply(&Command{Starts: []Start{{Task: ref, Run: 1, Target: Life{"a", 1}}}})
+	b.Apply(&Command{Cancel: []string{id}, Forget: []string{id}})
+	if b.Jobs[id] == nil {
+		t.Fatal("dropped while a run is being stopped")
+	}
+	b.Apply(&Command{Ends: []End{{Target: Life{"a", 1}, Number: 1, Task: ref, Run: 1, Outcome: RunStopped}}, Forget: []string{id}})
+	if b.Jobs[id] != nil {
+		t.Fatal("kept although nothing runs")
+	}
+}
+
+// Guards against names that two tasks share.
+func TestRefNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Ref{
+			Job:        fmt.Sprintf("%016x", rapid.Uint64().Draw(t, "job")),
+			Occurrence: rapid.IntRange(0, 99).Draw(t, "k"), Step: rapid.IntRange(0, 99).Draw(t, "step"), Index: rapid.IntRange(0, 9999).Draw(t, "index"),
+		}
+		parsed, err := ParseRef(r.String())
+		if err != nil || parsed != r {
+			t.Fatalf("%s parsed as %v, %v", r, parsed, err)
+		}
+	})
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -39,7 +39,7 @@
 		}
 		seen[m.ID] = true
 	}
-	if s.HasRole(RoleControl) && !seen[s.Daemon.ID] {
+	if s.HasRole(RoleControl) && !seen[s.Daemon.ID] && len(s.Cluster.Seeds) == 0 {
 		return Error.New("file=%s section=cluster key=control: %q, which has the role control, is not named", path, s.Daemon.ID)
 	}
 	return nil
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -107,10 +107,23 @@
 		return
 	}
 	for _, seed := range s.Cluster.Seeds {
-		ip := netip.MustParseAddrPort(seed).Addr().String()
-		address := netip.AddrPortFrom(netip.MustParseAddr(ip), uint16(s.Cluster.Port)).String()
-		s.Cluster.Control = append(s.Cluster.Control, Member{ID: ip, Address: address})
+		id := netip.MustParseAddrPort(seed).Addr().String()
+		address, err := s.Cluster.MemberAddress(id)
+		if err != nil {
+			panic(err) // the id is an IP number
+		}
+		s.Cluster.Control = append(s.Cluster.Control, Member{ID: id, Address: address})
+	}
+}
+
+// MemberAddress returns the address of a control member whose id is its IP
+// number, as where seeds are given.
+func (c *Cluster) MemberAddress(id string) (string, error) {
+	ip, err := netip.ParseAddr(id)
+	if err != nil {
+		return "", Error.New("step=address member=%s: %w", id, err)
 	}
+	return netip.AddrPortFrom(ip, uint16(c.Port)).String(), nil
 }
 
 func rejectUnknown(path string, file *ini.File, keys []Key) error {
