readindex: keep a read that a failing one adds again

Cause: the list of waiting reads was replaced after the failures had run, so a leader whose confirmation timed out was never confirmed. Test: TestFailedReadMayBeAddedAgain fails without the change.

--- a/daemon/control/readindex/readindex.go
+++ b/daemon/control/readindex/readindex.go
@@ -84,19 +84,19 @@
 		q.waiting = append(q.asked, q.waiting...)
 		q.asked = nil
 	}
-	q.waiting = failExpired(now, q.waiting)
-}
-
-func failExpired(now time.Time, list []Read) []Read {
-	kept := list[:0]
-	for _, x := range list {
+	var failed []Read
+	kept := q.waiting[:0]
+	for _, x := range q.waiting {
 		if x.Deadline.After(now) {
 			kept = append(kept, x)
-			continue
+		} else {
+			failed = append(failed, x)
 		}
-		x.Fail()
 	}
-	return kept
+	q.waiting = kept
+	for _, x := range failed {
+		x.Fail() // may add a read
+	}
 }
 
 // FailAll fails every request that waits.
--- a/daemon/control/readindex/readindex_test.go
+++ b/daemon/control/readindex/readindex_test.go
@@ -44,3 +44,27 @@
 		t.Fatal("the second read was lost")
 	}
 }
+
+// Guards against a read that is lost when a failed one is asked again: a leader
+// would never be confirmed.
+func TestFailedReadMayBeAddedAgain(t *testing.T) {
+	var q Queue
+	var asked []uint64
+	submit := func(in replica.Input) error {
+		asked = append(asked, in.Read)
+		return nil
+	}
+	ran := false
+	start := time.Unix(0, 0)
+	again := Read{Deadline: start.Add(time.Hour), Run: func(time.Time) { ran = true }, Fail: func() {}}
+	q.Add(Read{Deadline: start.Add(time.Second), Run: func(time.Time) {}, Fail: func() { q.Add(again) }})
+	q.Expire(start.Add(2 * time.Second))
+	q.Issue(start.Add(2*time.Second), submit)
+	if len(asked) != 1 {
+		t.Fatal("the read that was added again is lost")
+	}
+	q.Confirmed(replica.ReadReady{Context: asked[0], Index: 1})
+	if q.Apply(start, 1); !ran {
+		t.Fatal("the read that was added again did not run")
+	}
+}
