dispatch: try pairs that are not known well with few tasks

Cause: a filling image that nothing is known about was put beside many serving tasks at once. Change: the estimate of a pair is raised by 0.15 of its standard deviation.

--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -48,6 +48,9 @@
 	// TailLimit is the tail, as a share of its target, up to which filling tasks
 	// may be placed beside a serving task.
 	TailLimit float64
+	// Caution is how many standard deviations an estimate of disturbance is
+	// raised by.
+	Caution float64
 	// PlentyShare is the share of reserved processors below which a filling job
 	// may not stay idle.
 	PlentyShare float64
@@ -57,7 +60,7 @@
 
 // DefaultLimits returns the limits of a deployment.
 func DefaultLimits() Limits {
-	return Limits{ServingShare: 0.55, FillShare: 1.0, TailLimit: 1.0, PlentyShare: 0.7, MaxStarts: 400}
+	return Limits{ServingShare: 0.55, FillShare: 1.0, TailLimit: 1.0, Caution: 0.15, PlentyShare: 0.7, MaxStarts: 400}
 }
 
 // room is the state of a target during a pass.
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -59,6 +59,9 @@
 	return worst
 }
 
+// coefficient returns what a pair is assumed to do. A pair that is not known
+// well counts as worse than its mean, so that it is tried with few tasks.
 func (p *Pass) coefficient(serving, filling string) float64 {
-	return p.model.Pair(serving, filling, time.Time{}).Coefficient
+	e := p.model.Pair(serving, filling, time.Time{})
+	return e.Coefficient + p.limits.Caution*e.Deviation
 }
