--- /dev/null
+++ b/daemon/control/jobs/engine_test.go
@@ -0,0 +1,247 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/job/dispatch"
+	"github.com/ibispier/ibispier/lease"
+	"github.com/ibispier/ibispier/resource"
+)
+
+const testJob = "00000000000000aa"
+
+var (
+	testTerms = lease.Terms{Length: 4 * time.Second, DriftPercent: 2, DriftFixed: 50 * time.Millisecond}
+	testLife  = job.Life{ID: "i-1", Born: 1}
+)
+
+// harness drives an engine with a replica that commits at once, unless it is
+// held.
+type harness struct {
+	*testing.T
+	e    *engine
+	now  time.Time
+	log  []consensus.Entry
+	held bool // proposals and reads wait
+	read []uint64
+	open [][]byte
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{T: t, now: time.Unix(1000, 0)}
+	h.restart()
+	return h
+}
+
+// restart makes a new engine over the same log.
+func (h *harness) restart() {
+	h.e = newEngine(Options{
+		Lease: testTerms, Retention: time.Hour, MinVoters: 3, Limits: dispatch.DefaultLimits(), Log: zap.NewNop(),
+	}, uint64(len(h.log)+1), h.submit)
+}
+
+func (h *harness) submit(in replica.Input) error {
+	switch {
+	case in.Propose != nil:
+		h.open = append(h.open, in.Propose)
+	case in.Read != 0:
+		h.read = append(h.read, in.Read)
+	}
+	return nil
+}
+
+func voters(n int) []replica.MemberStatus {
+	members := make([]replica.MemberStatus, n)
+	for i := range members {
+		members[i].Voter = true
+	}
+	return members
+}
+
+// lead makes the engine the leader. As in a replica, the status comes before the
+// entries of earlier leaders.
+func (h *harness) lead(term uint64, n int) {
+	h.update(replica.Update{Status: &replica.Status{IsLeader: true, Term: term, Members: voters(n)}})
+	h.update(replica.Update{Entries: h.log})
+	h.settle()
+}
+
+func (h *harness) update(u replica.Update) {
+	h.Helper()
+	if err := h.e.update(h.now, u); err != nil {
+		h.Fatal(err)
+	}
+	h.e.flush(h.now)
+}
+
+// settle commits proposals and confirms reads until none is left.
+func (h *harness) settle() {
+	for !h.held && len(h.open)+len(h.read) > 0 {
+		var u replica.Update
+		for _, data := range h.open {
+			entry := consensus.Entry{Index: uint64(len(h.log) + 1), Data: data}
+			h.log = append(h.log, entry)
+			u.Entries = append(u.Entries, entry)
+		}
+		for _, context := range h.read {
+			u.Reads = append(u.Reads, replica.ReadReady{Context: context, Index: uint64(len(h.log))})
+		}
+		h.open, h.read = nil, nil
+		h.update(u)
+	}
+}
+
+func (h *harness) pass(d time.Duration) {
+	h.now = h.now.Add(d)
+	h.e.tick(h.now)
+	h.e.flush(h.now)
+	h.settle()
+}
+
+type answers struct{ got []applier.Response }
+
+func (a *answers) Reply(r applier.Response) { a.got = append(a.got, r) }
+
+func (h *harness) ask(op controlapi.Operation, body any) *answers {
+	a := &answers{}
+	h.e.request(h.now, &applier.Request{Operation: op, Body: body, Replier: a})
+	h.e.flush(h.now)
+	h.settle()
+	return a
+}
+
+func (h *harness) manifest() {
+	h.ask(controlapi.OpManifest, &controlapi.ManifestRequest{Config: job.Config{
+		Version: 1, Queues: []job.Queue{{Host: "h", Prefix: "/q/", Service: "s", TimeoutMillis: 1, Attempts: 2}},
+		Services: []job.Service{{Name: "s"}}, Source: []byte("{}"),
+	}})
+}
+
+func submission() *controlapi.JobSubmit {
+	return &controlapi.JobSubmit{Host: "h", Path: "/q/" + testJob, Spec: job.Spec{
+		ID: testJob, Steps: []job.Step{{Count: 1, Need: resource.Vector{CPUMilli: 1000}}},
+	}}
+}
+
+func report(seen uint64, running ...controlapi.RunReport) *controlapi.TargetReport {
+	return &controlapi.TargetReport{
+		Life: testLife, Service: "s", Zone: "z", Capacity: resource.Vector{CPUMilli: 64000}, Agent: 1,
+		Seen: seen, LeaseWanted: true, Running: running, HoldMillis: 700,
+	}
+}
+
+// placed submits a job and has its task placed on the target.
+func (h *harness) placed() {
+	h.manifest()
+	h.ask(controlapi.OpTarget, report(0))
+	h.pass(time.Second) // the first answer brings the lease
+	h.ask(controlapi.OpTarget, report(1))
+	h.ask(controlapi.OpJobSubmit, submission())
+	h.pass(50 * time.Millisecond)
+	if len(h.e.book.On(testLife)) != 1 {
+		h.Fatalf("%d tasks placed, want 1", len(h.e.book.On(testLife)))
+	}
+}
+
+// Guards against a new leader that takes the tasks of a target away before the
+// lease that an earlier leader has granted is over, and against one that never
+// does because the target stays silent.
+func TestNewLeaderCountsInheritedLeases(t *testing.T) {
+	for _, reports := range []bool{false, true} {
+		h := newHarness(t)
+		h.lead(2, 3)
+		h.placed()
+		h.restart()
+		h.lead(3, 3)
+		h.pass(tickInterval)
+		if reports {
+			r := report(0, controlapi.RunReport{Task: job.Ref{Job: testJob}, Run: 1})
+			r.LeaseWanted = false
+			h.ask(controlapi.OpTarget, r)
+		}
+		h.pass(testTerms.Length - time.Second)
+		if len(h.e.book.On(testLife)) != 1 {
+			t.Fatalf("reports=%v: lost before the lease was over", reports)
+		}
+		h.pass(testTerms.Fence() - testTerms.Length + time.Second + tickInterval)
+		h.pass(tickInterval)
+		if len(h.e.book.On(testLife)) != 0 {
+			t.Fatalf("reports=%v: not lost after the lease", reports)
+		}
+	}
+}
+
+// Guards against a job that is acknowledged before it is in the log, and against
+// a second one under the same id.
+func TestAcceptanceIsAnsweredAfterTheLog(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.manifest()
+	h.held = true
+	first := h.ask(controlapi.OpJobSubmit, submission())
+	if len(first.got) != 0 {
+		t.Fatal("answered before the entry was applied")
+	}
+	h.held = false
+	h.settle()
+	again := h.ask(controlapi.OpJobSubmit, submission())
+	if len(first.got) != 1 || first.got[0].Status != applier.OK || len(again.got) != 1 || again.got[0].Status != applier.OK {
+		t.Fatalf("answers %v and %v", first.got, again.got)
+	}
+	if h.e.book.Orders != 1 {
+		t.Fatalf("%d jobs accepted, want 1", h.e.book.Orders)
+	}
+}
+
+// Guards against an acceptance whose outcome is not known and that is refused.
+func TestLostLeadershipLeavesTheOutcomeOpen(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.manifest()
+	h.held = true
+	a := h.ask(controlapi.OpJobSubmit, submission())
+	h.update(replica.Update{Status: &replica.Status{Term: 3, Members: voters(3)}})
+	if len(a.got) != 1 || a.got[0].Status != applier.Unavailable {
+		t.Fatalf("answers %v, want one that leaves it open", a.got)
+	}
+}
+
+// Guards against a new group that accepts something before the loss of a disk
+// can be borne.
+func TestNewGroupWaitsForItsMembers(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 2)
+	if a := h.ask(controlapi.OpManifest, &controlapi.ManifestRequest{}); len(a.got) != 1 || a.got[0].Status != applier.Unavailable {
+		t.Fatalf("answers %v with two voters", a.got)
+	}
+	h.update(replica.Update{Status: &replica.Status{IsLeader: true, Term: 2, Members: voters(3)}})
+	h.manifest()
+	if h.e.book.Config.Version != 1 {
+		t.Fatal("nothing accepted with three voters")
+	}
+}
+
+// Guards against an answer from state that a later leader may have changed.
+func TestReadsWaitForAConfirmation(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.manifest()
+	h.held = true
+	a := h.ask(controlapi.OpJobStatus, &controlapi.JobQuery{Host: "h", Path: "/q/" + testJob})
+	if len(a.got) != 0 {
+		t.Fatal("answered without a confirmation")
+	}
+	h.held = false
+	h.settle()
+	if len(a.got) != 1 || a.got[0].Body.(controlapi.JobAnswer).Outcome != controlapi.JobUnknown {
+		t.Fatalf("answers %v", a.got)
+	}
+}
