controlclient, front: refuse at once when no leader is found and nothing was taken

Ruled out: an early refusal of calls that a member may have taken; those stay open (TestPatienceEndsTheSearchForALeader).

--- a/daemon/control/jobs/requests.go
+++ b/daemon/control/jobs/requests.go
@@ -23,7 +23,7 @@
 		return
 	}
 	if !e.serving() {
-		unavailable(r)
+		r.Replier.Reply(applier.Response{Status: applier.NotLeader}) // not yet; nothing was taken
 		return
 	}
 	switch body := r.Body.(type) {
--- a/daemon/controlclient/client.go
+++ b/daemon/controlclient/client.go
@@ -22,6 +22,10 @@
 // operation may or may not have taken effect, and can be sent again.
 var ErrUnavailable = Error.New("control is unavailable")
 
+// ErrNoLeader is returned when no leader was found while the caller's patience
+// lasted, and no member can have taken the operation. It has not taken effect.
+var ErrNoLeader = Error.New("no leader; the operation was not taken")
+
 // RefusedError is returned when control has decided against the operation.
 type RefusedError struct {
 	Reason string
@@ -42,6 +46,7 @@
 	Operation   controlapi.Operation
 	Payload     []byte // JSON of the operation's request type
 	Deadline    time.Time
+	Patience    time.Time     // ends the search for a leader; zero for the deadline
 	Hold        time.Duration // time that control may hold the response before silence counts
 	TraceParent string
 	Token       uint64             // returned in Result
@@ -64,6 +69,9 @@
 	Heartbeat      time.Duration // between heartbeats; 0 for the default of package link
 	Silence        time.Duration // after which a link is closed; 0 for the default of package link
 	Observer       supervise.Observer
+	// Patience bounds how long Do looks for a leader before it reports that the
+	// operation was not taken; 0 for the deadline of the call.
+	Patience time.Duration
 	// Address returns the address of a member that is not in Members. With it,
 	// the client finds members that come later. It is nil where all are named.
 	Address func(id string) (string, error)
@@ -73,7 +81,8 @@
 // that owns the calls in flight.
 type Client struct {
 	*supervise.Supervisor
-	duty *duty
+	duty     *duty
+	patience time.Duration
 }
 
 // New returns the supervisor.
@@ -81,6 +90,7 @@
 	c := &Client{
 		Supervisor: supervise.New("controlclient", supervise.Policy{}, o.Observer),
 		duty:       newDuty(o.Members),
+		patience:   o.Patience,
 	}
 	c.Add("calls", c.duty)
 	links := supervise.New("controlclient.links", supervise.Policy{Intensity: supervise.Unlimited}, o.Observer)
@@ -135,6 +145,9 @@
 	}
 	reply := ring.New[Result]("controlclient.reply", 1)
 	call := Call{Operation: op, Payload: payload, Deadline: deadline, Hold: HoldOf(in), Reply: reply}
+	if c.patience > 0 {
+		call.Patience = time.Now().Add(c.patience)
+	}
 	if err := c.Start(call); err != nil {
 		return err
 	}
--- a/daemon/controlclient/tracker.go
+++ b/daemon/controlclient/tracker.go
@@ -48,6 +48,14 @@
 	hops   int
 	wake   time.Time // next resend or the deadline
 	done   bool
+	// open is set once a member may have taken the call without an answer.
+	open bool
+}
+
+// mayRefuse reports whether the call has waited for a leader for as long as its
+// caller allows, and no member can have taken it.
+func (c *inFlight) mayRefuse(now time.Time) bool {
+	return !c.Patience.IsZero() && !c.Patience.After(now) && !c.open && c.member == ""
 }
 
 // tracker decides where calls are sent and when they are sent again. It has no
@@ -94,6 +102,7 @@
 	}
 	for _, c := range t.calls {
 		if c.member == member {
+			c.open = true
 			t.dispatch(now, c)
 		}
 	}
@@ -113,6 +122,7 @@
 	case wire.ControlStatus_CONTROL_STATUS_REFUSED:
 		t.end(c, Result{Err: &RefusedError{Reason: r.reason}})
 	default:
+		c.open = c.open || r.status != wire.ControlStatus_CONTROL_STATUS_NOT_LEADER
 		if c.member == member {
 			t.redirect(now, c, r.leader)
 		}
@@ -155,7 +165,12 @@
 			t.end(c, Result{Err: ErrUnavailable})
 			continue
 		}
+		if c.mayRefuse(now) {
+			t.end(c, Result{Err: ErrNoLeader})
+			continue
+		}
 		if c.member != "" {
+			c.open = true
 			t.skip(c.member)
 		}
 		t.dispatch(now, c)
@@ -177,7 +192,11 @@
 func (t *tracker) dispatch(now time.Time, c *inFlight) {
 	c.member = t.choose()
 	if c.member == "" {
-		t.wakeAt(c, c.Deadline)
+		if c.Patience.After(now) {
+			t.wakeAt(c, c.Patience)
+		} else {
+			t.wakeAt(c, c.Deadline)
+		}
 		return
 	}
 	t.sends = append(t.sends, send{member: c.member, call: c})
--- a/daemon/controlclient/tracker_test.go
+++ b/daemon/controlclient/tracker_test.go
@@ -124,3 +124,32 @@
 		t.Fatalf("finishes %v", tr.finishes)
 	}
 }
+
+// Guards against a caller that waits until its deadline while no member leads,
+// and against "not taken" for a call that a silent member may have taken.
+func TestPatienceEndsTheSearchForALeader(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		tr := linked("a")
+		tr.start(epoch, Call{Deadline: after(3 * time.Second), Patience: after(time.Second)})
+		if silent {
+			tr.tick(after(silenceLimit))
+		}
+		for at := silenceLimit; at <= 3*time.Second; at += retryDelay {
+			for _, s := range tr.sends {
+				tr.answered(after(at), s.member, s.call.id, notLeader(""))
+			}
+			tr.sends = nil
+			tr.tick(after(at))
+			if at == time.Second+retryDelay && (len(tr.finishes) == 1) == silent {
+				t.Fatalf("silent=%v: finished after %s: %v", silent, at, tr.finishes)
+			}
+		}
+		want := ErrNoLeader
+		if silent {
+			want = ErrUnavailable
+		}
+		if len(tr.finishes) != 1 || !errors.Is(tr.finishes[0].result.Err, want) {
+			t.Fatalf("silent=%v: finishes %v, want %v", silent, tr.finishes, want)
+		}
+	}
+}
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -22,6 +22,9 @@
 const (
 	// targetDriftPercent is how much slower the platform's targets may count.
 	targetDriftPercent = 2
+	// leaderPatience is how long a request of a caller waits for a leader. An
+	// election takes about a second.
+	leaderPatience = 1200 * time.Millisecond
 	// targetDriftFixed covers the rounding of clocks to milliseconds.
 	targetDriftFixed = 50 * time.Millisecond
 )
@@ -93,6 +96,7 @@
 		Heartbeat: d.settings.Cluster.Heartbeat,
 		Silence:   d.settings.Cluster.Silence,
 		Observer:  d.observe,
+		Patience:  leaderPatience,
 	}
 	if len(d.settings.Cluster.Seeds) > 0 {
 		o.Address = d.settings.Cluster.MemberAddress
