control/jobs: agents tell a new leader what they have learned about images

Cause: a new leader knew nothing about which images disturb which, and tried the harmful pairs again.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -83,6 +83,13 @@
 	Using float64
 }
 
+// PairFigure is what an agent has learned about a filling and a serving image.
+type PairFigure struct {
+	Filling     string
+	Serving     string
+	Coefficient float64
+}
+
 // TargetReport is what an agent tells about its target.
 type TargetReport struct {
 	Life     job.Life
@@ -97,6 +104,8 @@
 	// Serving and Filling are the newest figures of a target that has both.
 	Serving []ServingFigure `json:",omitempty"`
 	Filling []FillingFigure `json:",omitempty"`
+	// Learned is sent to a leader that is new to the agent.
+	Learned []PairFigure `json:",omitempty"`
 
 	Agent uint64 // chosen at random at the start of the agent
 	Seen  uint64 // newest TargetOrders.Number that the agent has taken
--- a/daemon/control/jobs/disturbance.go
+++ b/daemon/control/jobs/disturbance.go
@@ -13,6 +13,10 @@
 
 // learn takes the figures of a report into the model of the whole service.
 func (l *leadership) learn(s *session) {
+	for _, f := range s.report.Learned {
+		l.hints[pair{f.Serving, f.Filling}] = f.Coefficient
+		l.images[f.Serving] = true
+	}
 	s.tails = map[string]float64{}
 	for _, f := range s.report.Serving {
 		s.tails[f.Image] = max(s.tails[f.Image], f.Ratio)
@@ -41,6 +45,19 @@
 	}
 }
 
+// pair is a serving and a filling image.
+type pair struct{ serving, filling string }
+
+// estimate returns what is known about a pair: what this leader has seen, or
+// what an agent has learned before.
+func (l *leadership) estimate(serving, filling string) interference.Estimate {
+	e := l.model.Pair(serving, filling, time.Time{})
+	if hint, known := l.hints[pair{serving, filling}]; known && e.Deviation >= knownDeviation {
+		return interference.Estimate{Coefficient: hint, Deviation: hintDeviation}
+	}
+	return e
+}
+
 // disturbs returns what is known about a filling image.
 func (l *leadership) disturbs(s *job.Step) map[string]float64 {
 	if !s.Filling || len(l.images) == 0 {
@@ -48,12 +65,16 @@
 	}
 	known := map[string]float64{}
 	for image := range l.images {
-		if e := l.model.Pair(image, s.Image, time.Time{}); e.Deviation < knownDeviation {
+		if e := l.estimate(image, s.Image); e.Deviation < knownDeviation {
 			known[image] = e.Coefficient
 		}
 	}
 	return known
 }
 
-// knownDeviation is the deviation below which an estimate is worth telling.
-const knownDeviation = 2.0
+const (
+	// knownDeviation is the deviation below which an estimate is worth telling.
+	knownDeviation = 2.0
+	// hintDeviation is that of an estimate of one agent.
+	hintDeviation = 1.5
+)
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -53,6 +53,7 @@
 	dirty     bool                 // something has changed since the last dispatch
 	model     *interference.Model  // how much filling images disturb serving ones
 	images    map[string]bool      // serving images that were seen
+	hints     map[pair]float64     // what agents had learned under earlier leaders
 	idleSince map[string]time.Time // jobs with ready tasks and nothing placed
 	noted     time.Time            // last log line about the occupancy
 }
@@ -104,6 +105,7 @@
 		over:     map[string]time.Time{},
 		model:    interference.NewModel(pacing.ModelOptions()),
 		images:   map[string]bool{},
+		hints:    map[pair]float64{},
 	}
 }
 
@@ -446,12 +448,12 @@
 	}
 	e.leader.dirty = false
 	starts := dispatch.Run(dispatch.Input{
-		Book:    e.book,
-		Targets: e.targets(now),
-		Model:   e.leader.model,
-		Now:     time.Now(),
-		Idle:    e.leader.idleJobs(now, e.book),
-		Limits:  e.options.Limits,
+		Book:     e.book,
+		Targets:  e.targets(now),
+		Disturbs: e.leader.estimate,
+		Now:      time.Now(),
+		Idle:     e.leader.idleJobs(now, e.book),
+		Limits:   e.options.Limits,
 	})
 	if len(starts) == 0 {
 		return
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -86,15 +86,16 @@
 	lease  time.Duration // instance clock at which the lease ends
 	pacer  *pacing.Pacer
 
-	watching  bool
-	watchAt   time.Duration // of the next watch
-	answered  time.Duration // when the target last answered a watch
-	clock     int64         // of the target, at clockAt
-	clockAt   time.Duration
-	serving   []pacing.Serving // newest figures
-	filling   []pacing.Filling
-	paceTurn  bool // figures have arrived since the last decision about the pace
-	endsSince time.Duration
+	watching bool
+	watchAt  time.Duration // of the next watch
+	answered time.Duration // when the target last answered a watch
+	clock    int64         // of the target, at clockAt
+	clockAt  time.Duration
+	serving  []pacing.Serving // newest figures
+	filling  []pacing.Filling
+	paceTurn bool // figures have arrived since the last decision about the pace
+
+	tellLearned bool // the leader is new
 
 	token    uint64 // of the newest report
 	pending  bool   // the newest report has no answer
@@ -178,6 +179,7 @@
 	}
 	if orders.Term > o.term {
 		o.log.Info("leader changed", zap.Uint64("term", orders.Term))
+		o.tellLearned = true
 	}
 	o.term, o.seen = orders.Term, orders.Number
 	o.gone = o.gone[min(o.reported.gone, len(o.gone)):]
@@ -367,7 +369,7 @@
 		}
 		e.Target = o.life
 		o.ends = append(o.ends, e)
-		o.dirty, o.endsSince = true, now
+		o.dirty = true
 		if r := o.runs[e.Task]; r != nil && r.number <= e.Run {
 			delete(o.runs, e.Task)
 		}
@@ -578,6 +580,12 @@
 			r.Serving = append(r.Serving, controlapi.ServingFigure(s))
 		}
 	}
+	if o.tellLearned {
+		o.tellLearned = false
+		for _, pair := range o.pacer.Learned(now) {
+			r.Learned = append(r.Learned, controlapi.PairFigure(pair))
+		}
+	}
 	for _, f := range o.filling {
 		r.Filling = append(r.Filling, controlapi.FillingFigure{Image: f.Image, Using: f.Using})
 	}
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -81,22 +81,24 @@
 
 // Pass is the state of one decision.
 type Pass struct {
-	limits Limits
-	book   *job.Book
-	model  *interference.Model
-	rooms  []*room
-	now    time.Time // of day
-	idle   map[string]bool
-	forced bool // the filters for filling tasks do not count
-	starts []job.Start
+	limits   Limits
+	book     *job.Book
+	disturbs func(serving, filling string) interference.Estimate
+	rooms    []*room
+	now      time.Time // of day
+	idle     map[string]bool
+	forced   bool // the filters for filling tasks do not count
+	starts   []job.Start
 }
 
 // Input is what a decision depends on.
 type Input struct {
 	Book    *job.Book
 	Targets []*Target
-	Model   *interference.Model // how much filling tasks disturb serving ones
-	Now     time.Time           // of day; only deadlines and jobs with times depend on it
+	// Disturbs estimates how much a filling image that uses a whole target raises
+	// the tail of a serving image, as a share of its target.
+	Disturbs func(serving, filling string) interference.Estimate
+	Now      time.Time // of day; only deadlines and jobs with times depend on it
 	// Idle names the jobs that have had ready tasks and nothing at work for a
 	// while. They get one start each where room is plentiful.
 	Idle   map[string]bool
@@ -105,7 +107,7 @@
 
 // Run returns the starts for the ready tasks.
 func Run(in Input) []job.Start {
-	p := &Pass{limits: in.Limits, book: in.Book, model: in.Model, now: in.Now, idle: in.Idle}
+	p := &Pass{limits: in.Limits, book: in.Book, disturbs: in.Disturbs, now: in.Now, idle: in.Idle}
 	for _, t := range in.Targets {
 		p.rooms = append(p.rooms, p.newRoom(t))
 	}
--- a/job/dispatch/dispatch_test.go
+++ b/job/dispatch/dispatch_test.go
@@ -44,13 +44,17 @@
 }
 
 func (w *world) run(idle ...string) []job.Start {
-	in := Input{Book: w.book, Targets: w.targets, Model: w.model, Now: noon, Idle: map[string]bool{}, Limits: DefaultLimits()}
+	in := Input{Book: w.book, Targets: w.targets, Disturbs: w.disturbs, Now: noon, Idle: map[string]bool{}, Limits: DefaultLimits()}
 	for _, id := range idle {
 		in.Idle[id] = true
 	}
 	return Run(in)
 }
 
+func (w *world) disturbs(serving, filling string) interference.Estimate {
+	return w.model.Pair(serving, filling, noon)
+}
+
 func cores(n int64) resource.Vector { return resource.Vector{CPUMilli: n * 1000, MemoryMiB: 1000} }
 
 func fill(count int) job.Step {
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/ibispier/ibispier/job"
 )
@@ -62,6 +61,6 @@
 // coefficient returns what a pair is assumed to do. A pair that is not known
 // well counts as worse than its mean, so that it is tried with few tasks.
 func (p *Pass) coefficient(serving, filling string) float64 {
-	e := p.model.Pair(serving, filling, time.Time{})
+	e := p.disturbs(serving, filling)
 	return e.Coefficient + p.limits.Caution*e.Deviation
 }
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -143,6 +143,27 @@
 	return estimate.Coefficient
 }
 
+// Pair is what is known about a filling and a serving image.
+type Pair struct {
+	Filling     string
+	Serving     string
+	Coefficient float64
+}
+
+// Learned returns the pairs about which this target knows enough to tell.
+func (p *Pacer) Learned(now time.Duration) []Pair {
+	var pairs []Pair
+	for serving := range p.base {
+		for filling := range p.percent {
+			e := p.model.Pair(serving, filling, time.Unix(0, 0).Add(now))
+			if e.Deviation <= knownDeviation {
+				pairs = append(pairs, Pair{Filling: filling, Serving: serving, Coefficient: e.Coefficient})
+			}
+		}
+	}
+	return pairs
+}
+
 // decide slows, for each serving image that would be over the limit, the image
 // that disturbs it most, until all are under it.
 func (p *Pacer) decide(now time.Duration, worst map[string]float64, filling []Filling) {
