--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -513,11 +513,20 @@
 			Capacity:  s.report.Capacity,
 			Startable: e.startable(now, s),
 			Tails:     s.tails,
+			Paused:    s.pausedTasks(),
 		})
 	}
 	return targets
 }
 
+func (s *session) pausedTasks() map[job.Ref]bool {
+	paused := make(map[job.Ref]bool, len(s.paused))
+	for ref := range s.paused {
+		paused[ref] = true
+	}
+	return paused
+}
+
 func (e *engine) startable(now time.Time, s *session) bool {
 	if s.streak >= failStreak {
 		s.suspended = now.Add(min(suspension<<s.suspensions, maxSuspension))
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -24,6 +24,9 @@
 	// Startable is false for a target that drains, that is silent or that fails
 	// what it starts.
 	Startable bool
+	// Paused names the filling tasks that may not work there now. They neither use
+	// processors nor disturb anything.
+	Paused map[job.Ref]bool
 	// Tails holds the newest tail latencies of the serving tasks, as a share of
 	// their targets, by image. It may be empty.
 	Tails map[string]float64
@@ -151,8 +154,12 @@
 	r := &room{Target: t, free: t.Capacity, perStep: map[stepKey]int{}, serving: map[string]int{}, filling: map[string]float64{}}
 	r.idleCPU = t.Capacity.CPUMilli
 	for ref := range p.book.On(t.Life) {
-		j := p.book.Jobs[ref.Job]
-		r.take(p.limits, ref, &j.Spec.Steps[ref.Step])
+		step := &p.book.Jobs[ref.Job].Spec.Steps[ref.Step]
+		if t.Paused[ref] {
+			r.free = r.free.Sub(step.Reserved())
+			continue
+		}
+		r.take(p.limits, ref, step)
 	}
 	return r
 }
