--- a/cmd/ibispierd/main.go
+++ b/cmd/ibispierd/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -69,7 +70,8 @@
 	if s.Daemon.MemoryMiB > 0 {
 		debug.SetMemoryLimit(s.Daemon.MemoryMiB << 20)
 	}
-	observed, err := observe(s)
+	lines := telemetry.NewRingWriter(logOutput(s))
+	observed, err := observe(s, lines)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "ibispierd:", err)
 		return exitFailed
@@ -82,6 +84,10 @@
 	if err == nil && dev {
 		err = addStandins(d, s)
 	}
+	if err == nil {
+		d.Add("log", lines)
+		observed.Metrics.Ring(lines.Stats)
+	}
 	if err == nil && path != "" {
 		d.Add("reload", daemon.NewReloader(path, s, reloads, observed.Log))
 	}
@@ -95,10 +101,19 @@
 	return 0
 }
 
+// logOutput returns where the log goes. The users' platform collects standard
+// output.
+func logOutput(s *settings.Settings) io.Writer {
+	if s.Jobs.Enabled {
+		return os.Stdout
+	}
+	return telemetry.Stderr()
+}
+
 // observe sets up the log, the metrics and the traces of the process.
-func observe(s *settings.Settings) (telemetry.Telemetry, error) {
+func observe(s *settings.Settings, lines io.Writer) (telemetry.Telemetry, error) {
 	metrics := telemetry.NewMetrics()
-	logger, err := telemetry.NewLimitedLogger(telemetry.Stderr(), s.Log.Level, s.Daemon.ID, metrics)
+	logger, err := telemetry.NewLimitedLogger(lines, s.Log.Level, s.Daemon.ID, metrics)
 	if err != nil {
 		return telemetry.Telemetry{}, err
 	}
