control/jobs: a later life on an instance ends the earlier ones

Ruled out: a slow election (0.8 s from the start of the processes). Change: starts name the instance, and a later life of its target, once it answers its agent, ends the earlier ones. TestLaterLifeOnAHostEndsTheEarlierOne fails without it.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -93,6 +93,7 @@
 // TargetReport is what an agent tells about its target.
 type TargetReport struct {
 	Life     job.Life
+	Host     string // instance of the target
 	Service  string
 	Zone     string
 	Rack     string
--- a/daemon/control/jobs/engine_test.go
+++ b/daemon/control/jobs/engine_test.go
@@ -133,7 +133,7 @@
 
 func report(seen uint64, running ...controlapi.RunReport) *controlapi.TargetReport {
 	return &controlapi.TargetReport{
-		Life: testLife, Service: "s", Zone: "z", Capacity: resource.Vector{CPUMilli: 64000}, Agent: 1,
+		Life: testLife, Host: "host", Service: "s", Zone: "z", Capacity: resource.Vector{CPUMilli: 64000}, Agent: 1,
 		Seen: seen, LeaseWanted: true, Running: running, HoldMillis: 700,
 	}
 }
@@ -245,3 +245,27 @@
 		t.Fatalf("answers %v", a.got)
 	}
 }
+
+// Guards against work that waits for the lease of a target that has ended: after
+// a loss of power its agent does not know of the earlier life either.
+func TestLaterLifeOnAHostEndsTheEarlierOne(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.placed()
+	h.restart()
+	h.lead(3, 3)
+	other := report(0)
+	other.Life, other.Host = job.Life{ID: "i-3", Born: 9}, "another host"
+	h.ask(controlapi.OpTarget, other)
+	h.pass(tickInterval)
+	if len(h.e.book.On(testLife)) != 1 {
+		t.Fatal("lost because of a target on another host")
+	}
+	later := report(0)
+	later.Life, later.Agent = job.Life{ID: "i-2", Born: 2}, 2
+	h.ask(controlapi.OpTarget, later)
+	h.pass(tickInterval)
+	if len(h.e.book.On(testLife)) != 0 {
+		t.Fatal("the tasks of the earlier life are not given up")
+	}
+}
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -188,6 +188,11 @@
 	for _, gone := range report.Gone {
 		e.lose(gone, "gone")
 	}
+	if report.LeaseWanted && report.Host != "" {
+		for _, earlier := range e.book.Superseded(report.Host, report.Life) {
+			e.lose(earlier, "a later life of its target answers")
+		}
+	}
 }
 
 // prune forgets the orders that the report takes into account.
@@ -506,6 +511,7 @@
 		}
 		targets = append(targets, &dispatch.Target{
 			Life:      s.life,
+			Host:      s.report.Host,
 			Service:   s.report.Service,
 			Zone:      s.report.Zone,
 			Rack:      s.report.Rack,
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -137,6 +137,7 @@
 // jobAgent returns the agent of one target.
 func (d *Daemon) jobAgent() (supervise.Duty, drainer, error) {
 	role := targetagent.New(targetagent.Options{
+		Host:      d.settings.Daemon.ID,
 		Target:    platform.NewTarget(d.settings.Platform.Target),
 		Control:   d.controlClient(wire.Role_ROLE_AGENT),
 		Telemetry: d.telemetry,
--- a/daemon/targetagent/runs/duty.go
+++ b/daemon/targetagent/runs/duty.go
@@ -37,6 +37,7 @@
 
 // Options configure the duty.
 type Options struct {
+	Host      string                         // this instance
 	Control   func(controlclient.Call) error // starts a call to control
 	Callers   []*ring.Ring[calls.Call]       // for starts, stops and paces
 	Watcher   *ring.Ring[calls.Call]
@@ -67,7 +68,7 @@
 // Run owns the runs until ctx ends. A new run knows nothing and learns from the
 // target and from control.
 func (d *Duty) Run(ctx context.Context) error {
-	o := newOwner(rand.Uint64(), d.options.Telemetry.Log)
+	o := newOwner(rand.Uint64(), d.options.Host, d.options.Telemetry.Log)
 	timer := time.NewTimer(idleWait)
 	defer timer.Stop()
 	for {
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -73,6 +73,7 @@
 	log *zap.Logger
 
 	agent  uint64
+	host   string
 	life   job.Life
 	told   runapi.Announcement // newest announcement of the life
 	gone   []job.Life
@@ -114,8 +115,8 @@
 	gone, reject int
 }
 
-func newOwner(agent uint64, log *zap.Logger) *owner {
-	return &owner{log: logOrNop(log), agent: agent, runs: map[job.Ref]*run{}, pacer: pacing.New()}
+func newOwner(agent uint64, host string, log *zap.Logger) *owner {
+	return &owner{log: logOrNop(log), agent: agent, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New()}
 }
 
 // announced takes an announcement of the target.
@@ -556,6 +557,7 @@
 	o.reported = reportMark{gone: len(o.gone), reject: len(o.reject)}
 	r := &controlapi.TargetReport{
 		Life:            o.life,
+		Host:            o.host,
 		Service:         o.told.Service,
 		Zone:            o.told.Zone,
 		Rack:            o.told.Rack,
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -27,7 +27,7 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{T: t, o: newOwner(1, nil), now: 100 * second}
+	h := &harness{T: t, o: newOwner(1, "host", nil), now: 100 * second}
 	h.announce(testLife, 1, false)
 	return h
 }
--- a/job/apply.go
+++ b/job/apply.go
@@ -21,6 +21,7 @@
 	Task   Ref
 	Run    int
 	Target Life
+	Host   string `json:",omitempty"` // instance of the target
 }
 
 // End is the end of a run. Number is 0 for a rejected start, which the target
@@ -144,7 +145,7 @@
 		return
 	}
 	j.Started = true
-	t.State, t.Run, t.Target = Placed, s.Run, s.Target
+	t.State, t.Run, t.Target, t.Host = Placed, s.Run, s.Target, s.Host
 	j.Occurrences[s.Task.Occurrence][s.Task.Step].Waiting--
 	b.index(s.Task, t)
 }
--- a/job/book.go
+++ b/job/book.go
@@ -27,6 +27,7 @@
 	Run        int       `json:",omitempty"` // number of the newest start
 	Failures   int       `json:",omitempty"`
 	Target     Life      `json:",omitzero"`
+	Host       string    `json:",omitempty"` // instance of the target
 	Checkpoint string    `json:",omitempty"`
 }
 
@@ -186,6 +187,24 @@
 // On returns the tasks that hold capacity on the target.
 func (b *Book) On(l Life) map[Ref]*Task { return b.byTarget[l] }
 
+// Superseded returns the earlier lives of the target on the host that tasks are
+// placed on. An instance has one target, so they have ended.
+func (b *Book) Superseded(host string, by Life) []Life {
+	var lives []Life
+	for l, tasks := range b.byTarget {
+		if l.Born >= by.Born {
+			continue
+		}
+		for _, t := range tasks {
+			if t.Host == host {
+				lives = append(lives, l)
+			}
+			break // all tasks of a life are on one host
+		}
+	}
+	return lives
+}
+
 // Lives returns the targets that tasks are placed on.
 func (b *Book) Lives() []Life {
 	lives := make([]Life, 0, len(b.byTarget))
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 // Target is what the leader knows about one life of a target.
 type Target struct {
 	Life     job.Life
+	Host     string // its instance
 	Service  string
 	Zone     string
 	Rack     string
@@ -230,7 +231,7 @@
 
 func (p *Pass) place(r *room, ref job.Ref, s *job.Step, run int) {
 	r.take(p.limits, ref, s)
-	p.starts = append(p.starts, job.Start{Task: ref, Run: run, Target: r.Life})
+	p.starts = append(p.starts, job.Start{Task: ref, Run: run, Target: r.Life, Host: r.Host})
 }
 
 // gang places all tasks of a gang or none, under one run number that none of
