control/jobs, targetagent: split the large files; drop what nothing reads

The target's tails in the dispatcher's input, a flag of runs and the metrics option were set and not read.

--- a/daemon/control/jobs/duty.go
+++ b/daemon/control/jobs/duty.go
@@ -17,7 +17,6 @@
 	"github.com/ibispier/ibispier/job/dispatch"
 	"github.com/ibispier/ibispier/lease"
 	"github.com/ibispier/ibispier/ring"
-	"github.com/ibispier/ibispier/telemetry"
 )
 
 // Error is the class of all errors of this package.
@@ -38,7 +37,6 @@
 	Bootstrap bool          // this member forms the group when none exists
 	Limits    dispatch.Limits
 	Log       *zap.Logger
-	Metrics   *telemetry.Metrics
 	// OnMembers is told the ids of the control members whenever they change. It
 	// may be nil.
 	OnMembers func(ctx context.Context, ids []string) error
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -67,7 +67,6 @@
 		Bootstrap: s.Jobs.Bootstrap && len(s.Cluster.Control) > 0 && s.Cluster.Control[0].ID == s.Daemon.ID,
 		Limits:    dispatch.DefaultLimits(),
 		Log:       d.log,
-		Metrics:   d.telemetry.Metrics,
 		OnMembers: role.EnsureMembers,
 	}, role.Inputs, role.Updates)
 	role.AddCore("jobs", duty)
--- a/daemon/targetagent/runs/duty.go
+++ b/daemon/targetagent/runs/duty.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/zeebo/errs"
-	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/bootclock"
 	"github.com/ibispier/ibispier/controlapi"
@@ -135,11 +134,3 @@
 		o.answer(now, o.token, controlapi.TargetOrders{}, Error.New("step=report: %w", err))
 	}
 }
-
-// nop is the log of an owner without one, in tests.
-func logOrNop(log *zap.Logger) *zap.Logger {
-	if log == nil {
-		return zap.NewNop()
-	}
-	return log
-}
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -58,7 +58,6 @@
 	number     int
 	state      runState
 	order      controlapi.StartOrder
-	known      bool // control has ordered it from this agent, so its kind is known
 	checkpoint string
 	level      int64
 	pace       int           // percent that was asked for
@@ -116,7 +115,7 @@
 }
 
 func newOwner(agent uint64, host string, log *zap.Logger) *owner {
-	return &owner{log: logOrNop(log), agent: agent, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New()}
+	return &owner{log: log, agent: agent, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New()}
 }
 
 // announced takes an announcement of the target.
@@ -217,7 +216,7 @@
 	}
 	r := o.runs[s.Task]
 	if r != nil && r.number == s.Run {
-		r.order, r.known = s, true
+		r.order = s
 		return
 	}
 	if r != nil && r.number > s.Run || o.hasEnded(s.Task, s.Run) {
@@ -228,12 +227,12 @@
 	}
 	if o.told.Draining {
 		// An earlier agent may have started it, so only a stop makes it certain.
-		r = &run{number: s.Run, order: s, known: true, since: now}
+		r = &run{number: s.Run, order: s, since: now}
 		o.runs[s.Task] = r
 		o.sendStop(now, s.Task, r)
 		return
 	}
-	o.runs[s.Task] = &run{number: s.Run, state: starting, order: s, known: true, checkpoint: s.Checkpoint, pace: 100, since: now}
+	o.runs[s.Task] = &run{number: s.Run, state: starting, order: s, checkpoint: s.Checkpoint, pace: 100, since: now}
 	o.calls = append(o.calls, calls.Call{
 		Kind: calls.Start, Life: o.life, Task: s.Task, Run: s.Run, ValidUntil: o.lease,
 		Start: runapi.Start{Task: s.Task, Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Lease: o.leaseOrder()},
@@ -463,63 +462,6 @@
 	return watchWait
 }
 
-// pace sets the pace of the filling tasks from the newest figures.
-func (o *owner) pace(now time.Duration) {
-	if !o.paceTurn {
-		return
-	}
-	o.paceTurn = false
-	o.serving, o.filling = o.figures()
-	if len(o.serving) > 0 && len(o.filling) > 0 {
-		o.pacer.Observe(now, o.serving, o.filling)
-	}
-	for task, r := range o.runs {
-		if !r.order.Filling || r.state != running {
-			continue
-		}
-		percent := 100
-		if len(o.serving) > 0 {
-			percent = o.pacer.Percent(r.order.Image)
-		}
-		if r.pace == percent {
-			continue
-		}
-		o.log.Debug("pace ordered", zap.Stringer("task", task), zap.Int("percent", percent), zap.Int("before", r.pace))
-		r.pace = percent
-		o.calls = append(o.calls, calls.Call{Kind: calls.Pace, Life: o.life, Task: task, Run: r.number, Percent: percent, Token: o.term})
-	}
-}
-
-// figures returns what the serving and the filling tasks have shown last.
-func (o *owner) figures() ([]pacing.Serving, []pacing.Filling) {
-	capacity := float64(o.told.Capacity.CPUMilli)
-	if capacity <= 0 {
-		return nil, nil
-	}
-	var serving []pacing.Serving
-	byImage := map[string]*pacing.Filling{}
-	for _, r := range o.runs {
-		switch {
-		case r.state != running:
-		case r.order.TailTargetMillis > 0:
-			serving = append(serving, pacing.Serving{Image: r.order.Image, Ratio: float64(r.level) / float64(r.order.TailTargetMillis)})
-		case r.order.Filling:
-			f := byImage[r.order.Image]
-			if f == nil {
-				f = &pacing.Filling{Image: r.order.Image}
-				byImage[r.order.Image] = f
-			}
-			f.Using += float64(r.level) / capacity
-			f.Full += float64(r.order.CPUMilli) / capacity
-		}
-	}
-	filling := make([]pacing.Filling, 0, len(byImage))
-	for _, f := range byImage {
-		filling = append(filling, *f)
-	}
-	return serving, filling
-}
-
 // wake returns the time until decide has something to do.
 func (o *owner) wake(now time.Duration) time.Duration {
 	next := now + idleWait
@@ -544,52 +486,3 @@
 	}
 	return next - now
 }
-
-// report puts a report together when one is due. Without anything new, one
-// report at a time waits for orders.
-func (o *owner) report(now time.Duration) {
-	due := o.dirty && now-o.sentAt >= reportGap
-	if !due && (o.pending || now < o.retryAt || now-o.sentAt < reportGap) {
-		return
-	}
-	o.token++
-	o.pending, o.dirty, o.sentAt = true, false, now
-	o.reported = reportMark{gone: len(o.gone), reject: len(o.reject)}
-	r := &controlapi.TargetReport{
-		Life:            o.life,
-		Host:            o.host,
-		Service:         o.told.Service,
-		Zone:            o.told.Zone,
-		Rack:            o.told.Rack,
-		Labels:          o.told.Labels,
-		Capacity:        o.told.Capacity,
-		Draining:        o.told.Draining,
-		RemainingMillis: o.told.RemainingMillis,
-		Agent:           o.agent,
-		Seen:            o.seen,
-		LeaseWanted:     o.answered > 0 && now-o.answered < soundFor && !o.stale,
-		Ends:            append(slices.Clone(o.ends), o.reject...),
-		Gone:            slices.Clone(o.gone),
-		HoldMillis:      reportHold.Milliseconds(),
-	}
-	for task, state := range o.runs {
-		r.Running = append(r.Running, controlapi.RunReport{
-			Task: task, Run: state.number, Checkpoint: state.checkpoint, Paused: state.order.Filling && state.pace == 0,
-		})
-	}
-	if len(o.filling) > 0 {
-		for _, s := range o.serving {
-			r.Serving = append(r.Serving, controlapi.ServingFigure(s))
-		}
-	}
-	if o.tellLearned {
-		o.tellLearned = false
-		for _, pair := range o.pacer.Learned(now) {
-			r.Learned = append(r.Learned, controlapi.PairFigure(pair))
-		}
-	}
-	for _, f := range o.filling {
-		r.Filling = append(r.Filling, controlapi.FillingFigure{Image: f.Image, Using: f.Using})
-	}
-	o.outgoing = r
-}
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/targetagent/calls"
 	"github.com/ibispier/ibispier/job"
@@ -27,7 +29,7 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{T: t, o: newOwner(1, "host", nil), now: 100 * second}
+	h := &harness{T: t, o: newOwner(1, "host", zap.NewNop()), now: 100 * second}
 	h.announce(testLife, 1, false)
 	return h
 }
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -28,9 +28,6 @@
 	// Paused names the filling tasks that may not work there now. They neither use
 	// processors nor disturb anything.
 	Paused map[job.Ref]bool
-	// Tails holds the newest tail latencies of the serving tasks, as a share of
-	// their targets, by image. It may be empty.
-	Tails map[string]float64
 }
 
 // Figures of tail latencies as shares of their targets.
