targetagent: a life has ended only once the next one has answered

Cause: a late announcement of a life that has ended, started while its clock was ahead, replaced the living one, and the agent told control that the living one had ended: its work would have run twice. Found by reading. Test: TestLateAnnouncementDoesNotEndTheLivingLife fails without the change.

--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -155,6 +155,8 @@
 	if o.life.ID != "" {
 		o.gone = append(o.gone, o.life)
 	}
+	// A life may come back after a late announcement of another one.
+	o.gone = slices.DeleteFunc(o.gone, func(l job.Life) bool { return l == a.Life })
 	o.life, o.told, o.stale = a.Life, a, false
 	o.runs, o.ends, o.reject = map[job.Ref]*run{}, nil, nil
 	o.noted, o.lease, o.answered, o.clock, o.clockAt = 0, 0, 0, 0, 0
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -212,6 +212,24 @@
 	}
 }
 
+// Guards against a late announcement of a life that has ended, with a clock that
+// was ahead, after which the work of the living one is started elsewhere.
+func TestLateAnnouncementDoesNotEndTheLivingLife(t *testing.T) {
+	h := newHarness(t)
+	h.watch(nil)
+	ended := job.Life{ID: "i-0", Born: testLife.Born + 2000}
+	h.announce(ended, 1, false)
+	h.o.result(h.now, calls.Result{Call: calls.Call{Kind: calls.Watch, Life: ended}, Sent: h.now, Err: runapi.ErrOtherLife})
+	if gone := h.report().Gone; len(gone) != 0 {
+		t.Fatalf("gone %v", gone)
+	}
+	h.announce(testLife, 2, false)
+	h.watch(nil)
+	if r := h.report(); r.Life != testLife || len(r.Gone) != 1 || r.Gone[0] != ended {
+		t.Fatalf("life %v, gone %v", r.Life, r.Gone)
+	}
+}
+
 // Guards against a late announcement of a crashed life that replaces the newer
 // one, and against a restart under the same id that goes unnoticed.
 func TestLivesOfATarget(t *testing.T) {
@@ -222,6 +240,10 @@
 	if h.o.life != newer {
 		t.Fatalf("life %v, want %v", h.o.life, newer)
 	}
+	if gone := h.report().Gone; len(gone) != 0 {
+		t.Fatalf("gone %v before the new life has answered", gone)
+	}
+	h.watch(nil)
 	if gone := h.report().Gone; len(gone) != 1 || gone[0] != testLife {
 		t.Fatalf("gone %v, want %v", gone, testLife)
 	}
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -16,7 +16,7 @@
 	}
 	o.token++
 	o.pending, o.dirty, o.sentAt = true, false, now
-	o.reported = reportMark{gone: len(o.gone), reject: len(o.reject)}
+	o.reported = reportMark{reject: len(o.reject)}
 	r := &controlapi.TargetReport{
 		Life:            o.life,
 		Host:            o.host,
@@ -31,9 +31,14 @@
 		Seen:            o.seen,
 		LeaseWanted:     o.answered > 0 && now-o.answered < soundFor && !o.stale,
 		Ends:            append(slices.Clone(o.ends), o.reject...),
-		Gone:            slices.Clone(o.gone),
 		HoldMillis:      reportHold.Milliseconds(),
 	}
+	if o.answered > 0 {
+		// The current life has answered a call, so the earlier ones have ended. An
+		// announcement alone may be late, and come from a life that has ended.
+		r.Gone = slices.Clone(o.gone)
+	}
+	o.reported.gone = len(r.Gone)
 	for task, state := range o.runs {
 		r.Running = append(r.Running, controlapi.RunReport{
 			Task: task, Run: state.number, Checkpoint: state.checkpoint, Paused: state.order.Filling && state.pace == 0,
