control/jobs, targetagent: tell an agent that has started anew what its runs are

Cause: an agent that starts anew finds the runs on its target and has no orders for them, so it knew neither which tasks serve nor which fill. Nothing was paced until those runs ended, and a filling task kept the pace that the earlier agent had set, even a pause. Change: a report marks adopted runs, control orders them again, and the agent sets the pace of a run it did not start. Tests: TestAdoptedRunsAreDescribed, TestAdoptedRunsAreDescribedAndPaced (fail without the change).

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -68,6 +68,9 @@
 	Run        int
 	Checkpoint string `json:",omitempty"`
 	Paused     bool   `json:",omitempty"` // a filling task that may not work beside the serving ones
+	// Adopted tells that the agent found the run on the target and has no order
+	// for it, so that it does not know what the task is.
+	Adopted bool `json:",omitempty"`
 }
 
 // ServingFigure is the tail latency of a serving task as a share of its target.
--- a/daemon/control/jobs/engine_test.go
+++ b/daemon/control/jobs/engine_test.go
@@ -269,3 +269,24 @@
 		t.Fatal("the tasks of the earlier life are not given up")
 	}
 }
+
+// Guards against serving tasks that are disturbed without limit after an agent
+// has started anew: it finds the runs on its target, and nothing tells it what
+// they are.
+func TestAdoptedRunsAreDescribed(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.placed()
+	task := job.Ref{Job: testJob}
+	again := report(0, controlapi.RunReport{Task: task, Run: 1, Adopted: true})
+	again.Agent = 2
+	a := h.ask(controlapi.OpTarget, again)
+	if len(a.got) != 1 || len(a.got[0].Body.(controlapi.TargetOrders).Starts) != 1 {
+		t.Fatalf("answers %v, want one with the order of the adopted run", a.got)
+	}
+	known := report(2, controlapi.RunReport{Task: task, Run: 1})
+	known.Agent = 2
+	if a := h.ask(controlapi.OpTarget, known); len(a.got) != 0 {
+		t.Fatalf("answers %v, want none for a run that the agent knows", a.got)
+	}
+}
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -62,6 +62,7 @@
 	life    job.Life
 	report  *controlapi.TargetReport // nil for a target that is only known from the log
 	runs    map[job.Ref]int          // runs in the report
+	adopted map[job.Ref]bool         // of these, the ones that the agent has no order for
 	request *applier.Request         // held answer
 	until   time.Time                // when the held answer is due
 	asked   bool                     // the answer waits for a confirmation
@@ -173,9 +174,13 @@
 	s.report, s.request, s.seenAt, s.asked = report, r, now, false
 	s.until = now.Add(time.Duration(report.HoldMillis) * time.Millisecond)
 	s.runs = make(map[job.Ref]int, len(report.Running))
+	s.adopted = map[job.Ref]bool{}
 	paused := map[job.Ref]time.Time{}
 	for _, run := range report.Running {
 		s.runs[run.Task] = run.Run
+		if run.Adopted {
+			s.adopted[run.Task] = true
+		}
 		if run.Paused {
 			paused[run.Task] = cmp.Or(s.paused[run.Task], now)
 		}
@@ -318,10 +323,11 @@
 	return false
 }
 
-// unordered reports whether the target does not know of a start in the log. A
-// start may be ordered again: a target starts a run at most once.
+// unordered reports whether the agent does not know of a start in the log. A
+// start may be ordered again: a target starts a run at most once. An agent that
+// has started anew needs the order to tell serving from filling tasks.
 func (e *engine) unordered(now time.Time, s *session, ref job.Ref, t *job.Task) bool {
-	if t.State != job.Placed || s.runs[ref] == t.Run || e.leader.settling[ref] == t.Run {
+	if t.State != job.Placed || s.runs[ref] == t.Run && !s.adopted[ref] || e.leader.settling[ref] == t.Run {
 		return false
 	}
 	return !s.started[ref].inEffect(now, t.Run)
@@ -335,7 +341,7 @@
 		}
 		j := e.book.Jobs[ref.Job]
 		step := &j.Spec.Steps[ref.Step]
-		again := e.leader.fresh[ref] != t.Run
+		again := e.leader.fresh[ref] != t.Run || s.adopted[ref]
 		delete(e.leader.fresh, ref)
 		s.started[ref] = sent{run: t.Run, number: s.number, at: now}
 		orders = append(orders, controlapi.StartOrder{
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -60,7 +60,8 @@
 	order      controlapi.StartOrder
 	checkpoint string
 	level      int64
-	pace       int           // percent that was asked for
+	adopted    bool          // found on the target; order is empty
+	pace       int           // percent that was asked for, or paceUnknown
 	since      time.Duration // of the state
 	stopSent   time.Duration
 	stopped    time.Duration // answer to the stop; 0 without one
@@ -218,7 +219,7 @@
 	}
 	r := o.runs[s.Task]
 	if r != nil && r.number == s.Run {
-		r.order = s
+		r.order, r.adopted = s, false
 		return
 	}
 	if r != nil && r.number > s.Run || o.hasEnded(s.Task, s.Run) {
@@ -297,7 +298,7 @@
 		}
 	case calls.Pace:
 		if state := o.runs[r.Task]; state != nil && state.number == r.Run && r.Err != nil {
-			state.pace = -1 // sent again with the next decision
+			state.pace = paceUnknown // sent again with the next decision
 		}
 	}
 }
@@ -389,7 +390,8 @@
 			if o.hasEnded(s.Task, s.Run) {
 				continue
 			}
-			r = &run{number: s.Run, state: running, since: now, pace: 100}
+			// An earlier agent may have set any pace.
+			r = &run{number: s.Run, state: running, since: now, pace: paceUnknown, adopted: true}
 			o.runs[s.Task] = r
 			o.dirty = true
 		}
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -256,3 +256,27 @@
 		t.Fatalf("life %v, want %v", h.o.life, reborn)
 	}
 }
+
+// Guards against an agent that starts anew, does not know what the runs on its
+// target are, and leaves a filling task at the pace that an earlier agent set.
+func TestAdoptedRunsAreDescribedAndPaced(t *testing.T) {
+	h := newHarness(t)
+	found := []runapi.Run{{Task: testTask, Run: 1}}
+	h.watch(found)
+	if r := h.report(); len(r.Running) != 1 || !r.Running[0].Adopted {
+		t.Fatalf("report %+v, want an adopted run", r)
+	}
+	orders := start(true)
+	orders.Starts[0].Filling, orders.Starts[0].Image = true, "f"
+	h.orders(orders)
+	if len(h.take(calls.Start)) > 0 {
+		t.Fatal("started again")
+	}
+	if r := h.report(); r.Running[0].Adopted {
+		t.Fatal("still reported as adopted")
+	}
+	h.watch(found)
+	if paces := h.take(calls.Pace); len(paces) != 1 || paces[0].Percent != 100 {
+		t.Fatalf("paces %v, want one that sets the pace", paces)
+	}
+}
--- a/daemon/targetagent/runs/pace.go
+++ b/daemon/targetagent/runs/pace.go
@@ -9,6 +9,9 @@
 	"github.com/ibispier/ibispier/pacing"
 )
 
+// paceUnknown is the pace of a run until the target has confirmed one.
+const paceUnknown = -1
+
 // pace sets the pace of the filling tasks from the newest figures.
 func (o *owner) pace(now time.Duration) {
 	if !o.paceTurn {
