pacing, dispatch: reckon disturbance in the logarithm of the tail

Cause: filling work waited or was paused although most pairs of images do no harm. The pacer took the tail as linear in the work beside it. Change: a Kalman filter for each serving image estimates the undisturbed headroom of its jobs and the coefficients together; agents tell the leader what they learn, and it weighs them by precision. Filling tasks start only where they expect at least 0.8 of their pace, never where their image is paused. Serving tasks of one image share targets, and a fifth of the targets is left without serving tasks while there is room elsewhere. Tests: the pair that TestFillingTasksKeepOffDisturbedTargets uses is now given as a coefficient in the new unit; the bounds of the pacing tests stand. New tests for the filter, the combined estimates, the mix of images, quiet targets.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -73,24 +73,25 @@
 	Adopted bool `json:",omitempty"`
 }
 
-// ServingFigure is the tail latency of a serving task as a share of its target.
+// ServingFigure is the headroom that a serving image has when undisturbed: the
+// logarithm of its tail target over its tail latency, of the job that has least.
 type ServingFigure struct {
-	Image string
-	Ratio float64
+	Image    string
+	Headroom float64
 }
 
-// FillingFigure is the processor time that the filling tasks of an image use, as
-// a share of the target's.
-type FillingFigure struct {
-	Image string
-	Using float64
+// Disturbance is how much headroom a filling image takes from a serving image
+// when it works on a whole target.
+type Disturbance struct {
+	Coefficient float64
+	Deviation   float64 // standard deviation of the coefficient
 }
 
 // PairFigure is what an agent has learned about a filling and a serving image.
 type PairFigure struct {
-	Filling     string
-	Serving     string
-	Coefficient float64
+	Filling string
+	Serving string
+	Disturbance
 }
 
 // TargetReport is what an agent tells about its target.
@@ -104,11 +105,10 @@
 	Capacity resource.Vector
 	Draining bool
 	// RemainingMillis is the least time that a draining target stays.
-	RemainingMillis int64 `json:",omitempty"`
-	// Serving and Filling are the newest figures of a target that has both.
-	Serving []ServingFigure `json:",omitempty"`
-	Filling []FillingFigure `json:",omitempty"`
-	// Learned is sent to a leader that is new to the agent.
+	RemainingMillis int64           `json:",omitempty"`
+	Serving         []ServingFigure `json:",omitempty"`
+	// Learned is what has changed since the last report, and everything for a
+	// leader that is new to the agent.
 	Learned []PairFigure `json:",omitempty"`
 
 	Agent uint64 // chosen at random at the start of the agent
@@ -135,7 +135,7 @@
 	Image            string `json:",omitempty"`
 	TailTargetMillis int64  `json:",omitempty"`
 	// Disturbs is what is known about a filling image, by serving image.
-	Disturbs map[string]float64 `json:",omitempty"`
+	Disturbs map[string]Disturbance `json:",omitempty"`
 }
 
 // StopOrder asks the agent to stop a run.
--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -55,7 +55,7 @@
 	starts := dispatch.Run(dispatch.Input{
 		Book:     e.book,
 		Targets:  e.targets(now),
-		Disturbs: e.leader.estimate,
+		Disturbs: e.leader.disturbs.estimate,
 		Now:      time.Now(),
 		Idle:     e.leader.idleJobs(now, e.book),
 		Limits:   e.options.Limits,
@@ -119,6 +119,7 @@
 			Capacity:  s.report.Capacity,
 			Startable: e.startable(now, s),
 			Paused:    s.pausedTasks(),
+			Headroom:  s.headroom(),
 		})
 	}
 	return targets
--- a/daemon/control/jobs/disturbance.go
+++ b/daemon/control/jobs/disturbance.go
@@ -1,80 +1,97 @@
 package jobs
 
 import (
-	"time"
+	"math"
 
-	"github.com/ibispier/ibispier/interference"
+	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/job"
-	"github.com/ibispier/ibispier/job/dispatch"
+	"github.com/ibispier/ibispier/pacing"
 )
 
-// learnInterval separates the figures of one target. They cover half a second.
-const learnInterval = 400 * time.Millisecond
+// pair is a serving and a filling image.
+type pair struct{ serving, filling string }
 
-// learn takes the figures of a report into the model of the whole service.
-func (l *leadership) learn(s *session) {
-	for _, f := range s.report.Learned {
-		l.hints[pair{f.Serving, f.Filling}] = f.Coefficient
-		l.images[f.Serving] = true
-	}
-	s.tails = map[string]float64{}
-	for _, f := range s.report.Serving {
-		s.tails[f.Image] = max(s.tails[f.Image], f.Ratio)
-		l.images[f.Image] = true
-	}
-	if s.seenAt.Sub(s.learned) < learnInterval {
-		return
+// disturbances combine what the agents have learned about pairs of images. Each
+// agent counts by the precision of its estimate.
+type disturbances struct {
+	images map[string]bool // serving images that were seen
+	pairs  map[pair]*pairSum
+}
+
+// pairSum is the sum over the agents that know a pair.
+type pairSum struct {
+	byHost   map[string]controlapi.Disturbance
+	weight   float64 // sum of 1/variance
+	weighted float64 // sum of coefficient/variance
+}
+
+func newDisturbances() *disturbances {
+	return &disturbances{images: map[string]bool{}, pairs: map[pair]*pairSum{}}
+}
+
+// leastDeviation bounds the weight of one agent.
+const leastDeviation = 0.1
+
+// learn takes what an agent has learned.
+func (d *disturbances) learn(host string, serving []controlapi.ServingFigure, learned []controlapi.PairFigure) {
+	for _, f := range serving {
+		d.images[f.Image] = true
 	}
-	s.learned = s.seenAt
-	var neighbours []interference.Resident
-	for _, f := range s.report.Filling {
-		if f.Using > 0 {
-			neighbours = append(neighbours, interference.Resident{Class: f.Image, Intensity: f.Using})
+	for _, f := range learned {
+		d.images[f.Serving] = true
+		key := pair{f.Serving, f.Filling}
+		sum := d.pairs[key]
+		if sum == nil {
+			sum = &pairSum{byHost: map[string]controlapi.Disturbance{}}
+			d.pairs[key] = sum
 		}
+		sum.set(host, f.Disturbance)
 	}
-	if len(neighbours) == 0 {
-		return
-	}
-	for image, ratio := range s.tails {
-		l.model.Observe(interference.Observation{
-			Victim:     image,
-			Slowdown:   1 + max(min(ratio, dispatch.MaxTail)-dispatch.QuietTail, 0),
-			Neighbours: neighbours,
-			MeasuredAt: s.seenAt,
-		})
+}
+
+func (s *pairSum) set(host string, d controlapi.Disturbance) {
+	if before, known := s.byHost[host]; known {
+		s.add(before, -1)
 	}
+	d.Deviation = max(d.Deviation, leastDeviation)
+	s.byHost[host] = d
+	s.add(d, 1)
 }
 
-// pair is a serving and a filling image.
-type pair struct{ serving, filling string }
+func (s *pairSum) add(d controlapi.Disturbance, sign float64) {
+	weight := sign / (d.Deviation * d.Deviation)
+	s.weight += weight
+	s.weighted += weight * d.Coefficient
+}
 
-// estimate returns what is known about a pair: what this leader has seen, or
-// what an agent has learned before.
-func (l *leadership) estimate(serving, filling string) interference.Estimate {
-	e := l.model.Pair(serving, filling, time.Time{})
-	if hint, known := l.hints[pair{serving, filling}]; known && e.Deviation >= knownDeviation {
-		return interference.Estimate{Coefficient: hint, Deviation: hintDeviation}
+// estimate returns what is known about a pair.
+func (d *disturbances) estimate(serving, filling string) pacing.Estimate {
+	sum := d.pairs[pair{serving, filling}]
+	if sum == nil || sum.weight <= 0 {
+		return pacing.Unknown
 	}
-	return e
+	return pacing.Estimate{Coefficient: sum.weighted / sum.weight, Deviation: math.Sqrt(1 / sum.weight)}
 }
 
-// disturbs returns what is known about a filling image.
-func (l *leadership) disturbs(s *job.Step) map[string]float64 {
-	if !s.Filling || len(l.images) == 0 {
+// of returns what is known about a filling image.
+func (d *disturbances) of(s *job.Step) map[string]controlapi.Disturbance {
+	if !s.Filling || len(d.images) == 0 {
 		return nil
 	}
-	known := map[string]float64{}
-	for image := range l.images {
-		if e := l.estimate(image, s.Image); e.Deviation < knownDeviation {
-			known[image] = e.Coefficient
+	known := map[string]controlapi.Disturbance{}
+	for image := range d.images {
+		if e := d.estimate(image, s.Image); e != pacing.Unknown {
+			known[image] = controlapi.Disturbance(e)
 		}
 	}
 	return known
 }
 
-const (
-	// knownDeviation is the deviation below which an estimate is worth telling.
-	knownDeviation = 2.0
-	// hintDeviation is that of an estimate of one agent.
-	hintDeviation = 1.5
-)
+// headroom returns the undisturbed headroom by serving image.
+func (s *session) headroom() map[string]float64 {
+	headroom := make(map[string]float64, len(s.report.Serving))
+	for _, f := range s.report.Serving {
+		headroom[f.Image] = f.Headroom
+	}
+	return headroom
+}
--- /dev/null
+++ b/daemon/control/jobs/disturbance_test.go
@@ -0,0 +1,42 @@
+package jobs
+
+import (
+	"math"
+	"testing"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/pacing"
+)
+
+func learned(coefficient, deviation float64) []controlapi.PairFigure {
+	return []controlapi.PairFigure{{
+		Filling: "f", Serving: "s", Disturbance: controlapi.Disturbance{Coefficient: coefficient, Deviation: deviation},
+	}}
+}
+
+// Guards against an agent that counts once for each report, and against an agent
+// that knows little and outweighs one that knows much.
+func TestDisturbancesWeighAgentsByPrecision(t *testing.T) {
+	d := newDisturbances()
+	if d.estimate("s", "f") != pacing.Unknown {
+		t.Error("a pair that nobody knows has an estimate of its own")
+	}
+	for range 5 {
+		d.learn("a", nil, learned(8, 2))
+	}
+	d.learn("b", nil, learned(2, 0.5))
+	e := d.estimate("s", "f")
+	if want := (8.0/4 + 2.0/0.25) / (1.0/4 + 1.0/0.25); math.Abs(e.Coefficient-want) > 1e-9 {
+		t.Errorf("coefficient %.3f, want %.3f", e.Coefficient, want)
+	}
+	if e.Deviation >= 0.5 {
+		t.Errorf("deviation %.2f, want less than that of either agent", e.Deviation)
+	}
+	if got := d.of(&job.Step{Filling: true, Image: "f"}); len(got) != 1 || got["s"].Coefficient != e.Coefficient {
+		t.Errorf("told %v", got)
+	}
+	if got := d.of(&job.Step{Image: "f"}); got != nil {
+		t.Errorf("told %v about a step that does not fill", got)
+	}
+}
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -10,10 +10,8 @@
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/control/applier"
 	"github.com/ibispier/ibispier/daemon/control/readindex"
-	"github.com/ibispier/ibispier/interference"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/lease"
-	"github.com/ibispier/ibispier/pacing"
 )
 
 const (
@@ -50,9 +48,7 @@
 	over      map[string]time.Time // jobs that are over, by when this leader saw it
 	starting  bool                 // starts are proposed
 	dirty     bool                 // something has changed since the last dispatch
-	model     *interference.Model  // how much filling images disturb serving ones
-	images    map[string]bool      // serving images that were seen
-	hints     map[pair]float64     // what agents had learned under earlier leaders
+	disturbs  *disturbances        // how much filling images disturb serving ones
 	idleSince map[string]time.Time // jobs with ready tasks and nothing placed
 	noted     time.Time            // last log line about the occupancy
 }
@@ -75,9 +71,7 @@
 	stopped map[job.Ref]sent
 	paused  map[job.Ref]time.Time // filling tasks that may not work, by since when
 
-	tails       map[string]float64 // worst tail ratio by serving image
-	learned     time.Time          // last figures that were learned from
-	streak      int                // failed runs since the last one that was done
+	streak      int // failed runs since the last one that was done
 	suspensions int
 	suspended   time.Time // no starts before
 }
@@ -103,9 +97,7 @@
 		fresh:    map[job.Ref]int{},
 		losing:   map[job.Life]bool{},
 		over:     map[string]time.Time{},
-		model:    interference.NewModel(pacing.ModelOptions()),
-		images:   map[string]bool{},
-		hints:    map[pair]float64{},
+		disturbs: newDisturbances(),
 	}
 }
 
@@ -186,7 +178,7 @@
 		}
 	}
 	s.paused = paused
-	e.leader.learn(s)
+	e.leader.disturbs.learn(report.Host, report.Serving, report.Learned)
 	s.prune(report.Seen)
 	e.takeEnds(s)
 	for _, gone := range report.Gone {
@@ -354,7 +346,7 @@
 			CPUMilli:         step.Need.CPUMilli,
 			Image:            step.Image,
 			TailTargetMillis: step.TailTargetMillis,
-			Disturbs:         e.leader.disturbs(step),
+			Disturbs:         e.leader.disturbs.of(step),
 		})
 	}
 	return orders
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -95,8 +95,10 @@
 	serving  []pacing.Serving // newest figures
 	filling  []pacing.Filling
 	paceTurn bool // figures have arrived since the last decision about the pace
+	paceDue  bool // a filling task has started since
 
-	tellLearned bool // the leader is new
+	tellLearned bool                          // the leader is new
+	taught      map[[2]string]pacing.Estimate // told to the leader, by serving and filling image
 
 	token    uint64 // of the newest report
 	pending  bool   // the newest report has no answer
@@ -116,7 +118,7 @@
 }
 
 func newOwner(agent uint64, host string, log *zap.Logger) *owner {
-	return &owner{log: log, agent: agent, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New()}
+	return &owner{log: log, agent: agent, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New(), taught: map[[2]string]pacing.Estimate{}}
 }
 
 // announced takes an announcement of the target.
@@ -162,6 +164,7 @@
 	o.runs, o.ends, o.reject = map[job.Ref]*run{}, nil, nil
 	o.noted, o.lease, o.answered, o.clock, o.clockAt = 0, 0, 0, 0, 0
 	o.pacer = pacing.New()
+	clear(o.taught)
 	o.watching, o.watchAt = false, now
 	o.dirty = true
 }
@@ -214,12 +217,13 @@
 
 // start carries out an order to start, at most once for each run.
 func (o *owner) start(now time.Duration, s controlapi.StartOrder) {
-	for serving, coefficient := range s.Disturbs {
-		o.pacer.Hint(s.Image, serving, coefficient)
+	for serving, d := range s.Disturbs {
+		o.pacer.Hint(s.Image, serving, pacing.Estimate(d))
 	}
 	r := o.runs[s.Task]
 	if r != nil && r.number == s.Run {
 		r.order, r.adopted = s, false
+		o.paceDue = true
 		return
 	}
 	if r != nil && r.number > s.Run || o.hasEnded(s.Task, s.Run) {
@@ -312,6 +316,7 @@
 	switch {
 	case r.Err == nil:
 		state.state, state.since = running, now
+		o.paceDue = o.paceDue || state.order.Filling
 	case errors.As(r.Err, &refused) && refused.Reason == runapi.ReasonFenced:
 		// A newer leader has ordered something here and decides about the run.
 		delete(o.runs, r.Task)
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -268,15 +268,12 @@
 	}
 	orders := start(true)
 	orders.Starts[0].Filling, orders.Starts[0].Image = true, "f"
+	h.take(calls.Watch)
 	h.orders(orders)
-	if len(h.take(calls.Start)) > 0 {
-		t.Fatal("started again")
+	if len(h.o.calls) != 1 || h.o.calls[0].Kind != calls.Pace || h.o.calls[0].Percent != 100 {
+		t.Fatalf("calls %v, want one that sets the pace and no start", h.o.calls)
 	}
 	if r := h.report(); r.Running[0].Adopted {
 		t.Fatal("still reported as adopted")
 	}
-	h.watch(found)
-	if paces := h.take(calls.Pace); len(paces) != 1 || paces[0].Percent != 100 {
-		t.Fatalf("paces %v, want one that sets the pace", paces)
-	}
 }
--- a/daemon/targetagent/runs/pace.go
+++ b/daemon/targetagent/runs/pace.go
@@ -6,39 +6,46 @@
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/daemon/targetagent/calls"
+	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/pacing"
 )
 
 // paceUnknown is the pace of a run until the target has confirmed one.
 const paceUnknown = -1
 
-// pace sets the pace of the filling tasks from the newest figures.
+// pace learns from new figures and sets the pace of the filling tasks. A task
+// that has just started gets its pace without waiting for figures.
 func (o *owner) pace(now time.Duration) {
-	if !o.paceTurn {
+	if !o.paceTurn && !o.paceDue {
 		return
 	}
-	o.paceTurn = false
 	o.serving, o.filling = o.figures()
-	if len(o.serving) > 0 && len(o.filling) > 0 {
+	if o.paceTurn {
 		o.pacer.Observe(now, o.serving, o.filling)
 	}
+	o.paceTurn, o.paceDue = false, false
+	o.pacer.Decide(now, o.filling)
 	for task, r := range o.runs {
-		if !r.order.Filling || r.state != running {
-			continue
+		if r.order.Filling && r.state == running {
+			o.setPace(task, r)
 		}
-		percent := 100
-		if len(o.serving) > 0 {
-			percent = o.pacer.Percent(r.order.Image)
-		}
-		if r.pace == percent {
-			continue
-		}
-		o.log.Debug("pace ordered", zap.Stringer("task", task), zap.Int("percent", percent), zap.Int("before", r.pace))
-		r.pace = percent
-		o.calls = append(o.calls, calls.Call{Kind: calls.Pace, Life: o.life, Task: task, Run: r.number, Percent: percent, Token: o.term})
 	}
 }
 
+// setPace orders the pace of a filling task when it differs from the last one.
+func (o *owner) setPace(task job.Ref, r *run) {
+	percent := 100
+	if len(o.serving) > 0 {
+		percent = o.pacer.Percent(r.order.Image)
+	}
+	if r.pace == percent {
+		return
+	}
+	o.log.Debug("pace ordered", zap.Stringer("task", task), zap.Int("percent", percent), zap.Int("before", r.pace))
+	r.pace = percent
+	o.calls = append(o.calls, calls.Call{Kind: calls.Pace, Life: o.life, Task: task, Run: r.number, Percent: percent, Token: o.term})
+}
+
 // figures returns what the serving and the filling tasks have shown last.
 func (o *owner) figures() ([]pacing.Serving, []pacing.Filling) {
 	capacity := float64(o.told.Capacity.CPUMilli)
@@ -47,11 +54,14 @@
 	}
 	var serving []pacing.Serving
 	byImage := map[string]*pacing.Filling{}
-	for _, r := range o.runs {
+	for task, r := range o.runs {
 		switch {
 		case r.state != running:
 		case r.order.TailTargetMillis > 0:
-			serving = append(serving, pacing.Serving{Image: r.order.Image, Ratio: float64(r.level) / float64(r.order.TailTargetMillis)})
+			if r.level > 0 {
+				ratio := float64(r.level) / float64(r.order.TailTargetMillis)
+				serving = append(serving, pacing.Serving{Task: task.String(), Job: task.Job, Image: r.order.Image, Ratio: ratio})
+			}
 		case r.order.Filling:
 			f := byImage[r.order.Image]
 			if f == nil {
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -45,19 +46,37 @@
 			Adopted: state.adopted,
 		})
 	}
-	if len(o.filling) > 0 {
-		for _, s := range o.serving {
-			r.Serving = append(r.Serving, controlapi.ServingFigure(s))
-		}
+	for _, q := range o.pacer.Quiet() {
+		r.Serving = append(r.Serving, controlapi.ServingFigure(q))
 	}
+	r.Learned = o.learned()
+	o.outgoing = r
+}
+
+const (
+	// tellChange and tellPrecision are the changes of an estimate that are worth
+	// telling: by this much, or to this share of its deviation.
+	tellChange    = 0.3
+	tellPrecision = 0.8
+)
+
+// learned returns the pairs whose estimates have changed since they were told.
+func (o *owner) learned() []controlapi.PairFigure {
 	if o.tellLearned {
 		o.tellLearned = false
-		for _, pair := range o.pacer.Learned(now) {
-			r.Learned = append(r.Learned, controlapi.PairFigure(pair))
-		}
+		clear(o.taught)
 	}
-	for _, f := range o.filling {
-		r.Filling = append(r.Filling, controlapi.FillingFigure{Image: f.Image, Using: f.Using})
+	var changed []controlapi.PairFigure
+	for _, p := range o.pacer.Pairs() {
+		key := [2]string{p.Serving, p.Filling}
+		last, known := o.taught[key]
+		if known && math.Abs(p.Coefficient-last.Coefficient) < tellChange && p.Deviation > tellPrecision*last.Deviation {
+			continue
+		}
+		o.taught[key] = p.Estimate
+		changed = append(changed, controlapi.PairFigure{
+			Filling: p.Filling, Serving: p.Serving, Disturbance: controlapi.Disturbance(p.Estimate),
+		})
 	}
-	o.outgoing = r
+	return changed
 }
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -8,8 +8,8 @@
 	"sort"
 	"time"
 
-	"github.com/ibispier/ibispier/interference"
 	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/pacing"
 	"github.com/ibispier/ibispier/resource"
 )
 
@@ -28,16 +28,11 @@
 	// Paused names the filling tasks that may not work there now. They neither use
 	// processors nor disturb anything.
 	Paused map[job.Ref]bool
+	// Headroom is the logarithm of the tail target over the undisturbed tail, by
+	// serving image. An image that is missing has no figures yet.
+	Headroom map[string]float64
 }
 
-// Figures of tail latencies as shares of their targets.
-const (
-	// QuietTail is that of an undisturbed serving task at its usual load.
-	QuietTail = 0.35
-	// MaxTail bounds a figure, so that one extreme does not outweigh all others.
-	MaxTail = 6.0
-)
-
 // Limits are the thresholds of the policy.
 type Limits struct {
 	// ServingShare is the share of its reserved processor time that a serving
@@ -46,9 +41,11 @@
 	// FillShare is the share of the idle processor time that filling tasks may
 	// ask for. Above 1 they slow each other down.
 	FillShare float64
-	// TailLimit is the tail, as a share of its target, up to which filling tasks
-	// may be placed beside a serving task.
-	TailLimit float64
+	// LeastPace is the expected pace below which a filling task rather waits.
+	LeastPace float64
+	// QuietShare is the share of the targets that serving tasks leave to filling
+	// tasks as long as there is room elsewhere.
+	QuietShare float64
 	// Caution is how many standard deviations an estimate of disturbance is
 	// raised by.
 	Caution float64
@@ -61,7 +58,7 @@
 
 // DefaultLimits returns the limits of a deployment.
 func DefaultLimits() Limits {
-	return Limits{ServingShare: 0.55, FillShare: 1.0, TailLimit: 1.0, Caution: 0.15, PlentyShare: 0.7, MaxStarts: 400}
+	return Limits{ServingShare: 0.55, FillShare: 1.0, LeastPace: 0.8, QuietShare: 0.2, Caution: 0.3, PlentyShare: 0.7, MaxStarts: 400}
 }
 
 // room is the state of a target during a pass.
@@ -71,6 +68,7 @@
 	idleCPU int64              // processor time that filling tasks may still ask for
 	serving map[string]int     // serving tasks by image
 	filling map[string]float64 // share of the processors that filling tasks ask for, by image
+	paused  map[string]bool    // filling images that may not work there now
 	perStep map[stepKey]int    // tasks of a step, for the limit per target
 }
 
@@ -84,7 +82,7 @@
 type Pass struct {
 	limits   Limits
 	book     *job.Book
-	disturbs func(serving, filling string) interference.Estimate
+	disturbs func(serving, filling string) pacing.Estimate
 	rooms    []*room
 	now      time.Time // of day
 	idle     map[string]bool
@@ -96,9 +94,9 @@
 type Input struct {
 	Book    *job.Book
 	Targets []*Target
-	// Disturbs estimates how much a filling image that uses a whole target raises
-	// the tail of a serving image, as a share of its target.
-	Disturbs func(serving, filling string) interference.Estimate
+	// Disturbs estimates how much headroom a filling image that uses a whole
+	// target takes from a serving image.
+	Disturbs func(serving, filling string) pacing.Estimate
 	Now      time.Time // of day; only deadlines and jobs with times depend on it
 	// Idle names the jobs that have had ready tasks and nothing at work for a
 	// while. They get one start each where room is plentiful.
@@ -149,12 +147,13 @@
 }
 
 func (p *Pass) newRoom(t *Target) *room {
-	r := &room{Target: t, free: t.Capacity, perStep: map[stepKey]int{}, serving: map[string]int{}, filling: map[string]float64{}}
+	r := &room{Target: t, free: t.Capacity, perStep: map[stepKey]int{}, serving: map[string]int{}, filling: map[string]float64{}, paused: map[string]bool{}}
 	r.idleCPU = t.Capacity.CPUMilli
 	for ref := range p.book.On(t.Life) {
 		step := &p.book.Jobs[ref.Job].Spec.Steps[ref.Step]
 		if t.Paused[ref] {
 			r.free = r.free.Sub(step.Reserved())
+			r.paused[step.Image] = true
 			continue
 		}
 		r.take(p.limits, ref, step)
--- a/job/dispatch/dispatch_test.go
+++ b/job/dispatch/dispatch_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/ibispier/ibispier/interference"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/pacing"
 	"github.com/ibispier/ibispier/resource"
@@ -17,12 +16,12 @@
 type world struct {
 	book    *job.Book
 	targets []*Target
-	model   *interference.Model
+	harm    map[string]float64 // coefficients by filling image
 	jobs    int
 }
 
 func newWorld(targets int) *world {
-	w := &world{book: job.NewBook(), model: interference.NewModel(pacing.ModelOptions())}
+	w := &world{book: job.NewBook(), harm: map[string]float64{}}
 	for i := range targets {
 		w.targets = append(w.targets, &Target{
 			Life: job.Life{ID: fmt.Sprintf("t%02d", i), Born: 1}, Service: "s", Zone: "z", Rack: fmt.Sprintf("r%d", i/2),
@@ -51,8 +50,11 @@
 	return Run(in)
 }
 
-func (w *world) disturbs(serving, filling string) interference.Estimate {
-	return w.model.Pair(serving, filling, noon)
+func (w *world) disturbs(_, filling string) pacing.Estimate {
+	if harm, known := w.harm[filling]; known {
+		return pacing.Estimate{Coefficient: harm}
+	}
+	return pacing.Unknown
 }
 
 func cores(n int64) resource.Vector { return resource.Vector{CPUMilli: n * 1000, MemoryMiB: 1000} }
@@ -152,10 +154,7 @@
 	w := newWorld(1)
 	w.submit(0, 0, serve(2))
 	w.book.Apply(&job.Command{Starts: w.run()})
-	for i := range 20 {
-		w.model.Observe(interference.Observation{Victim: "s", Slowdown: 3,
-			Neighbours: []interference.Resident{{Class: "f", Intensity: 0.1}}, MeasuredAt: noon.Add(time.Duration(i) * time.Second)})
-	}
+	w.harm["f"] = 30 // a single task multiplies the tail by 27
 	id := w.submit(2, 0, fill(4))
 	if starts := w.run(); len(starts) != 0 {
 		t.Fatalf("%d filling tasks beside a serving task that they disturb", len(starts))
@@ -164,3 +163,75 @@
 		t.Fatalf("%d starts for an idle job with plenty of room, want 1", len(starts))
 	}
 }
+
+// Guards against serving images that are mixed on targets although there is room
+// apart, after which hardly any filling image suits a target.
+func TestServingImagesStayApart(t *testing.T) {
+	w := newWorld(10)
+	for _, image := range []string{"a", "b", "a", "b"} {
+		step := serve(4)
+		step.Image = image
+		w.submit(0, 0, step)
+		w.book.Apply(&job.Command{Starts: w.run()})
+	}
+	images := map[string]map[string]bool{}
+	for _, target := range w.targets {
+		images[target.Life.ID] = map[string]bool{}
+		for ref := range w.book.On(target.Life) {
+			images[target.Life.ID][w.book.Jobs[ref.Job].Spec.Steps[0].Image] = true
+		}
+	}
+	used := 0
+	for id, served := range images {
+		if len(served) > 1 {
+			t.Errorf("%s serves %d images", id, len(served))
+		}
+		used += len(served)
+	}
+	if used > 4 {
+		t.Errorf("%d targets serve 16 tasks that fit on 4", used)
+	}
+}
+
+// Guards against serving tasks that take the last targets on which filling tasks
+// disturb nothing, and against ones that wait although only those have room.
+func TestSomeTargetsStayQuiet(t *testing.T) {
+	w := newWorld(10)
+	for i := range 9 {
+		step := serve(4)
+		step.Image = fmt.Sprintf("image-%d", i)
+		step.Need = cores(8)
+		w.submit(0, 0, step)
+	}
+	w.book.Apply(&job.Command{Starts: w.run()})
+	quiet := 0
+	for _, target := range w.targets {
+		if len(w.book.On(target.Life)) == 0 {
+			quiet++
+		}
+	}
+	if quiet != 2 {
+		t.Errorf("%d targets without serving tasks, want a fifth of 10", quiet)
+	}
+	w.submit(0, 0, serve(20))
+	if starts := w.run(); len(starts) != 20 {
+		t.Errorf("%d of 20 serving tasks start", len(starts))
+	}
+}
+
+// Guards against filling tasks that pile up on a target where tasks of their
+// image are paused, and so use nothing.
+func TestNoFurtherTasksWhereTheImageIsPaused(t *testing.T) {
+	w := newWorld(1)
+	w.submit(2, 0, fill(1))
+	starts := w.run()
+	if len(starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(starts))
+	}
+	w.book.Apply(&job.Command{Starts: starts})
+	w.targets[0].Paused = map[job.Ref]bool{starts[0].Task: true}
+	w.submit(2, 0, fill(3))
+	if starts := w.run(); len(starts) != 0 {
+		t.Errorf("%d tasks of a paused image start there", len(starts))
+	}
+}
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/pacing"
 )
 
 // passes reports whether the task may start on the target now.
@@ -38,24 +39,30 @@
 	return float64(r.idleCPU)*p.limits.FillShare >= float64(s.Need.CPUMilli)
 }
 
-// keepsTails keeps filling tasks from targets whose serving tasks they are
-// expected to push over their tail target.
+// keepsTails keeps filling tasks from targets whose serving tasks would leave
+// them little more than a pause. A slow task holds up the rest of its job.
 func (p *Pass) keepsTails(r *room, s *job.Step) bool {
-	return !s.Filling || p.worstTail(r, s) <= p.limits.TailLimit
+	return !s.Filling || !r.paused[s.Image] && p.pace(r, s) >= p.limits.LeastPace
 }
 
-// worstTail returns the highest tail expected among the serving tasks once the
-// filling task works beside them, as a share of its target.
-func (p *Pass) worstTail(r *room, s *job.Step) float64 {
-	worst := 0.0
+// pace returns the pace that the serving tasks are expected to leave to the
+// filling task once it works beside them, at most 1.
+func (p *Pass) pace(r *room, s *job.Step) float64 {
+	pace := 1.0
 	for image := range r.serving {
-		tail := QuietTail + p.coefficient(image, s.Image)*r.share(s)
+		headroom, known := r.Headroom[image]
+		if !known {
+			headroom = pacing.QuietHeadroom
+		}
+		lost := p.coefficient(image, s.Image) * r.share(s)
 		for filling, share := range r.filling {
-			tail += p.coefficient(image, filling) * share
+			lost += p.coefficient(image, filling) * share
+		}
+		if lost > 0 {
+			pace = min(pace, (headroom-pacing.TargetHeadroom)/(pacing.EffectMargin*lost))
 		}
-		worst = max(worst, tail)
 	}
-	return worst
+	return pace
 }
 
 // coefficient returns what a pair is assumed to do. A pair that is not known
--- /dev/null
+++ b/pacing/filter_test.go
@@ -0,0 +1,76 @@
+package pacing
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// play feeds a filter with the figures of two jobs whose loads swing apart, beside
+// two filling images that come and go.
+func play(t *testing.T, f *filter, seed uint64, coefficients map[string]float64) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 1))
+	working := map[string]float64{}
+	now := time.Duration(0)
+	for i := range 300 {
+		now += 400 * time.Millisecond
+		for image := range coefficients {
+			f.grow(imageKey(image), priorCoefficient, priorDeviation)
+			if random.IntN(5) == 0 {
+				working[image] = 0.2 * random.Float64() * float64(random.IntN(2))
+			}
+		}
+		f.predict(now)
+		for n, job := range []string{"x", "y"} {
+			if f.means[jobKey(job)] == 0 {
+				f.means[jobKey(job)] = QuietHeadroom
+				f.grow(jobKey(job), QuietHeadroom, loadDeviation)
+			}
+			headroom := 0.9 + 0.6*math.Sin(2*math.Pi*(float64(i)*0.4/20+float64(n)/3)) + 0.15*random.NormFloat64()
+			for image, share := range working {
+				headroom -= coefficients[image] * share
+			}
+			f.observe(job, working, headroom)
+		}
+	}
+}
+
+// Guards against an estimate that takes the load of the serving tasks for the
+// effect of filling tasks, or explains any effect by the load.
+func TestFilterTellsLoadFromDisturbance(t *testing.T) {
+	coefficients := map[string]float64{"harmless": 0.2, "harmful": 6}
+	for seed := range uint64(10) {
+		f := newFilter(0)
+		play(t, f, seed, coefficients)
+		for image, want := range coefficients {
+			got, deviation, known := f.estimate(imageKey(image))
+			if !known || math.Abs(got-want) > 1.5 {
+				t.Errorf("seed %d: %s has %.1f (deviation %.1f), want %.1f", seed, image, got, deviation, want)
+			}
+		}
+	}
+}
+
+// Guards against a job that leaves and takes what was learned beside it along, or
+// mixes up the entries of the others.
+func TestFilterForgetsJobsAndKeepsCoefficients(t *testing.T) {
+	f := newFilter(0)
+	play(t, f, 3, map[string]float64{"harmful": 6})
+	coefficient, deviation, _ := f.estimate(imageKey("harmful"))
+	headroom, _, _ := f.estimate(jobKey("y"))
+	f.drop(jobKey("x"))
+	if got, gotDeviation, known := f.estimate(imageKey("harmful")); !known || got != coefficient || gotDeviation != deviation {
+		t.Errorf("coefficient %v (deviation %v) after the job left, was %v (%v)", got, gotDeviation, coefficient, deviation)
+	}
+	if got, _, known := f.estimate(jobKey("y")); !known || got != headroom {
+		t.Errorf("headroom %v of the other job, was %v", got, headroom)
+	}
+	if _, _, known := f.estimate(jobKey("x")); known {
+		t.Error("the job is still there")
+	}
+	if len(f.state) != 2 || len(f.covariance) != 2 || len(f.covariance[0]) != 2 {
+		t.Errorf("%d entries, covariance %d x %d, want 2", len(f.state), len(f.covariance), len(f.covariance[0]))
+	}
+}
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -1,51 +1,74 @@
 // Package pacing decides how much filling tasks may work beside serving tasks
 // on one target, from figures that the target reports with a lag. It is pure.
 //
-// The pacer learns how much each image of filling tasks raises the tail latency
-// of each image of serving tasks, and slows only the images that keep a serving
-// task from its tail target.
+// The load of a serving task and the work of each filling task beside it each
+// multiply the tail latency. In the logarithm their effects add up, so the pacer
+// reckons in headroom, the logarithm of the tail target over the tail. It follows
+// the headroom that each serving job has when undisturbed, learns how much each
+// image of filling tasks takes from each image of serving tasks, and slows only
+// the images that take too much.
 package pacing
 
 import (
+	"math"
+	"slices"
 	"time"
-
-	"github.com/ibispier/ibispier/interference"
 )
 
 const (
-	// limit is the tail latency, as a share of its target, that the pace leaves
-	// to a serving task. The rest absorbs the lag of the figures.
-	limit = 0.85
-	// quietRatio is the tail of an undisturbed serving task at its usual load.
-	quietRatio = 0.35
-	// maxRatio bounds a figure, so that one extreme value does not outweigh all
-	// others.
-	maxRatio = 6.0
-	// baseWeight is the weight of a new figure in the estimate of the
-	// undisturbed tail, which follows the load of the serving task.
-	baseWeight = 0.4
-	minBase    = 0.15
+	// TargetHeadroom is the headroom that filling tasks leave to a serving task:
+	// a tail of 0.85 of its target. The rest absorbs the lag of the figures.
+	TargetHeadroom = 0.16
+	// QuietHeadroom is assumed for a serving task without figures: a tail of 0.4
+	// of its target.
+	QuietHeadroom = 0.9
+	// EffectMargin is the factor by which filling tasks are taken to disturb more
+	// than on average, as their effect changes within seconds.
+	EffectMargin = 1.3
+	// maxHeadroom bounds a figure either way, so that one extreme does not
+	// outweigh all others: a tail between a twelfth and twelve times its target.
+	maxHeadroom = 2.5
+	// lookahead is how long after the figures a pace takes effect.
+	lookahead = 500 * time.Millisecond
 	// observeInterval separates figures. They cover the last half second, so
 	// closer ones would count the same disturbance twice.
 	observeInterval = 300 * time.Millisecond
-	// minPercent is the slowest pace apart from a pause, and stepPercent the
-	// least change that is worth an order.
+	// tailLag is the time constant with which reported tails follow the work that
+	// disturbs them; the reported work is that of the moment.
+	tailLag = 500 * time.Millisecond
+	// leastWork is the share of the processors below which work shows in no tail.
+	leastWork = 0.002
+	// settleTime is how long tails of more than settleRatio times their target
+	// take to recover after filling tasks have slowed down by more than settleDrop
+	// of the processors. Nothing is learned meanwhile.
+	settleTime  = time.Second
+	settleRatio = 2.0
+	settleDrop  = 0.04
+	// lateTime is how long a single task may be over its target before it counts
+	// by itself. It is well below the time after which the platform takes that for
+	// harm (4 s).
+	lateTime = 1200 * time.Millisecond
+	// minPercent is the slowest pace apart from a pause. A pace is raised by at
+	// least risePercent and lowered by at least dropPercent: small changes are not
+	// worth an order, but one that is too high harms.
 	minPercent  = 10
-	stepPercent = 10
-	// knownDeviation is the deviation below which an estimate of this target
-	// goes before a hint.
-	knownDeviation = 1.5
+	risePercent = 10
+	dropPercent = 3
+	// hintDeviation is the least deviation of what another target has learned:
+	// tasks of the same images differ a little.
+	hintDeviation = 0.7
 )
 
-// ModelOptions are the options of models of disturbance. The slowdown of a
-// victim is the rise of its tail as a share of its target, and the intensity of
-// a neighbour its share of the processors of the target.
-func ModelOptions() interference.ModelOptions {
-	return interference.ModelOptions{Prior: 1, Uncertainty: 4, Noise: 0.3}
+// Headroom returns the logarithm of the tail target over the tail, from a tail
+// as a share of its target.
+func Headroom(ratio float64) float64 {
+	return -math.Log(min(max(ratio, math.Exp(-maxHeadroom)), math.Exp(maxHeadroom)))
 }
 
 // Serving is the figure of a serving task.
 type Serving struct {
+	Task  string
+	Job   string
 	Image string
 	Ratio float64 // tail latency as a share of its target
 }
@@ -57,28 +80,67 @@
 	Full  float64 // share at full pace
 }
 
+// Quiet is the undisturbed headroom of a serving image.
+type Quiet struct {
+	Image    string
+	Headroom float64 // of the job that has least
+}
+
+// Estimate is how much headroom a filling image takes when it works on a whole
+// target.
+type Estimate struct {
+	Coefficient float64
+	Deviation   float64
+}
+
+// Unknown is the estimate of a pair that nothing is known about.
+var Unknown = Estimate{Coefficient: priorCoefficient, Deviation: priorDeviation}
+
+// Pair is what is known about a filling and a serving image.
+type Pair struct {
+	Filling string
+	Serving string
+	Estimate
+}
+
+// overdue is a serving task that is over its target.
+type overdue struct {
+	since    time.Duration
+	image    string
+	headroom float64 // newest figure
+}
+
 // Pacer holds the paces on one target.
 type Pacer struct {
-	model    *interference.Model
-	hints    map[[2]string]float64
-	base     map[string]float64 // undisturbed tail by serving image
-	percent  map[string]int     // by filling image
+	filters  map[string]*filter             // by serving image
+	hints    map[string]map[string]Estimate // by serving and filling image
+	late     map[string]*overdue            // by serving task
+	percent  map[string]int                 // by filling image
+	worked   map[string]float64             // share that the tails show, by filling image
 	observed time.Duration
+	using    float64       // of all filling tasks, in the last figures
+	over     bool          // a tail was over settleRatio in the last figures
+	settled  time.Duration // when the tails have recovered
 }
 
 // New returns a pacer that lets everything work at full pace.
 func New() *Pacer {
 	return &Pacer{
-		model:   interference.NewModel(ModelOptions()),
-		hints:   map[[2]string]float64{},
-		base:    map[string]float64{},
+		filters: map[string]*filter{},
+		hints:   map[string]map[string]Estimate{},
+		late:    map[string]*overdue{},
 		percent: map[string]int{},
+		worked:  map[string]float64{},
 	}
 }
 
 // Hint tells what other targets have learned about a pair.
-func (p *Pacer) Hint(filling, serving string, coefficient float64) {
-	p.hints[[2]string{serving, filling}] = coefficient
+func (p *Pacer) Hint(filling, serving string, e Estimate) {
+	if p.hints[serving] == nil {
+		p.hints[serving] = map[string]Estimate{}
+	}
+	e.Deviation = max(e.Deviation, hintDeviation)
+	p.hints[serving][filling] = e
 }
 
 // Percent returns the pace of an image.
@@ -89,115 +151,226 @@
 	return 100
 }
 
-// Observe learns from the newest figures and decides the paces. It reports
-// false for figures that come too soon after the last ones.
-func (p *Pacer) Observe(now time.Duration, serving []Serving, filling []Filling) bool {
-	if p.observed > 0 && now-p.observed < observeInterval {
-		return false
+// Quiet returns the undisturbed headroom by serving image.
+func (p *Pacer) Quiet() []Quiet {
+	var all []Quiet
+	for image, f := range p.filters {
+		if len(f.means) > 0 {
+			all = append(all, Quiet{Image: image, Headroom: f.leastHeadroom()})
+		}
 	}
-	p.observed = now
-	worst := worstByImage(serving)
-	for image, ratio := range worst {
-		p.learn(now, image, min(ratio, maxRatio), filling)
+	return all
+}
+
+// leastHeadroom returns that of the job that has least.
+func (f *filter) leastHeadroom() float64 {
+	least := math.Inf(1)
+	for key := range f.means {
+		least = min(least, f.state[f.index[key]])
 	}
-	p.decide(now, worst, filling)
-	return true
+	return least
 }
 
-func worstByImage(serving []Serving) map[string]float64 {
-	worst := map[string]float64{}
-	for _, s := range serving {
-		worst[s.Image] = max(worst[s.Image], s.Ratio)
+// Pairs returns what this target knows about pairs beyond the prior.
+func (p *Pacer) Pairs() []Pair {
+	var pairs []Pair
+	for serving, f := range p.filters {
+		for filling := range p.percent {
+			value, deviation, known := f.estimate(imageKey(filling))
+			if known && deviation < priorDeviation {
+				pairs = append(pairs, Pair{Filling: filling, Serving: serving, Estimate: Estimate{value, deviation}})
+			}
+		}
+	}
+	return pairs
+}
+
+// Observe learns from the newest figures. Those that come too soon after the
+// last ones are ignored.
+func (p *Pacer) Observe(now time.Duration, serving []Serving, filling []Filling) {
+	if p.observed > 0 && now-p.observed < observeInterval {
+		return
+	}
+	p.follow(now-p.observed, filling)
+	p.observed = now
+	using := 0.0
+	for _, f := range filling {
+		using += f.Using
+	}
+	if p.over && using < p.using-settleDrop {
+		p.settled = now + settleTime
+	}
+	p.using = using
+	p.over = slices.ContainsFunc(serving, func(s Serving) bool { return s.Ratio > settleRatio })
+	p.notice(now, serving)
+	images := byImage(serving)
+	p.forget(images)
+	for image, jobs := range images {
+		p.learn(now, image, jobs)
 	}
-	return worst
 }
 
-func (p *Pacer) learn(now time.Duration, image string, ratio float64, filling []Filling) {
-	at := time.Unix(0, 0).Add(now)
-	disturbed := 0.0
-	var neighbours []interference.Resident
+// follow lets the work that the tails show follow the work of the moment.
+func (p *Pacer) follow(since time.Duration, filling []Filling) {
+	kept := math.Exp(-float64(since) / float64(tailLag))
+	for image, worked := range p.worked {
+		if worked *= kept; worked < leastWork {
+			delete(p.worked, image)
+		} else {
+			p.worked[image] = worked
+		}
+	}
 	for _, f := range filling {
-		disturbed += p.pair(image, f.Image, now) * f.Using
 		if f.Using > 0 {
-			neighbours = append(neighbours, interference.Resident{Class: f.Image, Intensity: f.Using})
+			p.worked[f.Image] += (1 - kept) * f.Using
+		}
+	}
+}
+
+// notice follows which tasks are over their target.
+func (p *Pacer) notice(now time.Duration, serving []Serving) {
+	late := map[string]*overdue{}
+	for _, s := range serving {
+		if s.Ratio <= 1 {
+			continue
+		}
+		since := now
+		if before := p.late[s.Task]; before != nil {
+			since = before.since
 		}
+		late[s.Task] = &overdue{since: since, image: s.Image, headroom: Headroom(s.Ratio)}
 	}
-	base, known := p.base[image]
-	if !known {
-		base = quietRatio
+	p.late = late
+}
+
+// byImage returns the headrooms of the tasks by serving image and job.
+func byImage(serving []Serving) map[string]map[string][]float64 {
+	images := map[string]map[string][]float64{}
+	for _, s := range serving {
+		if images[s.Image] == nil {
+			images[s.Image] = map[string][]float64{}
+		}
+		images[s.Image][s.Job] = append(images[s.Image][s.Job], Headroom(s.Ratio))
 	}
-	if len(neighbours) > 0 {
-		p.model.Observe(interference.Observation{
-			Victim: image, Slowdown: max(1+ratio-base, 0.01), Neighbours: neighbours, MeasuredAt: at,
-		})
+	return images
+}
+
+// forget drops the jobs that are gone. What was learned about their images stays.
+func (p *Pacer) forget(images map[string]map[string][]float64) {
+	for image, f := range p.filters {
+		for key := range f.means {
+			if images[image][jobOf(key)] == nil {
+				f.drop(key)
+			}
+		}
 	}
-	rest := min(max(ratio-disturbed, minBase), 1)
-	p.base[image] = base + baseWeight*(rest-base)
 }
 
-func (p *Pacer) pair(serving, filling string, now time.Duration) float64 {
-	estimate := p.model.Pair(serving, filling, time.Unix(0, 0).Add(now))
-	if hint, known := p.hints[[2]string{serving, filling}]; known && estimate.Deviation > knownDeviation {
-		return hint
+// learn takes the figures of the serving tasks of one image. The median of the
+// tasks of a job counts as one figure: the load is that of the job, and single
+// tasks deviate for a moment.
+func (p *Pacer) learn(now time.Duration, image string, jobs map[string][]float64) {
+	f := p.filters[image]
+	if f == nil {
+		f = newFilter(now)
+		p.filters[image] = f
+	}
+	for filling := range p.worked {
+		e := p.hint(image, filling)
+		f.grow(imageKey(filling), e.Coefficient, e.Deviation)
+	}
+	f.predict(now)
+	for job, headrooms := range jobs {
+		slices.Sort(headrooms)
+		headroom := headrooms[(len(headrooms)-1)/2]
+		if key := jobKey(job); f.means[key] == 0 {
+			f.means[key] = QuietHeadroom
+			f.grow(key, QuietHeadroom, loadDeviation)
+		}
+		if now >= p.settled {
+			f.observe(job, p.worked, headroom)
+		}
 	}
-	return estimate.Coefficient
 }
 
-// Pair is what is known about a filling and a serving image.
-type Pair struct {
-	Filling     string
-	Serving     string
-	Coefficient float64
+// hint returns what is known about a pair without figures of this target.
+func (p *Pacer) hint(serving, filling string) Estimate {
+	if e, known := p.hints[serving][filling]; known {
+		return e
+	}
+	return Unknown
 }
 
-// Learned returns the pairs about which this target knows enough to tell.
-func (p *Pacer) Learned(now time.Duration) []Pair {
-	var pairs []Pair
-	for serving := range p.base {
-		for filling := range p.percent {
-			e := p.model.Pair(serving, filling, time.Unix(0, 0).Add(now))
-			if e.Deviation <= knownDeviation {
-				pairs = append(pairs, Pair{Filling: filling, Serving: serving, Coefficient: e.Coefficient})
-			}
+func (p *Pacer) coefficient(serving, filling string) float64 {
+	if f := p.filters[serving]; f != nil {
+		if value, _, known := f.estimate(imageKey(filling)); known {
+			return value
 		}
 	}
-	return pairs
+	return p.hint(serving, filling).Coefficient
+}
+
+// lost returns the headroom that the filling tasks are expected to take in the
+// newest figures.
+func (p *Pacer) lost(serving string) float64 {
+	lost := 0.0
+	for filling, worked := range p.worked {
+		lost += p.coefficient(serving, filling) * worked
+	}
+	return lost
 }
 
-// decide slows, for each serving image that would be over the limit, the image
-// that disturbs it most, until all are under it.
-func (p *Pacer) decide(now time.Duration, worst map[string]float64, filling []Filling) {
+// Decide sets the paces of the filling images. It slows, for each job whose
+// serving tasks would have too little headroom, the image that takes most, until
+// all have enough. A task that stays over its target counts by itself.
+func (p *Pacer) Decide(now time.Duration, filling []Filling) {
 	paces := map[string]float64{}
 	for _, f := range filling {
 		paces[f.Image] = 1
 	}
-	for serving := range worst {
-		p.fit(now, serving, filling, paces)
-	}
-	for image, pace := range paces {
-		percent := int(pace * 100)
-		if percent < minPercent {
-			percent = 0
+	kept := math.Exp(-lookahead.Seconds() / loadTime.Seconds())
+	for image, f := range p.filters {
+		for key, mean := range f.means {
+			p.fit(image, mean+kept*(f.state[f.index[key]]-mean), filling, paces)
 		}
-		if last := p.Percent(image); percent == 0 || percent == 100 || max(percent-last, last-percent) >= stepPercent {
-			p.percent[image] = percent
+	}
+	for _, l := range p.late {
+		if now-l.since >= lateTime {
+			p.fit(l.image, l.headroom+p.lost(l.image), filling, paces)
 		}
 	}
+	for image, pace := range paces {
+		p.set(image, int(pace*100))
+	}
+}
+
+// set keeps the last pace of an image when the change is not worth an order.
+func (p *Pacer) set(image string, percent int) {
+	if percent < minPercent {
+		percent = 0
+	}
+	last := p.Percent(image)
+	if percent == 0 || percent == 100 || percent >= last+risePercent || percent <= last-dropPercent {
+		p.percent[image] = percent
+	}
 }
 
-func (p *Pacer) fit(now time.Duration, serving string, filling []Filling, paces map[string]float64) {
+// fit slows filling images until serving tasks with the undisturbed headroom
+// keep enough of it.
+func (p *Pacer) fit(serving string, headroom float64, filling []Filling, paces map[string]float64) {
+	room := headroom - TargetHeadroom
 	for range filling {
-		total, most, mostOf := p.base[serving], 0.0, ""
+		total, most, mostOf := 0.0, 0.0, ""
 		for _, f := range filling {
-			part := p.pair(serving, f.Image, now) * f.Full * paces[f.Image]
+			part := EffectMargin * p.coefficient(serving, f.Image) * f.Full * paces[f.Image]
 			total += part
 			if part > most {
 				most, mostOf = part, f.Image
 			}
 		}
-		if total <= limit || most == 0 {
+		if total <= room || most == 0 {
 			return
 		}
-		paces[mostOf] *= max(0, (most-(total-limit))/most)
+		paces[mostOf] *= max(0, (most-(total-room))/most)
 	}
 }
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -1,19 +1,24 @@
 package pacing
 
 import (
+	"math"
 	"testing"
 	"time"
 )
 
+// take observes the figures of one serving task and decides.
+func (p *Pacer) take(now time.Duration, ratio float64, filling ...Filling) {
+	p.Observe(now, []Serving{{Task: "t", Image: "s", Ratio: ratio}}, filling)
+	p.Decide(now, filling)
+}
+
 // Guards against a harmful image that keeps its pace, and a harmless one that
 // loses its own.
 func TestOnlyTheHarmfulImageIsSlowed(t *testing.T) {
 	p := New()
 	now := 10 * time.Second
 	observe := func(harmful, harmless, ratio float64) {
-		p.Observe(now, []Serving{{Image: "s", Ratio: ratio}}, []Filling{
-			{Image: "harmful", Using: harmful, Full: 0.3}, {Image: "harmless", Using: harmless, Full: 0.3},
-		})
+		p.take(now, ratio, Filling{Image: "harmful", Using: harmful, Full: 0.3}, Filling{Image: "harmless", Using: harmless, Full: 0.3})
 		now += time.Second
 	}
 	for range 10 {
@@ -31,7 +36,7 @@
 	p := New()
 	now := 10 * time.Second
 	for range 5 {
-		p.Observe(now, []Serving{{Image: "s", Ratio: 3}}, []Filling{{Image: "f", Using: 0.3, Full: 0.3}})
+		p.take(now, 3, Filling{Image: "f", Using: 0.3, Full: 0.3})
 		now += time.Second
 	}
 	if p.Percent("f") > 50 {
@@ -39,10 +44,49 @@
 	}
 	for range 20 {
 		using := 0.3 * float64(p.Percent("f")) / 100
-		p.Observe(now, []Serving{{Image: "s", Ratio: 0.3}}, []Filling{{Image: "f", Using: using, Full: 0.3}})
+		p.take(now, 0.3, Filling{Image: "f", Using: using, Full: 0.3})
 		now += time.Second
 	}
 	if p.Percent("f") == 0 {
 		t.Fatal("the pace stays at 0 although the tail is short")
 	}
 }
+
+// Guards against a pacer that takes a disturbed tail for the load of the serving
+// task or the other way round, and so pauses the filling tasks for good or leaves
+// the tail over its target. Tails follow their causes with a lag, and the load of
+// the serving task moves all the time.
+func TestPaceFollowsTheLoad(t *testing.T) {
+	const (
+		full, harm = 0.4, 6.0
+		step       = 400 * time.Millisecond
+	)
+	p := New()
+	over, steps := 0, 0
+	worked, possible := 0.0, 0.0
+	using, shown := 0.0, 0.0
+	for i := range 200 {
+		now := 10*time.Second + time.Duration(i)*step
+		base := -0.9 + 0.6*math.Sin(2*math.Pi*float64(i)*step.Seconds()/20)
+		shown += (1 - math.Exp(-step.Seconds()/tailLag.Seconds())) * (using - shown)
+		ratio := math.Exp(base + harm*shown)
+		p.take(now, ratio, Filling{Image: "f", Using: using, Full: full})
+		using = full * float64(p.Percent("f")) / 100
+		if i < 20 {
+			continue
+		}
+		steps++
+		worked += using
+		possible += min(full, max(0, -base/harm))
+		if ratio > 1 {
+			over++
+		}
+	}
+	if over > steps/20 {
+		t.Errorf("over the target in %d of %d steps", over, steps)
+	}
+	// The margins for the lag and the effect leave (1-0.16/0.9)/1.3 at the mean load.
+	if worked < 0.5*possible {
+		t.Errorf("worked %.2f of the %.2f that keep the tail at its target", worked, possible)
+	}
+}
