consensus: do not flood a replica that lags; control/jobs: requests share commands

A trace of the leader's progress shows the member at index 9,431 for 3 s while the leader sends it the same 1,000 entries each 150 ms, and members that get 100 entries ten times within 20 ms. Three heartbeats without progress counted as a loss, and each refusal that came after an answer to an earlier append sent everything in flight again. Ruled out: a cut link (no link failed), the disks (at most 8 batches open), the processor (0.12 of 0.51 cores). Change: appends carry an epoch, and only answers of the newest probe change how entries are sent; a replica that makes no progress is probed less and less often.

--- a/consensus/follower.go
+++ b/consensus/follower.go
@@ -10,6 +10,7 @@
 
 func (n *Node) handleAppend(m Message) {
 	n.followLeader(m.From)
+	n.epoch = max(n.epoch, m.Context)
 	if m.LogIndex < n.commit {
 		// The committed part matches the log of every leader.
 		n.matched = max(n.matched, n.commit)
@@ -21,6 +22,7 @@
 			Type:     MsgAppendReply,
 			To:       m.From,
 			Reject:   true,
+			Context:  m.Context,
 			LogIndex: m.LogIndex,
 			Hint:     n.hintFor(m),
 		})
@@ -82,7 +84,7 @@
 		return
 	}
 	n.acked = index
-	n.send(Message{Type: MsgAppendReply, To: n.leader, LogIndex: index})
+	n.send(Message{Type: MsgAppendReply, To: n.leader, LogIndex: index, Context: n.epoch})
 }
 
 func (n *Node) handleHeartbeat(m Message) {
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -7,8 +7,12 @@
 const snapshotTimeout = 4
 
 // idleHeartbeats is how many heartbeats are answered without progress before
-// appends count as lost. One is too few: a slow sync is not a loss.
-const idleHeartbeats = 3
+// appends count as lost, at first and at most. One is too few: a slow sync is not
+// a loss, and a busy replica needs many.
+const (
+	idleHeartbeats    = 4
+	maxIdleHeartbeats = 64
+)
 
 func (n *Node) tickLeader() {
 	l := n.leading
@@ -129,6 +133,7 @@
 		LogIndex: previous,
 		LogTerm:  term,
 		Commit:   n.commit,
+		Context:  p.epoch,
 		Entries:  entries,
 	})
 	if p.state == probing {
@@ -172,7 +177,7 @@
 }
 
 func (n *Node) handleReject(m Message, p *progress) {
-	stale := m.LogIndex <= p.match || (p.state == probing && m.LogIndex != p.next-1)
+	stale := m.Context != p.epoch || m.LogIndex <= p.match || (p.state == probing && m.LogIndex != p.next-1)
 	if stale || p.state == snapshotting {
 		return
 	}
@@ -184,13 +189,13 @@
 	if m.LogIndex > n.log.lastIndex() {
 		return
 	}
-	advanced := p.acknowledged(m.LogIndex)
+	advanced := p.acknowledged(m.LogIndex, m.Context)
 	switch {
 	case p.state == snapshotting && m.LogIndex < p.snapshot:
 		return
 	case p.state == snapshotting:
 		p.probe(p.match + 1)
-	case p.state == probing:
+	case p.state == probing && m.Context == p.epoch:
 		p.pipeline()
 	}
 	if advanced {
@@ -212,8 +217,8 @@
 	// Appends or their answers may be lost, or the replica was restarted and no
 	// longer knows that its log matches. The leader then probes from what it
 	// knows to be synced.
-	if p.idle++; p.idle >= idleHeartbeats {
-		p.probe(p.match + 1)
+	if p.idle++; p.idle >= p.patience {
+		p.probeAgain()
 	}
 	n.sendAppends(m.From, p)
 }
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -61,6 +61,7 @@
 
 	matched uint64 // follower: the log matches the leader's up to here
 	acked   uint64 // follower: last index acknowledged to the leader
+	epoch   uint64 // follower: of the newest append that was taken
 
 	leading *leadership // nil unless leader
 
@@ -247,7 +248,7 @@
 	n.leader = leader
 	n.leading = nil
 	n.votes = nil
-	n.matched, n.acked = 0, 0
+	n.matched, n.acked, n.epoch = 0, 0, 0
 }
 
 func (n *Node) send(m Message) {
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -16,10 +16,12 @@
 	next     uint64   // next entry to send
 	inFlight []uint64 // last indexes of unacknowledged appends
 	waiting  bool     // probing: an append is unanswered
+	epoch    uint64   // raised with each probe; answers to appends carry it
 	active   bool     // heard since the last quorum check
 	before   bool     // heard in the period before that
 	round    uint64   // last read round that was answered
 	idle     int      // heartbeat replies since the last progress
+	patience int      // idle replies after which appends count as lost
 	probed   uint64   // probing: last index of the unanswered append
 	snapshot uint64   // snapshotting: its index
 	timeout  int      // snapshotting: ticks until it is sent again
@@ -27,6 +29,7 @@
 
 func (p *progress) probe(next uint64) {
 	p.state = probing
+	p.epoch++
 	p.next = max(next, p.match+1)
 	p.inFlight = nil
 	p.waiting = false
@@ -44,17 +47,28 @@
 	}
 }
 
-// acknowledged records that the replica has synced up to index.
-func (p *progress) acknowledged(index uint64) bool {
+// probeAgain probes because appends count as lost, and is more patient the next
+// time: a replica that is only slow must not be sent the same entries faster than
+// it takes them.
+func (p *progress) probeAgain() {
+	p.patience = min(2*p.patience, maxIdleHeartbeats)
+	p.probe(p.match + 1)
+}
+
+// acknowledged records that the replica has synced up to index. An answer to an
+// append of an earlier epoch says nothing about the probe under way.
+func (p *progress) acknowledged(index, epoch uint64) bool {
 	advanced := index > p.match
 	p.match = max(p.match, index)
 	p.next = max(p.next, p.match+1)
 	for len(p.inFlight) > 0 && p.inFlight[0] <= index {
 		p.inFlight = p.inFlight[1:]
 	}
-	p.waiting = false
+	if epoch == p.epoch {
+		p.waiting = false
+	}
 	if advanced {
-		p.idle = 0
+		p.idle, p.patience = 0, idleHeartbeats
 	}
 	return advanced
 }
@@ -93,7 +107,7 @@
 func (l *leadership) follow(m Membership, next uint64) {
 	for _, member := range m.Members {
 		if l.progress[member.ID] == nil {
-			l.progress[member.ID] = &progress{next: next, active: true}
+			l.progress[member.ID] = &progress{next: next, active: true, patience: idleHeartbeats}
 		}
 	}
 	for id := range l.progress {
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -95,7 +95,7 @@
 	Commit   uint64
 	Reject   bool
 	Hint     uint64 // last index at which the logs may match
-	Context  uint64 // read round of heartbeats
+	Context  uint64 // read round of heartbeats, epoch of appends
 	Entries  []Entry
 	Snapshot *Snapshot
 }
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -18,6 +18,10 @@
 	// proposalTimeout is how long a command waits for its entry. Its outcome is
 	// not known afterwards.
 	proposalTimeout = 2 * time.Second
+	// maxOpen is how many commands may be under way. What comes meanwhile shares
+	// the next one, so that the number of entries follows the speed of the disks
+	// and not the number of requests.
+	maxOpen = 2
 	// readTimeout is how long a read waits for the confirmation of a quorum.
 	readTimeout = 2 * time.Second
 	// bootstrapInterval is the pause between attempts to form the group.
@@ -86,9 +90,10 @@
 	}
 }
 
-// propose hands the collected parts to the replica as one command.
+// propose hands the collected parts to the replica as one command, unless enough
+// commands are under way.
 func (e *engine) propose(now time.Time) {
-	if e.batch.parts == 0 {
+	if e.batch.parts == 0 || len(e.open) >= maxOpen {
 		return
 	}
 	b := e.batch
--- a/daemon/control/jobs/engine_test.go
+++ b/daemon/control/jobs/engine_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -290,3 +291,33 @@
 		t.Fatalf("answers %v, want none for a run that the agent knows", a.got)
 	}
 }
+
+// Guards against one log entry for each request: under load the entries would
+// outgrow what slow disks and members that catch up can take.
+func TestRequestsShareCommandsWhileSomeAreUnderWay(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.manifest()
+	h.held = true
+	entries := len(h.log)
+	var asked []*answers
+	for i := range 10 {
+		s := submission()
+		s.Spec.ID = fmt.Sprintf("%016x", 0xa0+i)
+		s.Path = "/q/" + s.Spec.ID
+		asked = append(asked, h.ask(controlapi.OpJobSubmit, s))
+	}
+	if len(h.open) != maxOpen {
+		t.Errorf("%d commands under way, want %d", len(h.open), maxOpen)
+	}
+	h.held = false
+	h.settle()
+	for i, a := range asked {
+		if len(a.got) != 1 || a.got[0].Status != applier.OK {
+			t.Errorf("submission %d: answers %v", i, a.got)
+		}
+	}
+	if got := len(h.log) - entries; got != maxOpen+1 {
+		t.Errorf("%d entries for 10 submissions, want %d", got, maxOpen+1)
+	}
+}
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -59,7 +59,7 @@
 			lost += p.coefficient(image, filling) * share
 		}
 		if lost > 0 {
-			pace = min(pace, (headroom-pacing.TargetHeadroom)/(pacing.EffectMargin*lost))
+			pace = min(pace, pacing.Room(headroom)/(pacing.EffectMargin*lost))
 		}
 	}
 	return pace
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -22,6 +22,10 @@
 	// QuietHeadroom is assumed for a serving task without figures: a tail of 0.4
 	// of its target.
 	QuietHeadroom = 0.9
+	// Allowance is the headroom that filling tasks may always take from a job:
+	// an eighth more tail. Without it, a serving task at its peak would pause work
+	// that hardly disturbs it.
+	Allowance = 0.12
 	// EffectMargin is the factor by which filling tasks are taken to disturb more
 	// than on average, as their effect changes within seconds.
 	EffectMargin = 1.3
@@ -331,12 +335,12 @@
 	kept := math.Exp(-lookahead.Seconds() / loadTime.Seconds())
 	for image, f := range p.filters {
 		for key, mean := range f.means {
-			p.fit(image, mean+kept*(f.state[f.index[key]]-mean), filling, paces)
+			p.fit(image, Room(mean+kept*(f.state[f.index[key]]-mean)), filling, paces)
 		}
 	}
 	for _, l := range p.late {
 		if now-l.since >= lateTime {
-			p.fit(l.image, l.headroom+p.lost(l.image), filling, paces)
+			p.fit(l.image, l.headroom+p.lost(l.image)-TargetHeadroom, filling, paces)
 		}
 	}
 	for image, pace := range paces {
@@ -355,10 +359,12 @@
 	}
 }
 
-// fit slows filling images until serving tasks with the undisturbed headroom
-// keep enough of it.
-func (p *Pacer) fit(serving string, headroom float64, filling []Filling, paces map[string]float64) {
-	room := headroom - TargetHeadroom
+// Room returns how much of the undisturbed headroom of a job filling tasks may
+// take.
+func Room(headroom float64) float64 { return max(headroom-TargetHeadroom, Allowance) }
+
+// fit slows filling images until they take no more than room from the image.
+func (p *Pacer) fit(serving string, room float64, filling []Filling, paces map[string]float64) {
 	for range filling {
 		total, most, mostOf := 0.0, 0.0, ""
 		for _, f := range filling {
