soak: real processes under faults from outside

Change: package soak (tests only) runs 3 control, 2 entry and 4 agent processes on loopback with a relay before each control member and stand-ins for the platform's targets. Faults come in series that overlap: kills, freezes, planned stops, lost disks, links that are silent (both ways, one way), reset, cut or slow, targets that crash, orders that are carried out late. Callers, targets and operators feed an oracle. testcluster gains a relay at a fixed address and a lock for series of steps on one process.

--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -57,6 +57,15 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	out  *output
+	turn sync.Mutex // of Exclusive
+}
+
+// Exclusive runs a series of steps on the process that no other series may
+// interrupt.
+func (p *Process) Exclusive(steps func()) {
+	p.turn.Lock()
+	defer p.turn.Unlock()
+	steps()
 }
 
 // output keeps what a process writes.
--- a/internal/testcluster/relay.go
+++ b/internal/testcluster/relay.go
@@ -31,10 +31,16 @@
 	open   map[net.Conn]bool // true for the end of the process that dialed
 }
 
-// StartRelay starts a relay to target.
+// StartRelay starts a relay to target on any port.
 func StartRelay(t testing.TB, target string) *Relay {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartRelayAt(t, "127.0.0.1:0", target)
+}
+
+// StartRelayAt starts a relay to target that listens on the address.
+func StartRelayAt(t testing.TB, address, target string) *Relay {
+	t.Helper()
+	socket, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/soak/callers_test.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	callTimeout = 3 * time.Second
+	attempts    = 6
+)
+
+// callers hand jobs in, ask for them and cancel some.
+type callers struct {
+	c      *cluster
+	client *http.Client
+	work   sync.WaitGroup
+}
+
+func newCallers(c *cluster) *callers {
+	return &callers{c: c, client: &http.Client{Timeout: callTimeout}}
+}
+
+// call sends a request to an entry instance. The status is 0 without an answer.
+func (a *callers) call(ctx context.Context, entry int, method, path string, body []byte) (int, []byte) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+a.c.entryIP(entry)+":8161"+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	r.Host = "h.example"
+	r.Header.Set("Content-Type", "application/json")
+	response, err := a.client.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, data
+}
+
+// submit hands a job in, as often as callers of the platform do.
+func (a *callers) submit(ctx context.Context, r *rand.Rand) {
+	j := &submitted{id: fmt.Sprintf("%016x", r.Uint64()), payload: fmt.Sprintf("p%x", r.Uint32())}
+	steps := fmt.Sprintf(`{"count":%d,"cpu":1000,"memMb":64,"estimateMs":300,"checkpointing":true}`, 1+r.IntN(4))
+	if r.IntN(3) == 0 {
+		steps += fmt.Sprintf(`,{"count":%d,"cpu":1000,"memMb":64,"estimateMs":300,"dependsOn":[0]}`, 1+r.IntN(3))
+	}
+	cancel := r.IntN(8) == 0
+	if r.IntN(10) == 0 {
+		j.payload, cancel = lastingPayload, true
+		steps = `{"count":2,"cpu":1000,"memMb":64,"longRunning":true}`
+	}
+	a.c.oracle.mu.Lock()
+	a.c.oracle.jobs[j.id] = j
+	a.c.oracle.mu.Unlock()
+	body := fmt.Appendf(nil, `{"spec":%q,"steps":[%s]}`, j.payload, steps)
+	first, pause := r.IntN(entries), time.Duration(200+r.IntN(400))*time.Millisecond
+	a.work.Go(func() {
+		a.handIn(ctx, j, first, body)
+		if cancel {
+			time.Sleep(pause)
+			a.cancel(ctx, j)
+		}
+	})
+}
+
+func (a *callers) handIn(ctx context.Context, j *submitted, entry int, body []byte) {
+	unknown := 0
+	for n := range attempts {
+		status, _ := a.call(ctx, (entry+n)%entries, http.MethodPost, "/q/"+j.id, body)
+		switch {
+		case status/100 == 2:
+			a.c.oracle.update(j.id, func(j *submitted) { j.accepted = true })
+			return
+		case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		default:
+			unknown++
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	a.c.oracle.update(j.id, func(j *submitted) { j.refused = unknown == 0 })
+}
+
+func (a *callers) cancel(ctx context.Context, j *submitted) {
+	for n := 0; ctx.Err() == nil; n++ {
+		status, _ := a.call(ctx, n%entries, http.MethodDelete, "/q/"+j.id, nil)
+		if status/100 == 2 || status == http.StatusGone {
+			a.c.oracle.update(j.id, func(j *submitted) { j.canceled = time.Now() })
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// state asks for the state of a job; "" when there is no answer and "gone" for one
+// that the system does not know.
+func (a *callers) state(ctx context.Context, id string, entry int) string {
+	status, data := a.call(ctx, entry, http.MethodGet, "/q/"+id, nil)
+	if status == http.StatusGone {
+		return "gone"
+	}
+	var body struct {
+		State string `json:"state"`
+	}
+	if status != http.StatusOK || json.Unmarshal(data, &body) != nil {
+		return ""
+	}
+	return body.State
+}
+
+func manifest(version uint64) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","hostname":"h.example","pathPrefix":"/q/","kind":"non_idempotent",`+
+		`"timeoutMs":3000,"sloMs":1000,"priority":0,"service":"s","maxAttempts":8,"stretch":2.0}],`+
+		`"services":[{"name":"s","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"admissionCheck":true}],`+
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, version)
+}
+
+// operate sends a manifest to any member until it is confirmed.
+func (a *callers) operate(ctx context.Context, version uint64) {
+	for n := int(version); ctx.Err() == nil; n++ {
+		address := "http://" + a.c.relayIP(n%controls) + ":8166/config/put"
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(manifest(version)))
+		if err != nil {
+			return
+		}
+		if response, err := a.client.Do(r); err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				a.c.oracle.confirm(version)
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// readBack asks one member for the manifest.
+func (a *callers) readBack(ctx context.Context, member int) {
+	asked := a.c.oracle.confirmed()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.c.relayIP(member)+":8166/config/get", nil)
+	if err != nil {
+		return
+	}
+	response, err := a.client.Do(r)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	var body struct {
+		Version uint64 `json:"version"`
+	}
+	if response.StatusCode == http.StatusOK && json.NewDecoder(response.Body).Decode(&body) == nil {
+		a.c.oracle.readConfig(asked, body.Version, a.c.controls[member].Name)
+	}
+}
--- /dev/null
+++ b/soak/cluster_test.go
@@ -0,0 +1,130 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/internal/testcluster"
+)
+
+const (
+	controls = 3
+	entries  = 2
+	agents   = 4
+	linkPort = 7220
+)
+
+// cluster is the processes of one run. Each run has a network of its own in the
+// loopback range: 127.SLOT.0.x. A control member listens on an address that only
+// its relay dials, and is known to all others by the address of the relay.
+type cluster struct {
+	t        *testing.T
+	dir      string
+	slot     int
+	controls []*testcluster.Process
+	entries  []*testcluster.Process
+	agents   []*testcluster.Process
+	relays   []*testcluster.Relay
+	targets  []*target
+	oracle   *oracle
+	wiped    time.Time // when the last disk was lost
+}
+
+func (c *cluster) relayIP(i int) string  { return fmt.Sprintf("127.%d.0.%d", c.slot, 10+i) }
+func (c *cluster) linkIP(i int) string   { return fmt.Sprintf("127.%d.0.%d", c.slot, 30+i) }
+func (c *cluster) entryIP(i int) string  { return fmt.Sprintf("127.%d.0.%d", c.slot, 50+i) }
+func (c *cluster) agentIP(i int) string  { return fmt.Sprintf("127.%d.0.%d", c.slot, 70+i) }
+func (c *cluster) targetIP(i int) string { return fmt.Sprintf("127.%d.0.%d", c.slot, 110+i) }
+
+func startCluster(t *testing.T, seed uint64) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), slot: 2 + int(seed%250), oracle: newOracle()}
+	for i := range controls {
+		relay := testcluster.StartRelayAt(t, fmt.Sprintf("%s:%d", c.relayIP(i), linkPort), fmt.Sprintf("%s:%d", c.linkIP(i), linkPort))
+		c.relays = append(c.relays, relay)
+		c.controls = append(c.controls, c.start("control", i, c.controlSettings(i, true)))
+	}
+	for i := range entries {
+		c.entries = append(c.entries, c.start("entry", i, c.common(fmt.Sprintf("entry-%d", i), "entry")+
+			fmt.Sprintf("[platform]\nfront = %s:8161\nready = %s:8167\n", c.entryIP(i), c.entryIP(i))))
+	}
+	for i := range agents {
+		c.agents = append(c.agents, c.start("agent", i, c.common(fmt.Sprintf("agent-%d", i), "agent")+
+			fmt.Sprintf("[platform]\ncontrol = %s:8166\ntarget = %s:8080\n", c.agentIP(i), c.targetIP(i))))
+		target, err := newTarget(c.targetIP(i), c.agentIP(i)+":8166", c.oracle, seed+uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(target.close)
+		c.targets = append(c.targets, target)
+	}
+	return c
+}
+
+// common returns the settings that all roles share.
+func (c *cluster) common(id, role string) string {
+	return fmt.Sprintf("[daemon]\nid = %s\nroles = %s\nzone = z\nmemory = 256\ngrace = 200ms\ndrain_timeout = 1s\n"+
+		"[cluster]\nseeds = %s:%d,%s:%d,%s:%d\nport = %d\nheartbeat = 200ms\nsilence = 1s\n[jobs]\nenabled = true\n[admin]\nlisten = 127.0.0.1:0\n",
+		id, role, c.relayIP(0), linkPort, c.relayIP(1), linkPort, c.relayIP(2), linkPort, linkPort)
+}
+
+func (c *cluster) controlSettings(i int, first bool) string {
+	data := filepath.Join(c.dir, fmt.Sprintf("data-%d", i))
+	if err := os.MkdirAll(data, 0o700); err != nil {
+		c.t.Fatal(err)
+	}
+	return fmt.Sprintf("[daemon]\nid = %s\nroles = control\nzone = z\nmemory = 256\ndata = %s\ngrace = 200ms\ndrain_timeout = 1s\n"+
+		"[cluster]\nseeds = %s:%d,%s:%d,%s:%d\nport = %d\nheartbeat = 200ms\nsilence = 1s\n[jobs]\nenabled = true\nbootstrap = %t\ntolerated = 1\n"+
+		"[admin]\nlisten = 127.0.0.1:0\n[platform]\ncontrol = %s:8166\n[control]\nlisten = %s:%d\nsnapshot_entries = 200\n",
+		c.relayIP(i), data, c.relayIP(0), linkPort, c.relayIP(1), linkPort, c.relayIP(2), linkPort, linkPort, first,
+		c.relayIP(i), c.linkIP(i), linkPort)
+}
+
+func (c *cluster) settingsPath(role string, i int) string {
+	return filepath.Join(c.dir, fmt.Sprintf("%s-%d.ini", role, i))
+}
+
+func (c *cluster) start(role string, i int, settings string) *testcluster.Process {
+	path := c.settingsPath(role, i)
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return testcluster.StartProcess(c.t, fmt.Sprintf("%s-%d", role, i), "ibispierd", "-config", path)
+}
+
+// wipe loses the disk of a control member and starts it again.
+func (c *cluster) wipe(i int) {
+	c.controls[i].Kill()
+	if err := os.RemoveAll(filepath.Join(c.dir, fmt.Sprintf("data-%d", i))); err != nil {
+		c.t.Error(err)
+	}
+	if err := os.WriteFile(c.settingsPath("control", i), []byte(c.controlSettings(i, false)), 0o600); err != nil {
+		c.t.Error(err)
+	}
+	c.controls[i].Start()
+}
+
+// processes returns all processes.
+func (c *cluster) processes() []*testcluster.Process {
+	all := append([]*testcluster.Process{}, c.controls...)
+	all = append(all, c.entries...)
+	return append(all, c.agents...)
+}
+
+// keepLogs writes what the processes have written to the folder that
+// IBISPIER_SOAK_LOGS names.
+func (c *cluster) keepLogs(seed uint64) {
+	dir := os.Getenv("IBISPIER_SOAK_LOGS")
+	if dir == "" {
+		return
+	}
+	for _, p := range c.processes() {
+		path := filepath.Join(dir, fmt.Sprintf("%d-%s.log", seed, p.Name))
+		if err := os.WriteFile(path, []byte(p.Output()), 0o600); err != nil {
+			c.t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ibispier/ibispier/internal/testcluster"
+)
+
+const (
+	// wipeGap is how long a member that has lost its disk has before another one
+	// may lose its own: the platform gives a new member 4 s to catch up.
+	wipeGap = 6 * time.Second
+	// longestFault bounds how long a single fault lasts.
+	longestFault = 2500 * time.Millisecond
+)
+
+// fault is one kind of fault. It lasts until it returns.
+type fault struct {
+	name  string
+	apply func(c *cluster, r *rand.Rand, d time.Duration)
+}
+
+var faults = []fault{
+	{"kill control", func(c *cluster, r *rand.Rand, d time.Duration) { restart(pick(r, c.controls), d) }},
+	{"kill agent", func(c *cluster, r *rand.Rand, d time.Duration) { restart(pick(r, c.agents), d) }},
+	{"kill entry", func(c *cluster, r *rand.Rand, d time.Duration) { restart(pick(r, c.entries), d) }},
+	{"kill all control", func(c *cluster, r *rand.Rand, d time.Duration) {
+		var all sync.WaitGroup
+		for _, p := range c.controls {
+			all.Go(func() { restart(p, d/4) })
+		}
+		all.Wait()
+	}},
+	{"freeze control", func(c *cluster, r *rand.Rand, d time.Duration) { freeze(pick(r, c.controls), d) }},
+	{"freeze agent", func(c *cluster, r *rand.Rand, d time.Duration) { freeze(pick(r, c.agents), d) }},
+	{"planned stop", func(c *cluster, r *rand.Rand, d time.Duration) {
+		p := pick(r, c.processes())
+		p.Exclusive(func() {
+			p.Signal(syscall.SIGTERM)
+			p.Wait()
+			p.Start()
+		})
+	}},
+	{"silent links", func(c *cluster, r *rand.Rand, d time.Duration) { pick(r, c.relays).SilenceOpen() }},
+	{"links silent one way", func(c *cluster, r *rand.Rand, d time.Duration) {
+		pick(r, c.relays).SilenceOneWay(r.IntN(2) == 0)
+	}},
+	{"reset links", func(c *cluster, r *rand.Rand, d time.Duration) {
+		relay := pick(r, c.relays)
+		relay.SetMode(testcluster.Refuse)
+		time.Sleep(d / 10)
+		relay.SetMode(testcluster.Forward)
+	}},
+	{"cut off", func(c *cluster, r *rand.Rand, d time.Duration) {
+		relay := pick(r, c.relays)
+		relay.SetMode(testcluster.Swallow)
+		time.Sleep(d)
+		relay.SetMode(testcluster.Forward)
+	}},
+	{"slow links", func(c *cluster, r *rand.Rand, d time.Duration) {
+		relay := pick(r, c.relays)
+		relay.SetDelay(time.Duration(5+r.IntN(40)) * time.Millisecond)
+		time.Sleep(d)
+		relay.SetDelay(0)
+	}},
+	{"target crashes", func(c *cluster, r *rand.Rand, d time.Duration) { pick(r, c.targets).crash() }},
+	{"late orders", func(c *cluster, r *rand.Rand, d time.Duration) {
+		target := pick(r, c.targets)
+		target.setLate(0.4)
+		time.Sleep(d)
+		target.setLate(0)
+	}},
+}
+
+func pick[T any](r *rand.Rand, from []T) T { return from[r.IntN(len(from))] }
+
+func restart(p *testcluster.Process, down time.Duration) {
+	p.Exclusive(func() {
+		p.Kill()
+		time.Sleep(down)
+		p.Start()
+	})
+}
+
+func freeze(p *testcluster.Process, d time.Duration) {
+	p.Exclusive(func() {
+		p.Freeze()
+		time.Sleep(d)
+		p.Thaw()
+	})
+}
+
+// inject lets faults overlap in series for the time, and returns what it did.
+func (c *cluster) inject(r *rand.Rand, length time.Duration) []string {
+	var did []string
+	var open sync.WaitGroup
+	begin := time.Now()
+	for time.Since(begin) < length {
+		name := ""
+		if r.IntN(8) == 0 && time.Since(c.wiped) > wipeGap {
+			i := r.IntN(controls)
+			c.wiped = time.Now()
+			name = "lose disk of " + c.controls[i].Name
+			open.Go(func() { c.controls[i].Exclusive(func() { c.wipe(i) }) })
+		} else {
+			f := pick(r, faults)
+			own := rand.New(rand.NewPCG(r.Uint64(), 1))
+			d := time.Duration(r.Int64N(int64(longestFault)))
+			name = f.name + " for " + d.Round(time.Millisecond).String()
+			open.Go(func() { f.apply(c, own, d) })
+		}
+		did = append(did, time.Now().Format("15:04:05.000 ")+name)
+		time.Sleep(time.Duration(100+r.IntN(900)) * time.Millisecond)
+	}
+	open.Wait()
+	return did
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/internal/testcluster"
+)
+
+const (
+	// faultTime is how long faults are injected, and recoverTime how long the
+	// system has afterwards to do all that it has accepted: three times the lease.
+	faultTime   = 8 * time.Second
+	recoverTime = 25 * time.Second
+	// seedsVariable asks for that many fresh seeds.
+	seedsVariable = "IBISPIER_SOAK_SEEDS"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	testcluster.RemoveBinaries()
+	os.Exit(code)
+}
+
+// ciSeeds are played in CI.
+var ciSeeds = []uint64{1, 2, 3}
+
+// regressions are seeds that have failed once, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// Guards against promises that are broken under faults that overlap: a task that
+// runs twice or after it was done, a refusal that was not true, an accepted job
+// that is lost or never done, and a manifest that reverts.
+func TestSoak(t *testing.T) {
+	seeds := ciSeeds
+	for _, r := range regressions {
+		seeds = append(seeds, r.seed)
+	}
+	if n, err := strconv.Atoi(os.Getenv(seedsVariable)); err == nil {
+		for range n {
+			seeds = append(seeds, rand.Uint64()>>1)
+		}
+	} else if testing.Short() {
+		seeds = seeds[:1]
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed)
+		})
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	c := startCluster(t, seed)
+	a := newCallers(c)
+	a.operate(ctx, 1)
+	r := rand.New(rand.NewPCG(seed, 0))
+	load, stop := context.WithCancel(ctx)
+	loaded := make(chan struct{})
+	go func() {
+		defer close(loaded)
+		a.press(load, ctx, rand.New(rand.NewPCG(seed, 2)))
+	}()
+	did := c.inject(r, faultTime)
+	stop()
+	<-loaded
+	a.work.Wait()
+	a.settle(ctx)
+	for _, breach := range c.oracle.report() {
+		t.Error(breach)
+	}
+	t.Logf("%d jobs, %d starts, %d faults, manifest %d", len(c.oracle.jobs), c.oracle.starts, len(did), c.oracle.confirmed())
+	if t.Failed() {
+		for _, line := range did {
+			t.Log(line)
+		}
+		c.keepLogs(seed)
+	}
+}
+
+// press calls until load ends. Calls under way go on under ctx.
+func (a *callers) press(load, ctx context.Context, r *rand.Rand) {
+	version := uint64(1)
+	for load.Err() == nil {
+		a.submit(ctx, r)
+		if r.IntN(10) == 0 {
+			version++
+			next := version
+			a.work.Go(func() { a.operate(ctx, next) })
+		}
+		member := r.IntN(controls)
+		a.work.Go(func() { a.readBack(ctx, member) })
+		time.Sleep(time.Duration(20+r.IntN(80)) * time.Millisecond)
+	}
+}
+
+// settle waits until everything that was accepted is over, and asks each member
+// for the manifest.
+func (a *callers) settle(ctx context.Context) {
+	deadline := time.Now().Add(recoverTime)
+	open := map[string]string{}
+	a.c.oracle.mu.Lock()
+	for id, j := range a.c.oracle.jobs {
+		if j.accepted {
+			open[id] = ""
+		}
+	}
+	a.c.oracle.mu.Unlock()
+	for n := 0; len(open) > 0 && time.Now().Before(deadline); n++ {
+		for id := range open {
+			state := a.state(ctx, id, n%entries)
+			switch state {
+			case "completed", "cancelled", "failed":
+				delete(open, id)
+			case "gone":
+				a.c.oracle.fail("job %s was accepted and is not known", id)
+				delete(open, id)
+			default:
+				open[id] = state
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	for id, state := range open {
+		a.c.oracle.fail("job %s is %q %s after the last fault", id, state, recoverTime)
+	}
+	for i := range controls {
+		a.readBack(ctx, i)
+	}
+}
--- /dev/null
+++ b/soak/target_test.go
@@ -0,0 +1,332 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	targetCPU     = 16_000 // thousandths of a core
+	heartbeatGap  = 300 * time.Millisecond
+	maxLease      = 8 * time.Second
+	checkpointGap = 100 * time.Millisecond
+	maxWork       = 600 * time.Millisecond
+	failShare     = 0.05
+)
+
+// work is a run on a target.
+type work struct {
+	task    string
+	run     int
+	started time.Time
+	ends    time.Time // zero for a task that lasts
+	fails   bool
+	saved   string
+}
+
+// ended is a row of the list of ends.
+type ended struct {
+	number  uint64
+	task    string
+	run     int
+	outcome string
+	saved   string
+}
+
+// target is a stand-in for the platform's target: it runs tasks under a lease,
+// takes orders only with the newest token, and lists ends until they are noted.
+type target struct {
+	ip     string // its own address
+	agent  string // where it announces itself
+	oracle *oracle
+	server *http.Server
+
+	mu       sync.Mutex
+	id       string
+	born     int64
+	sequence uint64
+	token    uint64
+	lease    time.Time
+	running  map[string]*work
+	highest  map[string]int // highest run that was started, stopped or ended
+	ends     []ended
+	number   uint64
+	changed  chan struct{}
+	late     float64 // share of orders that are carried out late and not answered
+	random   *rand.Rand
+	stopped  chan struct{}
+}
+
+func newTarget(ip, agent string, o *oracle, seed uint64) (*target, error) {
+	t := &target{ip: ip, agent: agent, oracle: o, random: rand.New(rand.NewPCG(seed, 7)), stopped: make(chan struct{})}
+	t.begin()
+	socket, err := net.Listen("tcp", ip+":8080")
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run-start", t.order(t.start))
+	mux.HandleFunc("POST /run-stop", t.order(t.stop))
+	mux.HandleFunc("POST /pace", t.order(func(request) (int, string) { return http.StatusOK, "" }))
+	mux.HandleFunc("POST /hold", t.hold)
+	t.server = &http.Server{Handler: mux}
+	go func() { _ = t.server.Serve(socket) }()
+	go t.beat()
+	return t, nil
+}
+
+// begin starts a life that knows nothing of the one before.
+func (t *target) begin() {
+	t.id, t.born = "i-"+t.ip, time.Now().UnixMilli()
+	t.sequence, t.token, t.number, t.lease = 0, 0, 0, time.Time{}
+	t.running, t.highest, t.ends = map[string]*work{}, map[string]int{}, nil
+	t.changed = make(chan struct{})
+}
+
+// crash ends everything that runs and starts another life.
+func (t *target) crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range t.running {
+		t.oracle.gone(t.ip, w)
+	}
+	close(t.changed)
+	time.Sleep(2 * time.Millisecond) // lives differ in the millisecond of their start
+	t.begin()
+}
+
+func (t *target) close() {
+	close(t.stopped)
+	_ = t.server.Close()
+}
+
+func (t *target) setLate(share float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.late = share
+}
+
+func (t *target) clock() int64 { return time.Now().UnixMilli() - t.born }
+
+// beat announces the target and lets its work go on.
+func (t *target) beat() {
+	client := &http.Client{Timeout: time.Second}
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	var announced time.Time
+	for {
+		select {
+		case <-t.stopped:
+			return
+		case <-ticker.C:
+		}
+		t.mu.Lock()
+		t.advance(time.Now())
+		t.sequence++
+		path := fmt.Sprintf("http://%s/instances/%s/heartbeat", t.agent, t.id)
+		body := fmt.Sprintf(`{"service":"s","address":"%s:8080","zone":"z","version":"v1","slots":8,"state":"ready","coldLeftMs":0,`+
+			`"capacity":{"cpu":%d,"memMb":65536,"gpu":0},"labels":["a","r1"],"clockMs":%d,"sequence":%d,"born":%d}`,
+			t.ip, targetCPU, t.clock(), t.sequence, t.born)
+		t.mu.Unlock()
+		if time.Since(announced) < heartbeatGap {
+			continue
+		}
+		announced = time.Now()
+		if r, err := client.Post(path, "application/json", strings.NewReader(body)); err == nil {
+			_ = r.Body.Close()
+		}
+	}
+}
+
+// advance ends what is done and, once the lease is over, everything.
+func (t *target) advance(now time.Time) {
+	for _, w := range t.running {
+		switch {
+		case now.After(t.lease):
+			t.end(w, "lapsed")
+		case !w.ends.IsZero() && now.After(w.ends) && w.fails:
+			t.end(w, "failed")
+		case !w.ends.IsZero() && now.After(w.ends):
+			t.end(w, "done")
+		default:
+			w.saved = fmt.Sprintf("%x", now.Sub(w.started)/checkpointGap)
+		}
+	}
+}
+
+func (t *target) end(w *work, outcome string) {
+	delete(t.running, w.task)
+	t.number++
+	t.ends = append(t.ends, ended{t.number, w.task, w.run, outcome, w.saved})
+	t.oracle.ended(t.ip, w, outcome)
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// request is the body of an order.
+type request struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Payload    string `json:"spec"`
+	DeadlineMS int64  `json:"deadlineMs"`
+	Token      uint64 `json:"fencingToken"`
+	Checkpoint string `json:"lastCheckpoint"`
+	LastSeen   uint64 `json:"lastSeen"`
+	WaitMS     int64  `json:"waitMs"`
+}
+
+func (t *target) decode(w http.ResponseWriter, r *http.Request) (request, bool) {
+	var q request
+	data, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(data, &q)
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return q, false
+	}
+	if r.Header.Get("Expect-Instance") != t.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return q, false
+	}
+	return q, true
+}
+
+// order carries out an order, or later and without an answer.
+func (t *target) order(do func(request) (int, string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		q, ok := t.decode(w, r)
+		if !ok {
+			return
+		}
+		t.mu.Lock()
+		if t.random.Float64() < t.late {
+			born, after := t.born, time.Duration(500+t.random.IntN(3000))*time.Millisecond
+			t.mu.Unlock()
+			go func() {
+				time.Sleep(after)
+				t.mu.Lock()
+				defer t.mu.Unlock()
+				if t.born == born {
+					t.carryOut(q, do)
+				}
+			}()
+			<-r.Context().Done()
+			return
+		}
+		status, reason := t.carryOut(q, do)
+		clock := t.clock()
+		t.mu.Unlock()
+		w.WriteHeader(status)
+		_, _ = fmt.Fprintf(w, `{"clockMs":%d,"reason":%q}`, clock, reason)
+	}
+}
+
+func (t *target) carryOut(q request, do func(request) (int, string)) (int, string) {
+	t.advance(time.Now())
+	if q.Token < t.token {
+		return http.StatusConflict, "fence"
+	}
+	t.token = q.Token
+	return do(q)
+}
+
+// renew extends the lease. It never shortens it.
+func (t *target) renew(q request) {
+	if q.DeadlineMS == 0 {
+		return
+	}
+	until := time.UnixMilli(t.born + q.DeadlineMS)
+	if latest := time.Now().Add(maxLease); until.After(latest) {
+		until = latest
+	}
+	if until.After(t.lease) {
+		t.lease = until
+	}
+}
+
+func (t *target) start(q request) (int, string) {
+	now := time.Now()
+	if w := t.running[q.Task]; w != nil && w.run == q.Run {
+		return http.StatusOK, ""
+	}
+	t.renew(q)
+	switch {
+	case q.Run <= t.highest[q.Task]:
+		return http.StatusConflict, "old"
+	case t.clock() >= q.DeadlineMS:
+		return http.StatusConflict, "late"
+	case len(t.running) >= targetCPU/1000:
+		return http.StatusConflict, "room"
+	}
+	w := &work{task: q.Task, run: q.Run, started: now, saved: q.Checkpoint}
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s#%d", q.Task, q.Run)
+	luck := rand.New(rand.NewPCG(h.Sum64(), 1))
+	if q.Payload != lastingPayload {
+		w.ends = now.Add(time.Duration(luck.Int64N(int64(maxWork))))
+		w.fails = luck.Float64() < failShare
+	}
+	t.highest[q.Task] = q.Run
+	t.running[q.Task] = w
+	t.oracle.started(t.ip, w, q.Payload)
+	return http.StatusOK, ""
+}
+
+func (t *target) stop(q request) (int, string) {
+	t.highest[q.Task] = max(t.highest[q.Task], q.Run)
+	if w := t.running[q.Task]; w != nil && w.run <= q.Run {
+		t.end(w, "stopped")
+	}
+	return http.StatusOK, ""
+}
+
+// hold renews the lease and lists what runs and what has ended.
+func (t *target) hold(w http.ResponseWriter, r *http.Request) {
+	q, ok := t.decode(w, r)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if status, reason := t.carryOut(q, func(q request) (int, string) { t.renew(q); return http.StatusOK, "" }); status != http.StatusOK {
+		w.WriteHeader(status)
+		_, _ = fmt.Fprintf(w, `{"clockMs":%d,"reason":%q}`, t.clock(), reason)
+		return
+	}
+	for len(t.ends) > 0 && t.ends[0].number <= q.LastSeen {
+		t.oracle.noted(t.ends[0])
+		t.ends = t.ends[1:]
+	}
+	if len(t.ends) == 0 && q.WaitMS > 0 {
+		changed := t.changed
+		t.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+		case <-time.After(time.Duration(q.WaitMS) * time.Millisecond):
+		}
+		t.mu.Lock()
+	}
+	t.advance(time.Now())
+	answer := map[string]any{"clockMs": t.clock(), "born": t.born, "running": [][]any{}, "endedRuns": [][]any{}}
+	rows := [][]any{}
+	for _, x := range t.running {
+		rows = append(rows, []any{x.task, x.run, x.saved, 100, 1000})
+	}
+	answer["running"] = rows
+	rows = [][]any{}
+	for _, e := range t.ends {
+		rows = append(rows, []any{e.number, e.task, e.run, e.outcome, e.saved})
+	}
+	answer["endedRuns"] = rows
+	_ = json.NewEncoder(w).Encode(answer)
+}
