controlclient, runs: separate wake-ups by the timer

Cause: the clock that a duty asks and the clock of its timer differ by a moment, so a timer that fires early was set again for no time at all.

--- a/daemon/controlclient/duty.go
+++ b/daemon/controlclient/duty.go
@@ -17,6 +17,9 @@
 	eventCapacity = 4096
 	maxBatch      = 256
 	idleTick      = time.Second
+	// leastWait separates wake-ups by the timer. A timer that fires a moment early
+	// would otherwise be set again for no time at all, over and over.
+	leastWait = time.Millisecond
 	// membersInterval is how often a client asks for the control members, and
 	// membersTimeout bounds the question.
 	membersInterval = 5 * time.Second
@@ -75,8 +78,8 @@
 			d.handleAll(ctx, e)
 		case r := <-d.found.C():
 			d.addMembers(ctx, r)
-		case now := <-timer.C:
-			d.tracker.tick(now)
+		case <-timer.C:
+			d.tracker.tick(time.Now())
 		}
 		d.askMembers()
 		d.perform()
@@ -197,7 +200,7 @@
 	if next, ok := d.tracker.nextWake(); ok {
 		wait = time.Until(next)
 	}
-	timer.Reset(max(wait, 0))
+	timer.Reset(max(wait, leastWait))
 }
 
 // abandon answers the calls that a stopping or failing run leaves and closes
--- a/daemon/targetagent/runs/duty.go
+++ b/daemon/targetagent/runs/duty.go
@@ -32,6 +32,10 @@
 	// the calls move to another member after silence.
 	reportTimeout = 4 * time.Second
 	idleWait      = time.Second
+	// leastWait separates wake-ups by the timer. The instance clock and the clock
+	// of timers differ by a moment, and a timer that fires early would be set again
+	// for no time at all, over and over.
+	leastWait = time.Millisecond
 )
 
 // Options configure the duty.
@@ -86,7 +90,7 @@
 			o.result(bootclock.Now(), r)
 		}
 		d.perform(o)
-		timer.Reset(max(o.wake(bootclock.Now()), 0))
+		timer.Reset(max(o.wake(bootclock.Now()), leastWait))
 	}
 }
 
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -9,7 +9,7 @@
 
 const (
 	// cancelBound is how long after the confirmation of a cancellation a task may
-	// still start, while no fault is near.
+	// still run, while no fault is near.
 	cancelBound = 3 * time.Second
 	// lastingPayload marks tasks that run until they are stopped.
 	lastingPayload = "lasting"
@@ -21,7 +21,6 @@
 	payload  string
 	accepted bool
 	refused  bool // every attempt was answered "not accepted"
-	attempts int  // without an answer that says what became of it
 	canceled time.Time
 }
 
@@ -123,6 +122,19 @@
 	o.breaks(format, args...)
 }
 
+// checkCanceled notes the tasks of canceled jobs that still run, long after the
+// last fault.
+func (o *oracle) checkCanceled() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for task, where := range o.live {
+		id, _, _ := strings.Cut(task, ".")
+		if j := o.jobs[id]; !j.canceled.IsZero() && time.Since(j.canceled) > cancelBound {
+			o.breaks("%s still runs as %s, %s after its job was canceled", task, where, time.Since(j.canceled))
+		}
+	}
+}
+
 // report returns what was broken.
 func (o *oracle) report() []string {
 	o.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,6 +77,8 @@
 	<-loaded
 	a.work.Wait()
 	a.settle(ctx)
+	time.Sleep(cancelBound)
+	c.oracle.checkCanceled()
 	for _, breach := range c.oracle.report() {
 		t.Error(breach)
 	}
