targetagent, control/jobs: starts for a life that has ended

The next life carries them out, control has placed the tasks elsewhere, and they run twice or after they were done. Four ways: the answer to a report of the earlier life was taken for the next one; a start under way or queued reached the next life; its end did not count because it names the next life; and a report of the next life gave the earlier one up at once. Change: answers to reports of an earlier life are superseded; starts that are undecided are stopped on the next life, and the earlier one is gone only after that; an end settles its run whatever life lists it, as a run number is used once; a run that the next life works on moves there.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -118,6 +118,9 @@
 	Running     []RunReport `json:",omitempty"` // also starts and stops that are under way
 	Ends        []job.End   `json:",omitempty"` // beyond the newest noted one
 	Gone        []job.Life  `json:",omitempty"` // earlier lives that the agent knows to be over
+	// Unsettled tells that a start for an earlier life may still be carried out by
+	// this one, so the tasks of the earlier one must not start elsewhere yet.
+	Unsettled bool `json:",omitempty"`
 	HoldMillis  int64       `json:",omitempty"` // time that control may hold the answer
 }
 
--- a/daemon/control/jobs/engine_test.go
+++ b/daemon/control/jobs/engine_test.go
@@ -321,3 +321,41 @@
 		t.Errorf("%d entries for 10 submissions, want %d", got, maxOpen+1)
 	}
 }
+
+// Guards against a task that is started elsewhere while the next life of its
+// target works on it.
+func TestRunOfTheNextLifeIsAdopted(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.placed()
+	next := job.Life{ID: testLife.ID, Born: testLife.Born + 1}
+	r := report(0, controlapi.RunReport{Task: job.Ref{Job: testJob}, Run: 1})
+	r.Life, r.Gone = next, []job.Life{testLife}
+	h.ask(controlapi.OpTarget, r)
+	h.pass(tickInterval)
+	if len(h.e.book.On(next)) != 1 || len(h.e.book.On(testLife)) != 0 {
+		t.Fatalf("%d tasks on the next life, %d on the one before", len(h.e.book.On(next)), len(h.e.book.On(testLife)))
+	}
+}
+
+// Guards against tasks of an earlier life that start elsewhere while the next life
+// may still carry out a start that was on its way.
+func TestUnsettledLifeKeepsTheTasksOfTheEarlierOne(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.placed()
+	r := report(0)
+	r.Life, r.Unsettled = job.Life{ID: testLife.ID, Born: testLife.Born + 1}, true
+	h.ask(controlapi.OpTarget, r)
+	h.pass(tickInterval)
+	if len(h.e.book.On(testLife)) != 1 {
+		t.Fatal("the task of the earlier life is given up")
+	}
+	settled := report(0)
+	settled.Life = r.Life
+	h.ask(controlapi.OpTarget, settled)
+	h.pass(tickInterval)
+	if len(h.e.book.On(testLife)) != 0 {
+		t.Fatal("the task of the earlier life is kept")
+	}
+}
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -182,9 +182,10 @@
 	s.prune(report.Seen)
 	e.takeEnds(s)
 	for _, gone := range report.Gone {
+		e.adoptRuns(s, gone)
 		e.lose(gone, "gone")
 	}
-	if report.LeaseWanted && report.Host != "" {
+	if report.LeaseWanted && report.Host != "" && !report.Unsettled {
 		for _, earlier := range e.book.Superseded(report.Host, report.Life) {
 			e.lose(earlier, "a later life of its target answers")
 		}
@@ -395,6 +396,19 @@
 	}
 }
 
+// adoptRuns keeps the runs of an earlier life that the present one works on.
+func (e *engine) adoptRuns(s *session, gone job.Life) {
+	for ref, t := range e.book.On(gone) {
+		if s.runs[ref] != t.Run {
+			continue
+		}
+		a := job.Adoption{Task: ref, Run: t.Run, Target: s.life}
+		e.log.Info("run adopted", zap.Stringer("task", ref), zap.Int("run", t.Run), zap.String("target", s.life.ID),
+			zap.Int64("born", s.life.Born), zap.Int64("placed_born", gone.Born))
+		e.add(func(c *job.Command) { c.Adopted = append(c.Adopted, a) }, nil, nil)
+	}
+}
+
 func (e *engine) lose(life job.Life, why string) {
 	if e.leader.losing[life] || len(e.book.On(life)) == 0 {
 		return
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -65,6 +65,7 @@
 	since      time.Duration // of the state
 	stopSent   time.Duration
 	stopped    time.Duration // answer to the stop; 0 without one
+	inherited  bool          // ordered for an earlier life under the same id
 }
 
 // owner is the state of the duty. Its methods are the inputs; calls and outgoing
@@ -160,8 +161,14 @@
 	}
 	// A life may come back after a late announcement of another one.
 	o.gone = slices.DeleteFunc(o.gone, func(l job.Life) bool { return l == a.Life })
+	// The answer to a report of the earlier life has orders for that life.
+	o.token, o.pending = o.token+1, false
+	undecided := o.undecided(a.Life)
 	o.life, o.told, o.stale = a.Life, a, false
-	o.runs, o.ends, o.reject = map[job.Ref]*run{}, nil, nil
+	o.runs, o.ends, o.reject = undecided, nil, nil
+	for task, r := range o.runs {
+		o.sendStop(now, task, r)
+	}
 	o.noted, o.lease, o.answered, o.clock, o.clockAt = 0, 0, 0, 0, 0
 	o.pacer = pacing.New()
 	clear(o.taught)
@@ -169,6 +176,32 @@
 	o.dirty = true
 }
 
+// undecided returns the runs whose start may still reach the next life: under the
+// same id, the target cannot tell that a call is meant for an earlier one.
+func (o *owner) undecided(next job.Life) map[job.Ref]*run {
+	runs := map[job.Ref]*run{}
+	if next.ID != o.life.ID {
+		return runs
+	}
+	for task, r := range o.runs {
+		if r.state == starting || r.state == doubtful || r.inherited {
+			runs[task] = &run{number: r.number, order: r.order, inherited: true}
+		}
+	}
+	return runs
+}
+
+// hasInherited reports whether it is open what becomes of a start for an earlier
+// life.
+func (o *owner) hasInherited() bool {
+	for _, r := range o.runs {
+		if r.inherited {
+			return true
+		}
+	}
+	return false
+}
+
 // answer takes the answer of control to the report with the token.
 func (o *owner) answer(now time.Duration, token uint64, orders controlapi.TargetOrders, err error) {
 	if token != o.token {
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -277,3 +277,51 @@
 		t.Fatal("still reported as adopted")
 	}
 }
+
+// Guards against orders for a life that has ended and that its successor under the
+// same id carries out: control gives them to other targets.
+func TestOrdersForAnEarlierLifeAreIgnored(t *testing.T) {
+	h := newHarness(t)
+	h.watch(nil)
+	h.orders(controlapi.TargetOrders{LeaseMillis: 4000})
+	h.report()
+	token := h.o.token
+	h.announce(job.Life{ID: testLife.ID, Born: testLife.Born + 500}, 1, false)
+	h.watch(nil)
+	h.take(calls.Watch)
+	orders := start(false)
+	orders.Number, orders.Term = h.o.seen+1, 5
+	h.o.answer(h.now, token, orders, nil)
+	h.o.decide(h.now)
+	if started := h.take(calls.Start); len(started) > 0 {
+		t.Fatalf("%d runs started on the next life", len(started))
+	}
+}
+
+// Guards against a start that was on its way when the target crashed: the next
+// life under the same id may carry it out after control has placed the task
+// elsewhere.
+func TestStartOnItsWayIsSettledBeforeALifeIsGone(t *testing.T) {
+	h := newHarness(t)
+	h.watch(nil)
+	h.orders(start(false))
+	if len(h.take(calls.Start)) != 1 {
+		t.Fatal("no start")
+	}
+	next := job.Life{ID: testLife.ID, Born: testLife.Born + 500}
+	h.announce(next, 1, false)
+	stops := h.take(calls.Stop)
+	if len(stops) != 1 || stops[0].Life != next || stops[0].Run != 1 {
+		t.Fatalf("stops %v, want one of run 1 on the next life", stops)
+	}
+	h.watch(nil)
+	if r := h.report(); len(r.Gone) != 0 || !r.Unsettled {
+		t.Fatalf("gone %v, unsettled %t while the start may still be carried out", r.Gone, r.Unsettled)
+	}
+	h.o.result(h.now, calls.Result{Call: stops[0], Sent: h.now})
+	h.now += time.Millisecond
+	h.watch(nil)
+	if r := h.report(); len(r.Gone) != 1 || rejections(r) != 1 {
+		t.Fatalf("gone %v, %d rejections after the stop, want one of each", r.Gone, rejections(r))
+	}
+}
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -34,7 +34,8 @@
 		Ends:            append(slices.Clone(o.ends), o.reject...),
 		HoldMillis:      reportHold.Milliseconds(),
 	}
-	if o.answered > 0 {
+	r.Unsettled = o.hasInherited()
+	if o.answered > 0 && !r.Unsettled {
 		// The current life has answered a call, so the earlier ones have ended. An
 		// announcement alone may be late, and come from a life that has ended.
 		r.Gone = slices.Clone(o.gone)
--- a/job/apply.go
+++ b/job/apply.go
@@ -48,6 +48,14 @@
 	Out  bool
 }
 
+// Adoption tells that a run that was placed on an earlier life of a target works
+// on its present life: the start was on its way when the target crashed.
+type Adoption struct {
+	Task   Ref
+	Run    int
+	Target Life
+}
+
 // Command is one entry of the log. Its parts are applied in the order of the
 // fields.
 type Command struct {
@@ -58,6 +66,7 @@
 	Submit   []*Submission `json:",omitempty"`
 	Cancel   []string      `json:",omitempty"`
 	Ends     []End         `json:",omitempty"`
+	Adopted  []Adoption    `json:",omitempty"`
 	Lost     []Life        `json:",omitempty"` // their leases have expired, or they are known to be gone
 	Starts   []Start       `json:",omitempty"`
 	Forget   []string      `json:",omitempty"` // jobs that have been over for the retention time
@@ -84,6 +93,9 @@
 	for i := range c.Ends {
 		b.end(&c.Ends[i])
 	}
+	for _, a := range c.Adopted {
+		b.adopt(a)
+	}
 	for _, l := range c.Lost {
 		b.lose(l)
 	}
@@ -161,7 +173,9 @@
 		return
 	}
 	switch {
-	case t.Placed() && t.Run == e.Run && t.Target == e.Target:
+	case t.Placed() && t.Run == e.Run:
+		// A run number is used once. A start that was on its way when its target
+		// crashed may run under the target's next life, which then lists the end.
 		b.unindex(e.Task, t)
 		b.settle(j, t, e)
 	case t.State == Ready && t.Run == e.Run && e.Outcome == RunDone:
@@ -259,6 +273,17 @@
 	state.Open--
 }
 
+// adopt moves a run to the life of its target that works on it.
+func (b *Book) adopt(a Adoption) {
+	_, t := b.Find(a.Task)
+	if t == nil || !t.Placed() || t.Run != a.Run {
+		return
+	}
+	b.unindex(a.Task, t)
+	t.Target = a.Target
+	b.index(a.Task, t)
+}
+
 // lose makes the tasks of a target ready again, whose lease has expired.
 func (b *Book) lose(l Life) {
 	for r, t := range b.byTarget[l] {
--- a/job/book_test.go
+++ b/job/book_test.go
@@ -269,3 +269,26 @@
 		}
 	})
 }
+
+// Guards against work that is done again because another life of its target did
+// it: a start that is on its way when a target crashes may reach its next life.
+func TestRunOfAnotherLifeCounts(t *testing.T) {
+	const id = "00000000000000aa"
+	placed := func() *Book {
+		b := NewBook()
+		b.Apply(&Command{Submit: []*Submission{{Spec: Spec{ID: id, Steps: []Step{{Count: 1}}}}}})
+		b.Apply(&Command{Starts: []Start{{Task: Ref{Job: id}, Run: 1, Target: Life{"a", 1}}}})
+		return b
+	}
+	end := End{Target: Life{"a", 2}, Number: 1, Task: Ref{Job: id}, Run: 1, Outcome: RunDone}
+	b := placed()
+	b.Apply(&Command{Ends: []End{end}, Lost: []Life{{"a", 1}}})
+	if state := b.Jobs[id].State(); state != Completed {
+		t.Errorf("job is %s after the next life has done its task", state)
+	}
+	b = placed()
+	b.Apply(&Command{Adopted: []Adoption{{Task: Ref{Job: id}, Run: 1, Target: Life{"a", 2}}}, Lost: []Life{{"a", 1}}})
+	if len(b.On(Life{"a", 2})) != 1 || len(b.On(Life{"a", 1})) != 0 {
+		t.Errorf("the next life holds %d tasks, the one before %d", len(b.On(Life{"a", 2})), len(b.On(Life{"a", 1})))
+	}
+}
