control/jobs: a life that is over draws no further starts

The test shows a fault: the session of a life that was given up stayed startable for 1.5 s, so its tasks were placed on it again and given up again (soak logs "target lost" four times for one life). Change: the session ends with the life.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -120,8 +120,8 @@
 	Gone        []job.Life  `json:",omitempty"` // earlier lives that the agent knows to be over
 	// Unsettled tells that a start for an earlier life may still be carried out by
 	// this one, so the tasks of the earlier one must not start elsewhere yet.
-	Unsettled bool `json:",omitempty"`
-	HoldMillis  int64       `json:",omitempty"` // time that control may hold the answer
+	Unsettled  bool  `json:",omitempty"`
+	HoldMillis int64 `json:",omitempty"` // time that control may hold the answer
 }
 
 // StartOrder asks the agent to start a run.
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -183,11 +183,11 @@
 	e.takeEnds(s)
 	for _, gone := range report.Gone {
 		e.adoptRuns(s, gone)
-		e.lose(gone, "gone")
+		e.endLife(gone, "gone")
 	}
 	if report.LeaseWanted && report.Host != "" && !report.Unsettled {
 		for _, earlier := range e.book.Superseded(report.Host, report.Life) {
-			e.lose(earlier, "a later life of its target answers")
+			e.endLife(earlier, "a later life of its target answers")
 		}
 	}
 }
@@ -396,6 +396,20 @@
 	}
 }
 
+// endLife gives up a life that is over. Its last report must not draw further
+// starts to it.
+func (e *engine) endLife(life job.Life, why string) {
+	e.lose(life, why)
+	s := e.leader.sessions[life]
+	if s == nil {
+		return
+	}
+	if s.request != nil && !s.asked {
+		reply(s.request, controlapi.TargetOrders{})
+	}
+	delete(e.leader.sessions, life)
+}
+
 // adoptRuns keeps the runs of an earlier life that the present one works on.
 func (e *engine) adoptRuns(s *session, gone job.Life) {
 	for ref, t := range e.book.On(gone) {
