targetagent, control/jobs: move runs that stand still

A trace of rows shows that their fourth entry is the progress of the work, 100 for a lasting task at work; runapi said something else. Change: a run without progress for 1.5 s at half of its pace or more is reported, control stops it, so that it goes on from its checkpoint elsewhere, and the target gets no starts for 2 s. Tests: TestRunsThatStandStillAreReported, TestStalledRunsMove.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -68,6 +68,9 @@
 	Run        int
 	Checkpoint string `json:",omitempty"`
 	Paused     bool   `json:",omitempty"` // a filling task that may not work beside the serving ones
+	// Stalled tells that the run has made no progress for a while although it may
+	// work.
+	Stalled bool `json:",omitempty"`
 	// Adopted tells that the agent found the run on the target and has no order
 	// for it, so that it does not know what the task is.
 	Adopted bool `json:",omitempty"`
--- a/daemon/control/jobs/engine_test.go
+++ b/daemon/control/jobs/engine_test.go
@@ -359,3 +359,21 @@
 		t.Fatal("the task of the earlier life is kept")
 	}
 }
+
+// Guards against work that waits on a target that hangs while others have room.
+func TestStalledRunsMove(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.placed()
+	a := h.ask(controlapi.OpTarget, report(2, controlapi.RunReport{Task: job.Ref{Job: testJob}, Run: 1, Stalled: true}))
+	if len(a.got) != 1 || len(a.got[0].Body.(controlapi.TargetOrders).Stops) != 1 {
+		t.Fatalf("answers %v, want one that stops the run", a.got)
+	}
+	end := report(3)
+	end.Ends = []job.End{{Target: testLife, Number: 1, Task: job.Ref{Job: testJob}, Run: 1, Outcome: job.RunStopped}}
+	h.ask(controlapi.OpTarget, end)
+	h.pass(tickInterval)
+	if len(h.e.book.On(testLife)) != 0 {
+		t.Fatal("started again on the target that hangs")
+	}
+}
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -70,6 +70,7 @@
 	started map[job.Ref]sent
 	stopped map[job.Ref]sent
 	paused  map[job.Ref]time.Time // filling tasks that may not work, by since when
+	stalled map[job.Ref]bool      // runs that stand still
 
 	streak      int // failed runs since the last one that was done
 	suspensions int
@@ -166,18 +167,22 @@
 	s.report, s.request, s.seenAt, s.asked = report, r, now, false
 	s.until = now.Add(time.Duration(report.HoldMillis) * time.Millisecond)
 	s.runs = make(map[job.Ref]int, len(report.Running))
-	s.adopted = map[job.Ref]bool{}
+	s.adopted, s.stalled = map[job.Ref]bool{}, map[job.Ref]bool{}
 	paused := map[job.Ref]time.Time{}
 	for _, run := range report.Running {
 		s.runs[run.Task] = run.Run
 		if run.Adopted {
 			s.adopted[run.Task] = true
 		}
+		if run.Stalled {
+			s.stalled[run.Task] = true
+		}
 		if run.Paused {
 			paused[run.Task] = cmp.Or(s.paused[run.Task], now)
 		}
 	}
 	s.paused = paused
+	e.suspendStalled(now, s)
 	e.leader.disturbs.learn(report.Host, report.Serving, report.Learned)
 	s.prune(report.Seen)
 	e.takeEnds(s)
@@ -353,20 +358,29 @@
 	return orders
 }
 
-// unwanted reports whether a run that the target holds is not in the log, or is
-// a filling task that the serving tasks there leave no room to work. Stopped, it
-// goes on from its checkpoint on a target that suits it.
+// unwanted reports whether a run that the target holds is not in the log, stands
+// still, or is a filling task that the serving tasks there leave no room to work.
+// Stopped, it goes on from its checkpoint on a target that suits it.
 func (e *engine) unwanted(now time.Time, s *session, ref job.Ref, run int) bool {
 	if e.leader.settling[ref] == run || s.stopped[ref].inEffect(now, run) {
 		return false
 	}
-	if since, paused := s.paused[ref]; paused && now.Sub(since) >= pauseLimit {
+	if since, paused := s.paused[ref]; paused && now.Sub(since) >= pauseLimit || s.stalled[ref] {
 		return true
 	}
 	_, t := e.book.Find(ref)
 	return t == nil || t.State != job.Placed || t.Run != run || t.Target != s.life
 }
 
+// suspendStalled keeps new starts from a target on which runs stand still.
+func (e *engine) suspendStalled(now time.Time, s *session) {
+	if len(s.stalled) == 0 || s.suspended.After(now) {
+		return
+	}
+	s.suspended = now.Add(suspension)
+	e.log.Info("target suspended", zap.String("target", s.life.ID), zap.Int("stalled_runs", len(s.stalled)), zap.Duration("for", suspension))
+}
+
 func (e *engine) stopOrders(now time.Time, s *session) []controlapi.StopOrder {
 	var orders []controlapi.StopOrder
 	for ref, run := range s.runs {
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -34,6 +34,12 @@
 	doubtWait = 100 * time.Millisecond
 	// stopRetry is the pause before an unanswered stop is sent again.
 	stopRetry = 500 * time.Millisecond
+	// stallTime is how long a run may stand still before it is reported. The
+	// shortest step of progress is a hundredth of the work, tens of milliseconds at
+	// full pace, and a start from a checkpoint takes 250 ms.
+	stallTime = 1500 * time.Millisecond
+	// stallPace is the pace below which slow progress says nothing.
+	stallPace = 50
 	// reportHold is how long control may hold the answer to a report. It bounds
 	// the age of a lease.
 	reportHold = 700 * time.Millisecond
@@ -60,6 +66,8 @@
 	order      controlapi.StartOrder
 	checkpoint string
 	level      int64
+	progress   int           // percent of the work that is done; 100 for a lasting task at work
+	moved      time.Duration // when it last changed
 	adopted    bool          // found on the target; order is empty
 	pace       int           // percent that was asked for, or paceUnknown
 	since      time.Duration // of the state
@@ -346,6 +354,9 @@
 			o.dirty = true
 		}
 		r.checkpoint, r.level = s.Checkpoint, s.Level
+		if r.progress != s.Percent || r.moved == 0 {
+			r.progress, r.moved = s.Percent, now
+		}
 		if r.state == starting || r.state == doubtful {
 			r.state, r.since = running, now
 		}
@@ -386,6 +397,12 @@
 	o.report(now)
 }
 
+// isStalled reports whether a run stands still although it may work.
+func (r *run) isStalled(now time.Duration) bool {
+	return r.state == running && !r.adopted && r.moved > 0 && now-r.moved >= stallTime && r.progress < 100 &&
+		(!r.order.Filling || r.pace >= stallPace)
+}
+
 func (o *owner) watch(now time.Duration) {
 	if o.watching || now < o.watchAt {
 		return
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -325,3 +325,34 @@
 		t.Fatalf("gone %v, %d rejections after the stop, want one of each", r.Gone, rejections(r))
 	}
 }
+
+// Guards against tasks that stand still on a target for as long as it hangs, and
+// against ones that are taken for that while they are slow or paused.
+func TestRunsThatStandStillAreReported(t *testing.T) {
+	h := newHarness(t)
+	h.watch(nil)
+	orders := start(false)
+	orders.Starts[0].Filling = true
+	h.orders(orders)
+	h.o.result(h.now, calls.Result{Call: h.take(calls.Start)[0], Sent: h.now})
+	shown := func(percent int) {
+		h.now += 400 * time.Millisecond
+		h.watch([]runapi.Run{{Task: testTask, Run: 1, Percent: percent}})
+	}
+	for i := range 10 {
+		shown(i)
+		if h.report().Running[0].Stalled {
+			t.Fatalf("stalled while it makes progress, at %d%%", i)
+		}
+	}
+	for range 5 {
+		shown(10)
+	}
+	if !h.report().Running[0].Stalled {
+		t.Fatal("not reported after 2 s without progress")
+	}
+	h.o.runs[testTask].pace = 0
+	if h.report().Running[0].Stalled {
+		t.Fatal("reported although it is paused")
+	}
+}
--- a/daemon/targetagent/runs/pace.go
+++ b/daemon/targetagent/runs/pace.go
@@ -27,13 +27,13 @@
 	o.pacer.Decide(now, o.filling)
 	for task, r := range o.runs {
 		if r.order.Filling && r.state == running {
-			o.setPace(task, r)
+			o.setPace(now, task, r)
 		}
 	}
 }
 
 // setPace orders the pace of a filling task when it differs from the last one.
-func (o *owner) setPace(task job.Ref, r *run) {
+func (o *owner) setPace(now time.Duration, task job.Ref, r *run) {
 	percent := 100
 	if len(o.serving) > 0 {
 		percent = o.pacer.Percent(r.order.Image)
@@ -42,7 +42,7 @@
 		return
 	}
 	o.log.Debug("pace ordered", zap.Stringer("task", task), zap.Int("percent", percent), zap.Int("before", r.pace))
-	r.pace = percent
+	r.pace, r.moved = percent, now
 	o.calls = append(o.calls, calls.Call{Kind: calls.Pace, Life: o.life, Task: task, Run: r.number, Percent: percent, Token: o.term})
 }
 
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -44,7 +44,7 @@
 	for task, state := range o.runs {
 		r.Running = append(r.Running, controlapi.RunReport{
 			Task: task, Run: state.number, Checkpoint: state.checkpoint, Paused: state.order.Filling && state.pace == 0,
-			Adopted: state.adopted,
+			Adopted: state.adopted, Stalled: state.isStalled(now),
 		})
 	}
 	for _, q := range o.pacer.Quiet() {
--- a/runapi/runapi.go
+++ b/runapi/runapi.go
@@ -63,7 +63,7 @@
 	Task       job.Ref
 	Run        int
 	Checkpoint string
-	// Percent is 100 for a task that is at work at full pace.
+	// Percent of the work is done; 100 for a lasting task that is at work.
 	Percent int
 	// Level is the tail latency in milliseconds of a serving task, and the
 	// processor time in use, in thousandths, of any other.
