control/jobs: what was learned about images is in the log

Change: the leader stores estimates that have changed each 2 s, a new leader starts from them, and a hint counts on a target that has seen the image already but knows less. Tests: TestWhatWasLearnedOutlivesTheProcesses, TestHintsCountAfterTheFirstFigures.

--- a/daemon/control/jobs/disturbance.go
+++ b/daemon/control/jobs/disturbance.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/job"
@@ -16,6 +17,7 @@
 type disturbances struct {
 	images map[string]bool // serving images that were seen
 	pairs  map[pair]*pairSum
+	stored map[pair]pacing.Estimate // as last put into the log
 }
 
 // pairSum is the sum over the agents that know a pair.
@@ -25,8 +27,58 @@
 	weighted float64 // sum of coefficient/variance
 }
 
-func newDisturbances() *disturbances {
-	return &disturbances{images: map[string]bool{}, pairs: map[pair]*pairSum{}}
+// newDisturbances returns what is in the log. It counts like the estimate of one
+// more agent.
+func newDisturbances(b *job.Book) *disturbances {
+	d := &disturbances{images: map[string]bool{}, pairs: map[pair]*pairSum{}, stored: map[pair]pacing.Estimate{}}
+	for serving, pairs := range b.Disturbs {
+		for filling, e := range pairs {
+			e.Deviation = max(e.Deviation, storedDeviation)
+			d.learn(storedHost, nil, []controlapi.PairFigure{{Filling: filling, Serving: serving, Disturbance: controlapi.Disturbance(e)}})
+			d.stored[pair{serving, filling}] = pacing.Estimate(e)
+		}
+	}
+	return d
+}
+
+const (
+	// storedHost stands for the log among the agents, and storedDeviation is the
+	// least deviation of its estimates: images may have changed since.
+	storedHost      = ""
+	storedDeviation = 0.7
+	// storeInterval separates entries about pairs of images, and storeChange and
+	// storePrecision are the changes that are worth one.
+	storeInterval  = 2 * time.Second
+	storeChange    = 0.5
+	storePrecision = 0.7
+)
+
+// changes returns the estimates that differ from those in the log.
+func (d *disturbances) changes() []job.Learned {
+	var changed []job.Learned
+	for key := range d.pairs {
+		e := d.estimate(key.serving, key.filling)
+		last, known := d.stored[key]
+		if e == pacing.Unknown || known && math.Abs(e.Coefficient-last.Coefficient) < storeChange && e.Deviation > storePrecision*last.Deviation {
+			continue
+		}
+		d.stored[key] = e
+		changed = append(changed, job.Learned{Serving: key.serving, Filling: key.filling, Disturbance: job.Disturbance(e)})
+	}
+	return changed
+}
+
+// storeDisturbances puts what was learned into the log, so that it outlives the
+// agents and this leader.
+func (e *engine) storeDisturbances(now time.Time) {
+	l := e.leader
+	if now.Sub(l.stored) < storeInterval {
+		return
+	}
+	l.stored = now
+	if changed := l.disturbs.changes(); len(changed) > 0 {
+		e.add(func(c *job.Command) { c.Learned = append(c.Learned, changed...) }, nil, nil)
+	}
 }
 
 // leastDeviation bounds the weight of one agent.
--- a/daemon/control/jobs/disturbance_test.go
+++ b/daemon/control/jobs/disturbance_test.go
@@ -18,7 +18,7 @@
 // Guards against an agent that counts once for each report, and against an agent
 // that knows little and outweighs one that knows much.
 func TestDisturbancesWeighAgentsByPrecision(t *testing.T) {
-	d := newDisturbances()
+	d := newDisturbances(job.NewBook())
 	if d.estimate("s", "f") != pacing.Unknown {
 		t.Error("a pair that nobody knows has an estimate of its own")
 	}
@@ -40,3 +40,25 @@
 		t.Errorf("told %v about a step that does not fill", got)
 	}
 }
+
+// Guards against a system that learns anew which images disturb which after all of
+// its processes have ended at once: the serving tasks pay for each trial.
+func TestWhatWasLearnedOutlivesTheProcesses(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.manifest()
+	r := report(0)
+	r.Learned = learned(6, 0.5)
+	h.ask(controlapi.OpTarget, r)
+	h.pass(storeInterval)
+	entries := len(h.log)
+	h.pass(storeInterval)
+	if len(h.log) != entries {
+		t.Errorf("%d entries about what has not changed", len(h.log)-entries)
+	}
+	h.restart()
+	h.lead(3, 3)
+	if e := h.e.leader.disturbs.estimate("s", "f"); math.Abs(e.Coefficient-6) > 0.01 || e.Deviation < storedDeviation {
+		t.Errorf("estimate %+v after a restart, want 6 with a deviation of %.1f", e, storedDeviation)
+	}
+}
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -220,7 +220,7 @@
 func (e *engine) startLeadership(now time.Time, term uint64) {
 	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
 		zap.Int("live_jobs", len(e.book.Live())), zap.Uint64("manifest", e.book.Config.Version))
-	e.leader = newLeadership(term, e.options.Lease)
+	e.leader = newLeadership(term, e.options.Lease, e.book)
 	e.confirmLeadership(now)
 }
 
@@ -233,6 +233,7 @@
 		Run: func(time.Time) {
 			if e.leader == l {
 				l.confirmed, l.dirty = true, true
+				l.disturbs = newDisturbances(e.book) // with the entries of earlier leaders
 				e.log.Info("leadership confirmed", zap.Uint64("term", l.term), zap.Uint64("applied", e.applied))
 			}
 		},
@@ -280,6 +281,7 @@
 	e.loseTargets(now)
 	e.forgetJobs(now)
 	e.noteOccupancy(now)
+	e.storeDisturbances(now)
 	e.leader.dirty = true
 }
 
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -51,6 +51,7 @@
 	disturbs  *disturbances        // how much filling images disturb serving ones
 	idleSince map[string]time.Time // jobs with ready tasks and nothing placed
 	noted     time.Time            // last log line about the occupancy
+	stored    time.Time            // last entry about pairs of images
 }
 
 // session is what the leader knows about one life of a target.
@@ -89,7 +90,7 @@
 	return o.run == run && now.Sub(o.at) < resendAfter
 }
 
-func newLeadership(term uint64, terms lease.Terms) *leadership {
+func newLeadership(term uint64, terms lease.Terms, b *job.Book) *leadership {
 	return &leadership{
 		term:     term,
 		terms:    terms,
@@ -98,7 +99,7 @@
 		fresh:    map[job.Ref]int{},
 		losing:   map[job.Life]bool{},
 		over:     map[string]time.Time{},
-		disturbs: newDisturbances(),
+		disturbs: newDisturbances(b),
 	}
 }
 
--- a/job/apply.go
+++ b/job/apply.go
@@ -69,9 +69,19 @@
 	Adopted  []Adoption    `json:",omitempty"`
 	Lost     []Life        `json:",omitempty"` // their leases have expired, or they are known to be gone
 	Starts   []Start       `json:",omitempty"`
+	Learned  []Learned     `json:",omitempty"`
 	Forget   []string      `json:",omitempty"` // jobs that have been over for the retention time
 }
 
+// Learned is a new estimate for a pair of images.
+type Learned struct {
+	Serving, Filling string
+	Disturbance
+}
+
+// MaxPairs bounds the pairs of images that the book keeps.
+const MaxPairs = 4096
+
 // Apply carries out a committed command.
 func (b *Book) Apply(c *Command) {
 	if c.Config != nil && c.Config.Version > b.Config.Version {
@@ -102,6 +112,9 @@
 	for i := range c.Starts {
 		b.start(&c.Starts[i])
 	}
+	for _, l := range c.Learned {
+		b.learn(l)
+	}
 	for _, id := range c.Forget {
 		b.forget(id)
 	}
@@ -298,6 +311,27 @@
 	delete(b.byTarget, l)
 }
 
+// learn keeps the newest estimate for a pair.
+func (b *Book) learn(l Learned) {
+	pairs := b.Disturbs[l.Serving]
+	if pairs == nil {
+		pairs = map[string]Disturbance{}
+	}
+	if _, known := pairs[l.Filling]; !known && b.pairCount() >= MaxPairs {
+		return
+	}
+	pairs[l.Filling] = l.Disturbance
+	b.Disturbs[l.Serving] = pairs
+}
+
+func (b *Book) pairCount() int {
+	count := 0
+	for _, pairs := range b.Disturbs {
+		count += len(pairs)
+	}
+	return count
+}
+
 // forget drops a job that is over and of which nothing runs.
 func (b *Book) forget(id string) {
 	j := b.Jobs[id]
--- a/job/book.go
+++ b/job/book.go
@@ -118,11 +118,21 @@
 	Jobs     map[string]*Job
 	Noted    map[string]Noted // by target id
 	Orders   uint64           // of the last accepted job
+	// Disturbs is what was learned about serving and, below them, filling images.
+	// It outlives the processes that have learned it.
+	Disturbs map[string]map[string]Disturbance
 
 	byTarget map[Life]map[Ref]*Task
 	live     []*Job
 }
 
+// Disturbance is how much headroom a filling image takes from a serving image
+// when it works on a whole target: the logarithm of what it multiplies the tail by.
+type Disturbance struct {
+	Coefficient float64
+	Deviation   float64 // standard deviation of the coefficient
+}
+
 // Noted is how far the ends of a target's newest life are in the log. The
 // target forgets ends up to Number.
 type Noted struct {
@@ -132,7 +142,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	b := &Book{ZonesOut: map[string]bool{}, Jobs: map[string]*Job{}, Noted: map[string]Noted{}}
+	b := &Book{ZonesOut: map[string]bool{}, Jobs: map[string]*Job{}, Noted: map[string]Noted{}, Disturbs: map[string]map[string]Disturbance{}}
 	b.Index()
 	return b
 }
--- a/pacing/filter.go
+++ b/pacing/filter.go
@@ -130,8 +130,25 @@
 			lost += share * f.state[i]
 		}
 	}
+	f.update(x, headroom, figureNoise*figureNoise+effectNoise*effectNoise*lost*lost)
+	for key, i := range f.index {
+		if _, isJob := f.means[key]; !isJob {
+			f.state[i] = max(0, f.state[i]) // a neighbour never helps
+		}
+	}
+}
+
+// tell takes an estimate of an entry from elsewhere.
+func (f *filter) tell(key string, value, deviation float64) {
+	x := make([]float64, len(f.state))
+	x[f.index[key]] = 1
+	f.update(x, value, deviation*deviation)
+}
+
+// update applies the equation y = x . state with the given variance of y.
+func (f *filter) update(x []float64, y, variance float64) {
 	gain := make([]float64, len(x))
-	innovation, variance := headroom, figureNoise*figureNoise+effectNoise*effectNoise*lost*lost
+	innovation := y
 	for i, row := range f.covariance {
 		for j, xj := range x {
 			gain[i] += row[j] * xj
@@ -145,11 +162,6 @@
 			row[j] -= gain[i] * gain[j] / variance
 		}
 	}
-	for key, i := range f.index {
-		if _, isJob := f.means[key]; !isJob {
-			f.state[i] = max(0, f.state[i]) // a neighbour never helps
-		}
-	}
 }
 
 // estimate returns the value of an entry and its standard deviation.
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -61,6 +61,8 @@
 	// hintDeviation is the least deviation of what another target has learned:
 	// tasks of the same images differ a little.
 	hintDeviation = 0.7
+	// hintWeight is how many times surer than this target a hint must be to count.
+	hintWeight = 2
 )
 
 // Headroom returns the logarithm of the tail target over the tail, from a tail
@@ -145,6 +147,14 @@
 	}
 	e.Deviation = max(e.Deviation, hintDeviation)
 	p.hints[serving][filling] = e
+	f := p.filters[serving]
+	if f == nil {
+		return
+	}
+	// A hint comes with each order, so it counts once, against little knowledge.
+	if _, deviation, known := f.estimate(imageKey(filling)); known && deviation > hintWeight*e.Deviation {
+		f.tell(imageKey(filling), e.Coefficient, e.Deviation)
+	}
 }
 
 // Percent returns the pace of an image.
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -90,3 +90,24 @@
 		t.Errorf("worked %.2f of the %.2f that keep the tail at its target", worked, possible)
 	}
 }
+
+// Guards against a target that learns anew, at the cost of its serving tasks, what
+// others know, because it has seen the image a moment before it was told.
+func TestHintsCountAfterTheFirstFigures(t *testing.T) {
+	p := New()
+	f := Filling{Image: "f", Using: 0.01, Full: 0.3}
+	p.take(10*time.Second, 0.4, f)
+	if p.Percent("f") != 100 {
+		t.Fatalf("pace %d%% of an image that nothing is known about", p.Percent("f"))
+	}
+	for range 3 {
+		p.Hint("f", "s", Estimate{Coefficient: 8, Deviation: 0.5})
+	}
+	p.Decide(10*time.Second, []Filling{f})
+	if p.Percent("f") > 50 {
+		t.Fatalf("pace %d%% of an image that is known to harm", p.Percent("f"))
+	}
+	if _, deviation, _ := p.filters["s"].estimate(imageKey("f")); deviation < hintDeviation/2 {
+		t.Fatalf("deviation %.2f: the hint has counted more than once", deviation)
+	}
+}
