kalman: one copy of the measurement step

Cause: pacing and interference each had the same update of a state by a measurement. Measured: the tests of both packages pass unchanged.

--- a/daemon/targetagent/runs/lives.go
+++ b/daemon/targetagent/runs/lives.go
@@ -60,7 +60,7 @@
 	}
 	o.noted, o.lease, o.answered, o.clock, o.clockAt = 0, 0, 0, 0, 0
 	o.pacer = pacing.New()
-	clear(o.taught)
+	clear(o.toldPairs)
 	o.watching, o.watchAt = false, now
 	o.dirty = true
 }
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -107,7 +107,7 @@
 	paceDue  bool // a filling task has started since
 
 	tellLearned bool                          // the leader is new
-	taught      map[[2]string]pacing.Estimate // told to the leader, by serving and filling image
+	toldPairs   map[[2]string]pacing.Estimate // told to the leader, by serving and filling image
 
 	token    uint64 // of the newest report
 	pending  bool   // the newest report has no answer
@@ -127,7 +127,7 @@
 }
 
 func newOwner(agent uint64, host string, log *zap.Logger) *owner {
-	return &owner{log: log, agent: agent, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New(), taught: map[[2]string]pacing.Estimate{}}
+	return &owner{log: log, agent: agent, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New(), toldPairs: map[[2]string]pacing.Estimate{}}
 }
 
 // answer takes the answer of control to the report with the token.
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -65,16 +65,16 @@
 func (o *owner) learned() []controlapi.PairFigure {
 	if o.tellLearned {
 		o.tellLearned = false
-		clear(o.taught)
+		clear(o.toldPairs)
 	}
 	var changed []controlapi.PairFigure
 	for _, p := range o.pacer.Pairs() {
 		key := [2]string{p.Serving, p.Filling}
-		last, known := o.taught[key]
+		last, known := o.toldPairs[key]
 		if known && math.Abs(p.Coefficient-last.Coefficient) < tellChange && p.Deviation > tellPrecision*last.Deviation {
 			continue
 		}
-		o.taught[key] = p.Estimate
+		o.toldPairs[key] = p.Estimate
 		changed = append(changed, controlapi.PairFigure{
 			Filling: p.Filling, Serving: p.Serving, Disturbance: controlapi.Disturbance(p.Estimate),
 		})
--- a/interference/victim.go
+++ b/interference/victim.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/ibispier/ibispier/kalman"
 )
 
 // victim is a Kalman filter over the coefficients of all classes beside one
@@ -64,19 +66,5 @@
 
 // update applies the equation y = x . mean with the given noise.
 func (v *victim) update(x []float64, y, noise float64) {
-	gain := make([]float64, len(x))
-	innovation, variance := y, noise*noise
-	for i, row := range v.covariance {
-		for j, xj := range x {
-			gain[i] += row[j] * xj
-		}
-		innovation -= x[i] * v.mean[i]
-		variance += x[i] * gain[i]
-	}
-	for i, row := range v.covariance {
-		v.mean[i] += gain[i] * innovation / variance
-		for j := range row {
-			row[j] -= gain[i] * gain[j] / variance
-		}
-	}
+	kalman.Update(v.mean, v.covariance, x, y, noise*noise)
 }
--- a/pacing/filter.go
+++ b/pacing/filter.go
@@ -4,6 +4,8 @@
 	"math"
 	"strings"
 	"time"
+
+	"github.com/ibispier/ibispier/kalman"
 )
 
 const (
@@ -130,7 +132,7 @@
 			lost += share * f.state[i]
 		}
 	}
-	f.update(x, headroom, figureNoise*figureNoise+effectNoise*effectNoise*lost*lost)
+	kalman.Update(f.state, f.covariance, x, headroom, figureNoise*figureNoise+effectNoise*effectNoise*lost*lost)
 	for key, i := range f.index {
 		if _, isJob := f.means[key]; !isJob {
 			f.state[i] = max(0, f.state[i]) // a neighbour never helps
@@ -142,26 +144,7 @@
 func (f *filter) tell(key string, value, deviation float64) {
 	x := make([]float64, len(f.state))
 	x[f.index[key]] = 1
-	f.update(x, value, deviation*deviation)
-}
-
-// update applies the equation y = x . state with the given variance of y.
-func (f *filter) update(x []float64, y, variance float64) {
-	gain := make([]float64, len(x))
-	innovation := y
-	for i, row := range f.covariance {
-		for j, xj := range x {
-			gain[i] += row[j] * xj
-		}
-		innovation -= x[i] * f.state[i]
-		variance += x[i] * gain[i]
-	}
-	for i, row := range f.covariance {
-		f.state[i] += gain[i] * innovation / variance
-		for j := range row {
-			row[j] -= gain[i] * gain[j] / variance
-		}
-	}
+	kalman.Update(f.state, f.covariance, x, value, deviation*deviation)
 }
 
 // estimate returns the value of an entry and its standard deviation.
