--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -83,18 +83,11 @@
 	Headroom float64
 }
 
-// Disturbance is how much headroom a filling image takes from a serving image
-// when it works on a whole target.
-type Disturbance struct {
-	Coefficient float64
-	Deviation   float64 // standard deviation of the coefficient
-}
-
 // PairFigure is what an agent has learned about a filling and a serving image.
 type PairFigure struct {
 	Filling string
 	Serving string
-	Disturbance
+	job.Disturbance
 }
 
 // TargetReport is what an agent tells about its target.
@@ -141,7 +134,7 @@
 	Image            string `json:",omitempty"`
 	TailTargetMillis int64  `json:",omitempty"`
 	// Disturbs is what is known about a filling image, by serving image.
-	Disturbs map[string]Disturbance `json:",omitempty"`
+	Disturbs map[string]job.Disturbance `json:",omitempty"`
 }
 
 // StopOrder asks the agent to stop a run.
--- a/daemon/control/jobs/disturbance.go
+++ b/daemon/control/jobs/disturbance.go
@@ -17,12 +17,12 @@
 type disturbances struct {
 	images map[string]bool // serving images that were seen
 	pairs  map[pair]*pairSum
-	stored map[pair]pacing.Estimate // as last put into the log
+	stored map[pair]job.Disturbance // as last put into the log
 }
 
 // pairSum is the sum over the agents that know a pair.
 type pairSum struct {
-	byHost   map[string]controlapi.Disturbance
+	byHost   map[string]job.Disturbance
 	weight   float64 // sum of 1/variance
 	weighted float64 // sum of coefficient/variance
 }
@@ -30,12 +30,12 @@
 // newDisturbances returns what is in the log. It counts like the estimate of one
 // more agent.
 func newDisturbances(b *job.Book) *disturbances {
-	d := &disturbances{images: map[string]bool{}, pairs: map[pair]*pairSum{}, stored: map[pair]pacing.Estimate{}}
+	d := &disturbances{images: map[string]bool{}, pairs: map[pair]*pairSum{}, stored: map[pair]job.Disturbance{}}
 	for serving, pairs := range b.Disturbs {
 		for filling, e := range pairs {
 			e.Deviation = max(e.Deviation, storedDeviation)
-			d.learn(storedHost, nil, []controlapi.PairFigure{{Filling: filling, Serving: serving, Disturbance: controlapi.Disturbance(e)}})
-			d.stored[pair{serving, filling}] = pacing.Estimate(e)
+			d.learn(storedHost, nil, []controlapi.PairFigure{{Filling: filling, Serving: serving, Disturbance: e}})
+			d.stored[pair{serving, filling}] = e
 		}
 	}
 	return d
@@ -63,7 +63,7 @@
 			continue
 		}
 		d.stored[key] = e
-		changed = append(changed, job.Learned{Serving: key.serving, Filling: key.filling, Disturbance: job.Disturbance(e)})
+		changed = append(changed, job.Learned{Serving: key.serving, Filling: key.filling, Disturbance: e})
 	}
 	return changed
 }
@@ -94,14 +94,14 @@
 		key := pair{f.Serving, f.Filling}
 		sum := d.pairs[key]
 		if sum == nil {
-			sum = &pairSum{byHost: map[string]controlapi.Disturbance{}}
+			sum = &pairSum{byHost: map[string]job.Disturbance{}}
 			d.pairs[key] = sum
 		}
 		sum.set(host, f.Disturbance)
 	}
 }
 
-func (s *pairSum) set(host string, d controlapi.Disturbance) {
+func (s *pairSum) set(host string, d job.Disturbance) {
 	if before, known := s.byHost[host]; known {
 		s.add(before, -1)
 	}
@@ -110,30 +110,30 @@
 	s.add(d, 1)
 }
 
-func (s *pairSum) add(d controlapi.Disturbance, sign float64) {
+func (s *pairSum) add(d job.Disturbance, sign float64) {
 	weight := sign / (d.Deviation * d.Deviation)
 	s.weight += weight
 	s.weighted += weight * d.Coefficient
 }
 
 // estimate returns what is known about a pair.
-func (d *disturbances) estimate(serving, filling string) pacing.Estimate {
+func (d *disturbances) estimate(serving, filling string) job.Disturbance {
 	sum := d.pairs[pair{serving, filling}]
 	if sum == nil || sum.weight <= 0 {
 		return pacing.Unknown
 	}
-	return pacing.Estimate{Coefficient: sum.weighted / sum.weight, Deviation: math.Sqrt(1 / sum.weight)}
+	return job.Disturbance{Coefficient: sum.weighted / sum.weight, Deviation: math.Sqrt(1 / sum.weight)}
 }
 
 // of returns what is known about a filling image.
-func (d *disturbances) of(s *job.Step) map[string]controlapi.Disturbance {
+func (d *disturbances) of(s *job.Step) map[string]job.Disturbance {
 	if !s.Filling || len(d.images) == 0 {
 		return nil
 	}
-	known := map[string]controlapi.Disturbance{}
+	known := map[string]job.Disturbance{}
 	for image := range d.images {
 		if e := d.estimate(image, s.Image); e != pacing.Unknown {
-			known[image] = controlapi.Disturbance(e)
+			known[image] = e
 		}
 	}
 	return known
--- a/daemon/control/jobs/disturbance_test.go
+++ b/daemon/control/jobs/disturbance_test.go
@@ -11,7 +11,7 @@
 
 func learned(coefficient, deviation float64) []controlapi.PairFigure {
 	return []controlapi.PairFigure{{
-		Filling: "f", Serving: "s", Disturbance: controlapi.Disturbance{Coefficient: coefficient, Deviation: deviation},
+		Filling: "f", Serving: "s", Disturbance: job.Disturbance{Coefficient: coefficient, Deviation: deviation},
 	}}
 }
 
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -107,7 +107,7 @@
 	paceDue  bool // a filling task has started since
 
 	tellLearned bool                          // the leader is new
-	toldPairs   map[[2]string]pacing.Estimate // told to the leader, by serving and filling image
+	toldPairs   map[[2]string]job.Disturbance // told to the leader, by serving and filling image
 
 	token    uint64 // of the newest report
 	pending  bool   // the newest report has no answer
@@ -127,7 +127,7 @@
 }
 
 func newOwner(agent uint64, host string, log *zap.Logger) *owner {
-	return &owner{log: log, agent: agent, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New(), toldPairs: map[[2]string]pacing.Estimate{}}
+	return &owner{log: log, agent: agent, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New(), toldPairs: map[[2]string]job.Disturbance{}}
 }
 
 // answer takes the answer of control to the report with the token.
@@ -179,7 +179,7 @@
 // start carries out an order to start, at most once for each run.
 func (o *owner) start(now time.Duration, s controlapi.StartOrder) {
 	for serving, d := range s.Disturbs {
-		o.pacer.Hint(s.Image, serving, pacing.Estimate(d))
+		o.pacer.Hint(s.Image, serving, d)
 	}
 	r := o.runs[s.Task]
 	if r != nil && r.number == s.Run {
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -74,9 +74,9 @@
 		if known && math.Abs(p.Coefficient-last.Coefficient) < tellChange && p.Deviation > tellPrecision*last.Deviation {
 			continue
 		}
-		o.toldPairs[key] = p.Estimate
+		o.toldPairs[key] = p.Disturbance
 		changed = append(changed, controlapi.PairFigure{
-			Filling: p.Filling, Serving: p.Serving, Disturbance: controlapi.Disturbance(p.Estimate),
+			Filling: p.Filling, Serving: p.Serving, Disturbance: p.Disturbance,
 		})
 	}
 	return changed
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/ibispier/ibispier/job"
-	"github.com/ibispier/ibispier/pacing"
 	"github.com/ibispier/ibispier/resource"
 )
 
@@ -82,7 +81,7 @@
 type Pass struct {
 	limits   Limits
 	book     *job.Book
-	disturbs func(serving, filling string) pacing.Estimate
+	disturbs func(serving, filling string) job.Disturbance
 	rooms    []*room
 	now      time.Time // of day
 	idle     map[string]bool
@@ -96,7 +95,7 @@
 	Targets []*Target
 	// Disturbs estimates how much headroom a filling image that uses a whole
 	// target takes from a serving image.
-	Disturbs func(serving, filling string) pacing.Estimate
+	Disturbs func(serving, filling string) job.Disturbance
 	Now      time.Time // of day; only deadlines and jobs with times depend on it
 	// Idle names the jobs that have had ready tasks and nothing at work for a
 	// while. They get one start each where room is plentiful.
--- a/job/dispatch/dispatch_test.go
+++ b/job/dispatch/dispatch_test.go
@@ -50,9 +50,9 @@
 	return Run(in)
 }
 
-func (w *world) disturbs(_, filling string) pacing.Estimate {
+func (w *world) disturbs(_, filling string) job.Disturbance {
 	if harm, known := w.harm[filling]; known {
-		return pacing.Estimate{Coefficient: harm}
+		return job.Disturbance{Coefficient: harm}
 	}
 	return pacing.Unknown
 }
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -13,6 +13,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/ibispier/ibispier/job"
 )
 
 const (
@@ -92,21 +94,14 @@
 	Headroom float64 // of the job that has least
 }
 
-// Estimate is how much headroom a filling image takes when it works on a whole
-// target.
-type Estimate struct {
-	Coefficient float64
-	Deviation   float64
-}
-
 // Unknown is the estimate of a pair that nothing is known about.
-var Unknown = Estimate{Coefficient: priorCoefficient, Deviation: priorDeviation}
+var Unknown = job.Disturbance{Coefficient: priorCoefficient, Deviation: priorDeviation}
 
 // Pair is what is known about a filling and a serving image.
 type Pair struct {
 	Filling string
 	Serving string
-	Estimate
+	job.Disturbance
 }
 
 // overdue is a serving task that is over its target.
@@ -118,11 +113,11 @@
 
 // Pacer holds the paces on one target.
 type Pacer struct {
-	filters  map[string]*filter             // by serving image
-	hints    map[string]map[string]Estimate // by serving and filling image
-	late     map[string]*overdue            // by serving task
-	percent  map[string]int                 // by filling image
-	worked   map[string]float64             // share that the tails show, by filling image
+	filters  map[string]*filter                    // by serving image
+	hints    map[string]map[string]job.Disturbance // by serving and filling image
+	late     map[string]*overdue                   // by serving task
+	percent  map[string]int                        // by filling image
+	worked   map[string]float64                    // share that the tails show, by filling image
 	observed time.Duration
 	using    float64       // of all filling tasks, in the last figures
 	over     bool          // a tail was over settleRatio in the last figures
@@ -133,7 +128,7 @@
 func New() *Pacer {
 	return &Pacer{
 		filters: map[string]*filter{},
-		hints:   map[string]map[string]Estimate{},
+		hints:   map[string]map[string]job.Disturbance{},
 		late:    map[string]*overdue{},
 		percent: map[string]int{},
 		worked:  map[string]float64{},
@@ -141,9 +136,9 @@
 }
 
 // Hint tells what other targets have learned about a pair.
-func (p *Pacer) Hint(filling, serving string, e Estimate) {
+func (p *Pacer) Hint(filling, serving string, e job.Disturbance) {
 	if p.hints[serving] == nil {
-		p.hints[serving] = map[string]Estimate{}
+		p.hints[serving] = map[string]job.Disturbance{}
 	}
 	e.Deviation = max(e.Deviation, hintDeviation)
 	p.hints[serving][filling] = e
@@ -192,7 +187,7 @@
 		for filling := range p.percent {
 			value, deviation, known := f.estimate(imageKey(filling))
 			if known && deviation < priorDeviation {
-				pairs = append(pairs, Pair{Filling: filling, Serving: serving, Estimate: Estimate{value, deviation}})
+				pairs = append(pairs, Pair{Filling: filling, Serving: serving, Disturbance: job.Disturbance{Coefficient: value, Deviation: deviation}})
 			}
 		}
 	}
@@ -308,7 +303,7 @@
 }
 
 // hint returns what is known about a pair without figures of this target.
-func (p *Pacer) hint(serving, filling string) Estimate {
+func (p *Pacer) hint(serving, filling string) job.Disturbance {
 	if e, known := p.hints[serving][filling]; known {
 		return e
 	}
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"github.com/ibispier/ibispier/job"
 )
 
 // take observes the figures of one serving task and decides.
@@ -101,7 +103,7 @@
 		t.Fatalf("pace %d%% of an image that nothing is known about", p.Percent("f"))
 	}
 	for range 3 {
-		p.Hint("f", "s", Estimate{Coefficient: 8, Deviation: 0.5})
+		p.Hint("f", "s", job.Disturbance{Coefficient: 8, Deviation: 0.5})
 	}
 	p.Decide(10*time.Second, []Filling{f})
 	if p.Percent("f") > 50 {
