job/dispatch, control/jobs: placement keeps its view of the targets

Cause: each flush with a change rebuilt the load of every target from the store, ranked all live jobs, looked up each job's queue among all routes, and tried each ready step on all targets, also for a shape that had just failed on all of them. answerTargets checked all sessions for orders after each event.

Change: dispatch.Dispatcher keeps the load of the targets and is told of changes; a shape that fits nowhere is tried only on targets that have changed since; the tasks of a step are placed from one ranking. Sessions are checked for orders when a report or the store has changed them, and every 100 ms for what depends on time alone. Queues are found by an index. The leader doesn't decode commands that it has proposed itself.

--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -52,13 +52,16 @@
 		return
 	}
 	e.leader.needsDispatch = false
-	starts := dispatch.Run(dispatch.Input{
+	for _, s := range e.leader.sessions {
+		if s.placement != nil {
+			s.placement.SetStartable(e.isStartable(now, s))
+		}
+	}
+	starts := e.leader.dispatcher.Run(dispatch.Input{
 		Store:    e.store,
-		Targets:  e.dispatchTargets(now),
 		Disturbs: e.leader.disturbances.estimate,
 		Now:      time.Now(),
 		IdleJobs: e.leader.idleJobs(now, e.store),
-		Limits:   e.options.Limits,
 	})
 	if len(starts) == 0 {
 		return
@@ -104,28 +107,20 @@
 	return ready
 }
 
-// dispatchTargets returns the dispatcher's view of the targets that have
+// dispatchTarget returns the dispatcher's description of a target that has
 // reported.
-func (e *engine) dispatchTargets(now time.Time) []*dispatch.Target {
-	targets := make([]*dispatch.Target, 0, len(e.leader.sessions))
-	for _, s := range e.leader.sessions {
-		if s.report == nil {
-			continue
-		}
-		targets = append(targets, &dispatch.Target{
-			Incarnation: s.target,
-			Host:        s.report.Host,
-			Service:     s.report.Service,
-			Zone:        s.report.Zone,
-			Rack:        s.report.Rack,
-			Labels:      s.report.Labels,
-			Capacity:    s.report.Capacity,
-			Startable:   e.isStartable(now, s),
-			Paused:      s.pausedTasks(),
-			Headroom:    s.headroom(),
-		})
+func (s *session) dispatchTarget() dispatch.Target {
+	return dispatch.Target{
+		Incarnation: s.target,
+		Host:        s.report.Host,
+		Service:     s.report.Service,
+		Zone:        s.report.Zone,
+		Rack:        s.report.Rack,
+		Labels:      s.report.Labels,
+		Capacity:    s.report.Capacity,
+		Paused:      s.pausedTasks(),
+		Headroom:    s.headroom(),
 	}
-	return targets
 }
 
 func (s *session) pausedTasks() map[job.Ref]bool {
@@ -146,15 +141,21 @@
 		s.failureStreak = 0
 		e.log.Info("target suspended", zap.String("target", s.target.ID), zap.Duration("for", s.suspendedUntil.Sub(now)))
 	}
-	return !s.report.Draining && s.report.LeaseWanted && !e.leader.proposedLosses[s.target] &&
+	return !s.report.Draining && s.report.LeaseWanted &&
+		(len(e.leader.proposedLosses) == 0 || !e.leader.proposedLosses[s.target]) &&
 		now.Sub(s.reportedAt) < silenceTimeout && s.leaseExpiry.After(now) && !s.suspendedUntil.After(now)
 }
 
+// forgetInterval is the time between two looks through the finished jobs. It is
+// short beside the retention time.
+const forgetInterval = time.Second
+
 // forgetJobs removes finished jobs after the retention time.
 func (e *engine) forgetJobs(now time.Time) {
-	if len(e.store.Jobs) == len(e.store.LiveJobs()) {
+	if now.Sub(e.leader.forgottenAt) < forgetInterval {
 		return
 	}
+	e.leader.forgottenAt = now
 	for id, j := range e.store.Jobs {
 		if j.IsLive() {
 			continue
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -61,7 +62,8 @@
 // batch is a command that is being assembled or waits for its entry.
 type batch struct {
 	command   job.Command
-	parts     int // number of parts that were added
+	encoded   []byte // of the command, once it is proposed
+	parts     int    // number of parts that were added
 	deadline  time.Time
 	onApplied []func(now time.Time)
 	onUnknown []func()
@@ -104,6 +106,7 @@
 	b.command.Origin, b.command.Sequence = e.origin, e.sequence
 	b.deadline = now.Add(proposalTimeout)
 	data, err := json.Marshal(&b.command)
+	b.encoded = data
 	if err == nil && e.leader != nil && !e.status.ReadOnly {
 		err = e.offerInput(replica.Input{Propose: data})
 	} else if err == nil {
@@ -169,16 +172,18 @@
 	if entry.Kind != consensus.EntryNormal {
 		return nil
 	}
-	c := new(job.Command)
-	if err := json.Unmarshal(entry.Data, c); err != nil {
-		return supervise.Fatal(Error.New("step=apply index=%d: %w", entry.Index, err))
+	c, err := e.decode(entry)
+	if err != nil {
+		return err
 	}
 	if e.leader != nil {
 		e.leader.beforeApply(e.store, c)
 	}
 	e.store.Apply(c)
 	if e.leader != nil {
-		e.leader.needsDispatch = true
+		e.leader.afterApply(e.store, c)
+	} else {
+		e.store.TakeChanged() // a new leader starts with the whole store
 	}
 	if b := e.inFlight[c.Sequence]; b != nil && c.Origin == e.origin {
 		delete(e.inFlight, c.Sequence)
@@ -189,6 +194,22 @@
 	return nil
 }
 
+// decode returns the command of an entry. A command that this engine has proposed
+// itself is not decoded again: all its strings come from decoded JSON, so encoding
+// does not change them.
+func (e *engine) decode(entry consensus.Entry) (*job.Command, error) {
+	for _, b := range e.inFlight {
+		if bytes.Equal(b.encoded, entry.Data) {
+			return &b.command, nil
+		}
+	}
+	c := new(job.Command)
+	if err := json.Unmarshal(entry.Data, c); err != nil {
+		return nil, supervise.Fatal(Error.New("step=apply index=%d: %w", entry.Index, err))
+	}
+	return c, nil
+}
+
 // setStatus tracks the leadership of this member. A new term starts a new
 // leadership, even if this member was the leader before.
 func (e *engine) setStatus(now time.Time, s replica.Status) {
@@ -222,7 +243,7 @@
 func (e *engine) startLeadership(now time.Time, term uint64) {
 	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
 		zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Uint64("manifest", e.store.Config.Version))
-	e.leader = newLeadership(term, e.options.Lease, e.store)
+	e.leader = newLeadership(term, e.options.Lease, e.options.Limits, e.store)
 	e.confirmLeadership(now)
 }
 
@@ -236,6 +257,7 @@
 			if e.leader == l {
 				l.confirmed, l.needsDispatch = true, true
 				l.disturbances = newDisturbanceTable(e.store) // includes entries of earlier leaders
+				l.dispatcher.EstimatesChanged()
 				e.log.Info("leadership confirmed", zap.Uint64("term", l.term), zap.Uint64("applied", e.applied))
 			}
 		},
@@ -284,6 +306,7 @@
 	e.forgetJobs(now)
 	e.logOccupancy(now)
 	e.storeDisturbances(now)
+	e.checkWaitingTargets(now)
 	e.leader.needsDispatch = true
 }
 
--- /dev/null
+++ b/daemon/control/jobs/fleet_test.go
@@ -0,0 +1,307 @@
+package jobs
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/control/applier"
+	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/job/dispatch"
+	"github.com/ibispier/ibispier/resource"
+)
+
+const (
+	fleetTick     = 5 * time.Millisecond
+	commitDelay   = 20 * time.Millisecond // two syncs and a hop across zones
+	confirmDelay  = 8 * time.Millisecond
+	reportDelay   = 8 * time.Millisecond // a hop from the leader to an agent and back
+	fleetHold     = 700
+	idleRoutes    = 240
+	taskOfQuick   = 640 * time.Millisecond
+	taskOfFilling = 2700 * time.Millisecond
+)
+
+// rates are the jobs that arrive each second.
+type rates struct{ quick, filling, lasting float64 }
+
+// rates of the large deployment, whose 240 instances have 64 processors each.
+var largeRates = rates{quick: 25.9, filling: 4.03, lasting: 0.261}
+
+func (r rates) scaled(x float64) rates { return rates{r.quick * x, r.filling * x, r.lasting * x} }
+
+// fleet drives an engine that leads with the reports of simulated agents, in
+// virtual time. Engine time is not part of virtual time; busy sums it up.
+type fleet struct {
+	e       *engine
+	now     time.Time
+	random  *rand.Rand
+	agents  []*fakeAgent
+	events  eventQueue
+	busy    time.Duration
+	index   uint64
+	pending []consensus.Entry
+	jobs    int
+	starts  int
+
+	submittedAt map[string]time.Time
+	firstStart  map[string]time.Duration // from submission to the first start
+	refused     int
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// fakeAgent runs tasks for their run time and reports them.
+type fakeAgent struct {
+	f       *fleet
+	target  job.TargetIncarnation
+	number  int
+	running map[job.Ref]int
+	ends    []job.End
+	ended   uint64
+	seen    uint64
+	due     bool // a report is on its way
+}
+
+func newFleet(targets int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), submittedAt: map[string]time.Time{}, firstStart: map[string]time.Duration{}}
+	f.e = newEngine(Options{Lease: testTerms, Retention: 2 * time.Minute, MinVoters: 3, Limits: dispatch.DefaultLimits(), Log: zap.NewNop()}, 1, f.offer)
+	f.update(replica.Update{Status: &replica.Status{IsLeader: true, Term: 1, Members: voters(5)}})
+	f.runFor(time.Second)
+	config := job.Config{Version: 1, Services: []job.Service{{Name: "s"}}, Source: []byte("{}")}
+	for i := range idleRoutes {
+		config.Queues = append(config.Queues, job.Queue{Host: "h", Prefix: fmt.Sprintf("/idle%d/", i), Service: "s", TimeoutMillis: 1})
+	}
+	for i, name := range []string{"quick", "filling", "lasting"} {
+		q := job.Queue{Host: "h", Prefix: "/" + name + "/", Service: "s", TimeoutMillis: 3000, Attempts: 4, Stretch: 1.5, SlackMillis: 300}
+		q.Priority = 2 * (i % 2)
+		config.Queues = append(config.Queues, q)
+	}
+	f.request(controlapi.OpManifest, &controlapi.ManifestRequest{Config: config}, &recorder{})
+	for i := range targets {
+		a := &fakeAgent{f: f, target: job.TargetIncarnation{ID: fmt.Sprintf("t%04d", i), Born: 1}, number: i, running: map[job.Ref]int{}}
+		f.agents = append(f.agents, a)
+		a.report()
+	}
+	f.runFor(2 * time.Second)
+	return f
+}
+
+// measured adds the time of a call into the engine to busy.
+func (f *fleet) measured(call func()) {
+	start := time.Now()
+	call()
+	f.e.flush(f.now)
+	f.busy += time.Since(start)
+}
+
+func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.events, event{f.now.Add(d), do}) }
+
+// offer is the replica: it commits and confirms after a delay.
+func (f *fleet) offer(in replica.Input) error {
+	switch {
+	case in.Propose != nil:
+		f.after(commitDelay, func() {
+			f.index++
+			f.update(replica.Update{Entries: []consensus.Entry{{Index: f.index, Data: in.Propose}}})
+		})
+	case in.ReadContext != 0:
+		f.after(confirmDelay, func() {
+			f.update(replica.Update{Reads: []replica.ReadReady{{Context: in.ReadContext, Index: f.index}}})
+		})
+	}
+	return nil
+}
+
+func (f *fleet) update(u replica.Update) {
+	f.measured(func() {
+		if err := f.e.handleUpdate(f.now, u); err != nil {
+			panic(err)
+		}
+	})
+}
+
+func (f *fleet) request(op controlapi.Operation, body any, reply applier.Replier) {
+	f.measured(func() {
+		f.e.handleRequest(f.now, &applier.Request{Operation: op, Body: body, Replier: reply})
+	})
+}
+
+// runFor advances virtual time.
+func (f *fleet) runFor(d time.Duration) {
+	end := f.now.Add(d)
+	nextTick := f.now
+	for {
+		next := nextTick
+		if len(f.events) > 0 && f.events[0].at.Before(next) {
+			next = f.events[0].at
+		}
+		if !next.Before(end) {
+			f.now = end
+			return
+		}
+		f.now = next
+		if next == nextTick {
+			nextTick = nextTick.Add(tickInterval)
+			f.measured(func() { f.e.tick(f.now) })
+			continue
+		}
+		heap.Pop(&f.events).(event).do()
+	}
+}
+
+// play submits jobs at the rates for the time.
+func (f *fleet) play(r rates, d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.runFor(fleetTick) {
+		f.submitSome("quick", r.quick, job.Step{Count: 13, Need: cpu(2600), EstimateMillis: taskOfQuick.Milliseconds()})
+		f.submitSome("filling", r.filling, job.Step{Count: 40, Need: cpu(7000), EstimateMillis: taskOfFilling.Milliseconds(), Filling: true, Image: "f"})
+		f.submitSome("lasting", r.lasting, job.Step{Count: 24, Need: cpu(13000), Lasting: true, TailTargetMillis: 50, Image: "s"})
+	}
+}
+
+func cpu(milli int64) resource.Vector { return resource.Vector{CPUMilli: milli, MemoryMiB: 2 * milli} }
+
+func (f *fleet) submitSome(queue string, perSecond float64, step job.Step) {
+	if f.random.Float64() >= perSecond*fleetTick.Seconds() {
+		return
+	}
+	f.jobs++
+	id := fmt.Sprintf("%016x", f.jobs)
+	spec := job.Spec{ID: id, Payload: "p", Steps: []job.Step{step}}
+	if !step.Lasting && f.random.Float64() < 0.6 {
+		step.After = []int{0}
+		spec.Steps = append(spec.Steps, step)
+	}
+	f.submittedAt[id] = f.now
+	f.request(controlapi.OpJobSubmit, &controlapi.JobSubmitRequest{Host: "h", Path: "/" + queue + "/" + id, Spec: spec}, f)
+}
+
+// Reply implements applier.Replier for submissions.
+func (f *fleet) Reply(r applier.Response) {
+	if answer, ok := r.Body.(controlapi.JobResponse); !ok || answer.Outcome != controlapi.JobOK {
+		f.refused++
+	}
+}
+
+// report sends what the agent knows.
+func (a *fakeAgent) report() {
+	if a.due {
+		return
+	}
+	a.due = true
+	a.f.after(reportDelay/2, func() {
+		a.due = false
+		r := &controlapi.TargetReport{
+			Incarnation: a.target, Host: a.target.ID, Service: "s", Zone: fmt.Sprintf("z%d", a.number%5), Rack: fmt.Sprintf("r%d", a.number/8),
+			Capacity: resource.Vector{CPUMilli: 64_000, MemoryMiB: 256_000}, Agent: 1, Seen: a.seen, LeaseWanted: true,
+			Ends: slices.Clone(a.ends), HoldMillis: fleetHold,
+			Serving: []controlapi.ServingHeadroom{{Image: "s", Headroom: 1 + float64(a.f.random.IntN(8))/8}},
+		}
+		for ref, run := range a.running {
+			r.Running = append(r.Running, controlapi.RunReport{Task: ref, Run: run})
+		}
+		a.f.request(controlapi.OpTarget, r, a)
+	})
+}
+
+// Reply implements applier.Replier for reports.
+func (a *fakeAgent) Reply(r applier.Response) {
+	orders, ok := r.Body.(controlapi.TargetOrders)
+	if ok && orders.Number == 0 {
+		return // superseded by a newer report
+	}
+	a.f.after(reportDelay/2, func() { a.handle(orders) })
+}
+
+func (a *fakeAgent) handle(orders controlapi.TargetOrders) {
+	a.seen = max(a.seen, orders.Number)
+	a.ends = slices.DeleteFunc(a.ends, func(e job.End) bool { return e.Number <= orders.EndWatermark })
+	for _, s := range orders.Starts {
+		if a.running[s.Task] >= s.Run {
+			continue
+		}
+		a.running[s.Task] = s.Run
+		a.f.starts++
+		if _, started := a.f.firstStart[s.Task.Job]; !started {
+			a.f.firstStart[s.Task.Job] = a.f.now.Sub(a.f.submittedAt[s.Task.Job])
+		}
+		switch {
+		case s.Filling:
+			a.f.after(taskOfFilling, func() { a.end(s.Task, s.Run) })
+		case s.TailTargetMillis == 0:
+			a.f.after(taskOfQuick, func() { a.end(s.Task, s.Run) })
+		}
+	}
+	a.report()
+}
+
+func (a *fakeAgent) end(task job.Ref, run int) {
+	if a.running[task] != run {
+		return
+	}
+	delete(a.running, task)
+	a.ended++
+	a.ends = append(a.ends, job.End{Number: a.ended, Task: task, Run: run, Outcome: job.RunDone})
+	a.report()
+}
+
+// percentile returns the time within which the share of the jobs has started. Jobs
+// that have not started count as taking until now.
+func (f *fleet) percentile(share float64) time.Duration {
+	var times []time.Duration
+	for id, at := range f.submittedAt {
+		first, started := f.firstStart[id]
+		if !started {
+			first = f.now.Sub(at)
+		}
+		times = append(times, first)
+	}
+	slices.Sort(times)
+	return times[int(share*float64(len(times)-1))]
+}
+
+// Measures the processor time of the duty for each second of the load of the large
+// deployment, and of fleets that are larger by some factors.
+func BenchmarkFleet(b *testing.B) {
+	for _, targets := range []int{11, 75, 240, 1000, 4000} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			const played = 10 * time.Second
+			var busy time.Duration
+			for range b.N {
+				f := newFleet(targets)
+				load := largeRates.scaled(float64(targets) / 240)
+				f.play(load, played)
+				f.busy, f.starts = 0, 0
+				f.play(load, played)
+				busy += f.busy
+				b.ReportMetric(float64(f.starts)/played.Seconds(), "starts/s")
+				b.ReportMetric(float64(f.percentile(0.95).Milliseconds()), "p95-first-start-ms")
+			}
+			b.ReportMetric(busy.Seconds()/float64(b.N)/played.Seconds(), "core")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -11,10 +11,14 @@
 	"github.com/ibispier/ibispier/daemon/control/applier"
 	"github.com/ibispier/ibispier/daemon/control/readindex"
 	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/job/dispatch"
 	"github.com/ibispier/ibispier/lease"
 )
 
 const (
+	// recheckInterval is how often a session is checked for orders that depend on
+	// time alone.
+	recheckInterval = 100 * time.Millisecond
 	// silenceTimeout is the time without reports after which a target gets no new
 	// starts. An agent reports at least every TargetReport.HoldMillis, which is
 	// below a second.
@@ -51,9 +55,12 @@
 	startsInFlight    bool                           // a proposal with starts is in flight
 	needsDispatch     bool                           // something has changed since the last dispatch
 	disturbances      *disturbanceTable              // disturbance between filling and serving images
-	idleSince         map[string]time.Time           // since when jobs have ready tasks and none placed
-	occupancyLoggedAt time.Time                      // time of the last occupancy log line
-	estimatesStoredAt time.Time                      // time of the last entry with estimates
+	dispatcher        *dispatch.Dispatcher
+	unanswered        []*session           // sessions whose orders may have changed since they were checked
+	idleSince         map[string]time.Time // since when jobs have ready tasks and none placed
+	forgottenAt       time.Time            // when finished jobs were last looked through
+	occupancyLoggedAt time.Time            // time of the last occupancy log line
+	estimatesStoredAt time.Time            // time of the last entry with estimates
 }
 
 // session is the leader's state for one incarnation of a target.
@@ -74,6 +81,9 @@
 	sentStops         map[job.Ref]sentOrder    // latest stop sent for each task
 	pausedSince       map[job.Ref]time.Time    // when filling tasks were first reported as paused
 	stalledRuns       map[job.Ref]bool         // runs reported as making no progress
+	placement         *dispatch.TargetState    // view of the dispatcher; nil before the first report
+	queued            bool                     // is in leadership.unanswered
+	checkedAt         time.Time                // when the session was last checked for orders
 
 	failureStreak  int       // failed runs since the last one that was done
 	suspensions    int       // suspensions since the last run that was done, up to 4
@@ -93,7 +103,7 @@
 	return o.run == run && now.Sub(o.sentAt) < resendAfter
 }
 
-func newLeadership(term uint64, timing lease.Timing, st *job.Store) *leadership {
+func newLeadership(term uint64, timing lease.Timing, limits dispatch.Limits, st *job.Store) *leadership {
 	return &leadership{
 		term:           term,
 		leaseTiming:    timing,
@@ -103,6 +113,7 @@
 		proposedLosses: map[job.TargetIncarnation]bool{},
 		finishedAt:     map[string]time.Time{},
 		disturbances:   newDisturbanceTable(st),
+		dispatcher:     dispatch.New(limits),
 	}
 }
 
@@ -136,7 +147,12 @@
 		if l.proposedEnds[end.Task] == end.Run {
 			delete(l.proposedEnds, end.Task)
 		}
-		if s := l.sessions[end.Target]; s != nil && end.Number > st.LastEndNumber(end.Target) {
+		s := l.sessions[end.Target]
+		if s == nil {
+			continue
+		}
+		l.queueCheck(s)
+		if end.Number > st.LastEndNumber(end.Target) {
 			s.countOutcome(end.Outcome)
 		}
 	}
@@ -145,6 +161,34 @@
 	}
 }
 
+// afterApply takes over what the command has changed.
+func (l *leadership) afterApply(st *job.Store, c *job.Command) {
+	for target := range st.TakeChanged() {
+		l.dispatcher.TasksChanged(target)
+		if s := l.sessions[target]; s != nil {
+			l.queueCheck(s)
+		}
+	}
+	if len(c.Zones) > 0 {
+		l.dispatcher.ZonesChanged()
+	}
+	l.needsDispatch = true
+}
+
+// queueCheck has the session checked for orders at the next flush.
+func (l *leadership) queueCheck(s *session) {
+	if !s.queued {
+		s.queued = true
+		l.unanswered = append(l.unanswered, s)
+	}
+}
+
+// removeSession forgets a session and the dispatcher's view of its target.
+func (l *leadership) removeSession(target job.TargetIncarnation) {
+	delete(l.sessions, target)
+	l.dispatcher.RemoveTarget(target)
+}
+
 // countOutcome tracks whether runs on the target succeed.
 func (s *session) countOutcome(o job.Outcome) {
 	switch o {
@@ -191,6 +235,11 @@
 	s.pausedSince = paused
 	e.suspendStalled(now, s)
 	e.leader.disturbances.learn(report.Host, report.Serving, report.Learned)
+	if len(report.Learned) > 0 {
+		e.leader.dispatcher.EstimatesChanged()
+	}
+	s.placement = e.leader.dispatcher.SetTarget(s.dispatchTarget())
+	e.leader.queueCheck(s)
 	s.pruneSentStarts(report.Seen)
 	e.proposeEnds(s)
 	for _, gone := range report.Gone {
@@ -241,15 +290,33 @@
 // time has ended. Every answer may renew a lease, so it waits until a quorum
 // has confirmed the leadership.
 func (e *engine) answerTargets(now time.Time) {
+	for _, s := range e.leader.unanswered {
+		s.queued = false
+		e.answerTarget(now, s)
+	}
+	e.leader.unanswered = e.leader.unanswered[:0]
+}
+
+func (e *engine) answerTarget(now time.Time, s *session) {
+	if s.heldRequest == nil || s.confirming {
+		return
+	}
+	s.checkedAt = now
+	if s.holdUntil.After(now) && !e.hasOrders(now, s) {
+		return
+	}
+	s.confirming = true
+	e.confirmOrders(now, s, s.heldRequest)
+}
+
+// checkWaitingTargets queues the sessions whose hold time has ended, and those
+// whose orders may have become due by time alone: orders that are sent again, and
+// tasks that have been paused for too long.
+func (e *engine) checkWaitingTargets(now time.Time) {
 	for _, s := range e.leader.sessions {
-		if s.heldRequest == nil || s.confirming {
-			continue
-		}
-		if s.holdUntil.After(now) && !e.hasOrders(now, s) {
-			continue
+		if s.heldRequest != nil && (!s.holdUntil.After(now) || now.Sub(s.checkedAt) >= recheckInterval) {
+			e.leader.queueCheck(s)
 		}
-		s.confirming = true
-		e.confirmOrders(now, s, s.heldRequest)
 	}
 }
 
@@ -420,7 +487,7 @@
 		if len(e.store.TasksOn(target)) > 0 {
 			e.loseTarget(target, "lease expired")
 		} else if s.heldRequest == nil && now.Sub(s.reportedAt) > e.options.Lease.SafeExpiry() {
-			delete(e.leader.sessions, target)
+			e.leader.removeSession(target)
 		}
 	}
 }
@@ -435,8 +502,9 @@
 	}
 	if s.heldRequest != nil && !s.confirming {
 		replyOK(s.heldRequest, controlapi.TargetOrders{})
+		s.heldRequest = nil
 	}
-	delete(e.leader.sessions, target)
+	e.leader.removeSession(target)
 }
 
 // adoptRuns moves the runs of an earlier incarnation that the current one
--- a/job/apply.go
+++ b/job/apply.go
@@ -87,6 +87,7 @@
 func (st *Store) Apply(c *Command) {
 	if c.Config != nil && c.Config.Version > st.Config.Version {
 		st.Config = *c.Config
+		st.indexQueues()
 	}
 	for _, z := range c.Zones {
 		if z.Out {
@@ -150,6 +151,8 @@
 
 // finishJob ends the tasks of a job that is no longer live. Running tasks are
 // marked Stopping and hold capacity until their targets have stopped them.
+// Finished jobs are kept for callers that ask for their state; most of the jobs in
+// the store are finished, so their tasks are dropped as soon as none runs.
 func (st *Store) finishJob(j *Job) {
 	if i := slices.Index(st.liveJobs, j); i >= 0 {
 		st.liveJobs = slices.Delete(st.liveJobs, i, i+1)
@@ -158,10 +161,26 @@
 		switch t.State {
 		case Placed:
 			t.State = Stopping
+			st.markChanged(t.Target)
 		case Ready:
 			t.State = Ended
 		}
 	})
+	st.dropEndedTasks(j)
+}
+
+// dropEndedTasks drops the tasks and steps of a finished job of which no task runs.
+func (st *Store) dropEndedTasks(j *Job) {
+	if !j.IsLive() && !j.isRunning() {
+		j.Occurrences, j.Spec = nil, Spec{ID: j.Spec.ID}
+	}
+}
+
+// isRunning reports whether a task of the job holds capacity.
+func (j *Job) isRunning() bool {
+	running := false
+	j.eachTask(func(_ Ref, t *Task) { running = running || t.HoldsCapacity() })
+	return running
 }
 
 // startRun places a task, unless the start is outdated.
@@ -215,6 +234,7 @@
 	}
 	n.Number = e.Number
 	st.EndWatermarks[e.Target.ID] = n
+	st.markChanged(e.Target)
 	return true
 }
 
@@ -226,6 +246,7 @@
 	}
 	if t.State == Stopping {
 		t.State = Ended
+		st.dropEndedTasks(j)
 		return
 	}
 	if e.Outcome == RunDone && !step.Lasting {
@@ -308,12 +329,14 @@
 		j := st.Jobs[r.Job]
 		if t.State == Stopping {
 			t.State = Ended
+			st.dropEndedTasks(j)
 			continue
 		}
 		t.State = Ready
 		j.Occurrences[r.Occurrence][r.Step].Waiting++
 	}
 	delete(st.byTarget, target)
+	st.markChanged(target)
 }
 
 // setEstimate stores the latest estimate for a pair. New pairs are ignored once
@@ -344,9 +367,7 @@
 	if j == nil || j.IsLive() {
 		return
 	}
-	running := false
-	j.eachTask(func(_ Ref, t *Task) { running = running || t.HoldsCapacity() })
-	if !running {
+	if !j.isRunning() {
 		delete(st.Jobs, id)
 	}
 }
--- a/job/config.go
+++ b/job/config.go
@@ -71,14 +71,3 @@
 	}
 	return best, path[len(best.Prefix):]
 }
-
-// currentQueue returns the queue with the same host and prefix in the current
-// configuration, or q itself if there is none.
-func (c *Config) currentQueue(q *Queue) *Queue {
-	for i := range c.Queues {
-		if c.Queues[i].Host == q.Host && c.Queues[i].Prefix == q.Prefix {
-			return &c.Queues[i]
-		}
-	}
-	return q
-}
--- a/job/dispatch/dispatch_test.go
+++ b/job/dispatch/dispatch_test.go
@@ -2,30 +2,38 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
+	"github.com/ibispier/ibispier/internal/testseed"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/pacing"
 	"github.com/ibispier/ibispier/resource"
 )
 
+func TestMain(m *testing.M) {
+	testseed.Fix()
+	os.Exit(m.Run())
+}
+
 var testNow = time.Unix(1_800_000_000, 0)
 
 // fixture is a store with jobs for one service and a set of targets.
 type fixture struct {
 	store        *job.Store
 	targets      []*Target
+	unstartable  map[int]bool       // by index in targets
 	coefficients map[string]float64 // disturbance coefficients by filling image
 	jobs         int
 }
 
 func newFixture(targets int) *fixture {
-	w := &fixture{store: job.NewStore(), coefficients: map[string]float64{}}
+	w := &fixture{store: job.NewStore(), unstartable: map[int]bool{}, coefficients: map[string]float64{}}
 	for i := range targets {
 		w.targets = append(w.targets, &Target{
 			Incarnation: job.TargetIncarnation{ID: fmt.Sprintf("t%02d", i), Born: 1}, Service: "s", Zone: "z", Rack: fmt.Sprintf("r%d", i/2),
-			Labels: []string{"a"}, Capacity: resource.Vector{CPUMilli: 64_000, MemoryMiB: 256_000}, Startable: true,
+			Labels: []string{"a"}, Capacity: resource.Vector{CPUMilli: 64_000, MemoryMiB: 256_000},
 		})
 	}
 	return w
@@ -43,11 +51,24 @@
 }
 
 func (w *fixture) run(idle ...string) []job.Start {
-	in := Input{Store: w.store, Targets: w.targets, Disturbs: w.disturbs, Now: testNow, IdleJobs: map[string]bool{}, Limits: DefaultLimits()}
+	d := New(DefaultLimits())
+	w.describe(d)
+	return d.Run(w.input(idle...))
+}
+
+func (w *fixture) input(idle ...string) Input {
+	in := Input{Store: w.store, Disturbs: w.disturbs, Now: testNow, IdleJobs: map[string]bool{}}
 	for _, id := range idle {
 		in.IdleJobs[id] = true
 	}
-	return Run(in)
+	return in
+}
+
+// describe tells the dispatcher of all targets.
+func (w *fixture) describe(d *Dispatcher) {
+	for i, t := range w.targets {
+		d.SetTarget(*t).SetStartable(!w.unstartable[i])
+	}
 }
 
 func (w *fixture) disturbs(_, filling string) job.Disturbance {
@@ -89,7 +110,7 @@
 // of another service or without the label, and beyond MaxPerTarget.
 func TestFilters(t *testing.T) {
 	w := newFixture(6)
-	w.targets[0].Startable = false
+	w.unstartable[0] = true
 	w.targets[1].Zone = "out"
 	w.targets[2].Service = "other"
 	w.targets[3].Labels = []string{"b"}
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -8,31 +8,31 @@
 )
 
 // passes reports whether the task may start on the target.
-func (p *Pass) passes(ts *targetState, q *job.Queue, s *job.Step, ref job.Ref) bool {
-	return ts.Startable &&
+func (p *pass) passes(ts *TargetState, q *job.Queue, s *job.Step, ref job.Ref) bool {
+	return ts.startable &&
 		servesQueue(ts, q) &&
-		!p.store.ZonesOut[ts.Zone] &&
+		fits(ts, s) &&
+		!p.Store.ZonesOut[ts.Zone] &&
 		hasLabel(ts, s) &&
 		underTargetLimit(ts, s, ref) &&
-		fits(ts, s) &&
 		(p.skipFillingFilters || p.hasIdleCPU(ts, s) && p.leavesMinPace(ts, s))
 }
 
-func servesQueue(ts *targetState, q *job.Queue) bool { return ts.Service == q.Service }
+func servesQueue(ts *TargetState, q *job.Queue) bool { return ts.Service == q.Service }
 
-func hasLabel(ts *targetState, s *job.Step) bool {
+func hasLabel(ts *TargetState, s *job.Step) bool {
 	return s.Label == "" || slices.Contains(ts.Labels, s.Label)
 }
 
-func underTargetLimit(ts *targetState, s *job.Step, ref job.Ref) bool {
+func underTargetLimit(ts *TargetState, s *job.Step, ref job.Ref) bool {
 	return s.MaxPerTarget == 0 || ts.perStep[stepKey{ref.Job, ref.Occurrence, ref.Step}] < s.MaxPerTarget
 }
 
-func fits(ts *targetState, s *job.Step) bool { return s.Reserved().FitsIn(ts.free) }
+func fits(ts *TargetState, s *job.Step) bool { return s.Reserved().FitsIn(ts.free) }
 
 // hasIdleCPU keeps filling tasks from competing with each other. A target
 // without serving or filling tasks accepts a filling task of any size.
-func (p *Pass) hasIdleCPU(ts *targetState, s *job.Step) bool {
+func (p *pass) hasIdleCPU(ts *TargetState, s *job.Step) bool {
 	if !s.Filling || len(ts.fillingShare) == 0 && len(ts.serving) == 0 {
 		return true
 	}
@@ -41,13 +41,13 @@
 
 // leavesMinPace rejects targets on which the serving tasks would keep a filling
 // task paused most of the time. A slow task delays the rest of its job.
-func (p *Pass) leavesMinPace(ts *targetState, s *job.Step) bool {
+func (p *pass) leavesMinPace(ts *TargetState, s *job.Step) bool {
 	return !s.Filling || !ts.pausedImages[s.Image] && p.expectedPace(ts, s) >= p.limits.MinPace
 }
 
 // expectedPace returns the pace, at most 1, at which the filling task is
 // expected to run beside the serving tasks of the target.
-func (p *Pass) expectedPace(ts *targetState, s *job.Step) float64 {
+func (p *pass) expectedPace(ts *TargetState, s *job.Step) float64 {
 	pace := 1.0
 	for image := range ts.serving {
 		headroom, known := ts.Headroom[image]
@@ -68,7 +68,7 @@
 // cautiousCoefficient returns the disturbance coefficient of a pair, raised by
 // DeviationMargin standard deviations. Little-known pairs are therefore tried
 // with few tasks.
-func (p *Pass) cautiousCoefficient(serving, filling string) float64 {
-	e := p.disturbs(serving, filling)
+func (p *pass) cautiousCoefficient(serving, filling string) float64 {
+	e := p.Disturbs(serving, filling)
 	return e.Coefficient + p.limits.DeviationMargin*e.Deviation
 }
--- a/job/dispatch/order.go
+++ b/job/dispatch/order.go
@@ -29,17 +29,19 @@
 	deadline  int64 // Unix milliseconds
 }
 
-// orderedJobs returns the live jobs sorted by priority, objective state and
+// orderedJobs returns the live jobs with ready tasks, sorted by priority, objective state and
 // deadline.
 //
 // In order of acceptance, an overloaded system would finish every job late,
 // because work for jobs that have missed their objective delays those that can
 // still meet it. Deadlines grow with the length of a job, so wide and long jobs
 // do not starve.
-func (p *Pass) orderedJobs() []*job.Job {
-	ranked := make([]rankedJob, 0, len(p.store.LiveJobs()))
-	for _, j := range p.store.LiveJobs() {
-		ranked = append(ranked, p.rank(j))
+func (p *pass) orderedJobs() []*job.Job {
+	var ranked []rankedJob
+	for _, j := range p.Store.LiveJobs() {
+		if j.HasReadyTasks() {
+			ranked = append(ranked, p.rankJob(j))
+		}
 	}
 	slices.SortStableFunc(ranked, func(x, y rankedJob) int {
 		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.objective, y.objective), cmp.Compare(x.deadline, y.deadline))
@@ -51,8 +53,8 @@
 	return jobs
 }
 
-func (p *Pass) rank(j *job.Job) rankedJob {
-	q := p.store.QueueOf(j)
+func (p *pass) rankJob(j *job.Job) rankedJob {
+	q := p.Store.QueueOf(j)
 	r := rankedJob{job: j, priority: q.Priority}
 	if j.Spec.OccurrenceCount > 0 || j.Spec.Steps[0].Lasting {
 		r.deadline = j.AtMillis
@@ -60,7 +62,7 @@
 	}
 	objective := int64(max(q.Stretch, 1)*float64(criticalPathMillis(j, false))) + q.SlackMillis
 	r.deadline = j.AtMillis + objective
-	earliestEnd := p.now.UnixMilli() + criticalPathMillis(j, true)
+	earliestEnd := p.Now.UnixMilli() + criticalPathMillis(j, true)
 	switch {
 	case earliestEnd <= r.deadline:
 		r.objective = attainable
--- a/job/dispatch/scores.go
+++ b/job/dispatch/scores.go
@@ -19,21 +19,22 @@
 	imageAffinityWeight = 4.0
 )
 
-// score returns the score of a target; higher is better.
-func (p *Pass) score(ts *targetState, s *job.Step) float64 {
+// score returns the score of a target; higher is better. scarce tells that few
+// targets of the service are free of serving tasks.
+func (p *pass) score(ts *TargetState, s *job.Step, scarce bool) float64 {
 	score := dataLocalityScore(ts, s)
 	switch {
 	case s.Filling:
 		score += idleCPUWeight*idleCPUScore(ts) + paceWeight*p.expectedPace(ts, s)
 	case s.Serves():
-		score += packWeight*packScore(ts, s) + imageAffinityWeight*p.imageAffinityScore(ts, s)
+		score += packWeight*packScore(ts, s) + imageAffinityWeight*imageAffinityScore(ts, s, scarce)
 	default:
 		score += packWeight*packScore(ts, s) + servingWeight*servingScore(ts)
 	}
 	return score
 }
 
-func dataLocalityScore(ts *targetState, s *job.Step) float64 {
+func dataLocalityScore(ts *TargetState, s *job.Step) float64 {
 	if s.DataRack != "" && ts.Rack == s.DataRack {
 		return dataLocalityWeight
 	}
@@ -41,7 +42,7 @@
 }
 
 // idleCPUScore prefers the target with the most idle processor time.
-func idleCPUScore(ts *targetState) float64 {
+func idleCPUScore(ts *TargetState) float64 {
 	if ts.Capacity.CPUMilli == 0 {
 		return 0
 	}
@@ -50,13 +51,13 @@
 
 // packScore prefers the target that the task fills up most, so that wide tasks
 // find room elsewhere.
-func packScore(ts *targetState, s *job.Step) float64 {
+func packScore(ts *TargetState, s *job.Step) float64 {
 	left := ts.free.Sub(s.Reserved())
 	return 1 - left.DominantShare(ts.Capacity)
 }
 
 // servingScore prefers targets that already have serving tasks.
-func servingScore(ts *targetState) float64 {
+func servingScore(ts *TargetState) float64 {
 	if len(ts.serving) == 0 {
 		return 0
 	}
@@ -67,7 +68,7 @@
 // targets with several images, then empty ones, and last those where it would
 // be the second image. Empty targets score lowest when they are scarce, because
 // filling tasks that disturb most images need them.
-func (p *Pass) imageAffinityScore(ts *targetState, s *job.Step) float64 {
+func imageAffinityScore(ts *TargetState, s *job.Step, scarce bool) float64 {
 	images := len(ts.serving)
 	switch {
 	case ts.serving[s.Image] > 0 && images == 1:
@@ -76,7 +77,7 @@
 		return 0.75
 	case images > 1:
 		return 0.5
-	case images == 0 && p.nonServingTargetsScarce(ts):
+	case images == 0 && scarce:
 		return -0.5
 	case images == 0:
 		return 0.4
@@ -87,14 +88,14 @@
 
 // nonServingTargetsScarce reports whether the share of startable targets of the
 // service without serving tasks is at most NonServingTargetShare.
-func (p *Pass) nonServingTargetsScarce(ts *targetState) bool {
+func (p *pass) nonServingTargetsScarce(service string) bool {
 	targets, nonServing := 0, 0
-	for _, other := range p.targets {
-		if !other.Startable || other.Service != ts.Service {
+	for _, ts := range p.targets {
+		if !ts.startable || ts.Service != service {
 			continue
 		}
 		targets++
-		if len(other.serving) == 0 {
+		if len(ts.serving) == 0 {
 			nonServing++
 		}
 	}
--- a/job/store.go
+++ b/job/store.go
@@ -107,11 +107,25 @@
 	return true
 }
 
+// HasReadyTasks reports whether a task of the job may start, apart from its due
+// time.
+func (j *Job) HasReadyTasks() bool {
+	for k := range j.Occurrences {
+		for s := range j.Occurrences[k] {
+			if j.Occurrences[k][s].Waiting > 0 && j.StepReady(k, s) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Store is the complete state of the state machine.
 //
 // Invariants: a task is placed on at most one target; byTarget contains exactly
 // the tasks that are Placed or Stopping; liveJobs contains exactly the live
-// jobs in the order of acceptance.
+// jobs in the order of acceptance; a job that is not live and has no task in
+// byTarget has no occurrences.
 type Store struct {
 	Config        Config
 	ZonesOut      map[string]bool
@@ -125,8 +139,13 @@
 
 	byTarget map[TargetIncarnation]map[Ref]*Task
 	liveJobs []*Job
+	queues   map[route]*Queue               // of the current configuration
+	changed  map[TargetIncarnation]struct{} // targets changed since TakeChanged
 }
 
+// route identifies a queue.
+type route struct{ host, prefix string }
+
 // Disturbance is an estimate of how much headroom a filling image takes from a
 // serving image when it uses a whole target. Coefficient is the logarithm of
 // the factor by which the tail latency grows.
@@ -153,7 +172,9 @@
 // decoded.
 func (st *Store) RebuildIndexes() {
 	st.byTarget = map[TargetIncarnation]map[Ref]*Task{}
+	st.changed = map[TargetIncarnation]struct{}{}
 	st.liveJobs = nil
+	st.indexQueues()
 	for _, j := range st.Jobs {
 		j.eachTask(func(r Ref, t *Task) {
 			if t.HoldsCapacity() {
@@ -163,6 +184,7 @@
 		if j.IsLive() {
 			st.liveJobs = append(st.liveJobs, j)
 		}
+		st.dropEndedTasks(j)
 	}
 	slices.SortFunc(st.liveJobs, func(x, y *Job) int { return int(int64(x.Order) - int64(y.Order)) })
 }
@@ -185,6 +207,7 @@
 		st.byTarget[t.Target] = tasks
 	}
 	tasks[r] = t
+	st.markChanged(t.Target)
 }
 
 func (st *Store) removePlaced(r Ref, t *Task) {
@@ -192,6 +215,17 @@
 	if len(st.byTarget[t.Target]) == 0 {
 		delete(st.byTarget, t.Target)
 	}
+	st.markChanged(t.Target)
+}
+
+func (st *Store) markChanged(t TargetIncarnation) { st.changed[t] = struct{}{} }
+
+// TakeChanged returns the targets whose tasks or acknowledged ends have changed
+// since the last call.
+func (st *Store) TakeChanged() map[TargetIncarnation]struct{} {
+	changed := st.changed
+	st.changed = map[TargetIncarnation]struct{}{}
+	return changed
 }
 
 // LiveJobs returns the live jobs in the order of acceptance.
@@ -238,7 +272,21 @@
 }
 
 // QueueOf returns the current settings of the job's queue.
-func (st *Store) QueueOf(j *Job) *Queue { return st.Config.currentQueue(&j.Queue) }
+// If the queue was removed, they are those at the time of submission.
+func (st *Store) QueueOf(j *Job) *Queue {
+	if q := st.queues[route{j.Queue.Host, j.Queue.Prefix}]; q != nil {
+		return q
+	}
+	return &j.Queue
+}
+
+func (st *Store) indexQueues() {
+	st.queues = make(map[route]*Queue, len(st.Config.Queues))
+	for i := range st.Config.Queues {
+		q := &st.Config.Queues[i]
+		st.queues[route{q.Host, q.Prefix}] = q
+	}
+}
 
 // QueuedCount returns the number of live jobs of the queue that have not
 // started.
