--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -101,6 +101,7 @@
 	leaseEnd           time.Duration // on the instance's clock
 	pacer              *pacing.Pacer
 
+	unreadableRows    int           // in the newest status of the target
 	watching          bool          // a watch is in progress
 	nextWatchAt       time.Duration // when the next watch is due
 	answeredAt        time.Duration // when the target last answered a watch; 0 for never
@@ -317,6 +318,7 @@
 	o.answeredAt = now
 	o.targetClockMillis, o.targetClockReadAt = r.Status.ClockMillis, now
 	o.reportNow = o.reportNow || first
+	o.logUnreadableRows(r.Status.UnreadableRows)
 	o.recordEnds(now, r.Status.Ends)
 	o.reconcileRuns(now, r)
 	o.hasNewSamples = true
@@ -326,6 +328,15 @@
 	}
 }
 
+// logUnreadableRows logs once when the number of unreadable rows changes: the target
+// returns the same rows to each watch.
+func (o *owner) logUnreadableRows(count int) {
+	if count > 0 && count != o.unreadableRows {
+		o.log.Warn("rows of the target skipped", zap.String("target", o.incarnation.ID), zap.Int("rows", count))
+	}
+	o.unreadableRows = count
+}
+
 func (o *owner) recordEnds(now time.Duration, ends []job.End) {
 	for _, e := range ends {
 		last := o.acknowledgedEnd
--- a/runapi/runapi.go
+++ b/runapi/runapi.go
@@ -78,6 +78,9 @@
 	ClockMillis int64 // monotonic clock of the target
 	Running     []Run
 	Ends        []job.End
+	// UnreadableRows is the number of entries of the two lists that could not be
+	// decoded and are missing from them.
+	UnreadableRows int
 }
 
 // Target runs tasks. Each call names the incarnation of the target that it is
