control/jobs, job: superseded targets by index, occupied targets twice a second

Cause (profile of BenchmarkFleet): each report looked through all occupied targets for earlier incarnations on its host (17% of the duty), and each tick through all of them for missing sessions (12%).

Change: the store indexes its targets by host; sessions of silent targets are created when a leadership starts and every 500 ms, together with the look through the finished jobs.

--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -146,16 +146,8 @@
 		now.Sub(s.reportedAt) < silenceTimeout && s.leaseExpiry.After(now) && !s.suspendedUntil.After(now)
 }
 
-// forgetInterval is the time between two looks through the finished jobs. It is
-// short beside the retention time.
-const forgetInterval = time.Second
-
 // forgetJobs removes finished jobs after the retention time.
 func (e *engine) forgetJobs(now time.Time) {
-	if now.Sub(e.leader.forgottenAt) < forgetInterval {
-		return
-	}
-	e.leader.forgottenAt = now
 	for id, j := range e.store.Jobs {
 		if j.IsLive() {
 			continue
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -28,6 +28,9 @@
 	readTimeout = 2 * time.Second
 	// bootstrapInterval is the time between attempts to create the group.
 	bootstrapInterval = 500 * time.Millisecond
+	// cleanUpInterval is the time between two calls of cleanUp. It is short beside a
+	// lease and the retention time of jobs.
+	cleanUpInterval = 500 * time.Millisecond
 )
 
 // engine implements the decisions of the duty without clock and rings: it
@@ -244,6 +247,7 @@
 	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
 		zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Uint64("manifest", e.store.Config.Version))
 	e.leader = newLeadership(term, e.options.Lease, e.options.Limits, e.store)
+	e.ensureSessions(now)
 	e.confirmLeadership(now)
 }
 
@@ -303,13 +307,23 @@
 		return
 	}
 	e.expireLeases(now)
-	e.forgetJobs(now)
+	e.cleanUp(now)
 	e.logOccupancy(now)
 	e.storeDisturbances(now)
 	e.checkWaitingTargets(now)
 	e.leader.needsDispatch = true
 }
 
+// cleanUp performs the periodic work whose cost grows with the store.
+func (e *engine) cleanUp(now time.Time) {
+	if now.Sub(e.leader.cleanedAt) < cleanUpInterval {
+		return
+	}
+	e.leader.cleanedAt = now
+	e.ensureSessions(now)
+	e.forgetJobs(now)
+}
+
 // bootstrap creates the group on the first start, while it has no members.
 func (e *engine) bootstrap(now time.Time) {
 	if !e.options.Bootstrap || e.status.Members == nil || len(e.status.Members) > 0 || now.Before(e.nextBootstrap) {
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -58,7 +58,7 @@
 	dispatcher        *dispatch.Dispatcher
 	unanswered        []*session           // sessions whose orders may have changed since they were checked
 	idleSince         map[string]time.Time // since when jobs have ready tasks and none placed
-	forgottenAt       time.Time            // when finished jobs were last looked through
+	cleanedAt         time.Time            // when cleanUp last ran
 	occupancyLoggedAt time.Time            // time of the last occupancy log line
 	estimatesStoredAt time.Time            // time of the last entry with estimates
 }
@@ -477,9 +477,6 @@
 // expireLeases proposes the loss of the targets whose lease has expired, and drops
 // the sessions of those without tasks that no longer report.
 func (e *engine) expireLeases(now time.Time) {
-	for _, target := range e.store.OccupiedTargets() {
-		e.leader.session(now, target)
-	}
 	for target, s := range e.leader.sessions {
 		if s.leaseExpiry.After(now) {
 			continue
@@ -492,6 +489,14 @@
 	}
 }
 
+// ensureSessions gives each target with tasks a session even if it does not report,
+// so that its lease expires.
+func (e *engine) ensureSessions(now time.Time) {
+	for _, target := range e.store.OccupiedTargets() {
+		e.leader.session(now, target)
+	}
+}
+
 // retireTarget proposes the loss of an incarnation that has ended. Its session is
 // removed, so that the dispatcher places no more starts on it.
 func (e *engine) retireTarget(target job.TargetIncarnation, reason string) {
--- a/job/apply.go
+++ b/job/apply.go
@@ -325,7 +325,9 @@
 
 // loseTarget makes the tasks of a target whose lease has expired ready again.
 func (st *Store) loseTarget(target TargetIncarnation) {
+	host := ""
 	for r, t := range st.byTarget[target] {
+		host = t.Host
 		j := st.Jobs[r.Job]
 		if t.State == Stopping {
 			t.State = Ended
@@ -335,7 +337,7 @@
 		t.State = Ready
 		j.Occurrences[r.Occurrence][r.Step].Waiting++
 	}
-	delete(st.byTarget, target)
+	st.removeTarget(target, host)
 	st.markChanged(target)
 }
 
--- a/job/store.go
+++ b/job/store.go
@@ -138,6 +138,7 @@
 	Disturbs map[string]map[string]Disturbance
 
 	byTarget map[TargetIncarnation]map[Ref]*Task
+	byHost   map[string]map[TargetIncarnation]struct{} // targets in byTarget, by the instance that they run on
 	liveJobs []*Job
 	queues   map[route]*Queue               // of the current configuration
 	changed  map[TargetIncarnation]struct{} // targets changed since TakeChanged
@@ -172,6 +173,7 @@
 // decoded.
 func (st *Store) RebuildIndexes() {
 	st.byTarget = map[TargetIncarnation]map[Ref]*Task{}
+	st.byHost = map[string]map[TargetIncarnation]struct{}{}
 	st.changed = map[TargetIncarnation]struct{}{}
 	st.liveJobs = nil
 	st.indexQueues()
@@ -205,6 +207,10 @@
 	if tasks == nil {
 		tasks = map[Ref]*Task{}
 		st.byTarget[t.Target] = tasks
+		if st.byHost[t.Host] == nil {
+			st.byHost[t.Host] = map[TargetIncarnation]struct{}{}
+		}
+		st.byHost[t.Host][t.Target] = struct{}{}
 	}
 	tasks[r] = t
 	st.markChanged(t.Target)
@@ -213,11 +219,20 @@
 func (st *Store) removePlaced(r Ref, t *Task) {
 	delete(st.byTarget[t.Target], r)
 	if len(st.byTarget[t.Target]) == 0 {
-		delete(st.byTarget, t.Target)
+		st.removeTarget(t.Target, t.Host)
 	}
 	st.markChanged(t.Target)
 }
 
+// removeTarget removes a target from the indexes. All its tasks are on one host.
+func (st *Store) removeTarget(t TargetIncarnation, host string) {
+	delete(st.byTarget, t)
+	delete(st.byHost[host], t)
+	if len(st.byHost[host]) == 0 {
+		delete(st.byHost, host)
+	}
+}
+
 func (st *Store) markChanged(t TargetIncarnation) { st.changed[t] = struct{}{} }
 
 // TakeChanged returns the targets whose tasks or acknowledged ends have changed
@@ -239,15 +254,9 @@
 // ended.
 func (st *Store) SupersededTargets(host string, by TargetIncarnation) []TargetIncarnation {
 	var targets []TargetIncarnation
-	for target, tasks := range st.byTarget {
-		if target.Born >= by.Born {
-			continue
-		}
-		for _, t := range tasks {
-			if t.Host == host {
-				targets = append(targets, target)
-			}
-			break // all tasks of an incarnation are on one host
+	for target := range st.byHost[host] {
+		if target.Born < by.Born {
+			targets = append(targets, target)
 		}
 	}
 	return targets
