routing: a retry waits while all links may be silent

Cause of the finding on TestSilentConnection ("from the entry" ends unknown, link_lost): all links of a service are silenced at once and found lost one after the other. The requests of the first lost link were retried on the second, which was just as silent, so each fault took 12 retries of 8 requests, and the third subtest used up the budget (32 and a tenth of the requests). Reproduced without processes: TestRetryWaitsWhileAllLinksMayBeSilent fails in its third round before the change, as seen in the third subtest.

Change: after a lost link, a retry waits 200 ms if no target of the service has announced itself for 400 ms; by then the other links are heard again or lost as well.

Ruled out: load of the machine; the pure test has no clock.

--- a/routing/call.go
+++ b/routing/call.go
@@ -13,6 +13,10 @@
 	minBackoff    = 2 * time.Millisecond
 	maxBackoff    = 100 * time.Millisecond
 	minHedgeDelay = time.Millisecond
+	// freshAnnouncement is two announcement intervals of a busy target. A link is
+	// found silent after three, so within silentRetryDelay it is heard again or lost.
+	freshAnnouncement = 400 * time.Millisecond
+	silentRetryDelay  = 200 * time.Millisecond
 	// maxHedgeOverload is the overloadRatio above which nothing is hedged.
 	maxHedgeOverload = 0.05
 )
@@ -265,6 +269,9 @@
 		return false
 	}
 	delay := r.backoff(c.tries, reason)
+	if reason == request.ReasonLinkLost && r.mayAllBeSilent(now, c.request.Service) && now.Add(silentRetryDelay).Before(c.request.Deadline) {
+		delay = max(delay, silentRetryDelay)
+	}
 	if !now.Add(delay).Before(c.request.Deadline) {
 		return false
 	}
@@ -285,6 +292,22 @@
 	return true
 }
 
+// mayAllBeSilent reports whether no target of the service has announced itself for
+// freshAnnouncement. A fault that has silenced one link has then probably silenced the
+// others too, and they are about to be found lost.
+func (r *Router) mayAllBeSilent(now time.Time, service string) bool {
+	g := r.pools[service]
+	if g == nil {
+		return false
+	}
+	for _, t := range g.targets {
+		if t.isUsable(now) && now.Sub(t.announcedAt) < freshAnnouncement {
+			return false
+		}
+	}
+	return true
+}
+
 // backoff returns an exponential delay with full jitter. No delay is needed
 // after the loss of a target, because the next attempt goes elsewhere.
 func (r *Router) backoff(tries int, reason request.Reason) time.Duration {
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -78,6 +78,69 @@
 	}
 }
 
+// Guards against a retry on a link that is as silent as the one just lost: it is lost
+// too, and faults in a row use up the budget of retries, so that requests end with an
+// unknown outcome although a new link could have carried them.
+func TestRetryWaitsWhileAllLinksMayBeSilent(t *testing.T) {
+	const rounds, requests = 4, 8
+	wideTarget := func(i int) Target {
+		t := testTarget(i)
+		t.Slots = requests
+		return t
+	}
+	r := newRouter(Options{Policy: ChoiceOfTwo, RetryRatio: 0.1}, 0)
+	now := start
+	for round := range rounds {
+		for i := range 2 {
+			r.Announce(now, wideTarget(i))
+		}
+		sent := map[string]*request.Attempt{}
+		collect := func(actions []Action) {
+			for _, a := range copyActions(actions) {
+				switch a.Kind {
+				case Send:
+					sent[a.Attempt.Request.ID] = a.Attempt
+				case Reply:
+					t.Fatalf("round %d: request ended %s %q", round, a.Response.Outcome, a.Response.Reason)
+				}
+			}
+		}
+		for i := range requests {
+			collect(r.Submit(now, &request.Request{ID: fmt.Sprint(round, "-", i), Customer: "c", Service: "s", Idempotent: true, Deadline: now.Add(2 * time.Second)}))
+		}
+		lost := now.Add(600 * time.Millisecond) // both links are silent from now on
+		collect(r.LinkLost(lost, "t0"))
+		collect(r.Tick(lost))
+		lost = lost.Add(140 * time.Millisecond)
+		collect(r.Tick(lost))
+		collect(r.LinkLost(lost, "t1"))
+		back := lost.Add(20 * time.Millisecond)
+		collect(r.Announce(back, wideTarget(0)))
+		collect(r.Announce(back, wideTarget(1)))
+		now = back.Add(400 * time.Millisecond)
+		for i := range 2 {
+			collect(r.Announce(now, wideTarget(i)))
+		}
+		collect(r.Tick(now))
+		for len(sent) > 0 {
+			for id, a := range sent {
+				delete(sent, id)
+				answers := copyActions(r.ResponseReceived(now, a.Number, id, &request.Response{Outcome: request.Done, Status: 200}, request.Load{}))
+				for _, action := range answers {
+					if action.Kind == Send {
+						sent[action.Attempt.Request.ID] = action.Attempt
+					} else if action.Kind == Reply && action.Response.Outcome != request.Done {
+						t.Fatalf("round %d: request %s ended %s", round, id, action.Response.Outcome)
+					}
+				}
+			}
+		}
+		if len(r.calls) > 0 {
+			t.Fatalf("round %d: %d requests without an answer", round, len(r.calls))
+		}
+	}
+}
+
 // Guards against a late response from a lost link that ends the attempt that
 // replaced it.
 func TestLateAnswerOfLostLink(t *testing.T) {
