link: redial delays grow until a link lasts; failed handshakes are aborted

Change: only a link that has lasted resets the delay, and a dialer closes a connection without a handshake by a reset.

--- a/link/dialer.go
+++ b/link/dialer.go
@@ -30,35 +30,56 @@
 // Run dials until ctx ends. A failed dial is retried after an exponential delay
 // with jitter.
 func (d *Dialer) Run(ctx context.Context) error {
-	delay := minRedialDelay
+	var delay time.Duration
 	for ctx.Err() == nil {
-		start := time.Now()
-		if err := d.runOnce(ctx); err != nil && ctx.Err() == nil {
+		linked, err := d.runOnce(ctx)
+		if err != nil && ctx.Err() == nil {
 			d.reportFailure(err)
 		}
-		if time.Since(start) > maxRedialDelay {
-			delay = minRedialDelay
-		}
+		delay = redialDelay(delay, linked)
 		if !supervise.Sleep(ctx, delay/2+rand.N(delay)) {
 			return nil
 		}
-		delay = min(2*delay, maxRedialDelay)
 	}
 	return nil
 }
 
-func (d *Dialer) runOnce(ctx context.Context) error {
+// redialDelay returns the delay, without jitter, after one of last and a link that
+// was up for linked. It starts anew only after a link that has lasted: a frozen peer
+// accepts connections and answers none, and when it wakes it has to work through all
+// that were made meanwhile.
+func redialDelay(last, linked time.Duration) time.Duration {
+	if last == 0 || linked > maxRedialDelay {
+		return minRedialDelay
+	}
+	return min(2*last, maxRedialDelay)
+}
+
+// abort closes a connection with a reset, so that a frozen peer finds an error in place
+// of a handshake when it wakes.
+func abort(raw net.Conn) {
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it, the connection is closed in the usual way
+	}
+	_ = raw.Close()
+}
+
+// runOnce dials and runs the link until it is lost. It returns how long the link was
+// up; 0 if there was none.
+func (d *Dialer) runOnce(ctx context.Context) (time.Duration, error) {
 	dialer := net.Dialer{Timeout: d.options.HandshakeTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", d.address)
 	if err != nil {
-		return Error.New("step=dial peer=%s: %w", d.address, err)
+		return 0, Error.New("step=dial peer=%s: %w", d.address, err)
 	}
 	c, err := connect(raw, d.options)
 	if err != nil {
 		_ = raw.Close()
-		return err
+		return 0, err
 	}
-	return c.run(ctx, d.handler)
+	start := time.Now()
+	err = c.run(ctx, d.handler)
+	return time.Since(start), err
 }
 
 func (d *Dialer) reportFailure(err error) {
--- a/link/handshake.go
+++ b/link/handshake.go
@@ -31,6 +31,7 @@
 	}
 	c, err := connectStreams(session, raw, o)
 	if err != nil {
+		abort(raw)
 		_ = session.Close()
 		return nil, Error.New("step=handshake peer=%s: %w", raw.RemoteAddr(), err)
 	}
