control/jobs, job: a late report renews the lease at once; times out of range are refused

Cause: the answer to a report is held up to 700 ms for orders, also when the agent had been silent for most of its lease. A report that came 3.5 s after the last renewal was answered after the lease of 4.13 s had expired: the work was given up and started again although its agent reported. TestLateReportsKeepRunningWork fails for it before the change.

Change: the answer isn't held when less than half of the lease is left.

Submissions with a start time, interval or estimate near 2^63 are refused: their sums overflowed, so that an occurrence was due at once (TestTimesOutOfRangeAreRefused).

--- a/daemon/control/jobs/engine_test.go
+++ b/daemon/control/jobs/engine_test.go
@@ -182,6 +182,40 @@
 	}
 }
 
+// Guards against running work that is given up or started elsewhere because the
+// reports of its agent come late: up to the end of the lease, the task stays placed and
+// the run that is reported afterwards is kept.
+func TestLateReportsKeepRunningWork(t *testing.T) {
+	for _, silence := range []time.Duration{silenceTimeout - tickInterval, silenceTimeout + tickInterval, testTerms.TTL, testTerms.SafeExpiry() - tickInterval} {
+		h := newHarness(t)
+		h.lead(1, 3)
+		h.placeTask()
+		running := controlapi.RunReport{Task: job.Ref{Job: testJob}, Run: 1}
+		h.request(controlapi.OpTarget, report(2, running))
+		h.advance(time.Second) // answered: the lease counts from here
+		other := report(0)
+		other.Incarnation, other.Host = job.TargetIncarnation{ID: "i-2", Born: 1}, "other"
+		h.request(controlapi.OpTarget, other)
+		for waited := time.Duration(0); waited < silence; waited += tickInterval {
+			h.advance(tickInterval)
+		}
+		_, task := h.e.store.Find(job.Ref{Job: testJob})
+		if task.State != job.Placed || task.Target != testTarget || task.Run != 1 {
+			t.Errorf("after %s of silence the task is %+v, want it placed as before", silence, task)
+		}
+		late := h.request(controlapi.OpTarget, report(3, running))
+		h.advance(time.Second)
+		for _, r := range late.got {
+			if o, ok := r.Body.(controlapi.TargetOrders); ok && len(o.Stops)+len(o.Starts) > 0 {
+				t.Errorf("after %s of silence the late report is answered with %+v, want no orders", silence, o)
+			}
+		}
+		if _, task := h.e.store.Find(job.Ref{Job: testJob}); task.State != job.Placed || task.Run != 1 {
+			t.Errorf("after the late report the task is %+v", task)
+		}
+	}
+}
+
 // Guards against a job that is acknowledged before its entry is applied, and
 // against a second job with the same ID.
 func TestAcceptanceIsAnsweredAfterTheLog(t *testing.T) {
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -216,7 +216,7 @@
 	}
 	e.leader.needsDispatch = e.leader.needsDispatch || s.report == nil || s.report.Draining != report.Draining
 	s.report, s.heldRequest, s.reportedAt, s.confirming = report, r, now, false
-	s.holdUntil = now.Add(time.Duration(report.HoldMillis) * time.Millisecond)
+	s.holdUntil = now.Add(e.holdTime(now, s))
 	s.runs = make(map[job.Ref]int, len(report.Running))
 	s.adopted, s.stalledRuns = map[job.Ref]bool{}, map[job.Ref]bool{}
 	paused := map[job.Ref]time.Time{}
@@ -253,6 +253,16 @@
 	}
 }
 
+// holdTime returns how long the answer to the report may be held. An agent that was
+// silent for a while gets its lease renewed at once, because held back, the answer
+// could come after the lease has expired.
+func (e *engine) holdTime(now time.Time, s *session) time.Duration {
+	if s.leaseExpiry.Sub(now) < e.options.Lease.TTL/2 {
+		return 0
+	}
+	return time.Duration(s.report.HoldMillis) * time.Millisecond
+}
+
 // pruneSentStarts removes the starts that the report reflects.
 func (s *session) pruneSentStarts(seen uint64) {
 	for ref, o := range s.sentStarts {
--- a/job/spec.go
+++ b/job/spec.go
@@ -20,6 +20,8 @@
 	MaxTasks          = 20_000  // per job, over all occurrences
 	idBytes           = 8       // an ID is written as 16 hexadecimal digits
 	maxResourceAmount = 1 << 40 // per resource; the sum over MaxTasks tasks stays below 2^63
+	maxStartMillis    = 1 << 53 // Unix time of the first occurrence
+	maxDurationMillis = 1 << 40 // of an estimate or interval; the sum over all occurrences or steps stays below 2^63
 )
 
 // Step describes a group of identical tasks.
@@ -90,7 +92,8 @@
 	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
 		return Error.New("step=check job=%s: has %d steps, must have 1 to %d", s.ID, len(s.Steps), MaxSteps)
 	}
-	if s.OccurrenceCount < 0 || s.OccurrenceCount > MaxTasks || s.IntervalMillis < 0 || s.FirstAtMillis < 0 {
+	if s.OccurrenceCount < 0 || s.OccurrenceCount > MaxTasks || s.IntervalMillis < 0 || s.IntervalMillis > maxDurationMillis ||
+		s.FirstAtMillis < 0 || s.FirstAtMillis > maxStartMillis {
 		return Error.New("step=check job=%s: occurrence count, interval or first start time out of range", s.ID)
 	}
 	tasks := 0
@@ -113,6 +116,9 @@
 	if !s.Need.IsValid() || s.Need.CPUMilli > maxResourceAmount || s.Need.MemoryMiB > maxResourceAmount || s.Need.Accelerators > maxResourceAmount {
 		return errs.New("step number %d: resources out of range", index)
 	}
+	if s.EstimateMillis > maxDurationMillis {
+		return errs.New("step number %d: estimate %d ms out of range", index, s.EstimateMillis)
+	}
 	if s.EstimateMillis < 0 || s.MaxPerTarget < 0 || s.TailTargetMillis < 0 || s.MayMiss < 0 {
 		return errs.New("step number %d: estimate, per-target limit, tail target or tolerated misses negative", index)
 	}
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"reflect"
 	"testing"
 
@@ -39,7 +40,8 @@
 // Compares the store with the oracle over random commands. Guards against a
 // task that runs twice at a time or again after it is done, steps out of order,
 // attempts beyond the limit, jobs reported completed too early, and indexes
-// that differ from the state.
+// that differ from the state. A snapshot must keep the zones out of service, the
+// acknowledged ends and all jobs.
 func TestBookAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		st := NewStore()
@@ -102,8 +104,14 @@
 				if len(restored.LiveJobs()) != len(st.LiveJobs()) || !reflect.DeepEqual(restored.OccupiedTargets() == nil, st.OccupiedTargets() == nil) {
 					t.Fatalf("restored %d live jobs, want %d", len(restored.LiveJobs()), len(st.LiveJobs()))
 				}
+				if !maps.Equal(restored.ZonesOut, st.ZonesOut) || !maps.Equal(restored.EndWatermarks, st.EndWatermarks) || !reflect.DeepEqual(restored.Jobs, st.Jobs) {
+					t.Fatal("the restored store differs")
+				}
 				st = restored
 			},
+			"zone": func(t *rapid.T) {
+				st.Apply(&Command{Zones: []ZoneChange{{Zone: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"), Out: rapid.Bool().Draw(t, "out")}}})
+			},
 			"": func(t *rapid.T) { o.check(t, st) },
 		})
 	})
@@ -258,6 +266,65 @@
 	}
 }
 
+// Guards against work that runs again when its submission is repeated after it has
+// finished: the tasks of finished jobs are dropped, also before a snapshot.
+func TestRepeatedSubmissionOfAFinishedJob(t *testing.T) {
+	const id = "00000000000000aa"
+	submit := &Command{Submit: []*Submission{{Spec: Spec{ID: id, Steps: []Step{{Count: 1}}}}}}
+	ref, target := Ref{Job: id}, TargetIncarnation{"a", 1}
+	for name, finish := range map[string]*Command{
+		"done":      {Ends: []End{{Target: target, Number: 1, Task: ref, Run: 1, Outcome: RunDone}}},
+		"failed":    {Ends: []End{{Target: target, Number: 1, Task: ref, Run: 1, Outcome: RunFailed}}},
+		"cancelled": {Cancel: []string{id}, Lost: []TargetIncarnation{target}},
+	} {
+		st := NewStore()
+		st.Apply(submit)
+		st.Apply(&Command{Starts: []Start{{Task: ref, Run: 1, Target: target}}})
+		st.Apply(finish)
+		data, err := json.Marshal(st)
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := NewStore()
+		if err := json.Unmarshal(data, restored); err != nil {
+			t.Fatal(err)
+		}
+		restored.RebuildIndexes()
+		for _, s := range []*Store{st, restored} {
+			before := s.Jobs[id].State()
+			s.Apply(submit)
+			s.Apply(&Command{Starts: []Start{{Task: ref, Run: 2, Target: target}}})
+			s.Apply(finish) // a repeated report
+			if s.Jobs[id].State() != before || len(s.LiveJobs()) > 0 || len(s.TasksOn(target)) > 0 {
+				t.Errorf("%s: job is %s, %d live jobs, %d tasks placed after a repeated submission", name, s.Jobs[id].State(), len(s.LiveJobs()), len(s.TasksOn(target)))
+			}
+		}
+	}
+}
+
+// Guards against times and estimates so large that sums of them overflow: an
+// occurrence would be due at once, and estimates would differ between processors.
+func TestTimesOutOfRangeAreRefused(t *testing.T) {
+	const largest = 1<<63 - 1
+	step := Step{Count: 1}
+	late := step
+	late.EstimateMillis = largest
+	for name, s := range map[string]Spec{
+		"start":    {FirstAtMillis: largest, OccurrenceCount: 2, IntervalMillis: 1, Steps: []Step{step}},
+		"interval": {FirstAtMillis: 1, OccurrenceCount: 3, IntervalMillis: largest / 2, Steps: []Step{step}},
+		"estimate": {Steps: []Step{late}},
+	} {
+		s.ID = "00000000000000aa"
+		if s.Check() == nil {
+			t.Errorf("%s: accepted; occurrence 2 is due at %d", name, s.DueMillis(2))
+		}
+	}
+	most := Spec{ID: "00000000000000aa", FirstAtMillis: maxStartMillis, IntervalMillis: maxDurationMillis, OccurrenceCount: MaxTasks, Steps: []Step{step}}
+	if err := most.Check(); err != nil || most.DueMillis(MaxTasks) < maxStartMillis {
+		t.Errorf("largest times: %v, last occurrence due at %d", err, most.DueMillis(MaxTasks))
+	}
+}
+
 // Guards against two tasks with the same name, and names that parse to another
 // task.
 func TestRefNames(t *testing.T) {
