--- a/daemon/control/jobs/fleet_test.go
+++ b/daemon/control/jobs/fleet_test.go
@@ -41,16 +41,15 @@
 // fleet drives an engine that leads with the reports of simulated agents, in
 // virtual time. Engine time is not part of virtual time; busy sums it up.
 type fleet struct {
-	e       *engine
-	now     time.Time
-	random  *rand.Rand
-	agents  []*fakeAgent
-	events  eventQueue
-	busy    time.Duration
-	index   uint64
-	pending []consensus.Entry
-	jobs    int
-	starts  int
+	e      *engine
+	now    time.Time
+	random *rand.Rand
+	agents []*fakeAgent
+	events eventQueue
+	busy   time.Duration
+	index  uint64
+	jobs   int
+	starts int
 
 	queueOf     map[string]string // by job
 	submittedAt map[string]time.Time
