job/dispatch: jobs that need full pace to be in time come later

Change: the rest of the path counts at MinPace for filling steps.

Test: TestJobsAtFullPaceOnlyComeLater fails before.

--- a/job/dispatch/dispatch_test.go
+++ b/job/dispatch/dispatch_test.go
@@ -169,6 +169,18 @@
 	}
 }
 
+// Guards against a job that takes the capacity of others although it can meet its
+// objective only at full pace, which filling tasks rarely reach: in an overload it ends
+// late all the same, and those that it delays do too.
+func TestJobsAtFullPaceOnlyComeLater(t *testing.T) {
+	w := newFixture(1)
+	w.submit(2, 3500*time.Millisecond, fillingStep(9)) // 3.5 s left of an objective of 7 s, and 3 s of work
+	fresh := w.submit(2, 0, fillingStep(9))
+	if starts := w.run(); len(starts) == 0 || starts[0].Task.Job != fresh {
+		t.Fatalf("first start %v, want the job that can meet its objective at the usual pace", starts)
+	}
+}
+
 // Guards against filling tasks that push a serving task over its tail target,
 // and against a filling job that never starts although most capacity is free.
 func TestFillingTasksKeepOffDisturbedTargets(t *testing.T) {
--- a/job/dispatch/order.go
+++ b/job/dispatch/order.go
@@ -60,9 +60,9 @@
 		r.deadline = j.AtMillis
 		return r
 	}
-	objective := int64(max(q.Stretch, 1)*float64(criticalPathMillis(j, false))) + q.SlackMillis
+	objective := int64(max(q.Stretch, 1)*float64(criticalPathMillis(j, false, 1))) + q.SlackMillis
 	r.deadline = j.AtMillis + objective
-	earliestEnd := p.Now.UnixMilli() + criticalPathMillis(j, true)
+	earliestEnd := p.Now.UnixMilli() + criticalPathMillis(j, true, p.limits.MinPace)
 	switch {
 	case earliestEnd <= r.deadline:
 		r.objective = attainable
@@ -75,8 +75,9 @@
 }
 
 // criticalPathMillis returns the estimated run time of the longest dependency
-// chain. With openOnly, it counts only steps that are not done.
-func criticalPathMillis(j *job.Job, openOnly bool) int64 {
+// chain. With openOnly, it counts only steps that are not done. Filling tasks are
+// expected to run at the pace.
+func criticalPathMillis(j *job.Job, openOnly bool, fillingPace float64) int64 {
 	longest := int64(0)
 	paths := make([]int64, len(j.Spec.Steps))
 	for i := range j.Spec.Steps {
@@ -84,9 +85,16 @@
 			paths[i] = max(paths[i], paths[dependency])
 		}
 		if !openOnly || j.Occurrences[0][i].Open > 0 {
-			paths[i] += j.Spec.Steps[i].EstimateMillis
+			paths[i] += expectedMillis(&j.Spec.Steps[i], fillingPace)
 		}
 		longest = max(longest, paths[i])
 	}
 	return longest
 }
+
+func expectedMillis(s *job.Step, fillingPace float64) int64 {
+	if !s.Filling {
+		return s.EstimateMillis
+	}
+	return int64(float64(s.EstimateMillis) / fillingPace)
+}
