--- a/daemon/control/jobs/fleet_test.go
+++ b/daemon/control/jobs/fleet_test.go
@@ -179,16 +179,21 @@
 	for end := f.now.Add(d); f.now.Before(end); f.runFor(fleetTick) {
 		f.submitSome("quick", r.quick, job.Step{Count: 13, Need: cpu(2600), EstimateMillis: taskOfQuick.Milliseconds()})
 		f.submitSome("filling", r.filling, job.Step{Count: 40, Need: cpu(7000), EstimateMillis: taskOfFilling.Milliseconds(), Filling: true, Image: "f"})
-		f.submitSome("lasting", r.lasting, job.Step{Count: 24, Need: cpu(13000), Lasting: true, TailTargetMillis: 50, Image: "s"})
+		f.submitSome("lasting", r.lasting, lastingStep)
 	}
 }
 
+var lastingStep = job.Step{Count: 24, Need: cpu(13000), Lasting: true, TailTargetMillis: 50, Image: "s"}
+
 func cpu(milli int64) resource.Vector { return resource.Vector{CPUMilli: milli, MemoryMiB: 2 * milli} }
 
 func (f *fleet) submitSome(queue string, perSecond float64, step job.Step) {
-	if f.random.Float64() >= perSecond*fleetTick.Seconds() {
-		return
+	if f.random.Float64() < perSecond*fleetTick.Seconds() {
+		f.submit(queue, step)
 	}
+}
+
+func (f *fleet) submit(queue string, step job.Step) {
 	f.jobs++
 	id := fmt.Sprintf("%016x", f.jobs)
 	spec := job.Spec{ID: id, Payload: "p", Steps: []job.Step{step}}
@@ -302,6 +307,10 @@
 	)
 	f := newFleet(240)
 	load := largeRates.scaled(2)
+	const lastingJobs = 10 // they run from the start
+	for range lastingJobs {
+		f.submit("lasting", lastingStep)
+	}
 	f.play(load, 4*time.Second)
 	failed := map[job.Ref]int{}
 	for _, a := range f.agents {
