--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// handleUpdate processes an handleUpdate of the replica.
+// handleUpdate processes an update of the replica.
 func (e *engine) handleUpdate(now time.Time, u replica.Update) error {
 	if u.Snapshot != nil {
 		if err := e.restore(u.Snapshot); err != nil {
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -24,7 +24,7 @@
 	needsDispatch     bool                           // something has changed since the last dispatch
 	disturbances      *disturbanceTable              // disturbance between filling and serving images
 	dispatcher        *dispatch.Dispatcher
-	unanswered        []*session           // sessions whose orders may have changed since they were checked
+	checkQueue        []*session           // sessions whose orders may have changed since they were checked
 	idleSince         map[string]time.Time // since when jobs have ready tasks and none placed
 	cleanedAt         time.Time            // when cleanUp last ran
 	occupancyLoggedAt time.Time            // time of the last occupancy log line
@@ -50,7 +50,7 @@
 	pausedSince       map[job.Ref]time.Time    // when filling tasks were first reported as paused
 	stalledRuns       map[job.Ref]bool         // runs reported as making no progress
 	placement         *dispatch.TargetState    // view of the dispatcher; nil before the first report
-	queued            bool                     // is in leadership.unanswered
+	inCheckQueue      bool                     // is in leadership.checkQueue
 	checkedAt         time.Time                // when the session was last checked for orders
 
 	failureStreak  int       // failed runs since the last one that was done
@@ -145,9 +145,9 @@
 
 // queueCheck has the session checked for orders at the next flush.
 func (l *leadership) queueCheck(s *session) {
-	if !s.queued {
-		s.queued = true
-		l.unanswered = append(l.unanswered, s)
+	if !s.inCheckQueue {
+		s.inCheckQueue = true
+		l.checkQueue = append(l.checkQueue, s)
 	}
 }
 
--- a/daemon/control/jobs/orders.go
+++ b/daemon/control/jobs/orders.go
@@ -16,11 +16,11 @@
 // time has ended. Every answer may renew a lease, so it waits until a quorum
 // has confirmed the leadership after the report has arrived.
 func (e *engine) answerTargets(now time.Time) {
-	for _, s := range e.leader.unanswered {
-		s.queued = false
+	for _, s := range e.leader.checkQueue {
+		s.inCheckQueue = false
 		e.answerTarget(now, s)
 	}
-	e.leader.unanswered = e.leader.unanswered[:0]
+	e.leader.checkQueue = e.leader.checkQueue[:0]
 }
 
 func (e *engine) answerTarget(now time.Time, s *session) {
--- a/job/dispatch/candidates.go
+++ b/job/dispatch/candidates.go
@@ -56,8 +56,8 @@
 	return r
 }
 
-// update moves the best target to its new place after a task was placed on it.
-func (p *pass) update(r *ranking, q *job.Queue, s *job.Step, ref job.Ref) {
+// updateBest moves the best target to its new place after a task was placed on it.
+func (p *pass) updateBest(r *ranking, q *job.Queue, s *job.Step, ref job.Ref) {
 	best := (*r)[0].target
 	if !p.passes(best, q, s, ref) {
 		heap.Pop(r)
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -186,7 +186,7 @@
 			return
 		}
 		p.placeTask(fitting[0].target, ref, s, tasks[i].Run+1)
-		p.update(&fitting, q, s, ref)
+		p.updateBest(&fitting, q, s, ref)
 	}
 }
 
