--- a/review/3/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/ibispierd ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin failing-watch "$PWD" "review/3/record.txt"
+exec target/review-standin failing-watch "$PWD" "review/4/record.txt"
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -19,6 +19,7 @@
 var cases = map[string]testCase{
 	"reborn-lease":  {runners: 3, cpuMilli: 32_000, play: rebornLease},
 	"failing-watch": {runners: 3, cpuMilli: 64_000, play: failingWatch},
+	"dropped-route": {runners: 2, cpuMilli: 32_000, play: droppedRoute},
 }
 
 // rebornLease crashes a runner, which starts again under its id, and freezes its
@@ -156,3 +157,52 @@
 	slices.SortFunc(list, func(x, y Interval) int { return cmp.Compare(x.Start, y.Start) })
 	return list
 }
+
+const (
+	configApply = 2 * time.Second        // configApplyMs
+	cancelTime  = 3 * time.Second        // cancel_ms
+	stopTimeout = 900 * time.Millisecond // stopTimeoutMs
+)
+
+// droppedRoute removes the route of a submission that is at work, while a route with
+// a shorter prefix stays. Then it asks for the submission and cancels it.
+func droppedRoute(r *run) (string, error) {
+	short, long := NewRoute("r-1", host, "/"), NewRoute("r-2", host, prefix)
+	if err := r.Configure(Manifest(1, short, long)); err != nil {
+		return "", err
+	}
+	const job = "00000000000000c1"
+	if err := r.Submit(host, prefix, job, "last", Step{Count: 2, CPU: 4000, Memory: 500, Estimate: 1000, Lasting: true}); err != nil {
+		return "", err
+	}
+	time.Sleep(4 * time.Second)
+	routes := []Route{short, long}
+	if r.trouble {
+		routes = []Route{short}
+	}
+	if err := r.Configure(Manifest(2, routes...)); err != nil {
+		return "", err
+	}
+	time.Sleep(configApply + 3*time.Second)
+	broken := ""
+	for entry := range entryCount {
+		if status, _ := r.State(entry, host, prefix, job); status == 410 {
+			broken = fmt.Sprintf("LOST: entry-%d answers 410 for a submission that was accepted and is at work", entry+1)
+			r.record.Add("%s", broken)
+		}
+	}
+	status, _ := r.Client(0, "DELETE", host, prefix+job, nil)
+	if status != 200 && status != 410 {
+		return broken, nil
+	}
+	time.Sleep(cancelTime + stopTimeout + 8*time.Second)
+	for index := range 2 {
+		task := fmt.Sprintf("%s.0.0.%d", job, index)
+		for _, i := range r.runsOf(task) {
+			if i.End == 0 {
+				r.record.Add("UNASKED: %s runs on, and its cancelling was answered with %d", i, status)
+			}
+		}
+	}
+	return broken, nil
+}
