targetagent/runs: a restarted target gets no lease of its earlier incarnation

Cause: a lease is a time on the target's clock, computed from the newest reading of it. After a failed watch the agent went on with that reading, and the next incarnation, whose clock counts from 0, took the deadline as a lease of 10 s. Control counts 3.11 s from its last answer.

Ruled out: the lease arithmetic of control (no overlap without the restart) and a late announcement (the lease was taken first).

Change: after a watch without an answer the clock is unknown, and no call carries a lease until a watch is answered. A call may still have reached the next incarnation before the agent knew of the restart, as while it is frozen. The first answer tells when the incarnation was born; if a call with a lease ended after that, the target gets no lease and no starts until the longest lease it takes is over (new setting max_lease_ms). A start that the next incarnation has answered is stopped.

--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -139,6 +139,7 @@
 func (d *Daemon) newJobAgent() (supervise.Duty, drainer, error) {
 	role := targetagent.New(targetagent.Options{
 		Host:      d.settings.Daemon.ID,
+		MaxLease:  time.Duration(d.settings.Jobs.MaxLeaseMillis) * time.Millisecond,
 		Target:    platform.NewTargetClient(d.settings.Platform.TargetAddress),
 		Control:   d.newControlClient(wire.Role_ROLE_AGENT),
 		Telemetry: d.telemetry,
--- a/daemon/targetagent/runs/duty.go
+++ b/daemon/targetagent/runs/duty.go
@@ -5,6 +5,7 @@
 package runs
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -34,6 +35,9 @@
 	// respond.
 	reportTimeout = 4 * time.Second
 	idleWait      = time.Second
+	// defaultMaxLease is the longest of the bounds that the known deployments set for
+	// the leases of their targets.
+	defaultMaxLease = 10 * time.Second
 	// minTimerWait is the shortest wait that the timer is set to. The instance's
 	// clock and the clock of timers differ slightly; without a minimum, a timer
 	// that fires early would be reset to zero in a busy loop.
@@ -43,6 +47,7 @@
 // Options configure the duty.
 type Options struct {
 	Host        string                         // ID of this instance
+	MaxLease    time.Duration                  // longest lease that the target takes; 0 for defaultMaxLease
 	CallControl func(controlclient.Call) error // sends a call to control without blocking
 	Callers     []*ring.Ring[calls.Call]       // take starts, stops and paces
 	Watcher     *ring.Ring[calls.Call]         // takes watches
@@ -76,7 +81,7 @@
 // Run owns the runs until ctx ends. It starts without state, which it learns from
 // the target and from control.
 func (d *Duty) Run(ctx context.Context) error {
-	o := newOwner(rand.Uint64(), d.options.Host, d.options.Telemetry.Log)
+	o := newOwner(rand.Uint64(), d.options.Host, cmp.Or(d.options.MaxLease, defaultMaxLease), d.options.Telemetry.Log)
 	timer := time.NewTimer(idleWait)
 	defer timer.Stop()
 	for {
--- a/daemon/targetagent/runs/lives.go
+++ b/daemon/targetagent/runs/lives.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ibispier/ibispier/daemon/targetagent/calls"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/pacing"
 	"github.com/ibispier/ibispier/runapi"
@@ -56,6 +57,9 @@
 	// incarnation and must be ignored.
 	o.reportID, o.reportPending = o.reportID+1, false
 	undecided := o.unsettledRuns(a.Incarnation)
+	if a.Incarnation.ID != o.incarnation.ID {
+		o.leaseCallAt, o.longLeaseUntil = 0, 0 // the target refuses calls for another ID
+	}
 	o.incarnation, o.announcement, o.stale = a.Incarnation, a, false
 	o.runs, o.unacknowledgedEnds, o.rejections = undecided, nil, nil
 	for task, r := range o.runs {
@@ -68,16 +72,17 @@
 	o.reportNow = true
 }
 
-// unsettledRuns returns the runs whose start may still be carried out by the next
-// incarnation: calls name only the target's ID, so that an incarnation with the
-// same ID cannot tell that a call is meant for an earlier one.
+// unsettledRuns returns the runs whose start may be carried out by the next
+// incarnation, or was already: calls name only the target's ID, so that an
+// incarnation with the same ID cannot tell that a call is meant for an earlier one.
 func (o *owner) unsettledRuns(next job.TargetIncarnation) map[job.Ref]*run {
 	runs := map[job.Ref]*run{}
 	if next.ID != o.incarnation.ID {
 		return runs
 	}
 	for task, r := range o.runs {
-		if r.state == starting || r.state == unanswered || r.inherited {
+		startedSinceAnswer := r.state == running && r.stateSince > o.answeredAt
+		if r.state == starting || r.state == unanswered || startedSinceAnswer || r.inherited {
 			runs[task] = &run{number: r.number, order: r.order, inherited: true}
 		}
 	}
@@ -102,3 +107,42 @@
 	a.Incarnation.Born, a.Sequence, a.Draining = born, 0, false
 	return a
 }
+
+// birthSlack covers the rounding of the target's clock and the time that its answer
+// was on its way.
+const birthSlack = 50 * time.Millisecond
+
+// carriesLease reports whether the call renews the lease of its target.
+func carriesLease(c calls.Call) bool {
+	return c.Kind == calls.Start || c.Kind == calls.Watch && c.Watch.Lease.UntilMillis > 0
+}
+
+// recordLeaseCall notes the end of a call. A call with a lease that was meant for an
+// earlier incarnation and ends after the current one has answered may have reached
+// the current one.
+func (o *owner) recordLeaseCall(now time.Duration, c calls.Call) {
+	if !carriesLease(c) || c.Incarnation.ID != o.incarnation.ID {
+		return
+	}
+	o.leaseCallAt = now
+	if c.Incarnation != o.incarnation && o.answeredAt > 0 {
+		o.assumeLongLease(now)
+	}
+}
+
+// checkLongLease processes the first answer of an incarnation. Calls with a lease
+// that ended before it was born cannot have reached it; a later one, computed with
+// the clock of an earlier incarnation, may bind it for as long as the target allows.
+func (o *owner) checkLongLease(now time.Duration, clockMillis int64) {
+	age := time.Duration(clockMillis) * time.Millisecond
+	born := now - age*(100+maxClockDriftPercent)/100 - birthSlack
+	if o.leaseCallAt > 0 && o.leaseCallAt >= born {
+		o.assumeLongLease(now)
+	}
+}
+
+func (o *owner) assumeLongLease(now time.Duration) {
+	o.longLeaseUntil = now + o.maxLease
+	o.log.Info("target may hold the lease of an earlier incarnation", zap.String("target", o.incarnation.ID),
+		zap.Int64("born", o.incarnation.Born), zap.Duration("no_lease_for", o.maxLease))
+}
--- /dev/null
+++ b/daemon/targetagent/runs/lives_test.go
@@ -0,0 +1,155 @@
+package runs
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/targetagent/calls"
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/runapi"
+)
+
+// testRestarted is the test target after a restart under its ID.
+var testRestarted = job.TargetIncarnation{ID: testIncarnation.ID, Born: testIncarnation.Born + 500}
+
+// takeWatch removes the pending calls and returns the watch among them.
+func (h *harness) takeWatch() calls.Call {
+	h.Helper()
+	watches := h.takeCalls(calls.Watch)
+	if len(watches) != 1 {
+		h.Fatalf("%d watches, want 1", len(watches))
+	}
+	return watches[0]
+}
+
+// answerAs answers the call as the incarnation, whose clock reads clockMillis.
+func (h *harness) answerAs(c calls.Call, incarnation job.TargetIncarnation, clockMillis int64) {
+	h.o.handleResult(h.now, calls.Result{Call: c, SentAt: h.now, Status: runapi.Status{Incarnation: incarnation, ClockMillis: clockMillis}})
+	h.o.decide(h.now)
+}
+
+// failWatch ends the watch without an answer and returns the next one.
+func (h *harness) failWatch(c calls.Call) calls.Call {
+	h.o.handleResult(h.now, calls.Result{Call: c, SentAt: h.now, Err: errors.New("connection reset")})
+	h.now += watchRetryDelay
+	h.o.decide(h.now)
+	return h.takeWatch()
+}
+
+// grantLease brings the harness to a target with a lease of 4 s and returns the
+// watch in progress, which carries the lease.
+func (h *harness) grantLease() calls.Call {
+	h.Helper()
+	h.answerWatch(nil)
+	h.nextReport()
+	h.answerReport(controlapi.TargetOrders{LeaseMillis: 4000})
+	h.takeCalls(calls.Watch)
+	h.answerWatch(nil)
+	w := h.takeWatch()
+	if w.Watch.Lease.UntilMillis == 0 {
+		h.Fatal("the watch carries no lease")
+	}
+	return w
+}
+
+// Guards against a lease on the clock of an earlier incarnation: a target that was
+// restarted under its ID counts its clock from 0, takes such a deadline as its
+// longest lease, and runs its tasks on after control has started them elsewhere.
+func TestRestartedTargetGetsNoLeaseOfTheEarlierIncarnation(t *testing.T) {
+	h := newHarness(t)
+	next := h.failWatch(h.grantLease())
+	if next.Watch.Lease.UntilMillis != 0 || next.Watch.Wait != 0 {
+		t.Fatalf("watch %+v after a failed one, want neither a lease nor a wait", next.Watch)
+	}
+	h.answerReport(startOrders(false))
+	if started := h.takeCalls(calls.Start); len(started) > 0 {
+		t.Fatalf("%d starts with a lease while the clock is unknown", len(started))
+	}
+	h.answerAs(next, testRestarted, 1)
+	h.answerAs(h.takeWatch(), testRestarted, 2)
+	if r := h.nextReport(); r.Incarnation != testRestarted || !r.LeaseWanted {
+		t.Fatalf("report %+v, want one of the next incarnation that wants a lease", r)
+	}
+}
+
+// Guards against a watch that fails on a target that was not restarted and costs it
+// its lease: the lease is sent again after the next answer.
+func TestLeaseIsSentAgainAfterAnAnswer(t *testing.T) {
+	h := newHarness(t)
+	next := h.failWatch(h.grantLease())
+	h.answerAs(next, testIncarnation, h.now.Milliseconds())
+	if w := h.takeWatch(); w.Watch.Lease.UntilMillis == 0 {
+		t.Fatal("no lease after the answer")
+	}
+	h.o.handleResult(h.now, calls.Result{Call: next, SentAt: h.now, Err: &runapi.RefusedError{Reason: runapi.ReasonUnhealthy}})
+	h.now += watchRetryDelay
+	h.o.decide(h.now)
+	if w := h.takeWatch(); w.Watch.Lease.UntilMillis == 0 {
+		t.Fatal("no lease after a refusal, which only a running target sends")
+	}
+}
+
+// Guards against starts on a restarted target that has taken a lease meant for the
+// earlier incarnation, because its restart went unnoticed, as it does while the agent
+// is frozen: the target may run its tasks for longer than control counts.
+func TestLongLeaseIsOverBeforeControlGrantsOne(t *testing.T) {
+	for name, c := range map[string]struct {
+		trouble func(h *harness, w calls.Call)
+		long    bool
+	}{
+		"the watch carried the lease": {func(h *harness, w calls.Call) {
+			h.answerAs(w, testRestarted, 700)
+		}, true},
+		"a start carried the lease": {func(h *harness, w calls.Call) {
+			h.answerReport(startOrders(false))
+			start := h.takeCalls(calls.Start)[0]
+			h.now += 10 * time.Millisecond
+			h.o.handleResult(h.now, calls.Result{Call: start, SentAt: h.now})
+			h.answerAs(h.failWatch(w), testRestarted, 700)
+		}, true},
+		"a start answers after the switch": {func(h *harness, w calls.Call) {
+			h.answerReport(startOrders(false))
+			start := h.takeCalls(calls.Start)[0]
+			next := h.failWatch(w)
+			h.now += second
+			h.answerAs(next, testRestarted, 700)
+			h.answerAs(h.takeWatch(), testRestarted, 700)
+			h.o.handleResult(h.now, calls.Result{Call: start, SentAt: h.now})
+		}, true},
+		"the calls ended before the restart": {func(h *harness, w calls.Call) {
+			next := h.failWatch(w)
+			h.now += second
+			h.answerAs(next, testRestarted, 700)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			c.trouble(h, h.grantLease())
+			h.answerAs(h.takeWatch(), testRestarted, 700)
+			if r := h.nextReport(); r.Incarnation != testRestarted || r.LeaseWanted == c.long {
+				t.Fatalf("incarnation %v, lease wanted %t, want %t", r.Incarnation, r.LeaseWanted, !c.long)
+			}
+			h.now += testMaxLease
+			h.answerAs(h.takeWatch(), testRestarted, 700+testMaxLease.Milliseconds())
+			if !h.nextReport().LeaseWanted {
+				t.Fatal("no lease wanted after the longest lease has ended")
+			}
+		})
+	}
+}
+
+// Guards against a run that the next incarnation has started and that nobody stops:
+// control does not count it there.
+func TestStartAnsweredByTheNextIncarnationIsStopped(t *testing.T) {
+	h := newHarness(t)
+	w := h.grantLease()
+	h.answerReport(startOrders(false))
+	h.now += 10 * time.Millisecond
+	h.o.handleResult(h.now, calls.Result{Call: h.takeCalls(calls.Start)[0], SentAt: h.now})
+	h.answerAs(h.failWatch(w), testRestarted, 700)
+	if stops := h.takeCalls(calls.Stop); len(stops) != 1 || stops[0].Incarnation != testRestarted {
+		t.Fatalf("stops %v, want one on the next incarnation", stops)
+	}
+}
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -88,6 +88,7 @@
 
 	agentID            uint64
 	host               string
+	maxLease           time.Duration // the target shortens longer leases to this
 	incarnation        job.TargetIncarnation
 	announcement       runapi.Announcement     // newest announcement of the incarnation
 	endedIncarnations  []job.TargetIncarnation // reported as gone until a report is answered
@@ -101,12 +102,14 @@
 	leaseEnd           time.Duration // on the instance's clock
 	pacer              *pacing.Pacer
 
-	unreadableRows    int           // in the newest status of the target
-	watching          bool          // a watch is in progress
-	nextWatchAt       time.Duration // when the next watch is due
-	answeredAt        time.Duration // when the target last answered a watch; 0 for never
-	targetClockMillis int64         // clock of the target at targetClockReadAt
-	targetClockReadAt time.Duration
+	unreadableRows    int                    // in the newest status of the target
+	watching          bool                   // a watch is in progress
+	nextWatchAt       time.Duration          // when the next watch is due
+	answeredAt        time.Duration          // when the target last answered a watch; 0 for never
+	targetClockMillis int64                  // clock of the target at targetClockReadAt
+	targetClockReadAt time.Duration          // 0 while the clock is unknown
+	leaseCallAt       time.Duration          // when a call with a lease was last in progress; 0 for never
+	longLeaseUntil    time.Duration          // a lease meant for an earlier incarnation may bind the target until then
 	servingSamples    []pacing.ServingSample // newest measurements
 	fillingSamples    []pacing.FillingSample
 	hasNewSamples     bool // measurements have arrived since the last decision about paces
@@ -133,8 +136,8 @@
 	endedIncarnations, rejections int
 }
 
-func newOwner(agentID uint64, host string, log *zap.Logger) *owner {
-	return &owner{log: log, agentID: agentID, host: host, runs: map[job.Ref]*run{}, pacer: pacing.New(), reportedPairs: map[[2]string]job.Disturbance{}}
+func newOwner(agentID uint64, host string, maxLease time.Duration, log *zap.Logger) *owner {
+	return &owner{log: log, agentID: agentID, host: host, maxLease: maxLease, runs: map[job.Ref]*run{}, pacer: pacing.New(), reportedPairs: map[[2]string]job.Disturbance{}}
 }
 
 // handleOrders processes the response of control to the report with the ID.
@@ -197,7 +200,7 @@
 	if r != nil && r.number > s.Run || o.hasEnded(s.Task, s.Run) {
 		return
 	}
-	if o.leaseEnd <= now || o.targetClockReadAt == 0 {
+	if !o.hasLease(now) {
 		return // control repeats the order once there is a lease
 	}
 	if o.announcement.Draining {
@@ -241,6 +244,13 @@
 	o.calls = append(o.calls, calls.Call{Kind: calls.Stop, Incarnation: o.incarnation, Task: task, Run: r.number, FencingToken: o.term})
 }
 
+// hasLease reports whether the target may be given a lease. While its clock is
+// unknown it gets none, because a lease on the clock of an earlier incarnation would
+// bind a restarted target for as long as the target allows.
+func (o *owner) hasLease(now time.Duration) bool {
+	return o.leaseEnd > now && o.targetClockReadAt > 0
+}
+
 // targetLease returns the lease on the clock of the target. The remaining time is
 // shortened, because that clock may run slow.
 func (o *owner) targetLease() runapi.Lease {
@@ -253,6 +263,7 @@
 
 // handleResult processes the outcome of a call to the target.
 func (o *owner) handleResult(now time.Duration, r calls.Result) {
+	o.recordLeaseCall(now, r.Call)
 	if r.Incarnation != o.incarnation {
 		return
 	}
@@ -305,6 +316,9 @@
 	o.watching = false
 	if r.Err != nil {
 		o.nextWatchAt = now + watchRetryDelay
+		if refused := (*runapi.RefusedError)(nil); !errors.As(r.Err, &refused) {
+			o.targetClockReadAt = 0 // the target may have been restarted under the same ID
+		}
 		o.log.Debug("watch failed", zap.Error(r.Err))
 		return
 	}
@@ -314,6 +328,9 @@
 		o.switchIncarnation(now, o.restartedAnnouncement(r.Status.Incarnation.Born))
 		return
 	}
+	if o.answeredAt == 0 {
+		o.checkLongLease(now, r.Status.ClockMillis)
+	}
 	first := o.answeredAt == 0 || now-o.answeredAt > reachableFor
 	o.answeredAt = now
 	o.targetClockMillis, o.targetClockReadAt = r.Status.ClockMillis, now
@@ -427,7 +444,7 @@
 		return
 	}
 	w := runapi.WatchRequest{EndWatermark: o.acknowledgedEnd, Lease: runapi.Lease{Token: o.term}, Wait: o.nextWatchWait(now)}
-	if o.targetClockReadAt > 0 && o.leaseEnd > now {
+	if o.hasLease(now) {
 		w.Lease = o.targetLease()
 	}
 	o.watching = true
@@ -435,7 +452,7 @@
 }
 
 func (o *owner) nextWatchWait(now time.Duration) time.Duration {
-	if o.answeredAt == 0 || len(o.unacknowledgedEnds) > 0 {
+	if o.targetClockReadAt == 0 || len(o.unacknowledgedEnds) > 0 {
 		return 0
 	}
 	serving, filling := false, false
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -16,6 +16,9 @@
 
 const second = time.Second
 
+// testMaxLease is the longest lease that the test target takes.
+const testMaxLease = 10 * second
+
 var (
 	testIncarnation = job.TargetIncarnation{ID: "i-1", Born: 1000}
 	testTask        = job.Ref{Job: "00000000000000aa", Index: 3}
@@ -29,7 +32,7 @@
 }
 
 func newHarness(t *testing.T) *harness {
-	h := &harness{T: t, o: newOwner(1, "host", zap.NewNop()), now: 100 * second}
+	h := &harness{T: t, o: newOwner(1, "host", testMaxLease, zap.NewNop()), now: 100 * second}
 	h.announce(testIncarnation, 1, false)
 	return h
 }
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -30,7 +30,7 @@
 		RemainingMillis: o.announcement.RemainingMillis,
 		Agent:           o.agentID,
 		Seen:            o.lastOrderNumber,
-		LeaseWanted:     o.answeredAt > 0 && now-o.answeredAt < reachableFor && !o.stale,
+		LeaseWanted:     o.wantsLease(now),
 		Ends:            append(slices.Clone(o.unacknowledgedEnds), o.rejections...),
 		HoldMillis:      reportHold.Milliseconds(),
 	}
@@ -55,6 +55,13 @@
 	o.outgoingReport = r
 }
 
+// wantsLease reports whether control may grant the target a lease. While a lease of
+// an earlier incarnation may bind the target, its runs could outlast the lease that
+// control counts.
+func (o *owner) wantsLease(now time.Duration) bool {
+	return o.answeredAt > 0 && now-o.answeredAt < reachableFor && !o.stale && now >= o.longLeaseUntil
+}
+
 const (
 	// An estimate is reported again when its coefficient has changed by at least
 	// minCoefficientChange, or when its deviation has fallen to the fraction
--- a/daemon/targetagent/targetagent.go
+++ b/daemon/targetagent/targetagent.go
@@ -5,6 +5,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/ibispier/ibispier/daemon/controlclient"
 	"github.com/ibispier/ibispier/daemon/targetagent/calls"
@@ -21,7 +22,8 @@
 
 // Options configure the role.
 type Options struct {
-	Host      string // ID of this instance
+	Host      string        // ID of this instance
+	MaxLease  time.Duration // longest lease that the target takes; 0 for the default
 	Target    runapi.Target
 	Control   *controlclient.Client
 	Telemetry telemetry.Telemetry
@@ -44,7 +46,7 @@
 	}
 	watcher := calls.New("calls.watch", o.Target, owner.Results)
 	role.Add("watcher", watcher)
-	options := runs.Options{Host: o.Host, CallControl: o.Control.Send, Watcher: watcher.Calls, Telemetry: o.Telemetry}
+	options := runs.Options{Host: o.Host, MaxLease: o.MaxLease, CallControl: o.Control.Send, Watcher: watcher.Calls, Telemetry: o.Telemetry}
 	for i := range callerCount {
 		name := "calls." + strconv.Itoa(i)
 		caller := calls.New(name, o.Target, owner.Results)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -126,6 +126,7 @@
 	Bootstrap           bool // the system starts for the first time, with empty disks
 	ToleratedDiskLosses int  // disks that may be lost at once
 	Lease               time.Duration
+	MaxLeaseMillis      int64 // longest lease that a target takes; 0 if unknown
 	Retention           time.Duration
 }
 
