job/faults: a step that fails everywhere suspends no target

Cause: four failed runs in a row suspended a target, whosever they were, for up to 16 s, and only a run that is done ended the streak; lasting tasks are never done. One lasting job whose tasks fail soon after each start suspended all targets, and was placed first when one came back. A single stalled run suspended a target too.

Ruled out: the order of jobs in the dispatcher; with targets that are not suspended the later job starts at once.

Change: the new package tells a step that fails wherever it runs from a target that fails whatever it runs. A step at fault is not held against targets, and a suspension that it caused ends. If it is lasting, its starts are held back for 250 ms, and twice as long each time up to 4 s (the platform allows 6 s).

--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -8,6 +8,7 @@
 
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/dispatch"
+	"github.com/ibispier/ibispier/job/faults"
 )
 
 // logOccupancy logs how many tasks are ready or paused and how many targets
@@ -62,6 +63,9 @@
 		Disturbs: e.leader.disturbances.estimate,
 		Now:      time.Now(),
 		IdleJobs: e.leader.idleJobs(now, e.store),
+		IsHeld: func(id string, step int) bool {
+			return e.leader.faults.HeldUntil(faults.Step{Job: id, Index: step}).After(now)
+		},
 	})
 	if len(starts) == 0 {
 		return
@@ -133,19 +137,11 @@
 	return paused
 }
 
-// isStartable reports whether starts may be placed on the target. It suspends a
-// target after maxFailureStreak failed runs in a row, each time for twice as
-// long, up to maxSuspension.
+// isStartable reports whether starts may be placed on the target.
 func (e *engine) isStartable(now time.Time, s *session) bool {
-	if s.failureStreak >= maxFailureStreak {
-		s.suspendedUntil = now.Add(min(minSuspension<<s.suspensions, maxSuspension))
-		s.suspensions = min(s.suspensions+1, 4)
-		s.failureStreak = 0
-		e.log.Info("target suspended", zap.String("target", s.target.ID), zap.Duration("for", s.suspendedUntil.Sub(now)))
-	}
 	return !s.report.Draining && s.report.LeaseWanted &&
 		(len(e.leader.proposedLosses) == 0 || !e.leader.proposedLosses[s.target]) &&
-		now.Sub(s.reportedAt) < silenceTimeout && s.leaseExpiry.After(now) && !s.suspendedUntil.After(now)
+		now.Sub(s.reportedAt) < silenceTimeout && s.leaseExpiry.After(now) && !e.leader.faults.SuspendedUntil(s.target).After(now)
 }
 
 // forgetJobs removes finished jobs after the retention time.
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -181,7 +181,7 @@
 		return err
 	}
 	if e.leader != nil {
-		e.leader.beforeApply(e.store, c)
+		e.leader.beforeApply(now, e.store, c)
 	}
 	e.store.Apply(c)
 	if e.leader != nil {
@@ -258,7 +258,7 @@
 func (e *engine) startLeadership(now time.Time, term uint64) {
 	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
 		zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Uint64("manifest", e.store.Config.Version))
-	e.leader = newLeadership(term, e.options.Lease, e.options.Limits, e.store)
+	e.leader = newLeadership(e.log, term, e.options.Lease, e.options.Limits, e.store)
 	e.ensureSessions(now)
 	e.confirmLeadership(now)
 }
@@ -334,6 +334,7 @@
 	e.leader.cleanedAt = now
 	e.ensureSessions(now)
 	e.forgetJobs(now)
+	e.leader.forgetFailures(e.store)
 }
 
 // bootstrap creates the group on the first start, while it has no members.
--- /dev/null
+++ b/daemon/control/jobs/failures.go
@@ -0,0 +1,81 @@
+package jobs
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/job/faults"
+)
+
+// provenRun is how long a run of a lasting task must have lasted to count as a
+// success although it failed: lasting tasks may fail at any time, and one that
+// cannot work fails soon after its start.
+const provenRun = 2 * time.Second
+
+// recordStart notes when a lasting task was started.
+func (l *leadership) recordStart(now time.Time, st *job.Store, ref job.Ref) {
+	if j := st.Jobs[ref.Job]; j != nil && ref.Step < len(j.Spec.Steps) && j.Spec.Steps[ref.Step].Lasting {
+		l.startedAt[ref] = now
+	}
+}
+
+// recordOutcome attributes the outcome of a run that is about to be applied.
+func (l *leadership) recordOutcome(now time.Time, st *job.Store, end *job.End) {
+	j, t := st.Find(end.Task)
+	if t == nil || t.Run != end.Run {
+		return
+	}
+	step := faults.StepOf(end.Task)
+	lasting := j.Spec.Steps[end.Task.Step].Lasting
+	startedAt, known := l.startedAt[end.Task]
+	delete(l.startedAt, end.Task)
+	proven := lasting && (!known || now.Sub(startedAt) >= provenRun)
+	switch {
+	case end.Outcome == job.RunDone, end.Outcome == job.RunFailed && proven:
+		l.faults.RecordSuccess(step, end.Target)
+	case end.Outcome == job.RunFailed:
+		l.recordFailure(now, j, faults.Failure{Step: step, Target: end.Target, Lasting: lasting})
+	}
+}
+
+func (l *leadership) recordFailure(now time.Time, j *job.Job, f faults.Failure) {
+	f.RunningElsewhere = targetsRunning(j, f.Step.Index, f.Target)
+	suspended, held := l.faults.SuspendedUntil(f.Target), l.faults.HeldUntil(f.Step)
+	l.faults.RecordFailure(now, f)
+	if until := l.faults.SuspendedUntil(f.Target); until.After(now) && until != suspended {
+		l.log.Info("target suspended", zap.String("target", f.Target.ID), zap.String("job", f.Step.Job),
+			zap.Bool("stalled", f.Stalled), zap.Duration("for", until.Sub(now)))
+	}
+	if until := l.faults.HeldUntil(f.Step); until.After(now) && until != held {
+		l.log.Info("step held back", zap.String("job", f.Step.Job), zap.Int("step", f.Step.Index),
+			zap.String("target", f.Target.ID), zap.Duration("for", until.Sub(now)))
+	}
+}
+
+// targetsRunning returns the number of targets, apart from one, on which tasks of the
+// step are placed.
+func targetsRunning(j *job.Job, step int, apart job.TargetIncarnation) int {
+	targets := map[job.TargetIncarnation]struct{}{}
+	for k := range j.Occurrences {
+		tasks := j.Occurrences[k][step].Tasks
+		for i := range tasks {
+			if tasks[i].HoldsCapacity() && tasks[i].Target != apart {
+				targets[tasks[i].Target] = struct{}{}
+			}
+		}
+	}
+	return len(targets)
+}
+
+// forgetFailures drops what is known of steps whose job has ended.
+func (l *leadership) forgetFailures(st *job.Store) {
+	ended := func(id string) bool { j := st.Jobs[id]; return j == nil || !j.IsLive() }
+	l.faults.ForgetSteps(ended)
+	for ref := range l.startedAt {
+		if ended(ref.Job) {
+			delete(l.startedAt, ref)
+		}
+	}
+}
--- a/daemon/control/jobs/fleet_test.go
+++ b/daemon/control/jobs/fleet_test.go
@@ -28,6 +28,7 @@
 	idleRoutes    = 240
 	taskOfQuick   = 640 * time.Millisecond
 	taskOfFilling = 2700 * time.Millisecond
+	stallAfter    = 1500 * time.Millisecond // time without progress after which an agent reports a run as stalled
 )
 
 // rates are the jobs that arrive each second.
@@ -55,6 +56,8 @@
 	submittedAt map[string]time.Time
 	firstStart  map[string]time.Duration // from submission to the first start
 	lastingRuns map[job.Ref]int          // newest run that was started of each lasting task
+	failAfter   map[string]time.Duration // by image, after how long each of its runs fails
+	stall       map[string]bool          // by image, whether its runs make no progress
 	refused     int
 }
 
@@ -85,6 +88,7 @@
 	ended   uint64
 	seen    uint64
 	due     bool // a report is on its way
+	stalled map[job.Ref]bool
 }
 
 func newFleet(targets int) *fleet {
@@ -103,7 +107,7 @@
 	}
 	f.request(controlapi.OpManifest, &controlapi.ManifestRequest{Config: config}, &recorder{})
 	for i := range targets {
-		a := &fakeAgent{f: f, target: job.TargetIncarnation{ID: fmt.Sprintf("t%04d", i), Born: 1}, number: i, running: map[job.Ref]int{}}
+		a := &fakeAgent{f: f, target: job.TargetIncarnation{ID: fmt.Sprintf("t%04d", i), Born: 1}, number: i, running: map[job.Ref]int{}, stalled: map[job.Ref]bool{}}
 		f.agents = append(f.agents, a)
 		a.report()
 	}
@@ -227,7 +231,7 @@
 			Serving: []controlapi.ServingHeadroom{{Image: "s", Headroom: 1 + float64(a.f.random.IntN(8))/8}},
 		}
 		for ref, run := range a.running {
-			r.Running = append(r.Running, controlapi.RunReport{Task: ref, Run: run})
+			r.Running = append(r.Running, controlapi.RunReport{Task: ref, Run: run, Stalled: a.stalled[ref]})
 		}
 		a.f.request(controlapi.OpTarget, r, a)
 	})
@@ -254,7 +258,13 @@
 		if _, started := a.f.firstStart[s.Task.Job]; !started {
 			a.f.firstStart[s.Task.Job] = a.f.now.Sub(a.f.submittedAt[s.Task.Job])
 		}
-		switch {
+		switch life, fails := a.f.failAfter[s.Image]; {
+		case a.f.stall[s.Image]:
+			delete(a.stalled, s.Task)
+			a.f.after(stallAfter, func() { a.stalled[s.Task] = true; a.report() })
+		case fails:
+			a.f.lastingRuns[s.Task] = s.Run
+			a.f.after(life, func() { a.end(s.Task, s.Run, job.RunFailed) })
 		case s.Filling:
 			a.f.after(taskOfFilling, func() { a.end(s.Task, s.Run, job.RunDone) })
 		case s.TailTargetMillis == 0:
@@ -263,6 +273,9 @@
 			a.f.lastingRuns[s.Task] = s.Run
 		}
 	}
+	for _, s := range orders.Stops {
+		a.end(s.Task, s.Run, job.RunStopped)
+	}
 	a.report()
 }
 
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -3,15 +3,19 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/control/applier"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/dispatch"
+	"github.com/ibispier/ibispier/job/faults"
 	"github.com/ibispier/ibispier/lease"
 )
 
 // leadership is the state that a member keeps while it leads in one term.
 type leadership struct {
+	log               *zap.Logger
 	term              uint64
 	leaseTiming       lease.Timing
 	confirmed         bool // all entries of earlier leaders are applied
@@ -29,6 +33,8 @@
 	cleanedAt         time.Time            // when cleanUp last ran
 	occupancyLoggedAt time.Time            // time of the last occupancy log line
 	estimatesStoredAt time.Time            // time of the last entry with estimates
+	faults            *faults.Tracker
+	startedAt         map[job.Ref]time.Time // when the start of a lasting task was committed in this term
 }
 
 // session is the leader's state for one incarnation of a target.
@@ -52,10 +58,6 @@
 	placement         *dispatch.TargetState    // view of the dispatcher; nil before the first report
 	inCheckQueue      bool                     // is in leadership.checkQueue
 	checkedAt         time.Time                // when the session was last checked for orders
-
-	failureStreak  int       // failed runs since the last one that was done
-	suspensions    int       // suspensions since the last run that was done, up to 4
-	suspendedUntil time.Time // no starts before
 }
 
 // sentOrder is an order that the reports do not reflect yet.
@@ -71,8 +73,9 @@
 	return o.run == run && now.Sub(o.sentAt) < resendAfter
 }
 
-func newLeadership(term uint64, timing lease.Timing, limits dispatch.Limits, st *job.Store) *leadership {
+func newLeadership(log *zap.Logger, term uint64, timing lease.Timing, limits dispatch.Limits, st *job.Store) *leadership {
 	return &leadership{
+		log:            log,
 		term:           term,
 		leaseTiming:    timing,
 		sessions:       map[job.TargetIncarnation]*session{},
@@ -82,6 +85,8 @@
 		finishedAt:     map[string]time.Time{},
 		disturbances:   newDisturbanceTable(st),
 		dispatcher:     dispatch.New(limits),
+		faults:         faults.NewTracker(),
+		startedAt:      map[job.Ref]time.Time{},
 	}
 }
 
@@ -109,7 +114,7 @@
 
 // beforeApply updates the leader's state for a command that is about to be
 // applied.
-func (l *leadership) beforeApply(st *job.Store, c *job.Command) {
+func (l *leadership) beforeApply(now time.Time, st *job.Store, c *job.Command) {
 	for i := range c.Ends {
 		end := &c.Ends[i]
 		if l.proposedEnds[end.Task] == end.Run {
@@ -121,11 +126,12 @@
 		}
 		l.queueCheck(s)
 		if end.Number > st.LastEndNumber(end.Target) {
-			s.countOutcome(end.Outcome)
+			l.recordOutcome(now, st, end)
 		}
 	}
 	for i := range c.Starts {
 		l.unsentStarts[c.Starts[i].Task] = c.Starts[i].Run
+		l.recordStart(now, st, c.Starts[i].Task)
 	}
 }
 
@@ -154,15 +160,6 @@
 // removeSession forgets a session and the dispatcher's view of its target.
 func (l *leadership) removeSession(target job.TargetIncarnation) {
 	delete(l.sessions, target)
+	l.faults.ForgetTarget(target)
 	l.dispatcher.RemoveTarget(target)
 }
-
-// countOutcome tracks whether runs on the target succeed.
-func (s *session) countOutcome(o job.Outcome) {
-	switch o {
-	case job.RunDone:
-		s.failureStreak, s.suspensions = 0, 0
-	case job.RunFailed:
-		s.failureStreak++
-	}
-}
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -10,6 +10,7 @@
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/control/applier"
 	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/job/faults"
 )
 
 const (
@@ -32,11 +33,6 @@
 	maxIdle = 1500 * time.Millisecond
 	// occupancyInterval is the time between log lines about occupancy.
 	occupancyInterval = 2 * time.Second
-	// maxFailureStreak is the number of consecutive failed runs after which a
-	// target is suspended. minSuspension is the length of the first suspension.
-	maxFailureStreak = 4
-	minSuspension    = 2 * time.Second
-	maxSuspension    = 16 * time.Second
 )
 
 // handleReport processes the report of an agent and holds the answer until
@@ -73,7 +69,7 @@
 		}
 	}
 	s.pausedSince = paused
-	e.suspendStalled(now, s)
+	e.recordStalled(now, s)
 	e.leader.disturbances.learn(report.Host, report.Serving, report.Learned)
 	if len(report.Learned) > 0 {
 		e.leader.dispatcher.EstimatesChanged()
@@ -136,13 +132,16 @@
 	}
 }
 
-// suspendStalled keeps new starts away from a target with stalled runs.
-func (e *engine) suspendStalled(now time.Time, s *session) {
-	if len(s.stalledRuns) == 0 || s.suspendedUntil.After(now) {
-		return
+// recordStalled counts the stalled runs in the report as failures.
+func (e *engine) recordStalled(now time.Time, s *session) {
+	for ref := range s.stalledRuns {
+		j, t := e.store.Find(ref)
+		if t == nil || t.State != job.Placed || t.Run != s.runs[ref] {
+			continue
+		}
+		lasting := j.Spec.Steps[ref.Step].Lasting
+		e.leader.recordFailure(now, j, faults.Failure{Step: faults.StepOf(ref), Target: s.target, Lasting: lasting, Stalled: true})
 	}
-	s.suspendedUntil = now.Add(minSuspension)
-	e.log.Info("target suspended", zap.String("target", s.target.ID), zap.Int("stalled_runs", len(s.stalledRuns)), zap.Duration("for", minSuspension))
 }
 
 // expireLeases proposes the loss of the targets whose lease has expired, and drops
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	// IdleJobs contains the jobs that have had ready tasks and none placed for
 	// some time. One task of each is started while spare capacity exists.
 	IdleJobs map[string]bool
+	// IsHeld reports whether the starts of a step are held back. It may be nil.
+	IsHeld func(jobID string, step int) bool
 }
 
 // pass is the state of one decision.
@@ -151,7 +153,7 @@
 		}
 		for s := range j.Spec.Steps {
 			waiting := j.Occurrences[k][s].Waiting - p.pendingSteps[stepKey{j.Spec.ID, k, s}]
-			if waiting <= 0 || !j.StepReady(k, s) {
+			if waiting <= 0 || !j.StepReady(k, s) || p.IsHeld != nil && p.IsHeld(j.Spec.ID, s) {
 				continue
 			}
 			switch step := &j.Spec.Steps[s]; {
--- /dev/null
+++ b/job/faults/faults.go
@@ -0,0 +1,204 @@
+// Package faults decides whether failed runs are the fault of their step or of
+// their target. A target on which runs of several steps fail in a row gets no new
+// starts for a while. A step that fails wherever it is started is not held against
+// the targets; if its tasks are restarted however they end, its starts are held back
+// instead. The package performs no I/O and reads no clock.
+package faults
+
+import (
+	"time"
+
+	"github.com/ibispier/ibispier/job"
+)
+
+const (
+	// maxStreak is the number of failed runs in a row, without those of steps at
+	// fault, after which a target is suspended.
+	maxStreak = 4
+	// minSuspension is the length of the first suspension of a target. Each further
+	// one without a successful run takes twice as long, up to maxSuspension.
+	minSuspension = 2 * time.Second
+	maxSuspension = 16 * time.Second
+	// minFailedTargets is the number of targets on which a step must have failed to
+	// be at fault: on one target, the step and the target cannot be told apart.
+	minFailedTargets = 2
+	// failureWindow is the age beyond which a failure of a step no longer counts.
+	// It exceeds maxHold, so that a step that fails after each hold stays at fault.
+	failureWindow = 10 * time.Second
+	// minHold is how long the starts of a lasting step at fault are first held back.
+	// Each further hold takes twice as long, up to maxHold. The platform allows a
+	// lasting task to be away for 6 s.
+	minHold = 250 * time.Millisecond
+	maxHold = 4 * time.Second
+)
+
+// Step identifies a step of a job, in all its occurrences.
+type Step struct {
+	Job   string
+	Index int
+}
+
+// StepOf returns the step of a task.
+func StepOf(r job.Ref) Step { return Step{Job: r.Job, Index: r.Step} }
+
+// Failure is a run that has failed or makes no progress.
+type Failure struct {
+	Step    Step
+	Target  job.TargetIncarnation
+	Lasting bool // the task is restarted however its run ends
+	Stalled bool // the run makes no progress
+	// RunningElsewhere is the number of targets on which other tasks of the step
+	// run.
+	RunningElsewhere int
+}
+
+// stepRecord holds the failures of a step since one of its runs last succeeded.
+type stepRecord struct {
+	failedOn  map[job.TargetIncarnation]time.Time // latest failure
+	atFault   bool
+	holds     int
+	heldUntil time.Time
+}
+
+// targetRecord holds the failures on a target since a run on it last succeeded.
+type targetRecord struct {
+	failures       map[Step]int // by the step that failed
+	suspensions    int
+	suspendedUntil time.Time
+}
+
+// Tracker attributes failures to steps and targets.
+type Tracker struct {
+	steps   map[Step]*stepRecord
+	targets map[job.TargetIncarnation]*targetRecord
+}
+
+// NewTracker returns a tracker without failures.
+func NewTracker() *Tracker {
+	return &Tracker{steps: map[Step]*stepRecord{}, targets: map[job.TargetIncarnation]*targetRecord{}}
+}
+
+// RecordSuccess notes that a run of the step has succeeded on the target.
+func (t *Tracker) RecordSuccess(step Step, target job.TargetIncarnation) {
+	delete(t.steps, step)
+	delete(t.targets, target)
+}
+
+// RecordFailure notes a failure. It reports whether the step is at fault.
+func (t *Tracker) RecordFailure(now time.Time, f Failure) bool {
+	s := t.step(f.Step)
+	s.failedOn[f.Target] = now
+	s.expire(now)
+	if !s.atFault && len(s.failedOn) >= minFailedTargets && len(s.failedOn) > f.RunningElsewhere {
+		s.atFault = true
+		t.exonerateTargets(f.Step)
+	}
+	if !s.atFault {
+		t.countFailure(now, f)
+		return false
+	}
+	if f.Lasting && !s.heldUntil.After(now) {
+		s.heldUntil = now.Add(min(minHold<<s.holds, maxHold))
+		s.holds++
+	}
+	return true
+}
+
+func (t *Tracker) step(step Step) *stepRecord {
+	s := t.steps[step]
+	if s == nil {
+		s = &stepRecord{failedOn: map[job.TargetIncarnation]time.Time{}}
+		t.steps[step] = s
+	}
+	return s
+}
+
+// expire forgets failures that are too old, and with them the fault of the step.
+func (s *stepRecord) expire(now time.Time) {
+	for target, at := range s.failedOn {
+		if now.Sub(at) > failureWindow {
+			delete(s.failedOn, target)
+		}
+	}
+	if len(s.failedOn) < minFailedTargets {
+		s.atFault, s.holds = false, 0
+	}
+}
+
+// exonerateTargets takes back what failures of the step have counted against
+// targets, and ends the suspensions that the others do not justify.
+func (t *Tracker) exonerateTargets(step Step) {
+	for _, target := range t.targets {
+		if target.failures[step] == 0 {
+			continue
+		}
+		delete(target.failures, step)
+		if target.streak() < maxStreak && !target.suspendedUntil.IsZero() {
+			target.suspendedUntil = time.Time{}
+			target.suspensions = max(target.suspensions-1, 0)
+		}
+	}
+}
+
+// countFailure counts a failure against the target, and suspends it after maxStreak
+// failures or for a stalled run.
+func (t *Tracker) countFailure(now time.Time, f Failure) {
+	target := t.targets[f.Target]
+	if target == nil {
+		target = &targetRecord{failures: map[Step]int{}}
+		t.targets[f.Target] = target
+	}
+	if target.suspendedUntil.After(now) {
+		return // runs that were started before the suspension
+	}
+	if !target.suspendedUntil.IsZero() {
+		clear(target.failures)
+		target.suspendedUntil = time.Time{}
+	}
+	target.failures[f.Step]++
+	switch {
+	case f.Stalled:
+		target.suspendedUntil = now.Add(minSuspension)
+	case target.streak() >= maxStreak:
+		target.suspendedUntil = now.Add(min(minSuspension<<target.suspensions, maxSuspension))
+		target.suspensions++
+	}
+}
+
+func (r *targetRecord) streak() int {
+	n := 0
+	for _, failures := range r.failures {
+		n += failures
+	}
+	return n
+}
+
+// SuspendedUntil returns until when starts on the target are suspended. The time may
+// have passed.
+func (t *Tracker) SuspendedUntil(target job.TargetIncarnation) time.Time {
+	if r := t.targets[target]; r != nil {
+		return r.suspendedUntil
+	}
+	return time.Time{}
+}
+
+// HeldUntil returns until when starts of the step are held back. The time may have
+// passed.
+func (t *Tracker) HeldUntil(step Step) time.Time {
+	if s := t.steps[step]; s != nil {
+		return s.heldUntil
+	}
+	return time.Time{}
+}
+
+// ForgetTarget drops the failures on a target that is gone.
+func (t *Tracker) ForgetTarget(target job.TargetIncarnation) { delete(t.targets, target) }
+
+// ForgetSteps drops the failures of the steps for which ended returns true.
+func (t *Tracker) ForgetSteps(ended func(jobID string) bool) {
+	for step := range t.steps {
+		if ended(step.Job) {
+			delete(t.steps, step)
+		}
+	}
+}
--- /dev/null
+++ b/job/faults/faults_test.go
@@ -0,0 +1,133 @@
+package faults
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/job"
+)
+
+var start = time.Unix(1000, 0)
+
+func target(name string) job.TargetIncarnation { return job.TargetIncarnation{ID: name, Born: 1} }
+
+func step(name string) Step { return Step{Job: name} }
+
+// fail records failures of one step on the targets, one after another.
+func fail(t *Tracker, now time.Time, s Step, lasting bool, elsewhere int, targets ...string) {
+	for _, name := range targets {
+		t.RecordFailure(now, Failure{Step: s, Target: target(name), Lasting: lasting, RunningElsewhere: elsewhere})
+	}
+}
+
+// Guards against a target that fails all that it starts and stays in use, even if one
+// job alone shows it or if the steps that fail there fail on another target too.
+func TestFailingTargetIsSuspended(t *testing.T) {
+	for name, record := range map[string]func(tr *Tracker){
+		"one step": func(tr *Tracker) { fail(tr, start, step("j"), false, 0, "bad", "bad", "bad", "bad") },
+		"several steps": func(tr *Tracker) {
+			for _, j := range []string{"a", "b", "c", "d"} {
+				fail(tr, start, step(j), false, 10, "bad", "other")
+				tr.RecordSuccess(step(j), target("other"))
+			}
+		},
+	} {
+		tr := NewTracker()
+		record(tr)
+		if got := tr.SuspendedUntil(target("bad")); got != start.Add(minSuspension) {
+			t.Errorf("%s: suspended until %v, want %v", name, got, start.Add(minSuspension))
+		}
+	}
+}
+
+// Guards against targets that are suspended for a step that fails everywhere, also if
+// one of them was suspended before its other failures were known.
+func TestFailingStepSuspendsNoTarget(t *testing.T) {
+	tr := NewTracker()
+	fail(tr, start, step("j"), true, 2, "a", "a", "a", "a")
+	if !tr.SuspendedUntil(target("a")).After(start) {
+		t.Fatal("the first target is not suspended, although nothing tells it from a faulty one")
+	}
+	fail(tr, start, step("j"), true, 1, "b", "b", "b", "b", "c", "c", "c", "c")
+	for _, name := range []string{"a", "b", "c"} {
+		if tr.SuspendedUntil(target(name)).After(start) {
+			t.Errorf("target %s is suspended", name)
+		}
+	}
+	if got := tr.HeldUntil(step("j")); got != start.Add(minHold) {
+		t.Errorf("step held until %v, want %v", got, start.Add(minHold))
+	}
+}
+
+// Guards against a wide step that counts as faulty because a few of its targets are.
+func TestStepThatRunsElsewhereIsNotAtFault(t *testing.T) {
+	tr := NewTracker()
+	fail(tr, start, step("j"), true, 16, "a", "b")
+	if tr.HeldUntil(step("j")).After(start) {
+		t.Error("a step with 16 running targets is held back for 2 failures")
+	}
+}
+
+// Guards against holds that outlast the platform's bound for a lasting task, that end
+// a job which can only fail later than necessary, or that never end.
+func TestHolds(t *testing.T) {
+	tr := NewTracker()
+	now, last := start, time.Duration(0)
+	for range 12 {
+		fail(tr, now, step("j"), true, 0, "a", "b")
+		held := tr.HeldUntil(step("j")).Sub(now)
+		if held < last || held > maxHold {
+			t.Fatalf("held for %s after %s", held, last)
+		}
+		last = held
+		now = now.Add(held + 100*time.Millisecond)
+	}
+	if last != maxHold {
+		t.Errorf("held for %s at last, want %s", last, maxHold)
+	}
+	tr.RecordSuccess(step("j"), target("a"))
+	if tr.HeldUntil(step("j")).After(now) {
+		t.Error("held after a success")
+	}
+	fail(tr, now, step("batch"), false, 0, "a", "b", "a", "b")
+	if tr.HeldUntil(step("batch")).After(now) {
+		t.Error("a step with bounded attempts is held back")
+	}
+	now = now.Add(failureWindow + time.Second)
+	fail(tr, now, step("j"), true, 0, "a")
+	if tr.HeldUntil(step("j")).After(now) {
+		t.Error("held for one failure, the others being old")
+	}
+}
+
+// Guards against suspensions that do not grow while a target goes on failing, and
+// against one that a success does not end.
+func TestSuspensionsGrowUntilASuccess(t *testing.T) {
+	tr := NewTracker()
+	now := start
+	for _, want := range []time.Duration{2, 4, 8, 16, 16} {
+		fail(tr, now, step("j"), false, 0, "bad", "bad", "bad", "bad")
+		got := tr.SuspendedUntil(target("bad")).Sub(now)
+		if got != want*time.Second {
+			t.Fatalf("suspended for %s, want %s", got, want*time.Second)
+		}
+		now = now.Add(got)
+	}
+	tr.RecordSuccess(step("k"), target("bad"))
+	if tr.SuspendedUntil(target("bad")).After(now) {
+		t.Error("suspended after a success")
+	}
+}
+
+// Guards against records that stay after their job or target is gone.
+func TestForgottenRecords(t *testing.T) {
+	tr := NewTracker()
+	fail(tr, start, step("gone"), true, 0, "a", "b")
+	fail(tr, start, step("live"), true, 9, "a")
+	tr.ForgetSteps(func(id string) bool { return id == "gone" })
+	tr.ForgetTarget(target("a"))
+	tr.ForgetTarget(target("b"))
+	if len(tr.steps) != 1 || len(tr.targets) != 0 {
+		t.Errorf("%d steps and %d targets left, want 1 and 0", len(tr.steps), len(tr.targets))
+	}
+}
