replica, peers: a new member finds the leader through any member

Cause: only the leader admits a member, and only one that is linked to it. A new member dials its three seeds, and a follower that it reached told nobody. With five members, the leader is not among three seeds in two cases of five; each such replacement cost a voter, and the third the quorum. New seeds in reloaded settings were only logged, and lost members came back as learners right after their removal.

Ruled out: the pace of replacement (with the leader among the seeds each took 4.5 s) and a lost manifest.

Change: a replica without a leader asks its peers every 500 ms for the membership and opens links to the members in it. Members, entry instances and agents link new seeds when the settings are reloaded. Lost learners are removed.

--- a/cmd/ibispierd/main.go
+++ b/cmd/ibispierd/main.go
@@ -89,7 +89,7 @@
 		tel.Metrics.RegisterRing(logWriter.Stats)
 	}
 	if err == nil && path != "" {
-		d.Add("reload", daemon.NewReloader(path, s, reloads, tel.Log))
+		d.Add("reload", daemon.NewReloader(path, s, reloads, tel.Log, d.ApplySettings))
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "ibispierd:", err)
--- a/consensus/reconcile.go
+++ b/consensus/reconcile.go
@@ -25,7 +25,8 @@
 // learner under the new one. Ids that an operator has removed are not added.
 //
 // With a desired number of voters, a learner that has caught up replaces a lost
-// voter, and any other stays a learner.
+// voter, and any other stays a learner. A lost learner is removed, because replaced
+// replicas never return.
 func NextChange(v ReconcileInput) (Change, bool) {
 	for _, m := range v.Membership.Members {
 		if m.Voter || !v.IsCaughtUp(m.ID) {
@@ -43,6 +44,18 @@
 			return c, true
 		}
 	}
+	return v.lostLearner()
+}
+
+func (v ReconcileInput) lostLearner() (Change, bool) {
+	if v.DesiredVoters == 0 {
+		return Change{}, false
+	}
+	for _, m := range v.Membership.Members {
+		if !m.Voter && v.IsLost(m.ID) {
+			return Change{Kind: Remove, Replica: m.ID}, true
+		}
+	}
 	return Change{}, false
 }
 
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -27,6 +27,8 @@
 type applier struct {
 	inputs  *ring.Ring[replica.Input]
 	updates *ring.Ring[replica.Update]
+	// onMembers opens the links to the members, as the job duty does.
+	onMembers func(ctx context.Context, members []replica.MemberStatus)
 
 	mu        sync.Mutex
 	commands  []string
@@ -45,6 +47,9 @@
 			return nil
 		}
 		a.apply(u)
+		if u.Status != nil && a.onMembers != nil {
+			a.onMembers(ctx, u.Status.Members)
+		}
 	}
 }
 
@@ -160,6 +165,15 @@
 		reads:   map[uint64]uint64{},
 		waiters: map[string]chan struct{}{},
 	}
+	if len(p.settings.Cluster.Seeds) > 0 {
+		p.applier.onMembers = func(ctx context.Context, members []replica.MemberStatus) {
+			var ids []string
+			for _, m := range members {
+				ids = append(ids, m.ID.ID)
+			}
+			_ = role.EnsureMembers(ctx, ids)
+		}
+	}
 	role.AddCoreDuty("applier", p.applier)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/daemon/control/peers/peers.go
+++ b/daemon/control/peers/peers.go
@@ -215,7 +215,7 @@
 func (p *Peers) Down(*link.Conn, error) {}
 
 // Frame implements link.Handler.
-func (p *Peers) Frame(_ context.Context, c *link.Conn, f *wire.Frame) error {
+func (p *Peers) Frame(ctx context.Context, c *link.Conn, f *wire.Frame) error {
 	r := f.GetReplication()
 	if r == nil {
 		return Error.New("step=receive peer=%s: unexpected frame %T", c.Peer().ID, f.GetBody())
@@ -224,21 +224,42 @@
 	if from.ID != c.Peer().ID || from.Incarnation != c.Peer().Incarnation {
 		return Error.New("step=receive peer=%s: message from replica %s", c.Peer().ID, from)
 	}
+	if r.GetType() == convert.ReplicationPeerState {
+		return p.receiveState(ctx, from, r)
+	}
 	p.receive(p.member(from.ID), from, r)
 	return nil
 }
 
+// receiveState passes the state of a peer to the replica, and opens links to the
+// members that it names.
+func (p *Peers) receiveState(ctx context.Context, from consensus.ReplicaID, r *wire.Replication) error {
+	state := &replica.PeerState{
+		ID:            from,
+		Group:         r.GetGroup(),
+		Bootstrapping: r.GetReject(),
+		Ask:           r.GetContext() != 0,
+	}
+	for _, e := range r.GetEntries() {
+		m, err := consensus.DecodeMembership(e.GetData())
+		if err != nil {
+			return Error.New("step=receive peer=%s: %w", from, err)
+		}
+		state.Membership = m
+	}
+	_ = p.events.Offer(replica.Event{State: state})
+	for _, m := range state.Membership.Members {
+		if err := p.EnsureMember(ctx, m.ID.ID); err != nil {
+			p.log.Warn("linking control member failed", zap.String("peer", m.ID.ID), zap.Stringer("named_by", from), zap.Error(err))
+		}
+	}
+	return nil
+}
+
 // receive passes r to its duty. A full ring drops it: consensus and the snapshot
 // transfer send it again.
 func (p *Peers) receive(m *member, from consensus.ReplicaID, r *wire.Replication) {
 	switch r.GetType() {
-	case convert.ReplicationPeerState:
-		_ = p.events.Offer(replica.Event{State: &replica.PeerState{
-			ID:            from,
-			Group:         r.GetGroup(),
-			Bootstrapping: r.GetReject(),
-			Ask:           r.GetContext() != 0,
-		}})
 	case convert.ReplicationSnapshotChunk:
 		_ = m.chunks.Offer(r)
 	case convert.ReplicationSnapshotChunkAck:
--- a/daemon/control/peers/sender.go
+++ b/daemon/control/peers/sender.go
@@ -162,6 +162,9 @@
 	if s.Ask {
 		r.Context = 1
 	}
+	if len(s.Membership.Members) > 0 {
+		r.Entries = []*wire.Entry{{Kind: uint32(consensus.EntryMembership), Data: s.Membership.Encode()}}
+	}
 	return frame(r)
 }
 
--- a/daemon/control/replica/members.go
+++ b/daemon/control/replica/members.go
@@ -28,6 +28,9 @@
 	// of the other members. A member that has not replied by then counts as
 	// unreachable.
 	bootstrapTicks = 20
+	// findLeaderTicks is the interval, in ticks, at which a replica without a leader
+	// asks its peers for the membership.
+	findLeaderTicks = 10
 )
 
 // pendingChange is a request that waits until the entry at index is committed.
@@ -148,6 +151,10 @@
 	if _, err := r.node.ChangeMembership(c); err != nil {
 		return // retried at the next reconciliation
 	}
+	if c.Kind == consensus.Remove && r.seenIncarnations[c.Replica.ID] == c.Replica.Incarnation {
+		// A lost member is admitted again once it has been heard of.
+		delete(r.seenIncarnations, c.Replica.ID)
+	}
 	r.duty.options.Log.Info("membership change proposed",
 		zap.Uint8("kind", uint8(c.Kind)), zap.Stringer("replica", c.Replica))
 }
@@ -230,10 +237,24 @@
 	}
 }
 
+// findLeader asks all linked peers for the membership while this replica knows no
+// leader. The peers package opens links to the members that the replies name. A new
+// member needs this because its seeds need not include the leader, which alone can
+// admit it, and a member that was away because the others may have been replaced.
+func (r *run) findLeader() {
+	if !r.node.Leader().IsZero() || r.duty.options.DesiredVoters == 0 {
+		return
+	}
+	for id := range r.duty.peers {
+		r.sendPeerState(id, true)
+	}
+}
+
 func (r *run) sendPeerState(id string, ask bool) {
 	r.send(id, Outgoing{State: &PeerState{
 		ID:            r.duty.options.Self,
 		Group:         r.node.Membership().Group,
+		Membership:    r.node.Membership(),
 		Bootstrapping: r.bootstrap != nil,
 		Ask:           ask,
 	}})
--- a/daemon/control/replica/replica.go
+++ b/daemon/control/replica/replica.go
@@ -36,6 +36,7 @@
 type PeerState struct {
 	ID            consensus.ReplicaID
 	Group         uint64 // 0 if it has no state
+	Membership    consensus.Membership
 	Bootstrapping bool
 	Ask           bool // requests the state of the receiver
 }
--- a/daemon/control/replica/run.go
+++ b/daemon/control/replica/run.go
@@ -114,6 +114,9 @@
 		r.reconcile()
 		r.requestPeerStates()
 	}
+	if r.ticks%findLeaderTicks == 0 {
+		r.findLeader()
+	}
 }
 
 func (r *run) handleInput(in Input) {
--- a/daemon/controlclient/client.go
+++ b/daemon/controlclient/client.go
@@ -133,6 +133,12 @@
 	return nil
 }
 
+// EnsureMembers links the members that are not linked yet. It has no effect where
+// the settings name all members.
+func (c *Client) EnsureMembers(_ context.Context, ids []string) error {
+	return Error.Wrap(c.duty.namedMembers.PutLatest(ids))
+}
+
 // Do performs an operation, waits for its result and decodes it into out. It is
 // meant for handlers of net/http. A duty must not block and uses Send.
 func (c *Client) Do(ctx context.Context, op controlapi.Operation, in, out any) error {
--- a/daemon/controlclient/duty.go
+++ b/daemon/controlclient/duty.go
@@ -15,6 +15,7 @@
 
 const (
 	eventCapacity = 4096
+	namedCapacity = 4
 	maxBatch      = 256
 	idleWait      = time.Second
 	// minTimerWait is the shortest wait that the timer is set to. Without a minimum,
@@ -42,7 +43,8 @@
 	// linkMember opens a link to a member that the settings do not name. It is nil
 	// where the settings name all members.
 	linkMember         func(ctx context.Context, id string) error
-	memberResults      *ring.Ring[Result] // results of requests for the list of members
+	memberResults      *ring.Ring[Result]   // results of requests for the list of members
+	namedMembers       *ring.Ring[[]string] // members that the settings name since a reload
 	membersRequestedAt time.Time
 
 	tracker *tracker
@@ -54,6 +56,7 @@
 		calls:         ring.New[Call]("controlclient.calls", callCapacity),
 		events:        ring.New[event]("controlclient.events", eventCapacity),
 		memberResults: ring.New[Result]("controlclient.found", 4),
+		namedMembers:  ring.New[[]string]("controlclient.named", namedCapacity),
 	}
 	for _, m := range members {
 		d.members = append(d.members, m.ID)
@@ -78,6 +81,10 @@
 			d.handleEvents(ctx, e)
 		case r := <-d.memberResults.C():
 			d.addMembers(ctx, r)
+		case ids := <-d.namedMembers.C():
+			for _, id := range ids {
+				d.addMember(ctx, id)
+			}
 		case <-timer.C:
 			d.tracker.handleTimeouts(time.Now())
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,6 +42,13 @@
 	readiness *admin.Readiness
 	drainers  []drainer
 	signals   <-chan os.Signal
+	links     []memberLinks
+}
+
+// memberLinks is a part of the process that is linked to the control members.
+type memberLinks interface {
+	// EnsureMembers opens links to the members that are not linked yet.
+	EnsureMembers(ctx context.Context, ids []string) error
 }
 
 // New builds the supervisor tree of a process. The first signal starts a graceful
@@ -124,6 +131,23 @@
 	return nil
 }
 
+// ApplySettings links the control members that changed settings name as seeds. A
+// process that has lost all members it knew finds the others only in this way.
+func (d *Daemon) ApplySettings(ctx context.Context, s *settings.Settings) {
+	if len(s.Cluster.Seeds) == 0 {
+		return
+	}
+	ids := make([]string, 0, len(s.Cluster.Control))
+	for _, m := range s.Cluster.Control {
+		ids = append(ids, m.ID)
+	}
+	for _, l := range d.links {
+		if err := l.EnsureMembers(ctx, ids); err != nil {
+			d.log.Warn("linking control members failed", zap.Strings("seeds", ids), zap.Error(err))
+		}
+	}
+}
+
 // observeFailure logs and counts the failure of a child of a supervisor.
 func (d *Daemon) observeFailure(supervisor, child string, err error) {
 	d.telemetry.Metrics.Counter("ibispier_child_failures_total", "supervisor", supervisor).Inc(1)
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -71,6 +71,7 @@
 		OnMembers: role.EnsureMembers,
 	}, role.Inputs, role.Updates)
 	role.AddCoreDuty("jobs", duty)
+	d.links = append(d.links, role)
 	role.SetClientHandler(server.New(duty.Requests))
 	operator, err := platform.NewOperatorHandler(duty, s.Platform.ControlListen, d.log)
 	if err != nil {
@@ -101,7 +102,9 @@
 	if len(d.settings.Cluster.Seeds) > 0 {
 		o.ResolveAddress = d.settings.Cluster.MemberAddress
 	}
-	return controlclient.New(o)
+	client := controlclient.New(o)
+	d.links = append(d.links, client)
+	return client
 }
 
 // newJobEntry returns the entry role, which serves the platform's callers.
