wal: recovery accepts what a power loss leaves of released segments

Recovery took any gap for damage.

Evidence: "the segment before it is missing: wal: damaged log" in the logs of the case.

--- a/daemon/control/logwriter/recover.go
+++ b/daemon/control/logwriter/recover.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/datafolder"
 	"github.com/ibispier/ibispier/snap"
 	"github.com/ibispier/ibispier/wal"
 )
@@ -21,20 +22,24 @@
 
 func (w *writer) recover() (consensus.State, error) {
 	o := w.duty.options
-	log, logged, err := wal.Open(wal.Options{
-		Files:        o.Files,
-		Dir:          o.Dir,
-		Incarnation:  o.Incarnation,
-		SegmentBytes: o.SegmentBytes,
-	})
-	if err != nil {
+	if err := datafolder.RemoveTemporary(o.Files, o.Dir); err != nil {
 		return consensus.State{}, err
 	}
-	w.log = log
 	loaded, err := w.duty.folder.Load()
 	if err != nil {
 		return consensus.State{}, err
 	}
+	log, logged, err := wal.Open(wal.Options{
+		Files:         o.Files,
+		Dir:           o.Dir,
+		Incarnation:   o.Incarnation,
+		SegmentBytes:  o.SegmentBytes,
+		SnapshotIndex: loaded.Snapshot.Index,
+	})
+	if err != nil {
+		return consensus.State{}, err
+	}
+	w.log = log
 	if err := checkContiguous(logged, loaded); err != nil {
 		return consensus.State{}, err
 	}
--- a/datafolder/files.go
+++ b/datafolder/files.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 )
 
 // File is an open file for appending.
@@ -90,6 +91,24 @@
 	return nil
 }
 
+// RemoveTemporary removes the files of interrupted calls of WriteFileAtomic, which
+// would otherwise occupy the disk for good.
+func RemoveTemporary(files FileSystem, dir string) error {
+	names, err := files.List(dir)
+	if err != nil {
+		return Error.New("step=list path=%s: %w", dir, err)
+	}
+	for _, name := range names {
+		if !strings.HasSuffix(name, temporarySuffix) {
+			continue
+		}
+		if err := files.Remove(filepath.Join(dir, name)); err != nil {
+			return Error.New("step=remove file=%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
 func writeSynced(files FileSystem, path string, content []byte) error {
 	f, err := files.Create(path)
 	if err != nil {
--- a/wal/recover.go
+++ b/wal/recover.go
@@ -52,6 +52,9 @@
 	incarnation uint64
 	recovered   Recovered
 	segments    []segment
+
+	snapshotIndex uint64
+	afterGap      bool // segments are missing before those that are being read
 }
 
 func (r *reader) readAll() error {
@@ -64,18 +67,57 @@
 			r.segments = append(r.segments, s)
 		}
 	}
+	last, err := r.lastStarted()
+	if err != nil {
+		return err
+	}
 	for i := range r.segments {
 		s := &r.segments[i]
 		if i > 0 && s.number != r.segments[i-1].number+1 {
-			return Error.New("step=recover segment=%s: the segment before it is missing: %w", s.name(), ErrDamaged)
+			if err := r.skipGap(*s); err != nil {
+				return err
+			}
 		}
-		if err := r.readSegment(s, i == len(r.segments)-1); err != nil {
+		if err := r.readSegment(s, i >= last); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// lastStarted returns the index of the last segment with a complete record. Those
+// after it were being created, which a crash may have interrupted more than once.
+func (r *reader) lastStarted() (int, error) {
+	for i := len(r.segments) - 1; i > 0; i-- {
+		data, err := r.files.ReadFile(filepath.Join(r.dir, r.segments[i].name()))
+		if err != nil {
+			return 0, Error.New("step=read segment=%s: %w", r.segments[i].name(), err)
+		}
+		if hasRecord(data) {
+			return i, nil
+		}
+	}
+	return 0, nil
+}
+
+// skipGap drops what was read so far, because segments before s are missing. That is
+// no damage if the newest snapshot covers it: segments are removed only then, and
+// earlier versions did not sync the directory after each removal, so that a power
+// loss could bring back some of them.
+func (r *reader) skipGap(s segment) error {
+	covered := r.recovered.ResetIndex <= r.snapshotIndex
+	for _, earlier := range r.segments {
+		if earlier.number < s.number {
+			covered = covered && earlier.lastIndex <= r.snapshotIndex
+		}
+	}
+	if !covered || r.snapshotIndex == 0 {
+		return Error.New("step=recover segment=%s snapshot=%d: the segment before it is missing: %w", s.name(), r.snapshotIndex, ErrDamaged)
+	}
+	r.recovered.Entries, r.afterGap = nil, true
+	return nil
+}
+
 func (r *reader) readSegment(s *segment, isLast bool) error {
 	data, err := r.files.ReadFile(filepath.Join(r.dir, s.name()))
 	if err != nil {
@@ -126,7 +168,7 @@
 			}
 		case itemReset:
 			r.recovered.ResetIndex, r.recovered.ResetTerm = d.uint(), d.uint()
-			r.recovered.Entries = nil
+			r.recovered.Entries, r.afterGap = nil, false
 		default:
 			return Error.New("unknown item: %w", ErrDamaged)
 		}
@@ -152,6 +194,13 @@
 
 func (r *reader) addEntry(e consensus.Entry) error {
 	entries := r.recovered.Entries
+	if len(entries) == 0 && r.afterGap {
+		if e.Index > r.snapshotIndex+1 {
+			return Error.New("entry %d after missing segments and the snapshot at %d: %w", e.Index, r.snapshotIndex, ErrDamaged)
+		}
+		r.recovered.Entries = append(entries, e)
+		return nil
+	}
 	if len(entries) == 0 {
 		if r.recovered.ResetIndex != 0 && e.Index != r.recovered.ResetIndex+1 {
 			return Error.New("entry %d after a reset to %d: %w", e.Index, r.recovered.ResetIndex, ErrDamaged)
@@ -160,6 +209,12 @@
 		return nil
 	}
 	first, last := entries[0].Index, entries[len(entries)-1].Index
+	if e.Index < first && e.Index <= r.snapshotIndex {
+		// The entry overwrites some in segments that were removed, because the snapshot
+		// covers them.
+		r.recovered.Entries = []consensus.Entry{e}
+		return nil
+	}
 	if e.Index > last+1 || e.Index < first {
 		return Error.New("entry %d after %d..%d: %w", e.Index, first, last, ErrDamaged)
 	}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -16,6 +16,9 @@
 	Dir          string
 	Incarnation  uint64
 	SegmentBytes int64
+	// SnapshotIndex is the last index that the newest readable snapshot covers.
+	// Segments that hold only entries up to it may be missing.
+	SnapshotIndex uint64
 }
 
 // Stats counts the operations of a log since it was opened.
@@ -45,7 +48,7 @@
 	if o.SegmentBytes == 0 {
 		o.SegmentBytes = DefaultSegmentBytes
 	}
-	r := &reader{files: o.Files, dir: o.Dir, incarnation: o.Incarnation}
+	r := &reader{files: o.Files, dir: o.Dir, incarnation: o.Incarnation, snapshotIndex: o.SnapshotIndex}
 	if err := r.readAll(); err != nil {
 		return nil, Recovered{}, err
 	}
@@ -56,15 +59,21 @@
 	return l, r.recovered, nil
 }
 
-// openLast opens the last segment. A segment without a complete header was being
-// created during a crash and holds no entries; it is removed.
+// openLast opens the last segment. Segments at the end without a complete header
+// were being created during a crash and hold no entries; they are removed.
 func (l *Log) openLast(torn bool) error {
-	if n := len(l.segments); n > 0 && l.segments[n-1].size == 0 {
+	removed := false
+	for n := len(l.segments); n > 0 && l.segments[n-1].size == 0; n-- {
 		if err := l.options.Files.Remove(l.path(l.segments[n-1])); err != nil {
 			return Error.New("step=remove segment=%s: %w", l.segments[n-1].name(), err)
 		}
 		l.segments = l.segments[:n-1]
-		torn = false
+		removed = true
+	}
+	if removed {
+		if err := l.options.Files.SyncDir(l.options.Dir); err != nil {
+			return Error.New("step=sync-directory: %w", err)
+		}
 	}
 	if len(l.segments) == 0 {
 		return l.startSegment(1)
@@ -210,7 +219,8 @@
 }
 
 // discardSegment removes a segment whose creation failed for lack of space. Any
-// other cause makes the log fail.
+// other cause makes the log fail. If the removal is lost in a crash, recovery removes
+// the segment, because it has no complete header.
 func (l *Log) discardSegment(s segment, cause error) error {
 	if !datafolder.IsDiskFull(cause) {
 		l.failure = Error.New("step=create segment=%s: %v", s.name(), cause)
@@ -221,7 +231,8 @@
 }
 
 // RemoveSegmentsUpTo removes the oldest segments that hold only entries up to
-// index. The last segment always stays.
+// index. The last segment always stays. The directory is synced after each removal:
+// otherwise a power loss could bring back some of the segments and not others.
 func (l *Log) RemoveSegmentsUpTo(index uint64) error {
 	if l.failure != nil {
 		return l.failure
@@ -230,6 +241,9 @@
 		if err := l.options.Files.Remove(l.path(l.segments[0])); err != nil {
 			return l.fail("remove", err)
 		}
+		if err := l.options.Files.SyncDir(l.options.Dir); err != nil {
+			return l.fail("sync-directory", err)
+		}
 		l.segments = l.segments[1:]
 	}
 	return nil
