control/jobs: a job is found by its id, whatever route matches its path

GET and DELETE were answered 410, and the tasks ran on without end.

Cause: the id was taken from what followed the prefix of the route that matches now. Change: it is the last segment of the path. A longer route that covers a part of the id had the same effect.

TestJobStaysKnownWhateverBecomesOfItsRoute fails before for a shorter and for a longer route.

--- a/daemon/control/jobs/requests.go
+++ b/daemon/control/jobs/requests.go
@@ -122,14 +122,14 @@
 			replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobNoManifest, RetryAfterMillis: noManifestRetry.Milliseconds()})
 			return
 		}
-		queue, rest := e.store.Config.Match(q.Host, q.Path)
+		queue, _ := e.store.Config.Match(q.Host, q.Path)
 		switch r.Operation {
 		case controlapi.OpJobWaiting:
 			e.answerWaiting(r, queue)
 		case controlapi.OpJobCancel:
-			e.cancelJob(r, q, queue, rest)
+			e.cancelJob(r, q, queue)
 		default:
-			e.answerStatus(r, q, queue, rest)
+			e.answerStatus(r, q, queue)
 		}
 	})
 }
@@ -142,13 +142,11 @@
 	replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobOK, Waiting: e.store.QueuedCount(queue)})
 }
 
-// findJob returns the job named by the path. A job remains known after its
-// queue was removed from the configuration.
-func (e *engine) findJob(q *controlapi.JobQuery, queue *job.Queue, rest string) (*job.Job, controlapi.JobOutcome) {
-	id := rest
-	if queue == nil {
-		id = q.Path[strings.LastIndexByte(q.Path, '/')+1:]
-	}
+// findJob returns the job whose ID is the last segment of the path. The queue that
+// now matches the path plays no part: it may be another one than at the submission,
+// because queues are removed, moved and covered by others while jobs run.
+func (e *engine) findJob(q *controlapi.JobQuery, queue *job.Queue) (*job.Job, controlapi.JobOutcome) {
+	id := q.Path[strings.LastIndexByte(q.Path, '/')+1:]
 	switch j := e.store.Jobs[id]; {
 	case j != nil:
 		return j, controlapi.JobOK
@@ -159,8 +157,8 @@
 	}
 }
 
-func (e *engine) answerStatus(r *applier.Request, q *controlapi.JobQuery, queue *job.Queue, rest string) {
-	j, outcome := e.findJob(q, queue, rest)
+func (e *engine) answerStatus(r *applier.Request, q *controlapi.JobQuery, queue *job.Queue) {
+	j, outcome := e.findJob(q, queue)
 	answer := controlapi.JobResponse{Outcome: outcome}
 	if j != nil {
 		answer.State = j.State()
@@ -168,8 +166,8 @@
 	replyOK(r, answer)
 }
 
-func (e *engine) cancelJob(r *applier.Request, q *controlapi.JobQuery, queue *job.Queue, rest string) {
-	j, outcome := e.findJob(q, queue, rest)
+func (e *engine) cancelJob(r *applier.Request, q *controlapi.JobQuery, queue *job.Queue) {
+	j, outcome := e.findJob(q, queue)
 	if j == nil {
 		replyOK(r, controlapi.JobResponse{Outcome: outcome})
 		return
