--- a/consensus/log.go
+++ b/consensus/log.go
@@ -127,6 +127,19 @@
 	l.base, l.baseTerm = index, term
 }
 
+// trailingFrom returns the lowest index after which the entries up to the last one
+// are within both limits.
+func (l *entryLog) trailingFrom(last, maxEntries uint64, maxBytes int) uint64 {
+	size := 0
+	for index := last; index > l.base; index-- {
+		size += len(l.entries[index-l.base-1].Data)
+		if size > maxBytes || last-index >= maxEntries {
+			return index
+		}
+	}
+	return l.base
+}
+
 // reset replaces the log by a snapshot.
 func (l *entryLog) reset(s *Snapshot) {
 	l.base, l.baseTerm = s.Index, s.Term
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -11,6 +11,7 @@
 	DefaultMaxEntriesPerAppend = 1024
 	DefaultMaxBytesPerAppend   = 512 << 10
 	DefaultTrailingEntries     = 4096
+	DefaultTrailingBytes       = 8 << 20
 )
 
 // Config configures a Node.
@@ -21,6 +22,7 @@
 	MaxEntriesPerAppend int    // entries in one append
 	MaxBytesPerAppend   int    // bytes of entries in one append
 	TrailingEntries     uint64 // entries below the snapshot that stay in memory for slow followers
+	TrailingBytes       int    // bytes of these entries
 	Seed                uint64 // seed of the randomized election timeout
 }
 
@@ -29,6 +31,7 @@
 	setDefault(&c.MaxInFlightAppends, DefaultMaxInFlightAppends)
 	setDefault(&c.MaxEntriesPerAppend, DefaultMaxEntriesPerAppend)
 	setDefault(&c.MaxBytesPerAppend, DefaultMaxBytesPerAppend)
+	setDefault(&c.TrailingBytes, DefaultTrailingBytes)
 	if c.TrailingEntries == 0 {
 		c.TrailingEntries = DefaultTrailingEntries
 	}
--- a/consensus/output.go
+++ b/consensus/output.go
@@ -163,7 +163,5 @@
 		return
 	}
 	n.snapshot = *s
-	if s.Index > n.config.TrailingEntries {
-		n.log.compact(s.Index - n.config.TrailingEntries)
-	}
+	n.log.compact(n.log.trailingFrom(s.Index, n.config.TrailingEntries, n.config.TrailingBytes))
 }
--- a/consensus/progress_test.go
+++ b/consensus/progress_test.go
@@ -86,3 +86,32 @@
 		t.Errorf("%d copies in %d heartbeats without progress", copies, waited)
 	}
 }
+
+// Guards against a log in memory that is bounded by entries only: a thousand large ones
+// exceeded the memory of a member.
+func TestTrailingEntriesAreBoundedInBytes(t *testing.T) {
+	l, err := newEntryLog(State{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(100) {
+		if err := l.append([]Entry{{Index: i + 1, Term: 1, Data: make([]byte, 10)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range []struct {
+		last, maxEntries uint64
+		maxBytes         int
+		want             uint64
+	}{
+		{80, 1000, 1000, 0},
+		{80, 20, 1000, 60},
+		{80, 1000, 50, 75},
+		{80, 3, 50, 77},
+		{80, 1000, 5, 80},
+	} {
+		if got := l.trailingFrom(c.last, c.maxEntries, c.maxBytes); got != c.want {
+			t.Errorf("%+v: entries are kept after %d", c, got)
+		}
+	}
+}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 
 	"github.com/zeebo/errs"
@@ -74,6 +75,8 @@
 		Dir:         r.folder.Path,
 		Incarnation: r.folder.Incarnation,
 		Log:         log,
+
+		SegmentBytes: diskBytes(s) / diskSegments,
 	})
 	r.replica = replica.New(replica.Options{
 		Self:            r.Self(),
@@ -82,6 +85,7 @@
 		Tick:            s.Control.TickInterval,
 		ElectionTicks:   s.Control.ElectionTicks,
 		SnapshotEntries: s.Control.SnapshotEntries,
+		SnapshotBytes:   diskBytes(s) / diskSnapshotIntervals,
 		Log:             log,
 	}, r.writer.Requests)
 	r.Inputs, r.Updates = r.replica.Inputs, r.replica.Updates
@@ -89,6 +93,21 @@
 	return r, nil
 }
 
+const (
+	// defaultDiskMB is the disk size that is assumed where the settings name none.
+	defaultDiskMB = 128
+	// diskSnapshotIntervals is how often the bytes of entries between two snapshots
+	// fit on the disk. The log covers two intervals and what arrives while a snapshot
+	// is being saved; three snapshots and a reserve need the rest.
+	diskSnapshotIntervals = 8
+	// diskSegments is how many segments of the log fit on the disk. Only whole
+	// segments are removed.
+	diskSegments = 32
+)
+
+// diskBytes returns the size of the disk that the log and the snapshots share.
+func diskBytes(s *settings.Settings) int64 { return cmp.Or(s.Control.DiskMB, defaultDiskMB) << 20 }
+
 // desiredVoters returns the number of voters to maintain where members join and
 // leave at run time: the smallest group that survives the tolerated number of
 // losses. It returns 0 where the settings name all members.
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -29,6 +29,7 @@
 	updates *ring.Ring[replica.Update]
 	// onMembers opens the links to the members, as the job duty does.
 	onMembers func(ctx context.Context, members []replica.MemberStatus)
+	keep      int // number of the newest commands to keep; 0 for all
 
 	mu        sync.Mutex
 	commands  []string
@@ -68,6 +69,9 @@
 		a.applied = e.Index
 		if e.Kind == consensus.EntryNormal {
 			a.commands = append(a.commands, string(e.Data))
+			if n := len(a.commands) - a.keep; a.keep > 0 && n > 0 {
+				a.commands = a.commands[n:]
+			}
 			if w := a.waiters[string(e.Data)]; w != nil {
 				close(w)
 				delete(a.waiters, string(e.Data))
--- a/daemon/control/logwriter/logwriter.go
+++ b/daemon/control/logwriter/logwriter.go
@@ -152,6 +152,10 @@
 			w.duty.options.Log.Error("disk full", zap.Error(err))
 			_ = w.session.SyncResults.Offer(SyncResult{DiskFull: true})
 			reported = true
+			if err := w.reclaim(); err != nil {
+				return err
+			}
+			continue
 		}
 		if !supervise.Sleep(ctx, retryDelay) {
 			return nil
@@ -162,6 +166,17 @@
 	return w.session.SyncResults.Offer(SyncResult{Sequence: last})
 }
 
+// reclaim makes room on a full disk: it removes the older snapshot and the log that
+// only the older snapshot needs.
+func (w *writer) reclaim() error {
+	index, err := w.duty.folder.KeepNewest()
+	if err != nil {
+		return err
+	}
+	w.duty.options.Log.Warn("older snapshot and its log removed", zap.Uint64("snapshot", index))
+	return w.log.RemoveSegmentsUpTo(index)
+}
+
 // write makes the pending batches durable. Snapshots are saved first: the log may
 // record that a snapshot replaced it only once the snapshot is on disk.
 func (w *writer) write() error {
--- a/daemon/control/replica/replica.go
+++ b/daemon/control/replica/replica.go
@@ -83,6 +83,7 @@
 	Tick            time.Duration
 	ElectionTicks   int
 	SnapshotEntries int
+	SnapshotBytes   int64 // bytes of entries after which a snapshot is taken earlier; 0 for no limit
 	Log             *zap.Logger
 }
 
--- a/daemon/control/replica/run.go
+++ b/daemon/control/replica/run.go
@@ -35,6 +35,7 @@
 	statusAgeTicks      int    // ticks since the last status was sent
 	snapshotRequestedAt uint64 // index at which a snapshot was last requested
 	lastSnapshot        uint64
+	appliedBytes        int64 // bytes of the entries applied since a snapshot was last requested
 }
 
 // start initializes the node and the applier with the recovered state.
@@ -215,9 +216,12 @@
 	r.pendingUpdate = Update{}
 	if out.InstallSnapshot != nil {
 		u.Snapshot = &SnapshotData{Index: out.InstallSnapshot.Index, Data: out.InstallSnapshot.Data}
-		r.lastSnapshot = out.InstallSnapshot.Index
+		r.lastSnapshot, r.appliedBytes = out.InstallSnapshot.Index, 0
 	}
 	u.Entries = out.Committed
+	for _, e := range out.Committed {
+		r.appliedBytes += int64(len(e.Data))
+	}
 	for _, read := range out.Reads {
 		u.Reads = append(u.Reads, ReadReady(read))
 	}
@@ -238,7 +242,8 @@
 		len(u.MemberResults) == 0 && u.Status == nil && !u.SnapshotWanted
 }
 
-// wantsSnapshot reports, once for each snapshot, that the log has grown enough. The
+// wantsSnapshot reports, once for each snapshot, that the log has grown enough, in
+// entries or in bytes. The
 // members take their first snapshot at different log lengths, so that later ones do
 // not coincide either: saving blocks the log writer, and a quorum must be able to
 // commit meanwhile.
@@ -246,12 +251,16 @@
 	o := r.duty.options
 	last := max(r.node.SnapshotIndex(), r.snapshotRequestedAt)
 	length := uint64(o.SnapshotEntries)
+	size := o.SnapshotBytes
 	if last == 0 {
-		length += length * uint64(slices.Index(o.Members, o.Self.ID)+1) / 8
+		place := slices.Index(o.Members, o.Self.ID) + 1
+		length += length * uint64(place) / 8
+		size += size * int64(place) / 8
 	}
-	if r.node.AppliedIndex() < last+length {
+	isLarge := size > 0 && r.appliedBytes >= size
+	if r.node.AppliedIndex() < last+length && !isLarge {
 		return false
 	}
-	r.snapshotRequestedAt = r.node.AppliedIndex()
+	r.snapshotRequestedAt, r.appliedBytes = r.node.AppliedIndex(), 0
 	return true
 }
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -28,6 +28,7 @@
 		{"control", "listen", "ip:port", "127.0.0.1:7071", "address for links from control members and clients", address(&s.Control.Listen)},
 		{"control", "tick", "duration", "50ms", "unit of the election and heartbeat timers", duration(&s.Control.TickInterval, 0.001, 1)},
 		{"control", "election_ticks", "ticks", "10", "ticks without a leader before an election", integer(&s.Control.ElectionTicks, 4, 100)},
+		{"control", "disk_mb", "MB", "", "size of the disk of the data folder, from which the size of the log and of its segments is derived; 128 if empty", optional(integer(&s.Control.DiskMB, 0, 1<<20))},
 		{"control", "snapshot_entries", "entries", "50000", "log entries between snapshots", integer(&s.Control.SnapshotEntries, 100, 10_000_000)},
 
 		{"agent", "listen", "ip:port", "", "address where the target announces itself; empty for none", optional(address(&s.Agent.Listen))},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -76,6 +76,7 @@
 	TickInterval    time.Duration
 	ElectionTicks   int
 	SnapshotEntries int
+	DiskMB          int64 // size of the disk of the data folder; 0 if unknown
 }
 
 // Agent configures the role agent.
--- a/snap/snap.go
+++ b/snap/snap.go
@@ -60,6 +60,22 @@
 	return indexOf(names[0]), nil
 }
 
+// KeepNewest removes all but the newest snapshot and returns its index, or 0 if there
+// is none.
+func (f Folder) KeepNewest() (uint64, error) {
+	names, err := f.names()
+	if err != nil || len(names) == 0 {
+		return 0, err
+	}
+	newest := names[len(names)-1]
+	for _, name := range names[:len(names)-1] {
+		if err := f.Files.Remove(filepath.Join(f.Dir, name)); err != nil {
+			return 0, Error.New("step=remove file=%s: %w", name, err)
+		}
+	}
+	return indexOf(newest), Error.Wrap(f.Files.SyncDir(f.Dir))
+}
+
 // Loaded is the result of Load.
 type Loaded struct {
 	Snapshot consensus.Snapshot // zero if there is none
