control/jobs: a dropped command loses no ends, an overdue one keeps its starts

Cause: two commands are in flight. If the replica dropped the first and committed the second, the watermark of a target covered ends that were never applied; the target forgot them and their tasks were started again. A command above the size limit was dropped for sure. A command without its entry after 2 s counted as failed, and the room of its starts was given away, though the entry could still commit.

Change: each end names the one before it, and the store ignores an end whose predecessor was not applied. A command is settled when it or a later one of the leadership is applied; an empty one decides where nothing else is proposed. An incarnation born before the earlier one, because a clock was set back, has a watermark of its own; its ends were never acknowledged.

The load test orders events of the same time, as a replica orders entries.

--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,9 +18,12 @@
 )
 
 const (
-	// proposalTimeout is how long a command waits for its entry to be applied.
-	// After that its outcome is unknown.
+	// proposalTimeout is how long a command waits for its entry to be applied before
+	// further commands are proposed in its place.
 	proposalTimeout = 2 * time.Second
+	// maxOverdue bounds the commands whose entry is overdue. A leader without a quorum
+	// steps down before it reaches the bound.
+	maxOverdue = 8
 	// maxInFlight is the number of commands that may be in flight. Requests
 	// that arrive meanwhile share the next command, so that the number of
 	// entries depends on the speed of the disks and not on the number of
@@ -53,6 +58,7 @@
 	sequence uint64            // of the last proposed command
 	batch    batch             // next command
 	inFlight map[uint64]*batch // proposed but not applied, by sequence
+	overdue  map[uint64]*batch // in flight for longer than proposalTimeout
 	reads    readindex.Queue
 	leader   *leadership // nil unless this member leads
 
@@ -64,13 +70,26 @@
 
 // batch is a command that is being assembled or waits for its entry.
 type batch struct {
-	command   job.Command
-	encoded   []byte // of the command, once it is proposed
-	parts     int    // number of parts that were added
-	proposed  time.Time
-	deadline  time.Time
-	onApplied []func(now time.Time)
-	onUnknown []func()
+	command  job.Command
+	encoded  []byte // of the command, once it is proposed
+	parts    []part
+	proposed time.Time
+	deadline time.Time
+}
+
+// part is what one request or decision adds to a command.
+type part struct {
+	add       func(*job.Command)
+	onApplied func(now time.Time) // may be nil
+	onUnknown func()              // may be nil
+}
+
+func newBatch(parts []part) batch {
+	b := batch{parts: parts}
+	for _, p := range parts {
+		p.add(&b.command)
+	}
+	return b
 }
 
 func newEngine(o Options, origin uint64, offerInput func(replica.Input) error) *engine {
@@ -81,35 +100,29 @@
 		store:      job.NewStore(),
 		origin:     origin,
 		inFlight:   map[uint64]*batch{},
+		overdue:    map[uint64]*batch{},
 	}
 }
 
 // addPart adds a part to the next command. onApplied is called once it is
-// applied, onUnknown when its outcome can no longer be determined. Both may be
-// nil.
-func (e *engine) addPart(part func(*job.Command), onApplied func(time.Time), onUnknown func()) {
-	part(&e.batch.command)
-	e.batch.parts++
-	if onApplied != nil {
-		e.batch.onApplied = append(e.batch.onApplied, onApplied)
-	}
-	if onUnknown != nil {
-		e.batch.onUnknown = append(e.batch.onUnknown, onUnknown)
-	}
+// applied, onUnknown when it is not going to be applied in this leadership. Both
+// may be nil.
+func (e *engine) addPart(add func(*job.Command), onApplied func(time.Time), onUnknown func()) {
+	add(&e.batch.command)
+	e.batch.parts = append(e.batch.parts, part{add, onApplied, onUnknown})
 }
 
 // propose submits the collected parts to the replica as one command, unless
-// maxInFlight commands are in flight.
+// maxInFlight commands are in flight. Parts that do not fit into one command remain
+// for the next one.
 func (e *engine) propose(now time.Time) {
-	if e.batch.parts == 0 || len(e.inFlight) >= maxInFlight {
+	if len(e.batch.parts) == 0 || len(e.inFlight) >= maxInFlight || len(e.overdue) >= maxOverdue {
 		return
 	}
-	b := e.batch
-	e.batch = batch{}
 	e.sequence++
-	b.command.Origin, b.command.Sequence = e.origin, e.sequence
+	b, rest, data, err := fitBatch(e.batch, e.origin, e.sequence)
+	e.batch = rest
 	b.proposed, b.deadline = now, now.Add(proposalTimeout)
-	data, err := json.Marshal(&b.command)
 	b.encoded = data
 	if err == nil && e.leader != nil && !e.status.ReadOnly {
 		err = e.offerInput(replica.Input{Propose: data})
@@ -117,17 +130,55 @@
 		err = consensus.ErrNotLeader
 	}
 	if err != nil {
-		e.log.Warn("proposal refused", zap.Int("parts", b.parts), zap.Error(err))
+		e.log.Warn("proposal refused", zap.Int("parts", len(b.parts)), zap.Error(err))
 		b.failAll()
 		return
 	}
 	e.inFlight[e.sequence] = &b
 }
 
+// fitBatch splits a batch whose command is larger than the replica takes. It returns
+// the first batch, its encoded command, and the rest.
+func fitBatch(b batch, origin, sequence uint64) (first, rest batch, data []byte, err error) {
+	for {
+		b.command.Origin, b.command.Sequence = origin, sequence
+		data, err = encodeCommand(&b.command)
+		if err != nil || len(data) <= replica.MaxCommandBytes {
+			return b, rest, data, err
+		}
+		if len(b.parts) == 1 {
+			return b, rest, nil, Error.New("step=propose bytes=%d: command is too large", len(data))
+		}
+		half := len(b.parts) / 2
+		rest = newBatch(append(slices.Clone(b.parts[half:]), rest.parts...))
+		b = newBatch(b.parts[:half:half])
+	}
+}
+
 func (b *batch) failAll() {
-	for _, fail := range b.onUnknown {
-		fail()
+	for _, p := range b.parts {
+		if p.onUnknown != nil {
+			p.onUnknown()
+		}
+	}
+}
+
+// settle ends the wait for the batch with the sequence and returns it, or nil if it
+// is not in flight. Entries of one leadership are in the order of their proposal, so
+// batches before it will not be applied.
+func (e *engine) settle(sequence uint64) *batch {
+	b := cmp.Or(e.inFlight[sequence], e.overdue[sequence])
+	for _, waiting := range []map[uint64]*batch{e.overdue, e.inFlight} {
+		for s, earlier := range waiting {
+			if s < sequence {
+				delete(waiting, s)
+				e.log.Warn("command not applied", zap.Uint64("sequence", s), zap.Int("parts", len(earlier.parts)))
+				earlier.failAll()
+			}
+		}
+		delete(waiting, sequence)
 	}
+	return b
 }
 
 // handleUpdate processes an update of the replica.
@@ -189,11 +240,15 @@
 	} else {
 		e.store.TakeChanged() // a new leader starts with the whole store
 	}
-	if b := e.inFlight[c.Sequence]; b != nil && c.Origin == e.origin {
-		delete(e.inFlight, c.Sequence)
+	if c.Origin != e.origin {
+		return nil
+	}
+	if b := e.settle(c.Sequence); b != nil {
 		e.confirmByCommit(b, entry.Term)
-		for _, done := range b.onApplied {
-			done(now)
+		for _, p := range b.parts {
+			if p.onApplied != nil {
+				p.onApplied(now)
+			}
 		}
 	}
 	return nil
@@ -213,13 +268,15 @@
 // itself is not decoded again: all its strings come from decoded JSON, so encoding
 // does not change them.
 func (e *engine) decode(entry consensus.Entry) (*job.Command, error) {
-	for _, b := range e.inFlight {
-		if bytes.Equal(b.encoded, entry.Data) {
-			return &b.command, nil
+	for _, waiting := range []map[uint64]*batch{e.inFlight, e.overdue} {
+		for _, b := range waiting {
+			if bytes.Equal(b.encoded, entry.Data) {
+				return &b.command, nil
+			}
 		}
 	}
-	c := new(job.Command)
-	if err := json.Unmarshal(entry.Data, c); err != nil {
+	c, err := decodeCommand(entry.Data)
+	if err != nil {
 		return nil, supervise.Fatal(Error.New("step=apply index=%d: %w", entry.Index, err))
 	}
 	return c, nil
@@ -291,10 +348,12 @@
 	e.log.Info("leadership ended", zap.Uint64("term", e.leader.term))
 	l := e.leader
 	e.leader = nil
-	inFlight := e.inFlight
-	e.inFlight = map[uint64]*batch{}
-	for _, b := range inFlight {
-		b.failAll()
+	waiting := []map[uint64]*batch{e.overdue, e.inFlight}
+	e.overdue, e.inFlight = map[uint64]*batch{}, map[uint64]*batch{}
+	for _, batches := range waiting {
+		for _, b := range batches {
+			b.failAll()
+		}
 	}
 	e.batch.failAll()
 	e.batch = batch{}
@@ -304,16 +363,11 @@
 
 // tick performs the periodic work.
 func (e *engine) tick(now time.Time) {
-	for sequence, b := range e.inFlight {
-		if !b.deadline.After(now) {
-			delete(e.inFlight, sequence)
-			b.failAll()
-		}
-	}
 	e.bootstrap(now)
 	if e.leader == nil {
 		return
 	}
+	e.expireCommands(now)
 	e.reads.Expire(now)
 	if !e.acceptsRequests() {
 		return
@@ -326,6 +380,22 @@
 	e.leader.needsDispatch = true
 }
 
+// expireCommands stops waiting for commands whose entry is overdue. It may still be
+// committed, so their starts and ends stay pending until a later command is applied
+// or the leadership ends. With nothing else to propose, an empty command decides.
+func (e *engine) expireCommands(now time.Time) {
+	for sequence, b := range e.inFlight {
+		if !b.deadline.After(now) {
+			delete(e.inFlight, sequence)
+			e.overdue[sequence] = b
+			e.log.Warn("command overdue", zap.Uint64("sequence", sequence), zap.Int("parts", len(b.parts)))
+		}
+	}
+	if len(e.overdue) > 0 && len(e.batch.parts) == 0 && len(e.inFlight) == 0 {
+		e.addPart(func(*job.Command) {}, nil, nil)
+	}
+}
+
 // cleanUp performs the periodic work whose cost grows with the store.
 func (e *engine) cleanUp(now time.Time) {
 	if now.Sub(e.leader.cleanedAt) < cleanUpInterval {
--- a/daemon/control/jobs/fleet_test.go
+++ b/daemon/control/jobs/fleet_test.go
@@ -42,15 +42,16 @@
 // fleet drives an engine that leads with the reports of simulated agents, in
 // virtual time. Engine time is not part of virtual time; busy sums it up.
 type fleet struct {
-	e      *engine
-	now    time.Time
-	random *rand.Rand
-	agents []*fakeAgent
-	events eventQueue
-	busy   time.Duration
-	index  uint64
-	jobs   int
-	starts int
+	e       *engine
+	now     time.Time
+	random  *rand.Rand
+	agents  []*fakeAgent
+	events  eventQueue
+	planned int
+	busy    time.Duration
+	index   uint64
+	jobs    int
+	starts  int
 
 	queueOf     map[string]string // by job
 	submittedAt map[string]time.Time
@@ -62,16 +63,19 @@
 }
 
 type event struct {
-	at time.Time
-	do func()
+	at     time.Time
+	number int // orders events of the same time, as the replica orders entries
+	do     func()
 }
 
 type eventQueue []event
 
-func (q eventQueue) Len() int           { return len(q) }
-func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
-func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].number < q[j].number
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
 func (q *eventQueue) Pop() any {
 	last := (*q)[len(*q)-1]
 	*q = (*q)[:len(*q)-1]
@@ -123,7 +127,10 @@
 	f.busy += time.Since(start)
 }
 
-func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.events, event{f.now.Add(d), do}) }
+func (f *fleet) after(d time.Duration, do func()) {
+	f.planned++
+	heap.Push(&f.events, event{f.now.Add(d), f.planned, do})
+}
 
 // offer is the replica: it commits and confirms after a delay.
 func (f *fleet) offer(in replica.Input) error {
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -125,8 +125,11 @@
 			continue
 		}
 		l.queueCheck(s)
-		if end.Number > st.LastEndNumber(end.Target) {
+		switch {
+		case end.Number > 0 && st.AcceptsEnd(end):
 			l.recordOutcome(now, st, end)
+		case end.Number > st.LastEndNumber(end.Target):
+			s.proposedWatermark = 0 // an end before it was not applied; both are proposed again
 		}
 	}
 	for i := range c.Starts {
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -117,6 +117,9 @@
 			continue
 		}
 		end.Target = s.target
+		if end.Number > 0 {
+			end.Previous, watermark = watermark, end.Number
+		}
 		e.leader.proposedEnds[end.Task] = end.Run
 		s.proposedWatermark = max(s.proposedWatermark, end.Number)
 		ended = append(ended, end.Task.String()+"#"+strconv.Itoa(end.Run)+":"+string(end.Outcome))
--- a/job/apply.go
+++ b/job/apply.go
@@ -28,8 +28,11 @@
 // end. It is 0 for a rejected start, which the target does not list among its
 // ends.
 type End struct {
-	Target     TargetIncarnation
-	Number     uint64 `json:",omitempty"`
+	Target TargetIncarnation
+	Number uint64 `json:",omitempty"`
+	// Previous is the number of the end before it. An end whose predecessor was not
+	// applied is ignored; otherwise the watermark would cover the missing one.
+	Previous   uint64 `json:",omitempty"`
 	Task       Ref
 	Run        int
 	Outcome    Outcome
@@ -220,20 +223,19 @@
 	}
 }
 
-// advanceWatermark records the number of an end and reports whether the end is
-// new.
+// AcceptsEnd reports whether a numbered end is new and follows the applied ones.
+func (st *Store) AcceptsEnd(e *End) bool {
+	last := st.LastEndNumber(e.Target)
+	return e.Number > last && e.Previous <= last
+}
+
+// advanceWatermark records the number of an end and reports whether the end is to be
+// applied.
 func (st *Store) advanceWatermark(e *End) bool {
-	n := st.EndWatermarks[e.Target.ID]
-	switch {
-	case e.Target.Born < n.Born:
-		return true // ends of older incarnations are not tracked by number
-	case e.Target.Born > n.Born:
-		n = EndWatermark{Born: e.Target.Born}
-	case e.Number <= n.Number:
+	if !st.AcceptsEnd(e) {
 		return false
 	}
-	n.Number = e.Number
-	st.EndWatermarks[e.Target.ID] = n
+	st.EndWatermarks[st.watermarkKey(e.Target)] = EndWatermark{Born: e.Target.Born, Number: e.Number}
 	st.markChanged(e.Target)
 	return true
 }
--- a/job/store.go
+++ b/job/store.go
@@ -1,6 +1,9 @@
 package job
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+)
 
 // TargetIncarnation identifies one incarnation of a target. A target that
 // restarts with the same ID is a new incarnation.
@@ -130,7 +133,7 @@
 	Config        Config
 	ZonesOut      map[string]bool
 	Jobs          map[string]*Job
-	EndWatermarks map[string]EndWatermark `json:"Noted"` // watermark of applied ends, by target ID
+	EndWatermarks map[string]EndWatermark `json:"Noted"` // watermark of applied ends, by watermarkKey
 	Orders        uint64                  // order number of the last accepted job
 	// Disturbs holds the learned disturbance by serving image and filling
 	// image. It is replicated so that it survives restarts of the processes
@@ -312,8 +315,18 @@
 // LastEndNumber returns the number of the last applied end of the target, or 0
 // if the incarnation is not the latest one.
 func (st *Store) LastEndNumber(target TargetIncarnation) uint64 {
-	if n := st.EndWatermarks[target.ID]; n.Born == target.Born {
+	if n := st.EndWatermarks[st.watermarkKey(target)]; n.Born == target.Born {
 		return n.Number
 	}
 	return 0
 }
+
+// watermarkKey returns the key of the target's watermark. The latest incarnation has
+// that of the ID. An incarnation may be born before the one that it follows, if the
+// clock was set back; it has a key of its own.
+func (st *Store) watermarkKey(target TargetIncarnation) string {
+	if target.Born >= st.EndWatermarks[target.ID].Born {
+		return target.ID
+	}
+	return target.ID + "@" + strconv.FormatInt(target.Born, 10)
+}
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -363,3 +363,26 @@
 		t.Errorf("the next incarnation holds %d tasks, the previous one %d", len(st.TasksOn(TargetIncarnation{"a", 2})), len(st.TasksOn(TargetIncarnation{"a", 1})))
 	}
 }
+
+// Guards against ends of a target that are never acknowledged because its clock was set
+// back before it started again, so that its Born is lower than that of the incarnation
+// before.
+func TestEndsOfAnIncarnationWithALowerBornAreAcknowledged(t *testing.T) {
+	st := NewStore()
+	earlier, later := TargetIncarnation{ID: "t", Born: 5000}, TargetIncarnation{ID: "t", Born: 2000}
+	end := func(target TargetIncarnation, number, previous uint64) {
+		st.Apply(&Command{Ends: []End{{Target: target, Number: number, Previous: previous, Task: Ref{Job: "x"}, Run: 1, Outcome: RunDone}}})
+	}
+	end(earlier, 1, 0)
+	end(earlier, 2, 1)
+	end(later, 1, 0)
+	end(later, 2, 1)
+	end(later, 3, 2)
+	if a, b := st.LastEndNumber(earlier), st.LastEndNumber(later); a != 2 || b != 3 {
+		t.Errorf("watermarks %d and %d, want 2 and 3", a, b)
+	}
+	end(later, 5, 4)
+	if n := st.LastEndNumber(later); n != 3 {
+		t.Errorf("watermark %d covers end 4, which was not applied", n)
+	}
+}
