control/jobs: a configuration in force or in flight is not logged again

Operators send a configuration again until it is acknowledged, up to eight at once.

A copy of a version in force is acknowledged after a quorum has confirmed the leader; a copy of one in flight shares the outcome of the first.

--- a/daemon/control/jobs/requests.go
+++ b/daemon/control/jobs/requests.go
@@ -30,7 +30,7 @@
 	case *controlapi.JobSubmitRequest:
 		e.submitJob(now, r, body)
 	case *controlapi.ManifestRequest:
-		e.putManifest(r, body)
+		e.putManifest(now, r, body)
 	case *job.ZoneChange:
 		e.changeZone(r, *body)
 	case *controlapi.TargetReport:
@@ -181,14 +181,23 @@
 
 // putManifest proposes an externally approved configuration. An older or equal
 // version is acknowledged without effect.
-func (e *engine) putManifest(r *applier.Request, m *controlapi.ManifestRequest) {
+func (e *engine) putManifest(now time.Time, r *applier.Request, m *controlapi.ManifestRequest) {
 	if err := m.Config.Check(); err != nil {
 		e.log.Info("manifest refused", zap.Uint64("manifest", m.Config.Version), zap.Error(err))
 		replyRefused(r, err.Error())
 		return
 	}
-	if e.batch.command.Config != nil && e.batch.command.Config.Version >= m.Config.Version {
-		e.addPart(func(*job.Command) {}, func(time.Time) { replyOK(r, controlapi.Empty{}) }, func() { replyUnavailable(r) })
+	if m.Config.Version <= e.store.Config.Version {
+		// Not logged: operators resend a configuration until it is acknowledged, and
+		// each copy in the log has the size of the configuration.
+		e.afterLeadershipConfirmed(now, r, func(time.Time) {
+			e.log.Info("manifest acknowledged", zap.Uint64("manifest", m.Config.Version), zap.Uint64("in_force", e.store.Config.Version))
+			replyOK(r, controlapi.Empty{})
+		})
+		return
+	}
+	if b := e.batchWithConfig(m.Config.Version); b != nil {
+		b.parts = append(b.parts, part{func(*job.Command) {}, func(time.Time) { replyOK(r, controlapi.Empty{}) }, func() { replyUnavailable(r) }})
 		return
 	}
 	e.addPart(func(c *job.Command) { c.Config = &m.Config }, func(time.Time) {
@@ -198,6 +207,20 @@
 	}, func() { replyUnavailable(r) })
 }
 
+// batchWithConfig returns a command, in flight or next, with a configuration of the
+// version or a newer one.
+func (e *engine) batchWithConfig(version uint64) *batch {
+	for _, b := range e.inFlight {
+		if b.command.Config != nil && b.command.Config.Version >= version {
+			return b
+		}
+	}
+	if c := e.batch.command.Config; c != nil && c.Version >= version {
+		return &e.batch
+	}
+	return nil
+}
+
 func (e *engine) changeZone(r *applier.Request, z job.ZoneChange) {
 	e.addPart(func(c *job.Command) { c.Zones = append(c.Zones, z) }, func(time.Time) {
 		e.log.Info("zone changed", zap.String("zone", z.Zone), zap.Bool("out", z.Out), zap.Uint64("index", e.applied))
