--- a/daemon/control/jobs/routes_test.go
+++ b/daemon/control/jobs/routes_test.go
@@ -52,3 +52,26 @@
 		}
 	}
 }
+
+// Guards against a refusal of a submission whose earlier attempt is still on its way
+// into the log: it was answered "never runs" and then ran.
+func TestRefusalWaitsForEarlierAttempts(t *testing.T) {
+	h := newHarness(t)
+	h.lead(1, 3)
+	h.manifest()
+	h.held = true
+	first := h.request(controlapi.OpJobSubmit, submission())
+	invalid := submission()
+	invalid.Spec.Steps = nil
+	second := h.request(controlapi.OpJobSubmit, invalid)
+	if len(second.got) > 0 {
+		t.Fatalf("answered %+v before a confirmation", second.got)
+	}
+	h.held = false
+	h.settle()
+	for i, r := range []*recorder{first, second} {
+		if len(r.got) != 1 || r.got[0].Body.(controlapi.JobResponse).Outcome != controlapi.JobOK {
+			t.Errorf("attempt %d: answers %+v, want accepted", i+1, r.got)
+		}
+	}
+}
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -213,11 +213,18 @@
 // Guards against a configuration that is replaced by an older version.
 func TestConfigNeverReverts(t *testing.T) {
 	st := NewStore()
-	for _, version := range []uint64{3, 2, 7, 5, 7} {
-		st.Apply(&Command{Config: &Config{Version: version, Source: []byte{byte(version)}}})
-	}
-	if st.Config.Version != 7 || st.Config.Source[0] != 7 {
-		t.Fatalf("version %d in force, want 7", st.Config.Version)
+	highest := uint64(0)
+	for i, version := range []uint64{3, 2, 3, 7, 5, 7} {
+		source := []byte{byte(version), byte(i)}
+		if version > highest {
+			highest = version
+		} else {
+			source[0] = 0 // other content under a version that is not higher
+		}
+		st.Apply(&Command{Config: &Config{Version: version, Source: source}})
+		if st.Config.Version != highest || st.Config.Source[0] != byte(highest) {
+			t.Fatalf("version %d with content of %d in force, want %d", st.Config.Version, st.Config.Source[0], highest)
+		}
 	}
 }
 
@@ -386,3 +393,25 @@
 		t.Errorf("watermark %d covers end 4, which was not applied", n)
 	}
 }
+
+// Guards against a start that was decided before the task ran and ended: its run number
+// was used already, and the target would refuse it or, after a restart, run it again.
+func TestOutdatedStartIsIgnored(t *testing.T) {
+	st := NewStore()
+	target := TargetIncarnation{ID: "t", Born: 1}
+	ref := Ref{Job: "00000000000000aa"}
+	st.Apply(&Command{Submit: []*Submission{{Spec: Spec{ID: ref.Job, Steps: []Step{{Count: 1}}}, Queue: Queue{Attempts: 9}}}})
+	start := func(run int) {
+		st.Apply(&Command{Starts: []Start{{Task: ref, Run: run, Target: target}}})
+	}
+	start(1)
+	st.Apply(&Command{Ends: []End{{Target: target, Number: 1, Task: ref, Run: 1, Outcome: RunFailed}}})
+	start(1)
+	if _, task := st.Find(ref); task.State != Ready {
+		t.Fatalf("run %d was started again", task.Run)
+	}
+	start(2)
+	if _, task := st.Find(ref); task.State != Placed || task.Run != 2 {
+		t.Fatalf("task %+v, want run 2", task)
+	}
+}
