replica: a repeated bootstrap joins the one in progress

Operators' tools send a bootstrap again, to the same member or another one, when the first answer is late.

A repetition shares the outcome of the first.

--- a/daemon/control/replica/members.go
+++ b/daemon/control/replica/members.go
@@ -28,6 +28,9 @@
 	// of the other members. A member that has not replied by then counts as
 	// unreachable.
 	bootstrapTicks = 20
+	// yieldTicks is the time, in ticks, that a bootstrap waits for the admission by
+	// another member that has state or bootstraps too.
+	yieldTicks = 5 * bootstrapTicks
 	// findLeaderTicks is the interval, in ticks, at which a replica without a leader
 	// asks its peers for the membership.
 	findLeaderTicks = 10
@@ -43,10 +46,10 @@
 // bootstrapRequest is a request to form a group. It waits until every other member
 // has replied that it has no state.
 type bootstrapRequest struct {
-	context      uint64
+	contexts     []uint64 // of the request and its repetitions
 	deadlineTick int
 	unanswered   map[string]bool
-	err          error
+	yieldedTo    string // member that has formed the group or forms it; this one waits to be admitted
 }
 
 func (r *run) changeMembers(c MemberChange) {
@@ -209,17 +212,21 @@
 	})
 }
 
-// startBootstrap asks the other members for their state.
+// startBootstrap asks the other members for their state. Operators send the request
+// again when its answer is late: a repetition shares the outcome of the first.
 func (r *run) startBootstrap(c MemberChange) {
-	if len(r.node.Membership().Members) > 0 {
-		r.addResult(c.Context, Error.New("step=bootstrap: this member already has state"))
+	switch {
+	case r.bootstrap != nil:
+		r.bootstrap.contexts = append(r.bootstrap.contexts, c.Context)
 		return
-	}
-	if r.bootstrap != nil {
-		r.addResult(c.Context, Error.New("step=bootstrap: another bootstrap is in progress"))
+	case r.bootstrapped:
+		r.addResult(c.Context, nil)
+		return
+	case len(r.node.Membership().Members) > 0:
+		r.addResult(c.Context, Error.New("step=bootstrap: this member already has state"))
 		return
 	}
-	r.bootstrap = &bootstrapRequest{context: c.Context, deadlineTick: r.ticks + bootstrapTicks, unanswered: map[string]bool{}}
+	r.bootstrap = &bootstrapRequest{contexts: []uint64{c.Context}, deadlineTick: r.ticks + bootstrapTicks, unanswered: map[string]bool{}}
 	for id := range r.duty.peers {
 		r.bootstrap.unanswered[id] = true
 	}
@@ -270,38 +277,44 @@
 		return
 	}
 	delete(b.unanswered, s.ID.ID)
-	switch {
-	case s.Group != 0:
-		b.err = Error.New("step=bootstrap peer=%s: member already has the state of group %x", s.ID, s.Group)
-	case s.Bootstrapping:
-		b.err = Error.New("step=bootstrap peer=%s: member is bootstrapping too", s.ID)
+	// Of two members that bootstrap at the same time, the one with the lower ID forms
+	// the group and admits the other.
+	if b.yieldedTo == "" && (s.Group != 0 || s.Bootstrapping && s.ID.ID < r.duty.options.Self.ID) {
+		b.yieldedTo, b.deadlineTick = s.ID.String(), r.ticks+yieldTicks
 	}
 }
 
 // advanceBootstrap forms the group once all other members have replied or the
-// deadline has passed, unless a reply rules it out.
+// deadline has passed, unless another member has formed it or forms it.
 func (r *run) advanceBootstrap(ctx context.Context) error {
 	b := r.bootstrap
 	switch {
 	case b == nil:
 		return nil
 	case len(r.node.Membership().Members) > 0:
-		b.err = Error.New("step=bootstrap: this member was admitted by a group meanwhile")
-	case b.err == nil && len(b.unanswered) > 0 && r.ticks < b.deadlineTick:
+		r.finishBootstrap(nil) // admitted by the other member
 		return nil
-	}
-	r.bootstrap = nil
-	if b.err != nil {
-		r.addResult(b.context, b.err)
+	case (b.yieldedTo != "" || len(b.unanswered) > 0) && r.ticks < b.deadlineTick:
+		return nil
+	case b.yieldedTo != "":
+		r.finishBootstrap(Error.New("step=bootstrap peer=%s: the member has state or bootstraps too, and has not admitted this one", b.yieldedTo))
 		return nil
 	}
 	if err := r.formGroup(ctx); err != nil {
 		return err
 	}
-	r.addResult(b.context, nil)
+	r.finishBootstrap(nil)
 	return nil
 }
 
+// finishBootstrap answers the request in progress and its repetitions.
+func (r *run) finishBootstrap(err error) {
+	for _, c := range r.bootstrap.contexts {
+		r.addResult(c, err)
+	}
+	r.bootstrap, r.bootstrapped = nil, err == nil
+}
+
 // formGroup writes the state of a group with one member and starts the node with
 // it.
 func (r *run) formGroup(ctx context.Context) error {
--- a/daemon/control/replica/run.go
+++ b/daemon/control/replica/run.go
@@ -28,6 +28,7 @@
 	seenIncarnations map[string]uint64           // newest incarnation of each other member
 	silentTicks      map[consensus.ReplicaID]int // ticks since each member last replied to this leader
 	bootstrap        *bootstrapRequest           // nil unless a bootstrap is in progress
+	bootstrapped     bool                        // a bootstrap has succeeded in this run
 	pendingChanges   []pendingChange             // requests that wait for their entry to be committed
 	drainReplies     []*ring.Ring[error]
 
