--- a/daemon/control/jobs/commands_test.go
+++ b/daemon/control/jobs/commands_test.go
@@ -241,3 +241,22 @@
 		t.Fatalf("job %v, answers %+v", h.e.store.Jobs[testJob], r.got)
 	}
 }
+
+// Measures a change of a configuration with 3,200 queues: the bytes of its entry, and
+// the processor time to encode and to decode it.
+func BenchmarkLargeConfiguration(b *testing.B) {
+	config := largeConfig(3, 3200)
+	var data []byte
+	for b.Loop() {
+		encoded, err := encodeCommand(&job.Command{Config: &config})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := decodeCommand(encoded); err != nil {
+			b.Fatal(err)
+		}
+		data = encoded
+	}
+	b.ReportMetric(float64(len(config.Source)), "source-bytes")
+	b.ReportMetric(float64(len(data)), "entry-bytes")
+}
--- a/daemon/control/logwriter/full_test.go
+++ b/daemon/control/logwriter/full_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/consensus"
+	"github.com/ibispier/ibispier/datafolder"
 	"github.com/ibispier/ibispier/internal/crashfs"
 )
 
@@ -82,3 +83,30 @@
 		t.Fatalf("files %v, want the log only, error %v", names, err)
 	}
 }
+
+// Measures how long the log writer takes to cut the log: a snapshot of 4 MB and the
+// removal of 16 MB of segments.
+func BenchmarkCut(b *testing.B) {
+	const entryBytes = 256 << 10
+	d := New(Options{Files: datafolder.OS{}, Dir: b.TempDir(), Incarnation: 7, Log: zap.NewNop(), SegmentBytes: 4 << 20})
+	w := &writer{duty: d}
+	if _, err := w.recover(); err != nil {
+		b.Fatal(err)
+	}
+	index := uint64(0)
+	for b.Loop() {
+		b.StopTimer()
+		for range 64 {
+			index++
+			w.pendingBatches = []*consensus.Batch{{Entries: []consensus.Entry{{Index: index, Term: 1, Data: make([]byte, entryBytes)}}}}
+			if err := w.write(); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.StartTimer()
+		w.pendingBatches = []*consensus.Batch{{Snapshot: &consensus.Snapshot{Index: index, Term: 1, Data: make([]byte, 4<<20)}}}
+		if err := w.write(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
