--- a/daemon/control/jobs/commands_test.go
+++ b/daemon/control/jobs/commands_test.go
@@ -153,6 +153,44 @@
 	}
 }
 
+// Guards against ends that are taken for dropped because they follow another one in the
+// same command: their outcomes were not counted, and they were proposed again.
+func TestEndsOfOneCommandFollowEachOther(t *testing.T) {
+	h, ends := twoRuns(t)
+	for i := range ends {
+		ends[i].Outcome = job.RunFailed
+	}
+	entries := len(h.log)
+	h.held = true
+	h.reportEnds(ends...)
+	h.update(h.commit(1))
+	if n := h.e.store.LastEndNumber(testTarget); n != 2 || h.e.leader.sessions[testTarget].proposedWatermark != 2 {
+		t.Fatalf("watermark %d, proposed %d, want 2 of both", n, h.e.leader.sessions[testTarget].proposedWatermark)
+	}
+	h.held = false
+	h.settle()
+	h.reportEnds(ends...)
+	repeated := 0
+	for _, entry := range h.log[entries:] {
+		c, err := decodeCommand(entry.Data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		repeated += len(c.Ends)
+	}
+	if repeated != 2 {
+		t.Errorf("%d ends in the log, want 2", repeated)
+	}
+	fail := func(number uint64) {
+		h.e.leader.recordOutcome(h.now, h.e.store, &job.End{Number: number, Target: testTarget, Task: ends[0].Task, Run: h.e.store.Jobs[testJob].Task(ends[0].Task).Run, Outcome: job.RunFailed})
+	}
+	fail(3)
+	fail(4)
+	if !h.e.leader.faults.SuspendedUntil(testTarget).After(h.now) {
+		t.Error("four failures in a row do not suspend the target, so that some were not counted")
+	}
+}
+
 // Guards against starts that are forgotten while their entry may still be committed:
 // the room was given away again, and the target was started beyond its capacity.
 func TestOverdueCommandKeepsItsStarts(t *testing.T) {
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -115,8 +115,10 @@
 // beforeApply updates the leader's state for a command that is about to be
 // applied.
 func (l *leadership) beforeApply(now time.Time, st *job.Store, c *job.Command) {
+	watermarks := map[job.TargetIncarnation]uint64{} // with the ends before in the command
 	for i := range c.Ends {
 		end := &c.Ends[i]
+		last := max(watermarks[end.Target], st.LastEndNumber(end.Target))
 		if l.proposedEnds[end.Task] == end.Run {
 			delete(l.proposedEnds, end.Task)
 		}
@@ -126,9 +128,10 @@
 		}
 		l.queueCheck(s)
 		switch {
-		case end.Number > 0 && st.AcceptsEnd(end):
+		case end.Follows(last):
+			watermarks[end.Target] = end.Number
 			l.recordOutcome(now, st, end)
-		case end.Number > st.LastEndNumber(end.Target):
+		case end.Number > last:
 			s.proposedWatermark = 0 // an end before it was not applied; both are proposed again
 		}
 	}
--- a/job/apply.go
+++ b/job/apply.go
@@ -223,16 +223,13 @@
 	}
 }
 
-// AcceptsEnd reports whether a numbered end is new and follows the applied ones.
-func (st *Store) AcceptsEnd(e *End) bool {
-	last := st.LastEndNumber(e.Target)
-	return e.Number > last && e.Previous <= last
-}
+// Follows reports whether a numbered end is new and follows the ends up to last.
+func (e *End) Follows(last uint64) bool { return e.Number > last && e.Previous <= last }
 
 // advanceWatermark records the number of an end and reports whether the end is to be
 // applied.
 func (st *Store) advanceWatermark(e *End) bool {
-	if !st.AcceptsEnd(e) {
+	if !e.Follows(st.LastEndNumber(e.Target)) {
 		return false
 	}
 	st.EndWatermarks[st.watermarkKey(e.Target)] = EndWatermark{Born: e.Target.Born, Number: e.Number}
