soak: each member must answer reads; networks are reserved

A member that is never admitted to the group leaves it one voter short, which shows only after three of them. The soak now asks each member for the manifest at the end.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -220,6 +220,17 @@
 	return true
 }
 
+// checkMember checks that a member answers a read of the manifest, itself or by a
+// redirect to the leader. One that was never admitted to the group knows no leader.
+func (a *callers) checkMember(ctx context.Context, m *member) {
+	for start := time.Now(); time.Since(start) < leaderBound; time.Sleep(50 * time.Millisecond) {
+		if a.readManifest(ctx, m) {
+			return
+		}
+	}
+	a.cluster.oracle.addViolation("%s answers no read of the manifest for %s without faults", m.Name, leaderBound)
+}
+
 // awaitLeader waits until a member answers a read of the manifest, which needs a
 // leader that a majority has confirmed.
 func (a *callers) awaitLeader(ctx context.Context) {
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 
 	"github.com/ibispier/ibispier/internal/testcluster"
@@ -87,9 +87,26 @@
 	values     map[string]string
 }
 
-// lastNetwork numbers the networks of the runs of this process. There are 250
-// networks, and a process runs fewer seeds.
-var lastNetwork atomic.Int64
+const (
+	firstNetwork, lastNetwork = 2, 250
+	// reservationAddress is listened on for as long as a run uses its network, so that
+	// runs of other test processes choose another one.
+	reservationAddress = "127.%d.255.1:7000"
+)
+
+// reserveNetwork returns the number of a network that no other run uses.
+func reserveNetwork(t *testing.T) int {
+	t.Helper()
+	for n := firstNetwork; n <= lastNetwork; n++ {
+		socket, err := net.Listen("tcp", fmt.Sprintf(reservationAddress, n))
+		if err == nil {
+			t.Cleanup(func() { _ = socket.Close() })
+			return n
+		}
+	}
+	t.Fatal("all networks are in use")
+	return 0
+}
 
 func (c *cluster) ip(group, i int) string { return fmt.Sprintf("127.%d.%d.%d", c.network, group, 1+i) }
 
@@ -97,7 +114,7 @@
 
 func startCluster(t *testing.T, s shape, seed uint64) *cluster {
 	t.Helper()
-	c := &cluster{t: t, shape: s, dir: t.TempDir(), network: 1 + int(lastNetwork.Add(1)), oracle: newOracle()}
+	c := &cluster{t: t, shape: s, dir: t.TempDir(), network: reserveNetwork(t), oracle: newOracle()}
 	seeds := make([]string, seedCount)
 	for i := range seeds {
 		seeds[i] = c.ip(relayGroup, i)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -228,6 +228,6 @@
 		a.cluster.oracle.addViolation("job %s is %q %s after the last fault", id, state, recoveryTimeout)
 	}
 	for _, m := range a.cluster.live() {
-		a.readManifest(ctx, m)
+		a.checkMember(ctx, m)
 	}
 }
