soak: an end whose lease lapsed before its acknowledgement does not count as noted

The stand-in counted such ends too. Trace of: the agent of 127.3.4.3 was killed at 16:42:23.2, the lease ran out at 27.1, control lost the target at 27.440 and placed its tasks elsewhere; the ends were reported at 27.499 and acknowledged after that.

--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -85,7 +85,7 @@
 func (o *oracle) recordAcknowledged(e endRecord) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if e.outcome == "done" {
+	if e.outcome == "done" && !e.lapsed {
 		o.done[e.task] = true
 	}
 }
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -39,6 +39,9 @@
 	run        int
 	outcome    string
 	checkpoint string
+	// lapsed is set when the lease expired after the end. The end then counts as not
+	// taken note of, whatever is acknowledged later.
+	lapsed bool
 }
 
 // target is a stand-in for the platform's target. It runs tasks under a lease,
@@ -150,6 +153,11 @@
 // advance ends the runs that are complete and, once the lease has expired, all
 // runs.
 func (t *target) advance(now time.Time) {
+	if now.After(t.leaseEnd) {
+		for i := range t.ends {
+			t.ends[i].lapsed = true
+		}
+	}
 	for _, w := range t.running {
 		switch {
 		case now.After(t.leaseEnd):
@@ -167,7 +175,7 @@
 func (t *target) end(w *taskRun, outcome string) {
 	delete(t.running, w.task)
 	t.lastEnd++
-	t.ends = append(t.ends, endRecord{t.lastEnd, w.task, w.run, outcome, w.checkpoint})
+	t.ends = append(t.ends, endRecord{number: t.lastEnd, task: w.task, run: w.run, outcome: outcome, checkpoint: w.checkpoint})
 	t.oracle.recordEnd(t.ip, w, outcome)
 	close(t.changed)
 	t.changed = make(chan struct{})
