--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,6 +70,8 @@
 	{12, "the harness gave agents the address of another run's target where the number of the network was that of a group"},
 	{2164048382030293080, "an entry instance was restarted with three seeds that were gone; the harness did not refresh its settings as the platform does"},
 	{767345518227400906, "the same"},
+	{2438980624240836036, "the stand-in counted an end as noted whose lease had lapsed before the acknowledgement"},
+	{8387240506550854119, "open, see KNOWN-RED.txt: a restarted target forgot an end that nobody had seen"},
 }
 
 // Guards against violated guarantees under overlapping faults: a task that runs
@@ -107,8 +109,13 @@
 	soak(t, largeShape, rand.Uint64()>>1)
 }
 
+// platformSlots bounds the clusters of TestPlatformSoak that run at the same time where
+// no number of fresh seeds is given, so that they leave room for other tests.
+var platformSlots = make(chan struct{}, 3)
+
 func runSeeds(t *testing.T, s shape, seeds []uint64) {
 	seeds = slices.Clip(seeds)
+	limited := s.replaces && os.Getenv(seedsVariable) == ""
 	if n, err := strconv.Atoi(os.Getenv(seedsVariable)); err == nil {
 		for range n {
 			seeds = append(seeds, rand.Uint64()>>1)
@@ -119,6 +126,10 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
+			if limited {
+				platformSlots <- struct{}{}
+				defer func() { <-platformSlots }()
+			}
 			soak(t, s, seed)
 		})
 	}
