job/faults: the doubling of holds and suspensions stays at its bound

A lasting step that fails for some minutes would have been started again without any pause, and a target that fails everything would have been in use again.

Cause: the shift that doubles the time grew with each failure and overflowed after 36 holds or 33 suspensions. The time is now doubled only until it reaches the bound.

--- a/job/faults/faults.go
+++ b/job/faults/faults.go
@@ -98,7 +98,7 @@
 		return false
 	}
 	if f.Lasting && !s.heldUntil.After(now) {
-		s.heldUntil = now.Add(min(minHold<<s.holds, maxHold))
+		s.heldUntil = now.Add(doubled(minHold, s.holds, maxHold))
 		s.holds++
 	}
 	return true
@@ -160,11 +160,19 @@
 	case f.Stalled:
 		target.suspendedUntil = now.Add(minSuspension)
 	case target.streak() >= maxStreak:
-		target.suspendedUntil = now.Add(min(minSuspension<<target.suspensions, maxSuspension))
+		target.suspendedUntil = now.Add(doubled(minSuspension, target.suspensions, maxSuspension))
 		target.suspensions++
 	}
 }
 
+// doubled returns d, doubled as often as times says, up to the bound.
+func doubled(d time.Duration, times int, bound time.Duration) time.Duration {
+	for ; times > 0 && d < bound; times-- {
+		d *= 2
+	}
+	return min(d, bound)
+}
+
 func (r *targetRecord) streak() int {
 	n := 0
 	for _, failures := range r.failures {
--- a/job/faults/faults_test.go
+++ b/job/faults/faults_test.go
@@ -131,3 +131,26 @@
 		t.Errorf("%d steps and %d targets left, want 1 and 0", len(tr.steps), len(tr.targets))
 	}
 }
+
+// Guards against holds and suspensions that end after some minutes of failures because
+// their doubling overflows: a failing step was then started without any pause, and a
+// failing target was in use again.
+func TestDoublingStaysAtItsBound(t *testing.T) {
+	tr := NewTracker()
+	now := start
+	for range 100 {
+		fail(tr, now, step("j"), true, 0, "a", "b")
+		now = tr.HeldUntil(step("j")).Add(100 * time.Millisecond)
+	}
+	fail(tr, now, step("j"), true, 0, "a", "b")
+	if held := tr.HeldUntil(step("j")).Sub(now); held != maxHold {
+		t.Errorf("held for %s after 100 holds, want %s", held, maxHold)
+	}
+	for range 100 {
+		fail(tr, now, step("k"), false, 9, "bad", "bad", "bad", "bad")
+		if got := tr.SuspendedUntil(target("bad")).Sub(now); got < minSuspension || got > maxSuspension {
+			t.Fatalf("suspended for %s", got)
+		}
+		now = tr.SuspendedUntil(target("bad"))
+	}
+}
