soak: the harness reads shared state under its lock

Change: the comparison takes the lock. Two other accesses of the same kind, found by reading: the process of a new member is set under the lock under which live reads it, and the numbers that a run logs are read under the lock of the oracle.

Ruled out: a race in the product; the report names the test package on both sides.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -152,7 +152,10 @@
 	m.relay = testcluster.StartRelayAt(c.t, fmt.Sprintf("%s:%d", m.ip, linkPort), fmt.Sprintf("%s:%d", m.linkIP, linkPort))
 	name := fmt.Sprintf("control-%d", i)
 	m.config = c.writeSettings("control", name, c.memberValues(m, seeds, first))
-	m.Process = testcluster.StartProcess(c.t, name, "ibispierd", "-config", m.config)
+	process := testcluster.StartProcess(c.t, name, "ibispierd", "-config", m.config)
+	c.mu.Lock()
+	m.Process = process // live lists the member from here on
+	c.mu.Unlock()
 	return m
 }
 
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -161,5 +162,12 @@
 func (o *oracle) listViolations() []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.violations
+	return slices.Clone(o.violations)
+}
+
+// counts returns the numbers of jobs and of starts so far.
+func (o *oracle) counts() (jobs, starts int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.jobs), o.starts
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -167,7 +167,8 @@
 	if len(breaches) > maxListed {
 		t.Errorf("and %d more", len(breaches)-maxListed)
 	}
-	t.Logf("%d jobs, %d starts, %d faults, %d members, manifest %d", len(c.oracle.jobs), c.oracle.starts, len(injected), len(c.members), c.oracle.confirmedManifest())
+	jobs, starts := c.oracle.counts()
+	t.Logf("%d jobs, %d starts, %d faults, %d members, manifest %d", jobs, starts, len(injected), len(c.members), c.oracle.confirmedManifest())
 	if t.Failed() {
 		for _, line := range injected {
 			t.Log(line)
--- a/soak/target_test.go
+++ b/soak/target_test.go
@@ -203,7 +203,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return q, false
 	}
-	if r.Header.Get("Expect-Instance") != t.id {
+	t.mu.Lock()
+	expected := r.Header.Get("Expect-Instance") == t.id
+	t.mu.Unlock()
+	if !expected {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return q, false
 	}
