targetagent/runs: a late start is stopped on the next incarnation as well

What callers could see: a task that runs twice at the same time (TWICE). A start without an answer may be carried out up to 12 s later. Its agent stops it; once the stop is answered, control starts the task elsewhere. If the target then restarts under its id, the stop no longer binds, and the late start runs there until a watch shows it, up to 0.9 s.

On TestStoppedStartIsStoppedOnTheNextIncarnationToo fails: no stop reaches the next incarnation.

What remains is the time until the agent has noticed the restart and the stop arrives; the protocol has no call that binds an incarnation that does not exist yet.

--- a/daemon/targetagent/runs/lives.go
+++ b/daemon/targetagent/runs/lives.go
@@ -1,11 +1,13 @@
 package runs
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/targetagent/calls"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/pacing"
@@ -56,9 +58,10 @@
 	// Orders that answer a report of the earlier incarnation are meant for that
 	// incarnation and must be ignored.
 	o.reportID, o.reportPending = o.reportID+1, false
-	undecided := o.unsettledRuns(a.Incarnation)
+	undecided := o.unsettledRuns(now, a.Incarnation)
 	if a.Incarnation.ID != o.incarnation.ID {
 		o.leaseCallAt, o.longLeaseUntil = 0, 0 // the target refuses calls for another ID
+		clear(o.lateStarts)
 	}
 	o.incarnation, o.announcement, o.stale = a.Incarnation, a, false
 	o.runs, o.unacknowledgedEnds, o.rejections = undecided, nil, nil
@@ -75,11 +78,16 @@
 // unsettledRuns returns the runs whose start may be carried out by the next
 // incarnation, or was already: calls name only the target's ID, so that an
 // incarnation with the same ID cannot tell that a call is meant for an earlier one.
-func (o *owner) unsettledRuns(next job.TargetIncarnation) map[job.Ref]*run {
+func (o *owner) unsettledRuns(now time.Duration, next job.TargetIncarnation) map[job.Ref]*run {
 	runs := map[job.Ref]*run{}
 	if next.ID != o.incarnation.ID {
 		return runs
 	}
+	for task, s := range o.lateStarts {
+		if now < s.until {
+			runs[task] = &run{number: s.number, order: s.order, inherited: true}
+		}
+	}
 	for task, r := range o.runs {
 		if !r.confirmed || r.inherited {
 			runs[task] = &run{number: r.number, order: r.order, inherited: true}
@@ -88,6 +96,24 @@
 	return runs
 }
 
+// lateCallWindow is how long after an unanswered call the target may still carry it
+// out, as the known platforms state it.
+const lateCallWindow = 12 * time.Second
+
+// lateStart is an unanswered start that was followed by an answered stop. The stop
+// binds only the incarnation that has answered it.
+type lateStart struct {
+	number int
+	order  controlapi.StartOrder
+	until  time.Duration
+}
+
+// recordLateStart records a run that was stopped before the target has shown it.
+func (o *owner) recordLateStart(now time.Duration, task job.Ref, r *run) {
+	maps.DeleteFunc(o.lateStarts, func(_ job.Ref, s lateStart) bool { return now >= s.until })
+	o.lateStarts[task] = lateStart{number: r.number, order: r.order, until: now + lateCallWindow}
+}
+
 // hasInheritedRuns reports whether a start that was meant for an earlier
 // incarnation may still be carried out.
 func (o *owner) hasInheritedRuns() bool {
--- a/daemon/targetagent/runs/lives_test.go
+++ b/daemon/targetagent/runs/lives_test.go
@@ -225,3 +225,39 @@
 		t.Fatalf("the watch after the confirmation discards ends up to %d, want 5", w.Watch.EndWatermark)
 	}
 }
+
+// Guards against a late start that runs on a target restarted under its ID: the stop
+// that was answered binds only the earlier incarnation.
+func TestStoppedStartIsStoppedOnTheNextIncarnationToo(t *testing.T) {
+	for name, c := range map[string]struct {
+		restartAfter time.Duration
+		stops        int
+	}{
+		"while the start may be carried out": {second, 1},
+		"later":                              {lateCallWindow, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.grantLease()
+			h.answerReport(startOrders(false))
+			start := h.takeCalls(calls.Start)[0]
+			h.now += second
+			h.o.handleResult(h.now, calls.Result{Call: start, SentAt: h.now - second, Err: errors.New("timeout")})
+			h.now += unansweredWait
+			h.o.decide(h.now)
+			stop := h.takeCalls(calls.Stop)[0]
+			h.o.handleResult(h.now, calls.Result{Call: stop, SentAt: h.now})
+			h.now += time.Millisecond
+			h.answerWatch(nil)
+			if n := countRejections(h.nextReport()); n != 1 {
+				t.Fatalf("%d rejections, want 1", n)
+			}
+			h.takeCalls(calls.Stop)
+			h.now += c.restartAfter
+			h.announce(testRestarted, 1, false)
+			if stops := h.takeCalls(calls.Stop); len(stops) != c.stops || c.stops > 0 && stops[0].Incarnation != testRestarted {
+				t.Fatalf("stops %v, want %d on the next incarnation", stops, c.stops)
+			}
+		})
+	}
+}
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -96,6 +96,7 @@
 	answeredAt        time.Duration          // when the target last answered a watch; 0 for never
 	targetClockMillis int64                  // clock of the target at targetClockReadAt
 	targetClockReadAt time.Duration          // 0 while the clock is unknown
+	lateStarts        map[job.Ref]lateStart  // stopped starts that a restarted target may still carry out
 	leaseCallAt       time.Duration          // when a call with a lease was last in progress; 0 for never
 	longLeaseUntil    time.Duration          // a lease meant for an earlier incarnation may bind the target until then
 	servingSamples    []pacing.ServingSample // newest measurements
@@ -125,7 +126,7 @@
 }
 
 func newOwner(agentID uint64, host string, maxLease time.Duration, log *zap.Logger) *owner {
-	return &owner{log: log, agentID: agentID, host: host, maxLease: maxLease, runs: map[job.Ref]*run{}, pacer: pacing.New(), reportedPairs: map[[2]string]job.Disturbance{}}
+	return &owner{log: log, agentID: agentID, host: host, maxLease: maxLease, runs: map[job.Ref]*run{}, lateStarts: map[job.Ref]lateStart{}, pacer: pacing.New(), reportedPairs: map[[2]string]job.Disturbance{}}
 }
 
 // handleOrders processes the response of control to the report with the ID.
--- a/daemon/targetagent/runs/watch.go
+++ b/daemon/targetagent/runs/watch.go
@@ -168,6 +168,7 @@
 			o.reportNow = true
 		case r.state == stopping && r.stopAnsweredAt > 0 && w.SentAt > r.stopAnsweredAt:
 			if !o.hasEnded(task, r.number) {
+				o.recordLateStart(now, task, r)
 				o.rejectRun(task, r.number, "stopped before it started")
 			}
 		}
