soak: disks that are full, stall or fail, lost zones, exchanged seeds, reused addresses

TestOutageSoak adds them to the series of TestPlatformSoak: one disk at a time full, stalled or failing, also while members are replaced; a member, an entry instance and the agents of a zone killed together; settings of all processes that name other seeds; a member lost right after it has confirmed a manifest; the address of a lost member silent, refusing, or taken by an HTTP server. It checks as well that no process ends by itself but one whose disk fails, and that no output tells of a panic or a data race.

Control members run in processes of the test binary, which serve the daemon on a file system that a file disturbs (daemon.WithFiles). The race detector thus covers their code too. control.New takes the file system; its private twin is gone.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -10,7 +10,7 @@
 // newControl returns the control role with the duties that own the control state
 // and serve it to clients.
 func (d *Daemon) newControl() (*control.Role, error) {
-	role, err := control.New(d.settings, d.log, d.observeFailure)
+	role, err := control.New(d.settings, d.log, d.observeFailure, d.files)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -58,14 +58,9 @@
 	duty supervise.Duty
 }
 
-// New locks the data folder, opens the listening socket and returns the role.
-func New(s *settings.Settings, log *zap.Logger, observer supervise.Observer) (*Role, error) {
-	return newRole(s, log, observer, datafolder.OS{})
-}
-
-// newRole is New with a file system, which tests replace to inject faults and to
-// count syncs.
-func newRole(s *settings.Settings, log *zap.Logger, observer supervise.Observer, files datafolder.FileSystem) (*Role, error) {
+// New locks the data folder, opens the listening socket and returns the role. The log
+// and the snapshots are kept in files.
+func New(s *settings.Settings, log *zap.Logger, observer supervise.Observer, files datafolder.FileSystem) (*Role, error) {
 	r := &Role{settings: s, log: log, observer: observer}
 	if err := r.open(); err != nil {
 		return nil, err
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -157,7 +157,7 @@
 
 func (p *process) start(t testing.TB) {
 	t.Helper()
-	role, err := newRole(p.settings, zap.NewNop(), nil, p.files)
+	role, err := New(p.settings, zap.NewNop(), nil, p.files)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/ibispier/ibispier/daemon/admin"
 	"github.com/ibispier/ibispier/daemon/agent"
 	"github.com/ibispier/ibispier/daemon/entry"
+	"github.com/ibispier/ibispier/datafolder"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
 	"github.com/ibispier/ibispier/telemetry"
@@ -43,8 +44,16 @@
 	drainers  []drainer
 	signals   <-chan os.Signal
 	links     []memberLinks
+	files     datafolder.FileSystem // of the control role
 }
 
+// Option changes how a process is built.
+type Option func(*Daemon)
+
+// WithFiles has the control role keep its log and snapshots in files. Tests inject
+// faults of the disk with it.
+func WithFiles(files datafolder.FileSystem) Option { return func(d *Daemon) { d.files = files } }
+
 // memberLinks is a part of the process that is linked to the control members.
 type memberLinks interface {
 	// EnsureMembers opens links to the members that are not linked yet.
@@ -59,8 +68,11 @@
 
 // NewWithTelemetry is like New, with the given log, metrics and tracer. The daemon
 // closes the tracer.
-func NewWithTelemetry(s *settings.Settings, t telemetry.Telemetry, signals <-chan os.Signal) (*Daemon, error) {
-	d := &Daemon{settings: s, log: t.Log, telemetry: t, readiness: new(admin.Readiness), signals: signals}
+func NewWithTelemetry(s *settings.Settings, t telemetry.Telemetry, signals <-chan os.Signal, options ...Option) (*Daemon, error) {
+	d := &Daemon{settings: s, log: t.Log, telemetry: t, readiness: new(admin.Readiness), signals: signals, files: datafolder.OS{}}
+	for _, set := range options {
+		set(d)
+	}
 	d.root = supervise.New("root", rootPolicy, d.observeFailure)
 	if err := d.build(); err != nil {
 		return nil, err
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -56,7 +56,7 @@
 // newJobControl returns the control role with the duty that owns the jobs. It also
 // adds the platform's operator API to the root.
 func (d *Daemon) newJobControl() (supervise.Duty, drainer, error) {
-	role, err := control.New(d.settings, d.log, d.observeFailure)
+	role, err := control.New(d.settings, d.log, d.observeFailure, d.files)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/testcluster/process.go
+++ b/internal/testcluster/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -54,6 +55,7 @@
 	t         testing.TB
 	path      string
 	args      []string
+	env       []string // besides the environment of the test
 	cmd       *exec.Cmd
 	done      chan struct{}
 	out       *output
@@ -92,7 +94,23 @@
 // logs the end of its output if the test failed.
 func StartProcess(t testing.TB, name, program string, args ...string) *Process {
 	t.Helper()
-	p := &Process{Name: name, t: t, path: filepath.Join(buildBinaries(t), program), args: args, out: new(output)}
+	return startProcess(&Process{Name: name, t: t, path: filepath.Join(buildBinaries(t), program), args: args, out: new(output)})
+}
+
+// StartTestBinary is like StartProcess, but starts the running test binary with the
+// variables ("NAME=VALUE") in its environment. TestMain tells by them what to run.
+func StartTestBinary(t testing.TB, name string, env ...string) *Process {
+	t.Helper()
+	path, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startProcess(&Process{Name: name, t: t, path: path, env: env, out: new(output)})
+}
+
+func startProcess(p *Process) *Process {
+	p.t.Helper()
+	t := p.t
 	p.Start()
 	t.Cleanup(func() {
 		p.Kill()
@@ -116,6 +134,7 @@
 func (p *Process) Start() {
 	p.t.Helper()
 	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
 	p.done = make(chan struct{})
 	if err := p.cmd.Start(); err != nil {
@@ -130,7 +149,7 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(sig syscall.Signal) {
 	p.t.Helper()
-	if err := p.cmd.Process.Signal(sig); err != nil && !p.Exited() {
+	if err := p.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		p.t.Errorf("signal %s to %s: %v", sig, p.Name, err)
 	}
 }
--- a/internal/testcluster/relay.go
+++ b/internal/testcluster/relay.go
@@ -17,8 +17,13 @@
 	Forward   Mode = iota
 	Blackhole      // keep connections open and drop all data
 	Refuse         // close connections and reject new ones
+	Foreign        // answer new connections as an HTTP server that knows no ibispier
 )
 
+// foreignAnswer is what a server of another kind sends to a peer that it does not
+// understand.
+const foreignAnswer = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // Relay is a TCP relay between two processes.
 type Relay struct {
 	socket net.Listener
@@ -116,6 +121,10 @@
 	case Refuse:
 		_ = in.Close()
 		return
+	case Foreign:
+		_, _ = io.WriteString(in, foreignAnswer)
+		_ = in.Close()
+		return
 	case Blackhole:
 		// Nothing answers: the process behind the relay may be gone.
 		r.mu.Lock()
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -189,7 +189,7 @@
 		if response, err := a.client.Do(r); err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
-				a.cluster.oracle.confirmManifest(version)
+				a.cluster.oracle.confirmManifest(version, response.Request.URL.Hostname())
 				return
 			}
 		}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -7,9 +7,11 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/ibispier/ibispier/internal/testcluster"
 )
@@ -19,6 +21,7 @@
 	controls, entries, agents int
 	tolerated                 int  // disks that may be lost at once
 	replaces                  bool // members are replaced at new addresses, one after another
+	outages                   bool // with the faults of outages
 }
 
 // Shapes of clusters: a small one, one like the users' grown deployments, and one with
@@ -26,7 +29,8 @@
 var (
 	smallShape    = shape{controls: 3, entries: 2, agents: 4, tolerated: 1}
 	platformShape = shape{controls: 5, entries: 3, agents: 10, tolerated: 2, replaces: true}
-	largeShape    = shape{controls: 5, entries: 10, agents: 190, tolerated: 2, replaces: true}
+	outageShape   = shape{controls: 5, entries: 5, agents: 10, tolerated: 2, replaces: true, outages: true}
+	largeShape    = shape{controls: 5, entries: 10, agents: 190, tolerated: 2, replaces: true, outages: true}
 )
 
 const (
@@ -40,6 +44,9 @@
 	controlDisk  = 64 // MB
 	seedCount    = 3
 	entriesInLog = 200 // between snapshots, so that runs of some seconds take some
+
+	// confirmerWait bounds how long a replacement waits for the next confirmation.
+	confirmerWait = 2 * time.Second
 )
 
 // Groups of addresses of a cluster: 127.NETWORK.GROUP.x.
@@ -59,10 +66,13 @@
 	ip      string
 	linkIP  string
 	data    string
-	config  string
+	values  map[string]string // of its settings
 	retired bool
 }
 
+// diskFile is the file that holds the state of the disk of the member.
+func (m *member) diskFile() string { return m.data + ".disk" }
+
 // cluster holds the processes of one run. Each run uses its own network of the
 // loopback range.
 type cluster struct {
@@ -74,7 +84,8 @@
 	agents    []*testcluster.Process
 	targets   []*target
 	oracle    *oracle
-	disksLost bool // loseTwoDisks or replaceMembers was called
+	disksLost bool       // loseDisks was called
+	diskFault sync.Mutex // held while a disk is disturbed: one at a time
 
 	mu       sync.Mutex
 	members  []*member      // also those that were replaced
@@ -151,8 +162,9 @@
 	}
 	m.relay = testcluster.StartRelayAt(c.t, fmt.Sprintf("%s:%d", m.ip, linkPort), fmt.Sprintf("%s:%d", m.linkIP, linkPort))
 	name := fmt.Sprintf("control-%d", i)
-	m.config = c.writeSettings("control", name, c.memberValues(m, seeds, first))
-	process := testcluster.StartProcess(c.t, name, "ibispierd", "-config", m.config)
+	m.values = c.memberValues(m, seeds, first)
+	config := c.writeSettings("control", name, m.values)
+	process := testcluster.StartTestBinary(c.t, name, configVariable+"="+config, diskVariable+"="+m.diskFile())
 	c.mu.Lock()
 	m.Process = process // live lists the member from here on
 	c.mu.Unlock()
@@ -179,12 +191,21 @@
 	return live
 }
 
+func (c *cluster) isRetired(m *member) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return m.retired
+}
+
 // replaceMember ends a member for good, keeps its address silent, and starts a new one
 // at another address. The new one gets three seeds from a list that may still name the
-// lost one.
-func (c *cluster) replaceMember(r *rand.Rand) string {
+// lost one. It returns the lost member and a description.
+func (c *cluster) replaceMember(r *rand.Rand) (*member, string) {
 	listed := c.live()
 	lost := pick(r, listed)
+	if c.shape.outages && r.IntN(2) == 0 {
+		lost = c.awaitConfirmer(listed, lost)
+	}
 	c.mu.Lock()
 	lost.retired = true
 	c.mu.Unlock()
@@ -195,7 +216,23 @@
 	})
 	seeds := drawSeeds(r, listed)
 	added := c.addMember(seeds, false)
-	return fmt.Sprintf("replace %s by %s, seeds %v", lost.Name, added.Name, seeds)
+	return lost, fmt.Sprintf("replace %s by %s, seeds %v", lost.Name, added.Name, seeds)
+}
+
+// awaitConfirmer returns the member that confirms the next manifest, as soon as it has,
+// or the other one if none is confirmed for a while.
+func (c *cluster) awaitConfirmer(listed []*member, otherwise *member) *member {
+	before := c.oracle.confirmedManifest()
+	for end := time.Now().Add(confirmerWait); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if c.oracle.confirmedManifest() == before {
+			continue
+		}
+		ip := c.oracle.newestConfirmer()
+		if i := slices.IndexFunc(listed, func(m *member) bool { return m.ip == ip }); i >= 0 {
+			return listed[i]
+		}
+	}
+	return otherwise
 }
 
 func drawSeeds(r *rand.Rand, from []*member) []string {
@@ -210,12 +247,30 @@
 // refreshSeeds writes new seeds into the settings of entry instances and agents,
 // without a signal, as the platform does some seconds after a replacement.
 func (c *cluster) refreshSeeds(r *rand.Rand) {
+	live := c.live()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, s := range c.settings {
-		s.values["seeds"] = c.seedAddresses(drawSeeds(r, c.live()))
-		c.writeSettings(s.role, s.name, s.values)
+		c.refreshSettings(r, s, live)
 	}
 }
 
+// exchangeSeeds writes new seeds into the settings of all processes.
+func (c *cluster) exchangeSeeds(r *rand.Rand) {
+	c.refreshSeeds(r)
+	live := c.live()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range live {
+		c.refreshSettings(r, settingsFile{"control", m.Name, m.values}, live)
+	}
+}
+
+func (c *cluster) refreshSettings(r *rand.Rand, s settingsFile, live []*member) {
+	s.values["seeds"] = c.seedAddresses(drawSeeds(r, slices.Clone(live)))
+	c.writeSettings(s.role, s.name, s.values)
+}
+
 func (c *cluster) seedAddresses(seeds []string) string {
 	addresses := make([]string, len(seeds))
 	for i, seed := range seeds {
@@ -280,7 +335,8 @@
 	for _, other := range c.live()[:seedCount] {
 		seeds = append(seeds, other.ip)
 	}
-	c.writeSettings("control", m.Name, c.memberValues(m, seeds, false))
+	m.values = c.memberValues(m, seeds, false)
+	c.writeSettings("control", m.Name, m.values)
 	m.Start()
 }
 
@@ -294,6 +350,21 @@
 	return append(all, c.agents...)
 }
 
+// checkProcesses reports processes that have ended by themselves, without a failing
+// disk, and those whose output tells of a panic or a data race.
+func (c *cluster) checkProcesses() {
+	for _, p := range c.processes() {
+		if p.Exited() {
+			c.oracle.addViolation("%s has ended by itself", p.Name)
+		}
+		for _, sign := range []string{"panic:", "WARNING: DATA RACE"} {
+			if strings.Contains(p.Output(), sign) {
+				c.oracle.addViolation("output of %s contains %q", p.Name, sign)
+			}
+		}
+	}
+}
+
 // keepLogs saves the output of the processes in the folder that IBISPIER_SOAK_LOGS
 // names, if it is set.
 func (c *cluster) keepLogs(seed uint64) {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -31,10 +32,16 @@
 	apply func(c *cluster, r *rand.Rand, d time.Duration)
 }
 
-// outerFaults are the faults that do not touch control members.
-var outerFaults = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool {
-	return !slices.Contains([]string{"kill agent", "kill entry", "freeze agent", "target crashes", "target crashes while its agent is frozen", "late orders"}, f.name)
-})
+// outerFaults are the faults that end no control member and cut none off, so that they
+// may accompany the loss of members.
+func (c *cluster) outerFaults() []fault {
+	return slices.DeleteFunc(slices.Clone(c.faults()), func(f fault) bool {
+		return !slices.Contains([]string{
+			"kill agent", "kill entry", "freeze agent", "target crashes", "target crashes while its agent is frozen", "late orders",
+			"full disk", "stalled disk", "seeds exchanged",
+		}, f.name)
+	})
+}
 
 var faults = []fault{
 	{"kill control", func(c *cluster, r *rand.Rand, d time.Duration) { restart(pick(r, c.live()).Process, d) }},
@@ -98,6 +105,57 @@
 	}},
 }
 
+// outages are the faults of shapes with outages: disks, a zone, settings.
+var outages = []fault{
+	{"full disk", func(c *cluster, r *rand.Rand, d time.Duration) { c.disturbDisk(pick(r, c.live()), diskFull, d) }},
+	{"stalled disk", func(c *cluster, r *rand.Rand, d time.Duration) { c.disturbDisk(pick(r, c.live()), diskStalled, d) }},
+	{"failing disk", func(c *cluster, r *rand.Rand, d time.Duration) { c.disturbDisk(pick(r, c.live()), diskFailing, d) }},
+	{"seeds exchanged", func(c *cluster, r *rand.Rand, d time.Duration) { c.exchangeSeeds(r) }},
+	{"zone lost", func(c *cluster, r *rand.Rand, d time.Duration) {
+		c.loseZone(pick(r, c.live()), r.IntN(c.shape.controls), d)
+	}},
+}
+
+// disturbDisk puts the disk of a member into the state for the time. The process ends
+// if its disk fails; it is started again then, as the platform does.
+func (c *cluster) disturbDisk(m *member, s diskState, d time.Duration) {
+	if !c.diskFault.TryLock() {
+		return
+	}
+	defer c.diskFault.Unlock()
+	c.setDisk(m, s)
+	time.Sleep(d)
+	c.setDisk(m, diskSound)
+	m.Exclusive(func() {
+		if m.Exited() && !c.isRetired(m) {
+			m.Start()
+		}
+	})
+}
+
+func (c *cluster) setDisk(m *member, s diskState) {
+	err := os.WriteFile(m.diskFile()+".new", []byte(s), 0o600)
+	if err == nil {
+		err = os.Rename(m.diskFile()+".new", m.diskFile())
+	}
+	if err != nil {
+		c.t.Error(err)
+	}
+}
+
+// loseZone kills a member, and the entry instance and the agents of a zone, and starts
+// them again after the time.
+func (c *cluster) loseZone(m *member, zone int, d time.Duration) {
+	zoneProcesses := []*testcluster.Process{m.Process, c.entries[zone%len(c.entries)]}
+	perZone := len(c.agents) / c.shape.controls
+	zoneProcesses = append(zoneProcesses, c.agents[zone*perZone:(zone+1)*perZone]...)
+	var all sync.WaitGroup
+	for _, p := range zoneProcesses {
+		all.Go(func() { restart(p, d) })
+	}
+	all.Wait()
+}
+
 func pick[T any](r *rand.Rand, from []T) T { return from[r.IntN(len(from))] }
 
 func restart(p *testcluster.Process, down time.Duration) {
@@ -126,7 +184,7 @@
 	if c.shape.replaces {
 		diskLossAt /= 2
 	}
-	for time.Since(begin) < length {
+	for time.Since(begin) < length || c.shape.outages && !c.disksLost {
 		name := ""
 		if begin.Add(diskLossAt).Before(time.Now()) && !c.disksLost {
 			// Two disks are lost one after the other. The settings tolerate one loss
@@ -134,7 +192,7 @@
 			active.Wait()
 			name = c.loseDisks(r)
 		} else {
-			name = c.startFault(r, faults, &active)
+			name = c.startFault(r, c.faults(), &active)
 		}
 		injected = append(injected, time.Now().Format("15:04:05.000 ")+name)
 		time.Sleep(time.Duration(100+r.IntN(900)) * time.Millisecond)
@@ -143,6 +201,14 @@
 	return injected
 }
 
+// faults returns the faults of the shape.
+func (c *cluster) faults() []fault {
+	if c.shape.outages {
+		return slices.Concat(faults, outages)
+	}
+	return faults
+}
+
 // startFault starts one of the faults and returns its description.
 func (c *cluster) startFault(r *rand.Rand, from []fault, active *sync.WaitGroup) string {
 	f := pick(r, from)
@@ -161,12 +227,16 @@
 		var active sync.WaitGroup
 		for range 3 + r.IntN(2) {
 			for end := time.Now().Add(replacementGap); time.Now().Before(end); {
-				names = append(names, c.startFault(r, outerFaults, &active))
+				names = append(names, c.startFault(r, c.outerFaults(), &active))
 				time.Sleep(time.Duration(300+r.IntN(1500)) * time.Millisecond)
 			}
-			names = append(names, time.Now().Format("15:04:05.000 ")+c.replaceMember(r))
+			lost, name := c.replaceMember(r)
+			names = append(names, time.Now().Format("15:04:05.000 ")+name)
 			time.Sleep(seedLag)
 			c.refreshSeeds(r)
+			if c.shape.outages {
+				names = append(names, c.reuseAddress(r, lost))
+			}
 		}
 		time.Sleep(replacementGap)
 		active.Wait()
@@ -180,3 +250,17 @@
 	}
 	return "lose the disks of " + live[0].Name + " and " + live[1].Name
 }
+
+// reuseAddress decides what happens at the address of a lost member: it stays silent,
+// its machine refuses connections, or a process of another kind answers there.
+func (c *cluster) reuseAddress(r *rand.Rand, lost *member) string {
+	switch r.IntN(3) {
+	case 0:
+		lost.relay.SetMode(testcluster.Refuse)
+		return "connections to " + lost.Name + " are refused"
+	case 1:
+		lost.relay.SetMode(testcluster.Foreign)
+		return "another process answers for " + lost.Name
+	}
+	return lost.Name + " stays silent"
+}
--- a/soak/oracle_test.go
+++ b/soak/oracle_test.go
@@ -36,6 +36,7 @@
 	violations      []string
 	starts          int
 	manifestVersion uint64 // highest confirmed version
+	confirmer       string // address of the member that confirmed it
 }
 
 func newOracle() *oracle {
@@ -107,10 +108,21 @@
 	return o.manifestVersion
 }
 
-func (o *oracle) confirmManifest(version uint64) {
+// confirmManifest records that the member at the address has confirmed the version.
+func (o *oracle) confirmManifest(version uint64, ip string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.manifestVersion = max(o.manifestVersion, version)
+	if version > o.manifestVersion {
+		o.manifestVersion, o.confirmer = version, ip
+	}
+}
+
+// newestConfirmer returns the address of the member that has confirmed the newest
+// manifest.
+func (o *oracle) newestConfirmer() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.confirmer
 }
 
 // updateJob changes what is known about a job.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,9 @@
 )
 
 func TestMain(m *testing.M) {
+	if config := os.Getenv(configVariable); config != "" {
+		os.Exit(serveMember(config, os.Getenv(diskVariable)))
+	}
 	code := m.Run()
 	testcluster.RemoveBinaries()
 	os.Exit(code)
@@ -74,6 +77,9 @@
 	{8387240506550854119, "a restarted target forgot an end that nobody had seen: a watch acknowledged a number of the earlier incarnation"},
 }
 
+// outageSeeds are the seeds that CI runs of TestOutageSoak.
+var outageSeeds = []uint64{21, 22}
+
 // Guards against violated guarantees under overlapping faults: a task that runs
 // twice or after it was done, a refused job that runs, an accepted job that is lost
 // or never finishes, a cancelled job that runs on, and a manifest that reverts.
@@ -101,6 +107,16 @@
 	runSeeds(t, platformShape, seeds)
 }
 
+// Guards against the same with disks that are full, stall or fail, a zone that is lost,
+// seeds that are exchanged, members lost right after a confirmation, and addresses of
+// lost members that refuse connections or belong to another process.
+func TestOutageSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for a minute")
+	}
+	runSeeds(t, outageShape, outageSeeds)
+}
+
 // Guards against the same with as many processes as the machine bears.
 func TestLargeSoak(t *testing.T) {
 	if os.Getenv(largeVariable) == "" {
@@ -109,9 +125,9 @@
 	soak(t, largeShape, rand.Uint64()>>1)
 }
 
-// platformSlots bounds the clusters of TestPlatformSoak that run at the same time where
+// platformSlots bounds the clusters of TestPlatformSoak and TestOutageSoak that run at the same time where
 // no number of fresh seeds is given, so that they leave room for other tests.
-var platformSlots = make(chan struct{}, 3)
+var platformSlots = make(chan struct{}, 4)
 
 func runSeeds(t *testing.T, s shape, seeds []uint64) {
 	seeds = slices.Clip(seeds)
@@ -160,6 +176,7 @@
 	a.awaitCompletion(ctx)
 	time.Sleep(cancelBound)
 	c.oracle.checkCancelled()
+	c.checkProcesses()
 	breaches := c.oracle.listViolations()
 	for _, breach := range breaches[:min(len(breaches), maxListed)] {
 		t.Error(breach)
