targetagent/runs: an answered start delays no watch

Now the watch that follows an acknowledgement waits for the answers to the starts, 40 ms at most, and confirms all of them; the one after it discards the ends. Only a start or stop without an answer delays a watch, by 40 ms.

--- a/daemon/targetagent/runs/lives_test.go
+++ b/daemon/targetagent/runs/lives_test.go
@@ -154,78 +154,107 @@
 	}
 }
 
-// acknowledgeEnd brings the harness to a target whose end 5 control has committed,
-// with a start of the test task in progress, and returns the watch that follows.
-func (h *harness) acknowledgeEnd() (watch, start calls.Call) {
+// oldEnd is the end that acknowledgeEnd reports.
+var oldEnd = job.End{Number: 5, Task: job.Ref{Job: "00000000000000bb"}, Run: 1, Outcome: job.RunDone}
+
+// acknowledgeEnd brings the harness to a target whose oldEnd control has committed,
+// and returns the start of the test task, which is in progress.
+func (h *harness) acknowledgeEnd() calls.Call {
 	h.Helper()
 	h.grantLease()
-	h.answerWatch(nil, job.End{Number: 5, Task: job.Ref{Job: "00000000000000bb"}, Run: 1, Outcome: job.RunDone})
+	h.answerWatch(nil, oldEnd)
 	h.nextReport()
 	orders := startOrders(false)
-	orders.EndWatermark = 5
+	orders.EndWatermark = oldEnd.Number
 	h.takeCalls(calls.Watch)
 	h.answerReport(orders)
-	for _, c := range h.o.calls {
-		switch c.Kind {
-		case calls.Watch:
-			watch = c
-		case calls.Start:
-			start = c
-		}
+	starts := h.takeCalls(calls.Start)
+	if len(starts) != 1 {
+		h.Fatalf("%d starts, want 1", len(starts))
 	}
-	h.o.calls = nil
-	return watch, start
+	return starts[0]
 }
 
 // Guards against a restarted target that forgets the end of a run before anybody has
 // seen it: the start reached it unnoticed, and the number that the next watch
 // acknowledges belongs to the earlier incarnation. The task would run again.
 func TestNoEndIsDiscardedWhileAStartIsNotConfirmed(t *testing.T) {
-	h := newHarness(t)
-	watch, start := h.acknowledgeEnd()
-	if watch.Watch.EndWatermark != 0 {
-		t.Fatalf("the watch discards ends up to %d while a start is in progress", watch.Watch.EndWatermark)
-	}
-	h.now += time.Millisecond
-	h.o.handleResult(h.now, calls.Result{Call: start, SentAt: h.now})
-	h.answerAs(watch, testRestarted, 700)
-	next := h.takeWatch()
-	if next.Watch.EndWatermark != 0 {
-		t.Fatalf("the first watch of the next incarnation discards ends up to %d", next.Watch.EndWatermark)
-	}
-	h.o.handleResult(h.now, calls.Result{Call: next, SentAt: h.now, Status: runapi.Status{
-		Incarnation: testRestarted, ClockMillis: 701,
-		Ends: []job.End{{Number: 1, Task: testTask, Run: 1, Outcome: job.RunDone}},
-	}})
-	r := h.nextReport()
-	if len(r.Ends) != 1 || r.Ends[0].Outcome != job.RunDone || r.Ends[0].Target != testRestarted {
-		t.Fatalf("ends %v, want the one of the next incarnation", r.Ends)
+	for name, answered := range map[string]bool{"start answered": true, "start in progress": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			start := h.acknowledgeEnd()
+			h.now += confirmWait
+			if answered {
+				h.o.handleResult(h.now, calls.Result{Call: start, SentAt: h.now})
+			}
+			h.o.decide(h.now)
+			watch := h.takeWatch()
+			if watch.Watch.EndWatermark != 0 {
+				t.Fatalf("the watch discards ends up to %d while no answer shows the run", watch.Watch.EndWatermark)
+			}
+			h.answerAs(watch, testRestarted, 700)
+			next := h.takeWatch()
+			if next.Watch.EndWatermark != 0 {
+				t.Fatalf("the first watch of the next incarnation discards ends up to %d", next.Watch.EndWatermark)
+			}
+			h.o.handleResult(h.now, calls.Result{Call: next, SentAt: h.now, Status: runapi.Status{
+				Incarnation: testRestarted, ClockMillis: 701,
+				Ends: []job.End{{Number: 1, Task: testTask, Run: 1, Outcome: job.RunDone}},
+			}})
+			r := h.nextReport()
+			if len(r.Ends) != 1 || r.Ends[0].Outcome != job.RunDone || r.Ends[0].Target != testRestarted {
+				t.Fatalf("ends %v, want the one of the next incarnation", r.Ends)
+			}
+		})
 	}
 }
 
 // Guards against ends that a target lists for ever, and against a watch in a loop
-// while it returns at once: ends are discarded as soon as the start is confirmed.
+// while it returns at once: the watch waits for the answers to the starts, but not for
+// long, and ends are discarded as soon as the runs are confirmed.
 func TestEndsAreDiscardedOnceTheStartIsConfirmed(t *testing.T) {
 	h := newHarness(t)
-	watch, start := h.acknowledgeEnd()
-	listed := runapi.Status{Incarnation: testIncarnation, ClockMillis: h.now.Milliseconds(), Ends: []job.End{{Number: 5, Task: job.Ref{Job: "00000000000000bb"}, Run: 1, Outcome: job.RunDone}}}
-	h.o.handleResult(h.now, calls.Result{Call: watch, SentAt: h.now, Status: listed})
-	h.o.decide(h.now)
-	if early := h.takeCalls(calls.Watch); len(early) > 0 {
-		t.Fatal("a watch that returns at once is repeated at once")
+	start := h.acknowledgeEnd()
+	answer := func(w calls.Call, running ...runapi.Run) {
+		h.o.handleResult(h.now, calls.Result{Call: w, SentAt: h.now, Status: runapi.Status{
+			Incarnation: testIncarnation, ClockMillis: h.now.Milliseconds(), Running: running, Ends: []job.End{oldEnd},
+		}})
+		h.o.decide(h.now)
+	}
+	for range 2 {
+		if early := h.takeCalls(calls.Watch); len(early) > 0 {
+			t.Fatal("a watch that returns at once was sent before the start was answered")
+		}
+		h.now += confirmWait
+		h.o.decide(h.now)
+		answer(h.takeWatch())
 	}
 	h.now += time.Millisecond
 	h.o.handleResult(h.now, calls.Result{Call: start, SentAt: h.now})
 	h.o.decide(h.now)
-	confirming := h.takeWatch()
-	listed.Running = []runapi.Run{{Task: testTask, Run: 1}}
-	h.o.handleResult(h.now, calls.Result{Call: confirming, SentAt: h.now, Status: listed})
-	h.o.decide(h.now)
-	if w := h.takeWatch(); w.Watch.EndWatermark != 5 {
-		t.Fatalf("the watch after the confirmation discards ends up to %d, want 5", w.Watch.EndWatermark)
+	answer(h.takeWatch(), runapi.Run{Task: testTask, Run: 1})
+	if w := h.takeWatch(); w.Watch.EndWatermark != oldEnd.Number {
+		t.Fatalf("the watch after the confirmation discards ends up to %d, want %d", w.Watch.EndWatermark, oldEnd.Number)
 	}
 }
 
+// Guards against a new end that is noticed late: once a start is answered, nothing
+// delays the next watch, also where the one before did not show the run yet.
+func TestAnsweredStartDelaysNoWatch(t *testing.T) {
+	h := newHarness(t)
+	start := h.acknowledgeEnd()
+	h.now += confirmWait
+	h.o.decide(h.now)
+	watch, sent := h.takeWatch(), h.now
+	h.now += time.Millisecond
+	h.o.handleResult(h.now, calls.Result{Call: start, SentAt: sent})
+	h.o.handleResult(h.now, calls.Result{Call: watch, SentAt: sent, Status: runapi.Status{
+		Incarnation: testIncarnation, ClockMillis: h.now.Milliseconds(), Ends: []job.End{oldEnd},
+	}})
+	h.o.decide(h.now)
+	h.takeWatch()
+}
+
 // Guards against a late start that runs on a target restarted under its ID: the stop
 // that was answered binds only the earlier incarnation.
 func TestStoppedStartIsStoppedOnTheNextIncarnationToo(t *testing.T) {
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -158,6 +158,9 @@
 	for _, s := range orders.Starts {
 		o.startRun(now, s)
 	}
+	if !o.watching && o.nextWatchAt == now && o.hasUnansweredStart() {
+		o.nextWatchAt = now + confirmWait
+	}
 	for _, s := range orders.Stops {
 		o.stopRun(now, s.Task, s.Run)
 	}
@@ -285,8 +288,8 @@
 	switch {
 	case r.Err == nil:
 		known.state, known.stateSince = running, now
-		if len(o.unacknowledgedEnds) == 0 {
-			o.nextWatchAt = min(o.nextWatchAt, now) // it confirms the run, so that ends can be discarded
+		if len(o.unacknowledgedEnds) == 0 && !o.hasUnansweredStart() {
+			o.nextWatchAt = min(o.nextWatchAt, now) // it confirms the runs, so that ends can be discarded
 		}
 		o.hasNewFilling = o.hasNewFilling || known.order.Filling
 	case errors.As(r.Err, &refused) && refused.Reason == runapi.ReasonFenced:
--- a/daemon/targetagent/runs/watch.go
+++ b/daemon/targetagent/runs/watch.go
@@ -20,6 +20,9 @@
 	// acknowledgeWait delays the next watch until control has acknowledged the
 	// reported ends. While ends are unacknowledged, a watch returns at once.
 	acknowledgeWait = 150 * time.Millisecond
+	// confirmWait bounds how long a watch is put off while a start has no answer and
+	// there are ends to discard. Such a watch would discard nothing and return at once.
+	confirmWait = 40 * time.Millisecond
 	// watchRetryDelay is the pause after a failed watch.
 	watchRetryDelay = 200 * time.Millisecond
 	// reachableFor is how long the target counts as reachable after it has answered
@@ -51,6 +54,17 @@
 	return o.acknowledgedEnd
 }
 
+// hasUnansweredStart reports whether a start, or the stop that follows an unanswered
+// one, has no answer yet.
+func (o *owner) hasUnansweredStart() bool {
+	for _, r := range o.runs {
+		if !r.confirmed && r.state != running && r.stopAnsweredAt == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *owner) nextWatchWait(now time.Duration) time.Duration {
 	if o.targetClockReadAt == 0 || len(o.unacknowledgedEnds) > 0 {
 		return 0
@@ -97,9 +111,13 @@
 	o.recordEnds(now, r.Status.Ends)
 	o.reconcileRuns(now, r)
 	o.hasNewSamples = true
-	o.nextWatchAt = now
-	if len(o.unacknowledgedEnds) > 0 || len(r.Status.Ends) > 0 && o.discardableEnd() == 0 {
+	switch {
+	case len(o.unacknowledgedEnds) > 0:
 		o.nextWatchAt = now + acknowledgeWait
+	case len(r.Status.Ends) > 0 && o.hasUnansweredStart():
+		o.nextWatchAt = now + confirmWait
+	default:
+		o.nextWatchAt = now
 	}
 }
 
