link: the error of a lost link tells the own heartbeat gap

The log could not tell a process that was not scheduled from a peer that was silent.

A link now records the longest time between two heartbeats that it has written, and the error of a failed read carries it (own_heartbeat_gap). Both ends log it, so the lines of one lost link name the side that stood still.

--- a/link/conn.go
+++ b/link/conn.go
@@ -105,6 +105,7 @@
 	peerConfigRevision atomic.Uint64
 	pending            atomic.Int64 // frames queued and not yet written
 	rtt                rttEstimator
+	gap                heartbeatGap
 }
 
 type stream struct {
@@ -167,6 +168,13 @@
 	return Error.New("step=%s peer=%s addr=%s: %w", step, c.peer.ID, c.addr, err)
 }
 
+// wrapRead is wrap for an error of a read, with the evidence that tells a process that
+// was not scheduled from a silent peer.
+func (c *Conn) wrapRead(err error) error {
+	gap := c.gap.longest(time.Since(c.rtt.start)).Round(time.Millisecond)
+	return Error.New("step=read peer=%s addr=%s own_heartbeat_gap=%s: %w", c.peer.ID, c.addr, gap, err)
+}
+
 // run runs the duties of the link until one of them ends.
 func (c *Conn) run(ctx context.Context, h Handler) error {
 	if err := h.Up(ctx, c); err != nil {
@@ -212,6 +220,7 @@
 	var sequence uint64
 	batch := make([]*wire.Frame, 0, maxBatchFrames)
 	for {
+		isHeartbeat := false
 		select {
 		case <-ctx.Done():
 			return nil
@@ -219,6 +228,7 @@
 			sequence++
 			c.pending.Add(1)
 			batch = append(batch[:0], c.heartbeat(sequence))
+			isHeartbeat = true
 		case f := <-c.control.outgoing.C():
 			batch = append(batch[:0], f)
 		}
@@ -226,6 +236,9 @@
 		if err := c.writeBatch(c.control, batch); err != nil {
 			return err
 		}
+		if isHeartbeat {
+			c.gap.record(time.Since(c.rtt.start))
+		}
 	}
 }
 
@@ -276,7 +289,7 @@
 			}
 			f, err := s.reader.Read()
 			if err != nil {
-				return c.wrap("read", err)
+				return c.wrapRead(err)
 			}
 			if hb := f.GetHeartbeat(); hb != nil {
 				c.peerConfigRevision.Store(hb.GetConfigRevision())
