--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -159,7 +159,7 @@
 		o.startRun(now, s)
 	}
 	if !o.watching && o.nextWatchAt == now && o.hasUnansweredStart() {
-		o.nextWatchAt = now + confirmWait
+		o.nextWatchAt = now + confirmWait // or until the starts are answered
 	}
 	for _, s := range orders.Stops {
 		o.stopRun(now, s.Task, s.Run)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -159,6 +160,7 @@
 	a.sendManifest(ctx, 1)
 	r := rand.New(rand.NewPCG(seed, 0))
 	lasting := []*submittedJob{a.submitLasting(ctx, rand.New(rand.NewPCG(seed, 3)), 3), a.submitLasting(ctx, rand.New(rand.NewPCG(seed, 4)), 2)}
+	delays := measureDelays(ctx)
 	loadCtx, stop := context.WithCancel(ctx)
 	loadDone := make(chan uint64)
 	go func() { loadDone <- a.generateLoad(loadCtx, ctx, rand.New(rand.NewPCG(seed, 2))) }()
@@ -185,7 +187,8 @@
 		t.Errorf("and %d more", len(breaches)-maxListed)
 	}
 	jobs, starts := c.oracle.counts()
-	t.Logf("%d jobs, %d starts, %d faults, %d members, manifest %d", jobs, starts, len(injected), len(c.members), c.oracle.confirmedManifest())
+	t.Logf("%d jobs, %d starts, %d faults, %d members, manifest %d, timers of the harness up to %s late", jobs, starts, len(injected), len(c.members),
+		c.oracle.confirmedManifest(), time.Duration(delays.Load()).Round(time.Millisecond))
 	if t.Failed() {
 		for _, line := range injected {
 			t.Log(line)
@@ -194,6 +197,21 @@
 	}
 }
 
+// measureDelays returns the longest delay of a timer so far, in nanoseconds. It tells a
+// run on a machine that does not schedule its processes from one that fails otherwise.
+func measureDelays(ctx context.Context) *atomic.Int64 {
+	const interval = 20 * time.Millisecond
+	longest := new(atomic.Int64)
+	go func() {
+		for ctx.Err() == nil {
+			due := time.Now().Add(interval)
+			time.Sleep(interval)
+			longest.Store(max(longest.Load(), int64(time.Since(due))))
+		}
+	}()
+	return longest
+}
+
 // awaitLasting waits until all lasting tasks run.
 func (a *callers) awaitLasting(calm time.Time) {
 	for a.cluster.oracle.lastingTasksAway() > 0 {
