replica: the silence of a member is counted through changes of leadership

What callers saw: in TestOutageSoak beside heavy load, a group that lost its quorum for good after three replacements: no manifest confirmed or read, and lasting tasks away.

Cause: a voter is replaced after 4 s of silence, and each leader counted them from its own start. Leaders that do not last replace nobody, and each further loss costs a voter.

Fix: all members count, by the state of the links that they have dialed, and a leader by missing replies as before. The count starts anew while a member hears no majority: then it is the one that was cut off or suspended, and a healthy voter must not be replaced.

Ruled out: new members that do not find the leader; elections that never end.

--- a/daemon/control/peers/peers.go
+++ b/daemon/control/peers/peers.go
@@ -194,9 +194,11 @@
 	return d.peers.Frame(ctx, c, f)
 }
 
-// Down implements link.Handler.
+// Down implements link.Handler. Without the event the replica counts the silence of the
+// member later, which is safe, so that a full ring may drop it.
 func (d *dialedLink) Down(c *link.Conn, _ error) {
 	_ = put(context.Background(), d.member.links, linkEvent{conn: c})
+	_ = d.peers.events.Offer(replica.Event{Down: &consensus.ReplicaID{ID: c.Peer().ID, Incarnation: c.Peer().Incarnation}})
 }
 
 // Up implements link.Handler for the links that other members have dialed.
--- a/daemon/control/replace_test.go
+++ b/daemon/control/replace_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/ibispier/ibispier/daemon/control/replica"
 	"github.com/ibispier/ibispier/datafolder"
 	"github.com/ibispier/ibispier/settings"
 )
@@ -116,3 +117,40 @@
 	c.replace(c.leader(), c.followers()...)
 	c.waitFor("group of five", func() bool { return len(c.leader().status().Members) == 5 })
 }
+
+// Guards against a lost member that is never replaced because leaders change, as they do
+// on busy machines: each new leader counted the silence of the member anew, so that
+// further losses took the quorum.
+func TestLostMemberIsReplacedWhileLeadersChange(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits until lost members count as lost")
+	}
+	const leaderLasts = 1500 * time.Millisecond
+	c := newSeedCluster(t, 5)
+	followers := c.followers()
+	followers[0].stop(t)
+	start := time.Now()
+	added := c.add(followers[1].settings.Control.Listen)
+	added.start(t)
+	isVoter := func() bool {
+		for _, m := range c.leader().status().Members {
+			if m.ID == added.role.Self() && m.Voter {
+				return true
+			}
+		}
+		return false
+	}
+	transferred := start
+	for ; !isVoter(); time.Sleep(10 * time.Millisecond) {
+		if took := time.Since(start); took > replacementBound {
+			t.Fatalf("no replacement for %s, want %s at most", took.Round(time.Millisecond), replacementBound)
+		}
+		if time.Since(transferred) > leaderLasts {
+			transferred = time.Now()
+			if err := c.changeMembership(c.leader(), replica.ActionTransfer, ""); err != nil {
+				t.Logf("transfer: %v", err)
+			}
+		}
+	}
+	t.Logf("replaced after %s", time.Since(start).Round(time.Millisecond))
+}
--- a/daemon/control/replica/members.go
+++ b/daemon/control/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -166,19 +167,42 @@
 // replaced. Freezes and partitions of a few seconds are common.
 const lostMemberTimeout = 4 * time.Second
 
-// updateSilentTicks counts the ticks for which each member has not replied.
+// updateSilentTicks counts the ticks for which each member has been silent: its link is
+// down, or it has not replied to this leader. The count goes on through changes of
+// leadership, so that lost members are replaced also where leaders do not last.
 func (r *run) updateSilentTicks() {
-	if r.node.Role() != consensus.Leader || r.duty.options.DesiredVoters == 0 {
-		clear(r.silentTicks)
+	if r.duty.options.DesiredVoters == 0 {
 		return
 	}
-	for _, p := range r.node.Members() {
-		if p.Active || p.ID == r.duty.options.Self {
-			delete(r.silentTicks, p.ID)
-		} else {
-			r.silentTicks[p.ID]++
+	members := r.node.Membership()
+	maps.DeleteFunc(r.unlinked, func(id consensus.ReplicaID, _ bool) bool { return !members.Contains(id) })
+	silent := maps.Clone(r.unlinked)
+	if r.node.Role() == consensus.Leader {
+		for _, p := range r.node.Members() {
+			silent[p.ID] = silent[p.ID] || !p.Active
+		}
+	}
+	r.silentTicks = countSilence(r.silentTicks, members, r.duty.options.Self, silent)
+}
+
+// countSilence returns the ticks of silence of each silent member after another tick.
+// They start anew while this member does not hear a majority of the voters: then it is
+// the one that is cut off or was suspended, and its links come up one after another.
+func countSilence(before map[consensus.ReplicaID]int, members consensus.Membership, self consensus.ReplicaID, silent map[consensus.ReplicaID]bool) map[consensus.ReplicaID]int {
+	after := map[consensus.ReplicaID]int{}
+	heard := 0
+	for _, m := range members.Members {
+		switch {
+		case m.ID != self && silent[m.ID]:
+			after[m.ID] = before[m.ID] + 1
+		case m.Voter:
+			heard++
 		}
 	}
+	if heard < members.Quorum() {
+		clear(after)
+	}
+	return after
 }
 
 func (r *run) isLost(id consensus.ReplicaID) bool {
--- a/daemon/control/replica/replica.go
+++ b/daemon/control/replica/replica.go
@@ -61,6 +61,7 @@
 	Message *consensus.Message
 	State   *PeerState
 	Up      *consensus.ReplicaID // a link to this replica is established
+	Down    *consensus.ReplicaID // the link that this member has dialed to the replica has ended
 	Peer    *Peer
 }
 
@@ -153,6 +154,7 @@
 		duty:             d,
 		session:          session,
 		seenIncarnations: map[string]uint64{},
+		unlinked:         map[consensus.ReplicaID]bool{},
 		silentTicks:      map[consensus.ReplicaID]int{},
 	}
 	if err := r.start(ctx, recovered.State); err != nil {
--- a/daemon/control/replica/run.go
+++ b/daemon/control/replica/run.go
@@ -25,11 +25,12 @@
 	readOnly      bool
 	ticks         int
 
-	seenIncarnations map[string]uint64           // newest incarnation of each other member
-	silentTicks      map[consensus.ReplicaID]int // ticks since each member last replied to this leader
-	bootstrap        *bootstrapRequest           // nil unless a bootstrap is in progress
-	bootstrapped     bool                        // a bootstrap has succeeded in this run
-	pendingChanges   []pendingChange             // requests that wait for their entry to be committed
+	seenIncarnations map[string]uint64            // newest incarnation of each other member
+	unlinked         map[consensus.ReplicaID]bool // replicas whose link has ended and is not up again
+	silentTicks      map[consensus.ReplicaID]int  // ticks for which each member has been silent
+	bootstrap        *bootstrapRequest            // nil unless a bootstrap is in progress
+	bootstrapped     bool                         // a bootstrap has succeeded in this run
+	pendingChanges   []pendingChange              // requests that wait for their entry to be committed
 	drainReplies     []*ring.Ring[error]
 
 	status              Status // last status sent
@@ -159,6 +160,9 @@
 		r.handlePeerState(*e.State)
 	case e.Up != nil:
 		r.seenIncarnations[e.Up.ID] = e.Up.Incarnation
+		delete(r.unlinked, *e.Up)
+	case e.Down != nil:
+		r.unlinked[*e.Down] = true
 	case e.Peer != nil:
 		r.duty.peers[e.Peer.ID] = e.Peer.Out
 	}
