replica: a new leader admits no replaced members

What callers could see: a replacement that comes late, up to the loss of the quorum, after many members were replaced. A leader adds one member at a time, and a new leader first added replicas that had been replaced long ago, because it had seen them once.

Fix: a replica that is no member is forgotten when its link ends, and seen again when one is up. The leader that removed a member did so already.

--- a/daemon/control/replace_test.go
+++ b/daemon/control/replace_test.go
@@ -154,3 +154,28 @@
 	}
 	t.Logf("replaced after %s", time.Since(start).Round(time.Millisecond))
 }
+
+// Guards against replaced members that each new leader admits again as learners, one by
+// one and before those that are needed, because it has once seen them.
+func TestNewLeaderAdmitsNoReplacedMember(t *testing.T) {
+	if testing.Short() {
+		t.Skip("waits until lost members count as lost")
+	}
+	const observed = 2 * time.Second // twenty reconciliations
+	c := newSeedCluster(t, 5)
+	lost, next := c.followers()[0], c.followers()[1] // next has seen the lost one
+	lostID := lost.role.Self()
+	c.replace(lost, c.followers()...)
+	c.waitFor("group of five", func() bool { return len(c.leader().status().Members) == 5 })
+	if err := c.changeMembership(c.leader(), replica.ActionTransfer, next.settings.Daemon.ID); err != nil {
+		t.Fatal(err)
+	}
+	c.waitFor("new leader", func() bool { return c.leader() == next })
+	for start := time.Now(); time.Since(start) < observed; time.Sleep(5 * time.Millisecond) {
+		for _, m := range c.leader().status().Members {
+			if m.ID == lostID {
+				t.Fatalf("%s was admitted again %s after the change of leadership", lostID, time.Since(start).Round(time.Millisecond))
+			}
+		}
+	}
+}
--- a/daemon/control/replica/members.go
+++ b/daemon/control/replica/members.go
@@ -175,7 +175,7 @@
 		return
 	}
 	members := r.node.Membership()
-	maps.DeleteFunc(r.unlinked, func(id consensus.ReplicaID, _ bool) bool { return !members.Contains(id) })
+	r.forgetLost(members)
 	silent := maps.Clone(r.unlinked)
 	if r.node.Role() == consensus.Leader {
 		for _, p := range r.node.Members() {
@@ -185,6 +185,21 @@
 	r.silentTicks = countSilence(r.silentTicks, members, r.duty.options.Self, silent)
 }
 
+// forgetLost forgets the replicas whose link is down and that are no members, so that a
+// later leader does not admit replaced members again. They are seen again once a link is
+// up.
+func (r *run) forgetLost(members consensus.Membership) {
+	for id := range r.unlinked {
+		if members.Contains(id) {
+			continue
+		}
+		delete(r.unlinked, id)
+		if r.seenIncarnations[id.ID] == id.Incarnation {
+			delete(r.seenIncarnations, id.ID)
+		}
+	}
+}
+
 // countSilence returns the ticks of silence of each silent member after another tick.
 // They start anew while this member does not hear a majority of the voters: then it is
 // the one that is cut off or was suspended, and its links come up one after another.
