--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -81,6 +81,19 @@
 // outageSeeds are the seeds that CI runs of TestOutageSoak.
 var outageSeeds = []uint64{21, 22}
 
+// outageRegressions are seeds of TestOutageSoak that have failed before, each with the
+// cause. They run with fresh seeds only, to keep the run in CI short.
+var outageRegressions = []struct {
+	seed  uint64
+	cause string
+}{
+	{3259448833907717702, "lost members were not replaced while leaders changed, beside tests that loaded the machine"},
+	{7626226946065779119, "the same"},
+	{1790834870894597492, "open, see KNOWN-RED.txt: no leader in time, beside tests that loaded the machine"},
+	{307397484833062329, "the same"},
+	{1310538434217305307, "the same"},
+}
+
 // Guards against violated guarantees under overlapping faults: a task that runs
 // twice or after it was done, a refused job that runs, an accepted job that is lost
 // or never finishes, a cancelled job that runs on, and a manifest that reverts.
@@ -115,7 +128,13 @@
 	if testing.Short() {
 		t.Skip("runs for a minute")
 	}
-	runSeeds(t, outageShape, outageSeeds)
+	seeds := outageSeeds
+	if os.Getenv(seedsVariable) != "" {
+		for _, r := range outageRegressions {
+			seeds = append(seeds, r.seed)
+		}
+	}
+	runSeeds(t, outageShape, seeds)
 }
 
 // Guards against the same with as many processes as the machine bears.
