soak: a member that ends on a full or stalled disk is a violation

The harness started such a member again without a word, so that the check that no process ends by itself could not see it.

The lists of failed seeds share a type and the function that appends them.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -117,7 +117,7 @@
 }
 
 // disturbDisk puts the disk of a member into the state for the time. The process ends
-// if its disk fails; it is started again then, as the platform does.
+// if its disk fails, and only then; it is started again, as the platform does.
 func (c *cluster) disturbDisk(m *member, s diskState, d time.Duration) {
 	if !c.diskFault.TryLock() {
 		return
@@ -127,9 +127,13 @@
 	time.Sleep(d)
 	c.setDisk(m, diskSound)
 	m.Exclusive(func() {
-		if m.Exited() && !c.isRetired(m) {
-			m.Start()
+		if !m.Exited() || c.isRetired(m) {
+			return
 		}
+		if s != diskFailing {
+			c.oracle.addViolation("%s has ended by itself on a %s disk", m.Name, s)
+		}
+		m.Start()
 	})
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,11 +49,14 @@
 // ciSeeds are the seeds that CI runs.
 var ciSeeds = []uint64{1, 2, 3}
 
-// regressions are seeds that have failed before, each with the cause.
-var regressions = []struct {
+// regression is a seed that has failed before.
+type regression struct {
 	seed  uint64
 	cause string
-}{
+}
+
+// regressions are the seeds of TestSoak that have failed before.
+var regressions = []regression{
 	{2251320478090675125, "orders for one incarnation of a target were executed by its next one, and the end of a run was not recorded"},
 	{3432740806692565599, "the same, after all control members were killed"},
 	{922182158869414627, "the same, together with late orders"},
@@ -65,12 +68,8 @@
 // platformSeeds are the seeds that CI runs of TestPlatformSoak.
 var platformSeeds = []uint64{11, 12}
 
-// platformRegressions are seeds of TestPlatformSoak that have failed before, each with
-// the cause.
-var platformRegressions = []struct {
-	seed  uint64
-	cause string
-}{
+// platformRegressions are the seeds of TestPlatformSoak that have failed before.
+var platformRegressions = []regression{
 	{12, "the harness gave agents the address of another run's target where the number of the network was that of a group"},
 	{2164048382030293080, "an entry instance was restarted with three seeds that were gone; the harness did not refresh its settings as the platform does"},
 	{767345518227400906, "the same"},
@@ -81,12 +80,9 @@
 // outageSeeds are the seeds that CI runs of TestOutageSoak.
 var outageSeeds = []uint64{21, 22}
 
-// outageRegressions are seeds of TestOutageSoak that have failed before, each with the
-// cause. They run with fresh seeds only, to keep the run in CI short.
-var outageRegressions = []struct {
-	seed  uint64
-	cause string
-}{
+// outageRegressions are the seeds of TestOutageSoak that have failed before. They run
+// with fresh seeds only, to keep the run in CI short.
+var outageRegressions = []regression{
 	{3259448833907717702, "lost members were not replaced while leaders changed, beside tests that loaded the machine"},
 	{7626226946065779119, "the same"},
 	{1790834870894597492, "open, see KNOWN-RED.txt: no leader in time, beside tests that loaded the machine"},
@@ -98,11 +94,7 @@
 // twice or after it was done, a refused job that runs, an accepted job that is lost
 // or never finishes, a cancelled job that runs on, and a manifest that reverts.
 func TestSoak(t *testing.T) {
-	seeds := ciSeeds
-	for _, r := range regressions {
-		seeds = append(seeds, r.seed)
-	}
-	runSeeds(t, smallShape, seeds)
+	runSeeds(t, smallShape, withRegressions(ciSeeds, regressions))
 }
 
 // Guards against the same in the shape of the users' grown deployments, with members
@@ -112,13 +104,7 @@
 	if testing.Short() {
 		t.Skip("runs for a minute")
 	}
-	seeds := platformSeeds
-	for _, r := range platformRegressions {
-		if !slices.Contains(seeds, r.seed) {
-			seeds = append(seeds, r.seed)
-		}
-	}
-	runSeeds(t, platformShape, seeds)
+	runSeeds(t, platformShape, withRegressions(platformSeeds, platformRegressions))
 }
 
 // Guards against the same with disks that are full, stall or fail, a zone that is lost,
@@ -130,9 +116,7 @@
 	}
 	seeds := outageSeeds
 	if os.Getenv(seedsVariable) != "" {
-		for _, r := range outageRegressions {
-			seeds = append(seeds, r.seed)
-		}
+		seeds = withRegressions(seeds, outageRegressions)
 	}
 	runSeeds(t, outageShape, seeds)
 }
@@ -145,8 +129,20 @@
 	soak(t, largeShape, rand.Uint64()>>1)
 }
 
-// platformSlots bounds the clusters of TestPlatformSoak and TestOutageSoak that run at the same time where
-// no number of fresh seeds is given, so that they leave room for other tests.
+// withRegressions returns the seeds with those that have failed before.
+func withRegressions(seeds []uint64, failed []regression) []uint64 {
+	all := slices.Clone(seeds)
+	for _, r := range failed {
+		if !slices.Contains(all, r.seed) {
+			all = append(all, r.seed)
+		}
+	}
+	return all
+}
+
+// platformSlots bounds the clusters of TestPlatformSoak and TestOutageSoak that run at
+// the same time where no number of fresh seeds is given, so that they leave room for
+// other tests.
 var platformSlots = make(chan struct{}, 4)
 
 func runSeeds(t *testing.T, s shape, seeds []uint64) {
