targetagent/runs: an acknowledgement goes before the starts of its orders

Cause: control sends the acknowledgement and the next starts in one answer; the starts counted as not confirmed before the watch was sent.

Now the number is taken before the starts, and the watch is sent before them. That is safe: a run of these starts cannot have ended when the watch arrives. Starts of earlier orders that are not confirmed still keep it from discarding. TestAcknowledgementGoesBeforeTheStartsOfItsOrders fails before.

--- a/daemon/targetagent/runs/lives_test.go
+++ b/daemon/targetagent/runs/lives_test.go
@@ -157,24 +157,41 @@
 // oldEnd is the end that acknowledgeEnd reports.
 var oldEnd = job.End{Number: 5, Task: job.Ref{Job: "00000000000000bb"}, Run: 1, Outcome: job.RunDone}
 
-// acknowledgeEnd brings the harness to a target whose oldEnd control has committed,
-// and returns the start of the test task, which is in progress.
+// acknowledgeEnd brings the harness to a target whose oldEnd control has committed
+// while a start of the test task is in progress, and returns the start.
 func (h *harness) acknowledgeEnd() calls.Call {
 	h.Helper()
 	h.grantLease()
 	h.answerWatch(nil, oldEnd)
 	h.nextReport()
-	orders := startOrders(false)
-	orders.EndWatermark = oldEnd.Number
 	h.takeCalls(calls.Watch)
-	h.answerReport(orders)
+	h.answerReport(startOrders(false))
 	starts := h.takeCalls(calls.Start)
 	if len(starts) != 1 {
 		h.Fatalf("%d starts, want 1", len(starts))
 	}
+	h.nextReport()
+	h.answerReport(controlapi.TargetOrders{LeaseMillis: 4000, EndWatermark: oldEnd.Number})
 	return starts[0]
 }
 
+// Guards against a second watch for each acknowledgement: control sends it together
+// with the next starts, which are not confirmed yet.
+func TestAcknowledgementGoesBeforeTheStartsOfItsOrders(t *testing.T) {
+	h := newHarness(t)
+	h.grantLease()
+	h.answerWatch(nil, oldEnd)
+	h.nextReport()
+	h.takeCalls(calls.Watch)
+	orders := startOrders(false)
+	orders.EndWatermark = oldEnd.Number
+	h.answerReport(orders)
+	sent := h.o.calls
+	if len(sent) != 2 || sent[0].Kind != calls.Watch || sent[1].Kind != calls.Start || sent[0].Watch.EndWatermark != oldEnd.Number {
+		t.Fatalf("calls %+v, want a watch that discards ends up to %d and a start", sent, oldEnd.Number)
+	}
+}
+
 // Guards against a restarted target that forgets the end of a run before anybody has
 // seen it: the start reached it unnoticed, and the number that the next watch
 // acknowledges belongs to the earlier incarnation. The task would run again.
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -155,12 +155,11 @@
 		o.leaseEnd = max(o.leaseEnd, o.reportSentAt+time.Duration(orders.LeaseMillis)*time.Millisecond)
 	}
 	o.acknowledgeEnds(now, orders.EndWatermark)
+	discardable := o.discardableEnd() // the starts below would keep the watch from discarding ends
 	for _, s := range orders.Starts {
 		o.startRun(now, s)
 	}
-	if !o.watching && o.nextWatchAt == now && o.hasUnansweredStart() {
-		o.nextWatchAt = now + confirmWait // or until the starts are answered
-	}
+	o.sendWatch(now, discardable)
 	for _, s := range orders.Stops {
 		o.stopRun(now, s.Task, s.Run)
 	}
@@ -175,6 +174,9 @@
 	o.unacknowledgedEnds = slices.DeleteFunc(o.unacknowledgedEnds, func(e job.End) bool { return e.Number <= number })
 	if len(o.unacknowledgedEnds) == 0 && !o.watching {
 		o.nextWatchAt = now
+		if o.hasUnansweredStart() {
+			o.nextWatchAt = now + confirmWait // or until the starts are answered
+		}
 	}
 }
 
@@ -320,7 +322,7 @@
 		}
 	}
 	o.decidePaces(now)
-	o.sendWatch(now)
+	o.sendWatch(now, o.discardableEnd())
 	o.buildReport(now)
 }
 
--- a/daemon/targetagent/runs/watch.go
+++ b/daemon/targetagent/runs/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,16 +31,18 @@
 	reachableFor = 1500 * time.Millisecond
 )
 
-func (o *owner) sendWatch(now time.Duration) {
+// sendWatch sends a watch that is due, which discards the ends up to discardable. It goes
+// before the starts that were prepared meanwhile, so that no run of theirs ends first.
+func (o *owner) sendWatch(now time.Duration, discardable uint64) {
 	if o.watching || now < o.nextWatchAt {
 		return
 	}
-	w := runapi.WatchRequest{EndWatermark: o.discardableEnd(), Lease: runapi.Lease{Token: o.term}, Wait: o.nextWatchWait(now)}
+	w := runapi.WatchRequest{EndWatermark: discardable, Lease: runapi.Lease{Token: o.term}, Wait: o.nextWatchWait(now)}
 	if o.hasLease(now) {
 		w.Lease = o.targetLease()
 	}
 	o.watching = true
-	o.calls = append(o.calls, calls.Call{Kind: calls.Watch, Incarnation: o.incarnation, Watch: w})
+	o.calls = slices.Insert(o.calls, 0, calls.Call{Kind: calls.Watch, Incarnation: o.incarnation, Watch: w})
 }
 
 // discardableEnd returns the number up to which the target may discard ends. It is 0
