KNOWN-RED: two soak seeds on processes that were not scheduled

Evidence: of the links that ended at the read deadline, 218 of 1020 and 276 of 1060 tell an own_heartbeat_gap above the silence limit of 1.6 s, up to 6.8 and 8.3 s, and timers of the harness were 2.3 s late.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,6 +88,8 @@
 	{1790834870894597492, "open, see KNOWN-RED.txt: no leader in time, beside tests that loaded the machine"},
 	{307397484833062329, "the same"},
 	{1310538434217305307, "the same"},
+	{3641204154993258541, "the machine did not schedule the processes in time, see KNOWN-RED.txt"},
+	{3686183641106226237, "the same"},
 }
 
 // Guards against violated guarantees under overlapping faults: a task that runs
