control, agent: log lines tell why work is not started

Change: every two seconds, for what has waited that long: 'step waiting' (rejecting filters, pending starts, blocked targets), 'runs missing' (placed tasks that the reports do not show), 'runs unsettled' at the agent. At most four steps and eight runs a target are named.

--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -4,48 +4,11 @@
 	"cmp"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/dispatch"
 	"github.com/ibispier/ibispier/job/faults"
 )
 
-// logOccupancy logs how many tasks are ready or paused and how many targets
-// accept starts, to help find out why a job has not started.
-func (e *engine) logOccupancy(now time.Time) {
-	l := e.leader
-	if now.Sub(l.occupancyLoggedAt) < occupancyInterval {
-		return
-	}
-	l.occupancyLoggedAt = now
-	ready, startable, paused := 0, 0, 0
-	for _, j := range e.store.LiveJobs() {
-		for k := range j.Occurrences {
-			for s := range j.Occurrences[k] {
-				if j.StepReady(k, s) {
-					ready += j.Occurrences[k][s].Waiting
-				}
-			}
-		}
-	}
-	for _, s := range l.sessions {
-		if s.report == nil {
-			continue
-		}
-		if e.isStartable(now, s) {
-			startable++
-		}
-		for _, r := range s.report.Running {
-			if r.Paused {
-				paused++
-			}
-		}
-	}
-	e.log.Info("occupancy", zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Int("ready_tasks", ready),
-		zap.Int("paused_tasks", paused), zap.Int("targets", len(l.sessions)), zap.Int("startable", startable))
-}
-
 // dispatch proposes starts. Earlier starts that are not committed yet are pending at
 // the dispatcher, so that each decision takes them into account.
 func (e *engine) dispatch(now time.Time) {
@@ -58,15 +21,9 @@
 			s.placement.SetStartable(e.isStartable(now, s))
 		}
 	}
-	starts := e.leader.dispatcher.Run(dispatch.Input{
-		Store:    e.store,
-		Disturbs: e.leader.disturbances.estimate,
-		Now:      time.Now(),
-		IdleJobs: e.leader.idleJobs(now, e.store),
-		IsHeld: func(id string, step int) bool {
-			return e.leader.faults.HeldUntil(faults.Step{Job: id, Index: step}).After(now)
-		},
-	})
+	in := e.dispatchInput(now)
+	in.IdleJobs = e.leader.idleJobs(now, e.store)
+	starts := e.leader.dispatcher.Run(in)
 	if len(starts) == 0 {
 		return
 	}
@@ -79,6 +36,18 @@
 		})
 }
 
+// dispatchInput returns the input of a decision, without idle jobs.
+func (e *engine) dispatchInput(now time.Time) dispatch.Input {
+	return dispatch.Input{
+		Store:    e.store,
+		Disturbs: e.leader.disturbances.estimate,
+		Now:      time.Now(),
+		IsHeld: func(id string, step int) bool {
+			return e.leader.faults.HeldUntil(faults.Step{Job: id, Index: step}).After(now)
+		},
+	}
+}
+
 // idleJobs returns the jobs that have had ready tasks and no placed task for
 // maxIdle.
 func (l *leadership) idleJobs(now time.Time, st *job.Store) map[string]bool {
@@ -138,10 +107,27 @@
 }
 
 // isStartable reports whether starts may be placed on the target.
-func (e *engine) isStartable(now time.Time, s *session) bool {
-	return !s.report.Draining && s.report.LeaseWanted &&
-		(len(e.leader.proposedLosses) == 0 || !e.leader.proposedLosses[s.target]) &&
-		now.Sub(s.reportedAt) < silenceTimeout && s.leaseExpiry.After(now) && !e.leader.faults.SuspendedUntil(s.target).After(now)
+func (e *engine) isStartable(now time.Time, s *session) bool { return e.startBlocker(now, s) == "" }
+
+// startBlocker returns why no starts may be placed on the target that has reported, or
+// "" if they may.
+func (e *engine) startBlocker(now time.Time, s *session) string {
+	switch {
+	case s.report.Draining:
+		return "draining"
+	case !s.report.LeaseWanted:
+		return "wants_no_lease"
+	case len(e.leader.proposedLosses) > 0 && e.leader.proposedLosses[s.target]:
+		return "loss_proposed"
+	case now.Sub(s.reportedAt) >= silenceTimeout:
+		return "silent"
+	case !s.leaseExpiry.After(now):
+		return "lease_expired"
+	case e.leader.faults.SuspendedUntil(s.target).After(now):
+		return "suspended"
+	default:
+		return ""
+	}
 }
 
 // forgetJobs removes finished jobs after the retention time.
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -28,11 +28,13 @@
 	needsDispatch     bool                           // something has changed since the last dispatch
 	disturbances      *disturbanceTable              // disturbance between filling and serving images
 	dispatcher        *dispatch.Dispatcher
-	checkQueue        []*session           // sessions whose orders may have changed since they were checked
-	idleSince         map[string]time.Time // since when jobs have ready tasks and none placed
-	cleanedAt         time.Time            // when cleanUp last ran
-	occupancyLoggedAt time.Time            // time of the last occupancy log line
-	estimatesStoredAt time.Time            // time of the last entry with estimates
+	checkQueue        []*session            // sessions whose orders may have changed since they were checked
+	idleSince         map[string]time.Time  // since when jobs have ready tasks and none placed
+	cleanedAt         time.Time             // when cleanUp last ran
+	occupancyLoggedAt time.Time             // time of the last occupancy log line
+	waitingSince      map[job.Ref]time.Time // since when steps are waiting, by their first task
+	missingRuns       map[job.Ref]int       // runs that the reports did not show at the last occupancy log line
+	estimatesStoredAt time.Time             // time of the last entry with estimates
 	faults            *faults.Tracker
 	startedAt         map[job.Ref]time.Time // when the start of a lasting task was committed in this term
 }
--- /dev/null
+++ b/daemon/control/jobs/progress.go
@@ -0,0 +1,172 @@
+package jobs
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ibispier/ibispier/job"
+)
+
+const (
+	// occupancyInterval is the time between log lines about occupancy, waiting steps
+	// and missing runs. What waits or is missing in two of them in a row is logged.
+	occupancyInterval = 2 * time.Second
+	// maxWaitingLogged bounds the waiting steps that are logged at a time. The ones
+	// that have waited longest come first.
+	maxWaitingLogged = 4
+	// maxMissingLogged bounds the tasks named in one line about missing runs.
+	maxMissingLogged = 8
+)
+
+// logOccupancy logs how many tasks are ready or paused and how many targets
+// accept starts, to help find out why a job has not started.
+func (e *engine) logOccupancy(now time.Time) {
+	l := e.leader
+	if now.Sub(l.occupancyLoggedAt) < occupancyInterval {
+		return
+	}
+	l.occupancyLoggedAt = now
+	e.logWaitingSteps(now)
+	e.logMissingRuns(now)
+	ready, startable, paused := 0, 0, 0
+	for _, j := range e.store.LiveJobs() {
+		for k := range j.Occurrences {
+			for s := range j.Occurrences[k] {
+				if j.StepReady(k, s) {
+					ready += j.Occurrences[k][s].Waiting
+				}
+			}
+		}
+	}
+	for _, s := range l.sessions {
+		if s.report == nil {
+			continue
+		}
+		if e.isStartable(now, s) {
+			startable++
+		}
+		for _, r := range s.report.Running {
+			if r.Paused {
+				paused++
+			}
+		}
+	}
+	e.log.Info("occupancy", zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Int("ready_tasks", ready),
+		zap.Int("paused_tasks", paused), zap.Int("targets", len(l.sessions)), zap.Int("startable", startable))
+}
+
+// waitingStep is a step with ready tasks that are not started.
+type waitingStep struct {
+	job        *job.Job
+	occurrence int
+	step       int
+	since      time.Time // of the first occupancy line at which it was waiting
+}
+
+// logWaitingSteps logs why the steps that have been ready longest are not started.
+func (e *engine) logWaitingSteps(now time.Time) {
+	waiting := e.waitingSteps(now)
+	slices.SortFunc(waiting, func(x, y waitingStep) int { return x.since.Compare(y.since) })
+	for _, w := range waiting[:min(len(waiting), maxWaitingLogged)] {
+		if w.since.Equal(now) {
+			return
+		}
+		x := e.leader.dispatcher.Explain(e.dispatchInput(now), w.job, w.occurrence, w.step)
+		state := &w.job.Occurrences[w.occurrence][w.step]
+		fields := []zap.Field{zap.String("job", w.job.Spec.ID), zap.Int("occurrence", w.occurrence), zap.Int("step", w.step),
+			zap.Int("ready_tasks", state.Waiting), zap.Duration("for_at_least", now.Sub(w.since)), zap.Bool("held_back", x.Held),
+			zap.Int("pending_starts", x.Pending), zap.Int("accepting_targets", x.Accepting), zap.Int("candidates", x.Candidates),
+			zap.Int("in_flight", len(e.inFlight)), zap.Int("overdue", len(e.overdue))}
+		for _, r := range slices.Sorted(maps.Keys(x.Rejections)) {
+			fields = append(fields, zap.Int(string(r), x.Rejections[r]))
+		}
+		e.log.Info("step waiting", append(fields, zap.Strings("blocked_targets", e.blockedTargets(now)))...)
+	}
+}
+
+// waitingSteps returns the steps that are due and have ready tasks, and notes since when.
+func (e *engine) waitingSteps(now time.Time) []waitingStep {
+	l := e.leader
+	var waiting []waitingStep
+	since := map[job.Ref]time.Time{} // by the first task of the step
+	for _, j := range e.store.LiveJobs() {
+		for k := range j.Occurrences {
+			if j.Spec.DueMillis(k) > time.Now().UnixMilli() {
+				break
+			}
+			for s := range j.Occurrences[k] {
+				if j.Occurrences[k][s].Waiting == 0 || !j.StepReady(k, s) {
+					continue
+				}
+				ref := job.Ref{Job: j.Spec.ID, Occurrence: k, Step: s}
+				since[ref] = cmp.Or(l.waitingSince[ref], now)
+				waiting = append(waiting, waitingStep{job: j, occurrence: k, step: s, since: since[ref]})
+			}
+		}
+	}
+	l.waitingSince = since
+	return waiting
+}
+
+// blockedTargets returns the number of targets that accept no starts, by reason.
+func (e *engine) blockedTargets(now time.Time) []string {
+	counts := map[string]int{}
+	for _, s := range e.leader.sessions {
+		reason := "no_report"
+		if s.report != nil {
+			reason = e.startBlocker(now, s)
+		}
+		if reason != "" {
+			counts[reason]++
+		}
+	}
+	var blocked []string
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		blocked = append(blocked, reason+":"+strconv.Itoa(counts[reason]))
+	}
+	return blocked
+}
+
+// logMissingRuns logs the targets on which tasks are placed whose runs their reports do
+// not show, with what this leader believes of the target.
+func (e *engine) logMissingRuns(now time.Time) {
+	missing := map[job.Ref]int{}
+	for _, target := range e.store.OccupiedTargets() {
+		s := e.leader.session(now, target)
+		var tasks []string
+		for ref, t := range e.store.TasksOn(target) {
+			if t.State != job.Placed || s.runs[ref] == t.Run {
+				continue
+			}
+			missing[ref] = t.Run
+			if e.leader.missingRuns[ref] == t.Run {
+				tasks = append(tasks, ref.String()+"#"+strconv.Itoa(t.Run)+e.missingState(now, s, ref, t.Run))
+			}
+		}
+		if len(tasks) > 0 {
+			slices.Sort(tasks)
+			e.log.Info("runs missing", zap.String("target", target.ID), zap.Int64("born", target.Born), zap.Bool("connected", s.report != nil),
+				zap.Duration("silent_for", now.Sub(s.reportedAt)), zap.Duration("lease", s.leaseExpiry.Sub(now)),
+				zap.Bool("loss_proposed", e.leader.proposedLosses[target]), zap.Uint64("watermark", e.store.LastEndNumber(target)),
+				zap.Uint64("proposed_watermark", s.proposedWatermark), zap.Int("count", len(tasks)), zap.Strings("runs", tasks[:min(len(tasks), maxMissingLogged)]))
+		}
+	}
+	e.leader.missingRuns = missing
+}
+
+// missingState tells why the start of a missing run is not ordered again now.
+func (e *engine) missingState(now time.Time, s *session, ref job.Ref, run int) string {
+	switch {
+	case e.leader.proposedEnds[ref] == run:
+		return ":end_proposed"
+	case s.sentStarts[ref].isPending(now, run):
+		return ":ordered"
+	default:
+		return ":due"
+	}
+}
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -31,8 +31,6 @@
 	// maxIdle is how long a job may have ready tasks and none placed while
 	// spare capacity exists. The platform allows 3 s.
 	maxIdle = 1500 * time.Millisecond
-	// occupancyInterval is the time between log lines about occupancy.
-	occupancyInterval = 2 * time.Second
 )
 
 // handleReport processes the report of an agent and holds the answer until
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -90,6 +90,7 @@
 	leaseEnd           time.Duration // on the instance's clock
 	pacer              *pacing.Pacer
 
+	unsettledLoggedAt time.Duration          // time of the last log line about unsettled runs
 	unreadableRows    int                    // in the newest status of the target
 	watching          bool                   // a watch is in progress
 	nextWatchAt       time.Duration          // when the next watch is due
@@ -324,6 +325,7 @@
 	o.decidePaces(now)
 	o.sendWatch(now, o.discardableEnd())
 	o.buildReport(now)
+	o.logUnsettledRuns(now)
 }
 
 // isStalled reports whether a run makes no progress although its pace allows it.
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -7,15 +7,51 @@
 	"github.com/ibispier/ibispier/pacing"
 )
 
+// Rejection names the filter that keeps a task from starting on a target.
+type Rejection string
+
+// The filters, in the order in which they are applied.
+const (
+	accepted     Rejection = ""
+	NotStartable Rejection = "not_startable"
+	OtherService Rejection = "other_service"
+	NoRoom       Rejection = "no_room"
+	ZoneOut      Rejection = "zone_out"
+	LabelMissing Rejection = "label_missing"
+	TargetLimit  Rejection = "target_limit"
+	NoIdleCPU    Rejection = "no_idle_cpu"
+	PaceBelowMin Rejection = "pace_below_min"
+)
+
+// rejectedBy returns the first filter that rejects the task on the target, or accepted.
+func (p *pass) rejectedBy(ts *TargetState, q *job.Queue, s *job.Step, ref job.Ref) Rejection {
+	switch {
+	case !ts.startable:
+		return NotStartable
+	case !servesQueue(ts, q):
+		return OtherService
+	case !fits(ts, s):
+		return NoRoom
+	case p.Store.ZonesOut[ts.Zone]:
+		return ZoneOut
+	case !hasLabel(ts, s):
+		return LabelMissing
+	case !underTargetLimit(ts, s, ref):
+		return TargetLimit
+	case p.skipFillingFilters:
+		return accepted
+	case !p.hasIdleCPU(ts, s):
+		return NoIdleCPU
+	case !p.leavesMinPace(ts, s):
+		return PaceBelowMin
+	default:
+		return accepted
+	}
+}
+
 // passes reports whether the task may start on the target.
 func (p *pass) passes(ts *TargetState, q *job.Queue, s *job.Step, ref job.Ref) bool {
-	return ts.startable &&
-		servesQueue(ts, q) &&
-		fits(ts, s) &&
-		!p.Store.ZonesOut[ts.Zone] &&
-		hasLabel(ts, s) &&
-		underTargetLimit(ts, s, ref) &&
-		(p.skipFillingFilters || p.hasIdleCPU(ts, s) && p.leavesMinPace(ts, s))
+	return p.rejectedBy(ts, q, s, ref) == accepted
 }
 
 func servesQueue(ts *TargetState, q *job.Queue) bool { return ts.Service == q.Service }
