--- a/daemon/control/jobs/progress.go
+++ b/daemon/control/jobs/progress.go
@@ -57,7 +57,8 @@
 		}
 	}
 	e.log.Info("occupancy", zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Int("ready_tasks", ready),
-		zap.Int("paused_tasks", paused), zap.Int("targets", len(l.sessions)), zap.Int("startable", startable))
+		zap.Int("paused_tasks", paused), zap.Int("targets", len(l.sessions)), zap.Int("startable", startable),
+		zap.Float64("reserved_cpu_share", l.dispatcher.ReservedCPUShare()))
 }
 
 // waitingStep is a step with ready tasks that are not started.
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -123,17 +123,24 @@
 	}
 }
 
-// hasSpareCapacity reports whether less than LowReservationShare of the
-// processor time is reserved.
-func (p *pass) hasSpareCapacity() bool {
+// ReservedCPUShare returns the share of the processor time of all targets that is
+// reserved.
+func (d *Dispatcher) ReservedCPUShare() float64 {
 	var free, total int64
-	for _, ts := range p.targets {
+	for _, ts := range d.targets {
 		free += ts.free.CPUMilli
 		total += ts.Capacity.CPUMilli
 	}
-	return float64(total-free) < p.limits.LowReservationShare*float64(total)
+	if total == 0 {
+		return 1
+	}
+	return float64(total-free) / float64(total)
 }
 
+// hasSpareCapacity reports whether less than LowReservationShare of the
+// processor time is reserved.
+func (p *pass) hasSpareCapacity() bool { return p.ReservedCPUShare() < p.limits.LowReservationShare }
+
 // startOneUnfiltered starts one filling task of a job that the filters for
 // filling tasks keep from starting, on the target where it disturbs least.
 // Pacing protects the serving tasks, and the job makes progress whenever they
