--- a/daemon/control/jobs/progress.go
+++ b/daemon/control/jobs/progress.go
@@ -133,20 +133,20 @@
 	return blocked
 }
 
-// logMissingRuns logs the targets on which tasks are placed whose runs their reports do
-// not show, with what this leader believes of the target.
+// logMissingRuns logs the targets on which tasks hold capacity whose runs their reports
+// do not show, with what this leader believes of the target.
 func (e *engine) logMissingRuns(now time.Time) {
 	missing := map[job.Ref]int{}
 	for _, target := range e.store.OccupiedTargets() {
 		s := e.leader.session(now, target)
 		var tasks []string
 		for ref, t := range e.store.TasksOn(target) {
-			if t.State != job.Placed || s.runs[ref] == t.Run {
+			if s.runs[ref] == t.Run {
 				continue
 			}
 			missing[ref] = t.Run
 			if e.leader.missingRuns[ref] == t.Run {
-				tasks = append(tasks, ref.String()+"#"+strconv.Itoa(t.Run)+e.missingState(now, s, ref, t.Run))
+				tasks = append(tasks, ref.String()+"#"+strconv.Itoa(t.Run)+e.missingState(now, s, ref, t))
 			}
 		}
 		if len(tasks) > 0 {
@@ -161,11 +161,13 @@
 }
 
 // missingState tells why the start of a missing run is not ordered again now.
-func (e *engine) missingState(now time.Time, s *session, ref job.Ref, run int) string {
+func (e *engine) missingState(now time.Time, s *session, ref job.Ref, t *job.Task) string {
 	switch {
-	case e.leader.proposedEnds[ref] == run:
+	case t.State == job.Stopping:
+		return ":stopping"
+	case e.leader.proposedEnds[ref] == t.Run:
 		return ":end_proposed"
-	case s.sentStarts[ref].isPending(now, run):
+	case s.sentStarts[ref].isPending(now, t.Run):
 		return ":ordered"
 	default:
 		return ":due"
