--- a/daemon/control/jobs/orders_test.go
+++ b/daemon/control/jobs/orders_test.go
@@ -8,6 +8,7 @@
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/control/applier"
 	"github.com/ibispier/ibispier/daemon/control/replica"
+	"github.com/ibispier/ibispier/job"
 )
 
 // orders returns the orders in the answers to a report.
@@ -94,3 +95,42 @@
 		}
 	})
 }
+
+// stops returns the stops in the answers to a report.
+func (a *recorder) stops() []controlapi.StopOrder {
+	var stops []controlapi.StopOrder
+	for _, r := range a.got {
+		if o, ok := r.Body.(controlapi.TargetOrders); ok {
+			stops = append(stops, o.Stops...)
+		}
+	}
+	return stops
+}
+
+// Guards against room that stays taken by a run which was never started, because its
+// job was cancelled between the commit of the start and the next report.
+func TestCancelledRunThatWasNeverOrderedReleasesItsRoom(t *testing.T) {
+	h := newHarness(t)
+	h.lead(1, 3)
+	h.manifest()
+	h.request(controlapi.OpTarget, report(0))
+	h.advance(time.Second) // answered: no report waits from here
+	h.request(controlapi.OpJobSubmit, submission())
+	h.advance(tickInterval)
+	if len(h.e.store.TasksOn(testTarget)) != 1 {
+		t.Fatal("the task is not placed")
+	}
+	h.request(controlapi.OpJobCancel, &controlapi.JobQuery{Host: "h", Path: "/q/" + testJob})
+	a := h.request(controlapi.OpTarget, report(1))
+	h.advance(time.Second)
+	if stops := a.stops(); len(a.orders()) != 0 || len(stops) != 1 || stops[0].Run != 1 {
+		t.Fatalf("answers %+v, want a stop of run 1", a.got)
+	}
+	r := report(2)
+	r.Ends = []job.End{{Task: job.Ref{Job: testJob}, Run: 1, Outcome: job.RunRejected}}
+	h.request(controlapi.OpTarget, r)
+	h.advance(tickInterval)
+	if n := len(h.e.store.TasksOn(testTarget)); n != 0 {
+		t.Fatalf("%d tasks hold room, want none", n)
+	}
+}
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -367,3 +367,25 @@
 		t.Fatal("reported as stalled although it is paused")
 	}
 }
+
+// Guards against a stop that is ignored because the agent does not know the run: its
+// start may still be carried out, and control would wait for its end forever.
+func TestStopOfUnknownRunIsConfirmedByTheTarget(t *testing.T) {
+	h := newHarness(t)
+	h.answerWatch(nil)
+	h.answerReport(controlapi.TargetOrders{LeaseMillis: 4000, Stops: []controlapi.StopOrder{{Task: testTask, Run: 1}}})
+	stops := h.takeCalls(calls.Stop)
+	if len(stops) != 1 || stops[0].Run != 1 {
+		t.Fatalf("stops %+v, want one of run 1", stops)
+	}
+	h.answerWatch(nil)
+	if n := countRejections(h.nextReport()); n != 0 {
+		t.Fatal("reported as never started before the stop was answered")
+	}
+	h.o.handleResult(h.now, calls.Result{Call: stops[0], SentAt: h.now})
+	h.now += time.Millisecond
+	h.answerWatch(nil)
+	if n := countRejections(h.nextReport()); n != 1 {
+		t.Fatalf("%d runs reported as never started, want 1", n)
+	}
+}
