control, agent: the room of a cancelled run that was never started is released

Cause: a job that is cancelled, or fails, between the commit of a start and the report that takes the order leaves its task in the state Stopping. Only the end of the run releases its room, but no report ever shows the run: starts are ordered for placed tasks only, stops for runs in the reports only, and the agent ignored stops of runs that it does not know. The room stays taken until the target is lost, also through changes of leadership. Ruled out: a start that is still on its way, because the room is released only after the target has answered the stop.

--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -225,9 +225,14 @@
 	o.log.Info("run rejected", zap.Stringer("task", task), zap.Int("run", number), zap.String("why", why))
 }
 
-// stopRun ensures that the run ends or never starts.
+// stopRun ensures that the run ends or never starts. The start of a run that is not
+// known may still be carried out, so the target must confirm the stop as well.
 func (o *owner) stopRun(now time.Duration, task job.Ref, number int) {
 	r := o.runs[task]
+	if r == nil && !o.hasEnded(task, number) {
+		r = &run{number: number, stateSince: now}
+		o.runs[task] = r
+	}
 	if r == nil || r.number != number || r.state == stopping && r.stopAnsweredAt > 0 {
 		return
 	}
