soak: all machines lose power, cancels behind frozen agents, and a check of the room

Now half of the runs end with a power loss of all processes and targets, in which the member that has just confirmed a manifest loses its disk; the others end with jobs that are cancelled at once while every second agent is frozen. At the end a lasting task that takes a whole target must run on each target within the platform's 6 s.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -18,6 +18,9 @@
 	maxAttempts = 6
 	// impatience is how long a caller waits that goes away before the answer.
 	impatience = 4 * time.Millisecond
+	// promptCancelShare of the pause before other cancels passes before those that come
+	// while the starts of the job are still on their way.
+	promptCancelShare = 0.05
 	// maxIdleRoutes is the largest growth of a manifest in the users' site files.
 	maxIdleRoutes = 1400
 )
@@ -55,6 +58,15 @@
 	return response.StatusCode, data
 }
 
+// newJob returns a job with a random id, which the oracle knows from here on.
+func (a *callers) newJob(r *rand.Rand, payload string) *submittedJob {
+	j := &submittedJob{id: fmt.Sprintf("%016x", r.Uint64()), payload: payload}
+	a.cluster.oracle.mu.Lock()
+	defer a.cluster.oracle.mu.Unlock()
+	a.cluster.oracle.jobs[j.id] = j
+	return j
+}
+
 // submit submits a random job in the background, with as many attempts as callers
 // of the platform make, and cancels some of the jobs.
 func (a *callers) submit(ctx context.Context, r *rand.Rand) {
@@ -73,6 +85,9 @@
 	a.cluster.oracle.mu.Unlock()
 	body := fmt.Appendf(nil, `{"spec":%q,"steps":[%s]}`, j.payload, steps)
 	first, pause := r.IntN(a.entryCount()), time.Duration(200+r.IntN(400))*time.Millisecond
+	if pause < 400*time.Millisecond {
+		pause = time.Duration(promptCancelShare * float64(pause))
+	}
 	impatient := r.IntN(12) == 0
 	a.calls.Go(func() {
 		if impatient {
@@ -125,6 +140,19 @@
 	}
 }
 
+// checkRoom submits a job with a lasting task for each target that takes the whole of it,
+// when no other work is left, and checks that all of them run in time.
+func (a *callers) checkRoom(ctx context.Context, r *rand.Rand) {
+	j := a.submitLasting(ctx, r, len(a.cluster.targets), targetCPUMilli)
+	for end := time.Now().Add(roomBound); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if a.cluster.oracle.lastingTasksAway() == 0 {
+			a.cancel(ctx, j)
+			return
+		}
+	}
+	a.cluster.oracle.addViolation("%d tasks of %s, one for each target, do not run after %s; all other work has ended", a.cluster.oracle.lastingTasksAway(), j.id, roomBound)
+}
+
 // state returns the state of a job, "" without a response, or "gone" for a job that
 // the system does not know.
 func (a *callers) state(ctx context.Context, id string, entry int) string {
@@ -142,12 +170,10 @@
 }
 
 // submitLasting submits a job whose tasks last until the end of the run.
-func (a *callers) submitLasting(ctx context.Context, r *rand.Rand, tasks int) *submittedJob {
-	j := &submittedJob{id: fmt.Sprintf("%016x", r.Uint64()), payload: lastingPayload, lasting: tasks}
-	a.cluster.oracle.mu.Lock()
-	a.cluster.oracle.jobs[j.id] = j
-	a.cluster.oracle.mu.Unlock()
-	body := fmt.Appendf(nil, `{"spec":%q,"steps":[{"count":%d,"cpu":1000,"memMb":64,"longRunning":true}]}`, j.payload, tasks)
+func (a *callers) submitLasting(ctx context.Context, r *rand.Rand, tasks, cpuMilli int) *submittedJob {
+	j := a.newJob(r, lastingPayload)
+	a.cluster.oracle.updateJob(j.id, func(j *submittedJob) { j.lasting = tasks })
+	body := fmt.Appendf(nil, `{"spec":%q,"steps":[{"count":%d,"cpu":%d,"memMb":64,"longRunning":true}]}`, j.payload, tasks, cpuMilli)
 	a.submitWithRetries(ctx, j, r.IntN(a.entryCount()), body, false)
 	return j
 }
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -325,6 +325,12 @@
 // loseDisk kills a control member, deletes its data folder and starts it again.
 func (c *cluster) loseDisk(m *member) {
 	m.Kill()
+	c.clearDisk(m)
+	m.Start()
+}
+
+// clearDisk deletes the data folder of a member that is down.
+func (c *cluster) clearDisk(m *member) {
 	if err := os.RemoveAll(m.data); err != nil {
 		c.t.Error(err)
 	}
@@ -337,7 +343,6 @@
 	}
 	m.values = c.memberValues(m, seeds, false)
 	c.writeSettings("control", m.Name, m.values)
-	m.Start()
 }
 
 // processes returns all processes but those of replaced members.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -205,6 +207,54 @@
 	return injected
 }
 
+// losePower kills all processes and targets at the same moment, right after a member has
+// confirmed a manifest, and starts them again. That member loses its disk.
+func (c *cluster) losePower(r *rand.Rand) string {
+	time.Sleep(diskLossGap)
+	lost := c.awaitConfirmer(c.live(), pick(r, c.live()))
+	down := time.Duration(300+r.IntN(900)) * time.Millisecond
+	var all sync.WaitGroup
+	for _, p := range c.processes() {
+		all.Go(func() {
+			p.Exclusive(func() {
+				p.Kill()
+				time.Sleep(down)
+				if p == lost.Process {
+					c.clearDisk(lost)
+				}
+				p.Start()
+			})
+		})
+	}
+	for _, t := range c.targets {
+		all.Go(t.crash)
+	}
+	all.Wait()
+	return "all lose power for " + down.String() + ", " + lost.Name + " loses its disk"
+}
+
+// cancelBehindFrozenAgents suspends every second agent, and submits jobs that are
+// cancelled as soon as they are accepted. The starts on those agents are still on their
+// way then.
+func (a *callers) cancelBehindFrozenAgents(ctx context.Context, r *rand.Rand) string {
+	const waveJobs, agentFreeze = 16, 1200 * time.Millisecond
+	var all sync.WaitGroup
+	for i := 0; i < len(a.cluster.agents); i += 2 {
+		all.Go(func() { suspend(a.cluster.agents[i], agentFreeze) })
+	}
+	for range waveJobs {
+		j := a.newJob(r, "cancelled at once")
+		body := fmt.Appendf(nil, `{"spec":%q,"steps":[{"count":%d,"cpu":1000,"memMb":64,"estimateMs":300}]}`, j.payload, 2*len(a.cluster.agents))
+		entry := r.IntN(a.entryCount())
+		all.Go(func() {
+			a.submitWithRetries(ctx, j, entry, body, false)
+			a.cancel(ctx, j)
+		})
+	}
+	all.Wait()
+	return "jobs are cancelled while agents are frozen"
+}
+
 // faults returns the faults of the shape.
 func (c *cluster) faults() []fault {
 	if c.shape.outages {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,8 @@
 	confirmBound = 5 * time.Second
 	inForceBound = 2500 * time.Millisecond
 	lastingBound = 9 * time.Second
+	// roomBound is how long lasting tasks may be away for which there is room.
+	roomBound = 6 * time.Second
 )
 
 func TestMain(m *testing.M) {
@@ -176,12 +178,17 @@
 	a := newCallers(c)
 	a.sendManifest(ctx, 1)
 	r := rand.New(rand.NewPCG(seed, 0))
-	lasting := []*submittedJob{a.submitLasting(ctx, rand.New(rand.NewPCG(seed, 3)), 3), a.submitLasting(ctx, rand.New(rand.NewPCG(seed, 4)), 2)}
+	lasting := []*submittedJob{a.submitLasting(ctx, rand.New(rand.NewPCG(seed, 3)), 3, 1000), a.submitLasting(ctx, rand.New(rand.NewPCG(seed, 4)), 2, 1000)}
 	delays := measureDelays(ctx)
 	loadCtx, stop := context.WithCancel(ctx)
 	loadDone := make(chan uint64)
 	go func() { loadDone <- a.generateLoad(loadCtx, ctx, rand.New(rand.NewPCG(seed, 2))) }()
 	injected := c.injectFaults(r, faultDuration)
+	if r.IntN(2) == 0 {
+		injected = append(injected, time.Now().Format("15:04:05.000 ")+c.losePower(r))
+	} else {
+		injected = append(injected, time.Now().Format("15:04:05.000 ")+a.cancelBehindFrozenAgents(ctx, r))
+	}
 	calm := time.Now()
 	stop()
 	version := <-loadDone
@@ -195,6 +202,7 @@
 	a.awaitCompletion(ctx)
 	time.Sleep(cancelBound)
 	c.oracle.checkCancelled()
+	a.checkRoom(ctx, rand.New(rand.NewPCG(seed, 5)))
 	c.checkProcesses()
 	breaches := c.oracle.listViolations()
 	for _, breach := range breaches[:min(len(breaches), maxListed)] {
