control, agent: only stops of unreported runs reject an unknown run

A task could run twice. Cause: since the agent takes any stop of a run that it does not know as the stop of a start that may still come. A run that has just ended is unknown as well, until its end is listed; it was reported as never started, and its task started again although it was done. Change: control marks the stops of runs that no report has shown. Other stops of unknown runs are ignored as before.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -145,6 +145,9 @@
 type StopOrder struct {
 	Task job.Ref
 	Run  int
+	// Unreported is set if no report has shown the run. An agent that does not know the
+	// run has the target confirm that it never starts, and reports it as rejected.
+	Unreported bool `json:",omitempty"`
 }
 
 // TargetOrders is the response to a TargetReport.
--- a/daemon/control/jobs/orders.go
+++ b/daemon/control/jobs/orders.go
@@ -117,7 +117,7 @@
 		return true
 	}
 	for ref, t := range e.store.TasksOn(s.target) {
-		if e.needsStart(now, s, ref, t) || e.needsStopUnseen(now, s, ref, t) {
+		if e.needsStart(now, s, ref, t) || e.needsUnreportedStop(now, s, ref, t) {
 			return true
 		}
 	}
@@ -182,30 +182,29 @@
 	return t == nil || t.State != job.Placed || t.Run != run || t.Target != s.target
 }
 
-// needsStopUnseen reports whether the run of a task whose job has ended must be stopped
+// needsUnreportedStop reports whether the run of a task whose job has ended must be stopped
 // although the reports do not show it. Its start may not have been ordered or may still
 // be carried out; the agent reports that it never starts, which releases its room.
-func (e *engine) needsStopUnseen(now time.Time, s *session, ref job.Ref, t *job.Task) bool {
-	_, seen := s.runs[ref] // also an earlier run, which is stopped first
-	return t.State == job.Stopping && !seen && e.leader.proposedEnds[ref] != t.Run && !s.sentStops[ref].isPending(now, t.Run)
+func (e *engine) needsUnreportedStop(now time.Time, s *session, ref job.Ref, t *job.Task) bool {
+	_, reported := s.runs[ref] // also an earlier run, which is stopped first
+	return t.State == job.Stopping && !reported && e.leader.proposedEnds[ref] != t.Run && !s.sentStops[ref].isPending(now, t.Run)
 }
 
 // stopOrders returns the stops that must be sent to the target.
 func (e *engine) stopOrders(now time.Time, s *session) []controlapi.StopOrder {
 	var orders []controlapi.StopOrder
-	stop := func(ref job.Ref, run int) {
-		s.sentStops[ref] = sentOrder{run: run, orderNumber: s.orderNumber, sentAt: now}
-		orders = append(orders, controlapi.StopOrder{Task: ref, Run: run})
-	}
 	for ref, run := range s.runs {
 		if e.needsStop(now, s, ref, run) {
-			stop(ref, run)
+			orders = append(orders, controlapi.StopOrder{Task: ref, Run: run})
 		}
 	}
 	for ref, t := range e.store.TasksOn(s.target) {
-		if e.needsStopUnseen(now, s, ref, t) {
-			stop(ref, t.Run)
+		if e.needsUnreportedStop(now, s, ref, t) {
+			orders = append(orders, controlapi.StopOrder{Task: ref, Run: t.Run, Unreported: true})
 		}
 	}
+	for _, o := range orders {
+		s.sentStops[o.Task] = sentOrder{run: o.Run, orderNumber: s.orderNumber, sentAt: now}
+	}
 	return orders
 }
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -162,7 +162,7 @@
 	}
 	o.sendWatch(now, discardable)
 	for _, s := range orders.Stops {
-		o.stopRun(now, s.Task, s.Run)
+		o.stopRun(now, s)
 	}
 }
 
@@ -225,18 +225,18 @@
 	o.log.Info("run rejected", zap.Stringer("task", task), zap.Int("run", number), zap.String("why", why))
 }
 
-// stopRun ensures that the run ends or never starts. The start of a run that is not
-// known may still be carried out, so the target must confirm the stop as well.
-func (o *owner) stopRun(now time.Duration, task job.Ref, number int) {
-	r := o.runs[task]
-	if r == nil && !o.hasEnded(task, number) {
-		r = &run{number: number, stateSince: now}
-		o.runs[task] = r
+// stopRun ensures that the run ends or never starts. A run that is not known has ended,
+// unless no report has ever shown it: then its start may still be carried out.
+func (o *owner) stopRun(now time.Duration, s controlapi.StopOrder) {
+	r := o.runs[s.Task]
+	if r == nil && s.Unreported && !o.hasEnded(s.Task, s.Run) {
+		r = &run{number: s.Run, stateSince: now}
+		o.runs[s.Task] = r
 	}
-	if r == nil || r.number != number || r.state == stopping && r.stopAnsweredAt > 0 {
+	if r == nil || r.number != s.Run || r.state == stopping && r.stopAnsweredAt > 0 {
 		return
 	}
-	o.sendStop(now, task, r)
+	o.sendStop(now, s.Task, r)
 }
 
 func (o *owner) sendStop(now time.Duration, task job.Ref, r *run) {
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -373,7 +373,7 @@
 func TestStopOfUnknownRunIsConfirmedByTheTarget(t *testing.T) {
 	h := newHarness(t)
 	h.answerWatch(nil)
-	h.answerReport(controlapi.TargetOrders{LeaseMillis: 4000, Stops: []controlapi.StopOrder{{Task: testTask, Run: 1}}})
+	h.answerReport(controlapi.TargetOrders{LeaseMillis: 4000, Stops: []controlapi.StopOrder{{Task: testTask, Run: 1, Unreported: true}}})
 	stops := h.takeCalls(calls.Stop)
 	if len(stops) != 1 || stops[0].Run != 1 {
 		t.Fatalf("stops %+v, want one of run 1", stops)
@@ -389,3 +389,26 @@
 		t.Fatalf("%d runs reported as never started, want 1", n)
 	}
 }
+
+// Guards against a run that is reported as never started although it was done: a stop
+// arrives after the run has left the list of the running ones and before its end is listed.
+func TestStopOfARunThatHasEndedRejectsNothing(t *testing.T) {
+	h := newHarness(t)
+	h.answerWatch(nil)
+	h.answerReport(startOrders(false))
+	h.o.handleResult(h.now, calls.Result{Call: h.takeCalls(calls.Start)[0], SentAt: h.now})
+	h.now += time.Millisecond
+	h.answerWatch([]runapi.Run{{Task: testTask, Run: 1}})
+	h.nextReport()
+	h.now += time.Millisecond
+	h.answerWatch(nil) // the end is beyond the first page of ends
+	h.answerReport(controlapi.TargetOrders{LeaseMillis: 4000, Stops: []controlapi.StopOrder{{Task: testTask, Run: 1}}})
+	for _, s := range h.takeCalls(calls.Stop) {
+		h.o.handleResult(h.now, calls.Result{Call: s, SentAt: h.now})
+	}
+	h.now += time.Millisecond
+	h.answerWatch(nil)
+	if n := countRejections(h.nextReport()); n != 0 {
+		t.Fatalf("%d runs that have started are reported as never started", n)
+	}
+}
