targetagent/runs: a suspended agent does not take runs for stalled

Cause: the agent compared the time of a run's last progress with the present. Time in which it had no status of the target counted as time without progress, so a suspension of more than 1.5 s made each run below 100% look stalled. Change: only time up to the newest status counts. A status is taken to be from no later than the end of the watch's wait, so one that was answered before the suspension proves nothing. Evidence: TestRunsAreNotStalledWhileTheAgentIsSuspended fails before, at the first of its two checks. Ruled out: runs that really stood still, because the next orders show progress again. A hung run is now reported at the second watch without progress, 1.8 s after its last one at the latest, instead of after 1.5 s.

--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -60,6 +60,7 @@
 	level           int64         // newest runapi.Run.Measurement
 	progressPercent int           // share of the work that is done; 100 for a long-running task that is working
 	progressAt      time.Duration // when the progress or the pace last changed
+	shownAt         time.Duration // up to when the newest status is known to show the run
 	adopted         bool          // found on the target; order is empty until control repeats it
 	pacePercent     int           // newest pace that was sent, or paceUnknown
 	stateSince      time.Duration // when the run entered its state
@@ -333,9 +334,10 @@
 	o.logUnsettledRuns(now)
 }
 
-// isStalled reports whether a run makes no progress although its pace allows it.
-func (r *run) isStalled(now time.Duration) bool {
-	return r.state == running && !r.adopted && r.progressAt > 0 && now-r.progressAt >= stallTimeout && r.progressPercent < 100 &&
+// isStalled reports whether a run makes no progress although its pace allows it. Time
+// without a status does not count: the agent may have been suspended itself.
+func (r *run) isStalled() bool {
+	return r.state == running && !r.adopted && r.progressAt > 0 && r.shownAt-r.progressAt >= stallTimeout && r.progressPercent < 100 &&
 		(!r.order.Filling || r.pacePercent >= minStallPacePercent)
 }
 
--- a/daemon/targetagent/runs/owner_test.go
+++ b/daemon/targetagent/runs/owner_test.go
@@ -412,3 +412,30 @@
 		t.Fatalf("%d runs that have started are reported as never started", n)
 	}
 }
+
+// Guards against runs that are reported as stalled, and stopped, because the agent itself
+// was suspended: it has no status of that time, or one from before it.
+func TestRunsAreNotStalledWhileTheAgentIsSuspended(t *testing.T) {
+	h := newHarness(t)
+	h.answerWatch(nil)
+	h.answerReport(startOrders(false))
+	h.o.handleResult(h.now, calls.Result{Call: h.takeCalls(calls.Start)[0], SentAt: h.now})
+	running := func(percent int) []runapi.Run { return []runapi.Run{{Task: testTask, Run: 1, Percent: percent}} }
+	for i := range 5 {
+		h.now += 400 * time.Millisecond
+		h.answerWatch(running(10 + i))
+	}
+	const suspension = 1800 * time.Millisecond
+	sent := h.now
+	h.now += suspension
+	if h.nextReport().Running[0].Stalled {
+		t.Fatalf("reported as stalled after a suspension of %s, before a status", suspension)
+	}
+	h.o.handleResult(h.now, calls.Result{
+		Call: calls.Call{Kind: calls.Watch, Incarnation: h.o.incarnation, Watch: runapi.WatchRequest{Wait: watchWait}}, SentAt: sent,
+		Status: runapi.Status{Incarnation: h.o.incarnation, ClockMillis: sent.Milliseconds(), Running: running(14)},
+	})
+	if h.nextReport().Running[0].Stalled {
+		t.Fatalf("reported as stalled after a suspension of %s, by a status from before it", suspension)
+	}
+}
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -45,7 +45,7 @@
 	for task, known := range o.runs {
 		r.Running = append(r.Running, controlapi.RunReport{
 			Task: task, Run: known.number, Checkpoint: known.checkpoint, Paused: known.order.Filling && known.pacePercent == 0,
-			Adopted: known.adopted, Stalled: known.isStalled(now),
+			Adopted: known.adopted, Stalled: known.isStalled(),
 		})
 	}
 	for _, headroom := range o.pacer.Headrooms() {
