control: a lasting filling task does not wait for the others of its job

Cause: the filters for filling tasks may reject every target. The way past them, one task of an idle job, counted a job as idle only while none of its tasks was placed. Change: a job with a ready lasting task counts as idle. Evidence: TestLastingFillingTaskStartsWhileOthersRun fails before: one of two tasks is placed after 24 s with less than half of the processors reserved.

--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -48,8 +48,7 @@
 	}
 }
 
-// idleJobs returns the jobs that have had ready tasks and no placed task for
-// maxIdle.
+// idleJobs returns the jobs that have been idle for maxIdle.
 func (l *leadership) idleJobs(now time.Time, st *job.Store) map[string]bool {
 	idle := map[string]bool{}
 	since := make(map[string]time.Time, len(l.idleSince))
@@ -67,19 +66,25 @@
 	return idle
 }
 
-// isIdle reports whether the job has ready tasks and no placed task.
+// isIdle reports whether the job has ready tasks and no placed task. A ready lasting task
+// is enough: the platform expects each of them to run, whether others of its job run or
+// not.
 func isIdle(j *job.Job) bool {
-	ready := false
+	ready, placed := false, false
 	for k := range j.Occurrences {
 		for s := range j.Occurrences[k] {
 			state := &j.Occurrences[k][s]
-			if state.Open > state.Waiting {
-				return false // a task is placed
+			placed = placed || state.Open > state.Waiting
+			if state.Waiting == 0 || !j.StepReady(k, s) {
+				continue
 			}
-			ready = ready || state.Waiting > 0 && j.StepReady(k, s)
+			if j.Spec.Steps[s].Lasting {
+				return true
+			}
+			ready = true
 		}
 	}
-	return ready
+	return ready && !placed
 }
 
 // dispatchTarget returns the dispatcher's description of a target that has
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -68,8 +68,9 @@
 	// whole target takes from a serving image.
 	Disturbs func(serving, filling string) job.Disturbance
 	Now      time.Time // wall clock; only deadlines and scheduled jobs depend on it
-	// IdleJobs contains the jobs that have had ready tasks and none placed for
-	// some time. One task of each is started while spare capacity exists.
+	// IdleJobs contains the jobs that have had ready tasks and none placed, or a ready
+	// lasting task, for some time. One task of each is started while spare capacity
+	// exists.
 	IdleJobs map[string]bool
 	// IsHeld reports whether the starts of a step are held back. It may be nil.
 	IsHeld func(jobID string, step int) bool
