job/dispatch: spare capacity is that of the job's own service

An idle filling job of a nearly empty service is not started while the targets of another service are full: accepted work that could run and does not. Cause: the way past the filters for filling tasks depended on the reserved share of all targets together. Change: the share is that of the targets of the job's service. The occupancy line tells it by service. Evidence: TestSpareCapacityIsThatOfTheService fails before.

--- a/daemon/control/jobs/progress.go
+++ b/daemon/control/jobs/progress.go
@@ -19,6 +19,8 @@
 	// maxWaitingLogged bounds the waiting steps that are logged at a time. The ones
 	// that have waited longest come first.
 	maxWaitingLogged = 4
+	// maxServicesLogged bounds the services named in an occupancy line.
+	maxServicesLogged = 8
 	// maxMissingLogged bounds the tasks named in one line about missing runs.
 	maxMissingLogged = 8
 )
@@ -58,7 +60,17 @@
 	}
 	e.log.Info("occupancy", zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Int("ready_tasks", ready),
 		zap.Int("paused_tasks", paused), zap.Int("targets", len(l.sessions)), zap.Int("startable", startable),
-		zap.Float64("reserved_cpu_share", l.dispatcher.ReservedCPUShare()))
+		zap.Strings("reserved_cpu_shares", e.reservedCPUShares()))
+}
+
+// reservedCPUShares returns the reserved share of the processor time by service.
+func (e *engine) reservedCPUShares() []string {
+	var shares []string
+	for _, service := range e.store.Config.Services[:min(len(e.store.Config.Services), maxServicesLogged)] {
+		share := e.leader.dispatcher.ReservedCPUShare(service.Name)
+		shares = append(shares, service.Name+":"+strconv.FormatFloat(share, 'f', 3, 64))
+	}
+	return shares
 }
 
 // waitingStep is a step with ready tasks that are not started.
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -96,7 +96,7 @@
 		}
 		before := len(p.starts)
 		p.startJob(j)
-		if len(p.starts) == before && p.IdleJobs[j.Spec.ID] && p.hasSpareCapacity() {
+		if len(p.starts) == before && p.mayStartUnfiltered(j) {
 			p.startOneUnfiltered(j)
 		}
 	}
@@ -124,11 +124,14 @@
 	}
 }
 
-// ReservedCPUShare returns the share of the processor time of all targets that is
-// reserved.
-func (d *Dispatcher) ReservedCPUShare() float64 {
+// ReservedCPUShare returns the share of the processor time of the targets of a service
+// that is reserved.
+func (d *Dispatcher) ReservedCPUShare(service string) float64 {
 	var free, total int64
 	for _, ts := range d.targets {
+		if ts.Service != service {
+			continue
+		}
 		free += ts.free.CPUMilli
 		total += ts.Capacity.CPUMilli
 	}
@@ -138,9 +141,12 @@
 	return float64(total-free) / float64(total)
 }
 
-// hasSpareCapacity reports whether less than LowReservationShare of the
-// processor time is reserved.
-func (p *pass) hasSpareCapacity() bool { return p.ReservedCPUShare() < p.limits.LowReservationShare }
+// mayStartUnfiltered reports whether a task of the job may start although the filters for
+// filling tasks reject it: the job is idle, and less than LowReservationShare of the
+// processor time of its service is reserved.
+func (p *pass) mayStartUnfiltered(j *job.Job) bool {
+	return p.IdleJobs[j.Spec.ID] && p.ReservedCPUShare(p.Store.QueueOf(j).Service) < p.limits.LowReservationShare
+}
 
 // startOneUnfiltered starts one filling task of a job that the filters for
 // filling tasks keep from starting, on the target where it disturbs least.
--- /dev/null
+++ b/job/dispatch/idle_test.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/ibispier/ibispier/job"
+)
+
+// Guards against an idle filling job that is not started although its service is empty
+// but for tasks that the filters protect, because the targets of another service are
+// full.
+func TestSpareCapacityIsThatOfTheService(t *testing.T) {
+	for _, otherIsFull := range []bool{false, true} {
+		if starts := startsOfIdleJobBeside(otherIsFull); len(starts) != 1 {
+			t.Errorf("other service is full: %v; starts %v of an idle filling job, want 1: a fifth of its own service is reserved", otherIsFull, starts)
+		}
+	}
+}
+
+func startsOfIdleJobBeside(otherIsFull bool) []job.Start {
+	w := newFixture(8)
+	for _, target := range w.targets[2:] {
+		target.Service = "other"
+	}
+	if otherIsFull {
+		w.store.Apply(&job.Command{Submit: []*job.Submission{{
+			Spec:  job.Spec{ID: "00000000000000ff", Steps: []job.Step{{Count: 6, Need: cores(64), EstimateMillis: 1000}}},
+			Queue: job.Queue{Host: "h", Prefix: "/other/", Service: "other", Attempts: 2},
+		}}})
+		w.store.Apply(&job.Command{Starts: w.run()})
+	}
+	w.submit(0, 0, servingStep(2))
+	w.store.Apply(&job.Command{Starts: w.run()}) // 26 of 128 cores of the service are reserved
+	w.coefficients["f"] = 6
+	id := w.submit(0, 0, fillingStep(1))
+	w.targets[0].Headroom, w.targets[1].Headroom = map[string]float64{"s": 0.1}, map[string]float64{"s": 0.1}
+	for i := range w.targets {
+		if w.store.TasksOn(w.targets[i].Incarnation) == nil && w.targets[i].Service == "s" {
+			w.unstartable[i] = true // only targets with serving tasks remain
+		}
+	}
+	var ofJob []job.Start
+	for _, s := range w.run(id) {
+		if s.Task.Job == id {
+			ofJob = append(ofJob, s)
+		}
+	}
+	return ofJob
+}
--- a/job/dispatch/oracle_test.go
+++ b/job/dispatch/oracle_test.go
@@ -27,7 +27,7 @@
 	for _, j := range p.orderedJobs() {
 		before := len(p.starts)
 		p.plainJob(j, p.maxStarts)
-		if len(p.starts) == before && in.IdleJobs[j.Spec.ID] && p.hasSpareCapacity() {
+		if len(p.starts) == before && p.mayStartUnfiltered(j) {
 			p.skipFillingFilters = true
 			p.plainJob(j, before+1)
 			p.skipFillingFilters = false
