job/dispatch: an idle job starts one task past the filters, not one in each pass

Until its first start is committed, an idle filling job starts a further task past the filters in each pass, beside serving tasks that the filters protect (HARM). Cause: the job counts as idle until a start of it is committed, and passes follow each other in milliseconds. Change: no task starts past the filters while a start of the job is pending.

--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -142,10 +142,22 @@
 }
 
 // mayStartUnfiltered reports whether a task of the job may start although the filters for
-// filling tasks reject it: the job is idle, and less than LowReservationShare of the
-// processor time of its service is reserved.
+// filling tasks reject it: the job is idle, no start of it is pending, and less than
+// LowReservationShare of the processor time of its service is reserved.
 func (p *pass) mayStartUnfiltered(j *job.Job) bool {
-	return p.IdleJobs[j.Spec.ID] && p.ReservedCPUShare(p.Store.QueueOf(j).Service) < p.limits.LowReservationShare
+	return p.IdleJobs[j.Spec.ID] && !p.hasPending(j) && p.ReservedCPUShare(p.Store.QueueOf(j).Service) < p.limits.LowReservationShare
+}
+
+// hasPending reports whether a start of the job is pending.
+func (d *Dispatcher) hasPending(j *job.Job) bool {
+	for k := range j.Occurrences {
+		for s := range j.Spec.Steps {
+			if d.pendingSteps[stepKey{j.Spec.ID, k, s}] > 0 {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // startOneUnfiltered starts one filling task of a job that the filters for
--- a/job/dispatch/idle_test.go
+++ b/job/dispatch/idle_test.go
@@ -47,3 +47,23 @@
 	}
 	return ofJob
 }
+
+// Guards against several filling tasks of an idle job that start past the filters,
+// because the first start is not committed yet: one of them is meant to run.
+func TestPendingStartEndsTheIdleTime(t *testing.T) {
+	w := newFixture(1)
+	w.submit(0, 0, servingStep(2))
+	w.store.Apply(&job.Command{Starts: w.run()})
+	w.coefficients["f"] = 6
+	w.targets[0].Headroom = map[string]float64{"s": 0.1}
+	id := w.submit(2, 0, fillingStep(4))
+	d := New(DefaultLimits())
+	w.describe(d)
+	total := 0
+	for range 4 { // no start is settled, so the leader passes the job as idle
+		total += len(d.Run(w.input(id)))
+	}
+	if total != 1 {
+		t.Errorf("%d starts past the filters, want 1 until it is settled", total)
+	}
+}
