job/faults: failed runs leave half of the targets of a service for starts

Cause: a job of one task fails in all its attempts on one target, because scores choose the same target again. Four failures in a row suspend the target; the job never fails on a second one, so its failures are not taken back. The next such job suspends the next target. Change: failed runs suspend at most half of the targets of a service that could take starts, those with the longest suspensions. Stalled runs suspend targets as before. The choice is a pure function of the tracker. Evidence: TestFailingJobsOfOneTaskLeaveTargetsToOthers fails before (not started in 3 s). Ruled out: attribution by the number of distinct jobs, which would keep a failing target in use for longer.

--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -16,9 +16,10 @@
 		return
 	}
 	e.leader.needsDispatch = false
+	blockers := e.startBlockers(now)
 	for _, s := range e.leader.sessions {
 		if s.placement != nil {
-			s.placement.SetStartable(e.isStartable(now, s))
+			s.placement.SetStartable(blockers[s] == "")
 		}
 	}
 	in := e.dispatchInput(now)
@@ -111,11 +112,32 @@
 	return paused
 }
 
-// isStartable reports whether starts may be placed on the target.
-func (e *engine) isStartable(now time.Time, s *session) bool { return e.startBlocker(now, s) == "" }
+// startBlockers returns why no starts may be placed on the targets that have reported,
+// for those to which that applies.
+func (e *engine) startBlockers(now time.Time) map[*session]string {
+	blockers := map[*session]string{}
+	anySuspended := e.leader.faults.AnySuspended(now)
+	byService := map[string][]job.TargetIncarnation{} // if any is suspended
+	for _, s := range e.leader.sessions {
+		if s.report == nil {
+			continue
+		}
+		if blocker := e.startBlocker(now, s); blocker != "" {
+			blockers[s] = blocker
+		} else if anySuspended {
+			byService[s.report.Service] = append(byService[s.report.Service], s.target)
+		}
+	}
+	for _, targets := range byService {
+		for target := range e.leader.faults.Suspended(now, targets) {
+			blockers[e.leader.sessions[target]] = "suspended"
+		}
+	}
+	return blockers
+}
 
-// startBlocker returns why no starts may be placed on the target that has reported, or
-// "" if they may.
+// startBlocker returns why no starts may be placed on the target that has reported, apart
+// from failed runs, or "" if they may.
 func (e *engine) startBlocker(now time.Time, s *session) string {
 	switch {
 	case s.report.Draining:
@@ -128,8 +150,6 @@
 		return "silent"
 	case !s.leaseExpiry.After(now):
 		return "lease_expired"
-	case e.leader.faults.SuspendedUntil(s.target).After(now):
-		return "suspended"
 	default:
 		return ""
 	}
--- a/daemon/control/jobs/failures_test.go
+++ b/daemon/control/jobs/failures_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,25 @@
 		t.Error("the later job has not started within 3 s")
 	}
 }
+
+// Guards against a sound job that waits because jobs of one task, which fail in all their
+// attempts on one target each, have suspended all targets.
+func TestFailingJobsOfOneTaskLeaveTargetsToOthers(t *testing.T) {
+	const startBound = 3 * time.Second // the platform's bound for a task whose turn has come
+	f := newFleet(3)
+	f.failAfter = map[string]time.Duration{"bad": 50 * time.Millisecond}
+	for range 30 {
+		f.submit("quick", job.Step{Count: 1, Need: cpu(1000), EstimateMillis: 100, Image: "bad"})
+		f.runFor(800 * time.Millisecond)
+	}
+	f.submit("quick", job.Step{Count: 1, Need: cpu(1000), EstimateMillis: 100})
+	begin := f.now
+	id := fmt.Sprintf("%016x", f.jobs)
+	for f.now.Sub(begin) < startBound {
+		f.runFor(fleetTick)
+		if _, started := f.firstStart[id]; started {
+			return
+		}
+	}
+	t.Fatalf("not started in %s on three targets without load", startBound)
+}
--- a/daemon/control/jobs/progress.go
+++ b/daemon/control/jobs/progress.go
@@ -45,11 +45,12 @@
 			}
 		}
 	}
+	blockers := e.startBlockers(now)
 	for _, s := range l.sessions {
 		if s.report == nil {
 			continue
 		}
-		if e.isStartable(now, s) {
+		if blockers[s] == "" {
 			startable++
 		}
 		for _, r := range s.report.Running {
@@ -129,13 +130,12 @@
 // blockedTargets returns the number of targets that accept no starts, by reason.
 func (e *engine) blockedTargets(now time.Time) []string {
 	counts := map[string]int{}
+	for _, reason := range e.startBlockers(now) {
+		counts[reason]++
+	}
 	for _, s := range e.leader.sessions {
-		reason := "no_report"
-		if s.report != nil {
-			reason = e.startBlocker(now, s)
-		}
-		if reason != "" {
-			counts[reason]++
+		if s.report == nil {
+			counts["no_report"]++
 		}
 	}
 	var blocked []string
--- a/job/faults/faults.go
+++ b/job/faults/faults.go
@@ -6,6 +6,8 @@
 package faults
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/ibispier/ibispier/job"
@@ -19,6 +21,10 @@
 	// one without a successful run takes twice as long, up to maxSuspension.
 	minSuspension = 2 * time.Second
 	maxSuspension = 16 * time.Second
+	// maxSuspendedShare bounds the share of the targets of a service that failed runs
+	// suspend. The platform counts work as lost that waits while half of the capacity is
+	// free.
+	maxSuspendedShare = 0.5
 	// minFailedTargets is the number of targets on which a step must have failed to
 	// be at fault: on one target, the step and the target cannot be told apart.
 	minFailedTargets = 2
@@ -65,6 +71,7 @@
 	failures       map[Step]int // by the step that failed
 	suspensions    int
 	suspendedUntil time.Time
+	stalled        bool // the latest suspension is due to a stalled run
 }
 
 // Tracker attributes failures to steps and targets.
@@ -158,8 +165,10 @@
 	target.failures[f.Step]++
 	switch {
 	case f.Stalled:
+		target.stalled = true
 		target.suspendedUntil = now.Add(minSuspension)
 	case target.streak() >= maxStreak:
+		target.stalled = false
 		target.suspendedUntil = now.Add(doubled(minSuspension, target.suspensions, maxSuspension))
 		target.suspensions++
 	}
@@ -181,6 +190,41 @@
 	return n
 }
 
+// Suspended returns which of the targets of a service get no starts. Failed runs suspend
+// at most maxSuspendedShare of them, those with the longest suspensions: jobs that fail
+// in all their attempts on one target cannot be told from a target that fails, and must
+// not leave a service without targets.
+func (t *Tracker) Suspended(now time.Time, of []job.TargetIncarnation) map[job.TargetIncarnation]bool {
+	suspended := map[job.TargetIncarnation]bool{}
+	var failing []job.TargetIncarnation
+	for _, target := range of {
+		switch {
+		case !t.SuspendedUntil(target).After(now):
+		case t.targets[target].stalled:
+			suspended[target] = true
+		default:
+			failing = append(failing, target)
+		}
+	}
+	slices.SortFunc(failing, func(x, y job.TargetIncarnation) int {
+		return cmp.Or(t.SuspendedUntil(y).Compare(t.SuspendedUntil(x)), cmp.Compare(x.ID, y.ID))
+	})
+	for _, target := range failing[:min(len(failing), int(maxSuspendedShare*float64(len(of))))] {
+		suspended[target] = true
+	}
+	return suspended
+}
+
+// AnySuspended reports whether any target is suspended.
+func (t *Tracker) AnySuspended(now time.Time) bool {
+	for _, target := range t.targets {
+		if target.suspendedUntil.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // SuspendedUntil returns until when starts on the target are suspended. The time may
 // have passed.
 func (t *Tracker) SuspendedUntil(target job.TargetIncarnation) time.Time {
--- a/job/faults/faults_test.go
+++ b/job/faults/faults_test.go
@@ -154,3 +154,28 @@
 		now = tr.SuspendedUntil(target("bad"))
 	}
 }
+
+// Guards against a service without targets for starts: jobs of one task that fail in all
+// their attempts on one target each suspend one target after another. Stalled runs
+// suspend all targets on which they occur.
+func TestFailedRunsLeaveHalfOfTheTargets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var targets []job.TargetIncarnation
+	for i := range 5 {
+		targets = append(targets, job.TargetIncarnation{ID: string(rune('a' + i))})
+	}
+	failing, stalled := NewTracker(), NewTracker()
+	for _, target := range targets {
+		step := Step{Job: "job on " + target.ID}
+		for range maxStreak {
+			failing.RecordFailure(now, Failure{Step: step, Target: target})
+		}
+		stalled.RecordFailure(now, Failure{Step: step, Target: target, Stalled: true})
+	}
+	if got := len(failing.Suspended(now, targets)); got != 2 {
+		t.Errorf("%d of 5 targets suspended by failed runs, want 2", got)
+	}
+	if got := len(stalled.Suspended(now, targets)); got != 5 {
+		t.Errorf("%d of 5 targets suspended by stalled runs, want 5", got)
+	}
+}
