control: a report that a newer one has overtaken has no effect

Cause: the control client sends outstanding reports again to a new leader or after a timeout, so an older report of an agent may arrive after a newer one. If it is of an ended incarnation that was born later (its clock was ahead), control takes the current incarnation for the ended one: its tasks are given up and start again, on the ended one until its lease expires. Change: reports carry a sequence number; control answers an overtaken one with empty orders. Reports of earlier versions have number 0 and are taken as before. Open: a delayed report of an earlier agent process.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -111,7 +111,10 @@
 	Learned []PairDisturbance `json:",omitempty"`
 
 	Agent uint64 // random id of the agent process
-	Seen  uint64 // newest TargetOrders.Number that the agent has processed
+	// Sequence increases with each report of an agent process. A report that is sent
+	// again to a new leader may arrive after a newer one. 0 from earlier versions.
+	Sequence uint64 `json:",omitempty"`
+	Seen     uint64 // newest TargetOrders.Number that the agent has processed
 	// LeaseWanted is set if the target answers its agent.
 	LeaseWanted bool                    `json:",omitempty"`
 	Running     []RunReport             `json:",omitempty"` // including starts and stops in progress
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -36,9 +36,13 @@
 	missingRuns       map[job.Ref]int       // runs that the reports did not show at the last occupancy log line
 	estimatesStoredAt time.Time             // time of the last entry with estimates
 	faults            *faults.Tracker
+	newestReports     map[string]reportKey  // by host
 	startedAt         map[job.Ref]time.Time // when the start of a lasting task was committed in this term
 }
 
+// reportKey identifies a report among those from one instance.
+type reportKey struct{ agent, sequence uint64 }
+
 // session is the leader's state for one incarnation of a target.
 type session struct {
 	target            job.TargetIncarnation
@@ -88,6 +92,7 @@
 		disturbances:   newDisturbanceTable(st),
 		dispatcher:     dispatch.New(limits),
 		faults:         faults.NewTracker(),
+		newestReports:  map[string]reportKey{},
 		startedAt:      map[job.Ref]time.Time{},
 	}
 }
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -36,6 +36,11 @@
 // handleReport processes the report of an agent and holds the answer until
 // there are orders or its hold time ends.
 func (e *engine) handleReport(now time.Time, r *applier.Request, report *controlapi.TargetReport) {
+	if last := e.leader.newestReports[report.Host]; last.agent == report.Agent && report.Sequence < last.sequence {
+		replyOK(r, controlapi.TargetOrders{}) // overtaken by a newer report
+		return
+	}
+	e.leader.newestReports[report.Host] = reportKey{report.Agent, report.Sequence}
 	s := e.leader.session(now, report.Incarnation)
 	if s.heldRequest != nil && !s.confirming {
 		replyOK(s.heldRequest, controlapi.TargetOrders{}) // superseded
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -29,6 +29,7 @@
 		Draining:        o.announcement.Draining,
 		RemainingMillis: o.announcement.RemainingMillis,
 		Agent:           o.agentID,
+		Sequence:        o.reportID,
 		Seen:            o.lastOrderNumber,
 		LeaseWanted:     o.wantsLease(now),
 		Ends:            append(slices.Clone(o.unacknowledgedEnds), o.rejections...),
