targetagent/runs: an earlier run on the target does not stand for the ordered one

The task is never started again, and the earlier run holds its room for good. Cause: the status of the target was matched by task. A run below the ordered one, from a late start or left over because its stop came in the same orders as the next start, confirmed the ordered run and kept it from being stopped or rejected. Change: a run is confirmed by its own number only. Evidence: three tests fail before: TestEarlierRunDoesNotConfirmTheOrderedOne, TestEarlierRunBesideTheOrderedOneIsStopped, TestStopBesideAStartOfTheSameTaskIsCarriedOut.

--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -67,6 +67,7 @@
 	stopSentAt      time.Duration
 	stopAnsweredAt  time.Duration // 0 while the stop is not answered
 	confirmed       bool          // the target has shown the run, so the current incarnation has carried out its start
+	earlierStopAt   time.Duration // when an earlier run beside it was last stopped
 	inherited       bool          // ordered for an earlier incarnation with the same ID
 }
 
--- /dev/null
+++ b/daemon/targetagent/runs/settle_test.go
@@ -0,0 +1,68 @@
+package runs
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/daemon/targetagent/calls"
+	"github.com/ibispier/ibispier/runapi"
+)
+
+// Guards against an earlier run of a task that stays on the target for good: control
+// has ordered a later run there, so it never orders a stop of the earlier one.
+func TestEarlierRunBesideTheOrderedOneIsStopped(t *testing.T) {
+	h := newHarness(t)
+	h.answerWatch(nil)
+	orders := startOrders(false)
+	orders.Starts[0].Run = 4
+	h.answerReport(orders)
+	h.o.handleResult(h.now, calls.Result{Call: h.takeCalls(calls.Start)[0], SentAt: h.now})
+	h.now += time.Millisecond
+	h.answerWatch([]runapi.Run{{Task: testTask, Run: 2}, {Task: testTask, Run: 4}})
+	stops := h.takeCalls(calls.Stop)
+	if len(stops) != 1 || stops[0].Run != 2 {
+		t.Fatalf("stops %v, want one of run 2", stops)
+	}
+}
+
+// Guards against a run that counts as running because the target shows an earlier run
+// of the task: the start that was not answered is neither stopped nor repeated.
+func TestEarlierRunDoesNotConfirmTheOrderedOne(t *testing.T) {
+	h := newHarness(t)
+	h.answerWatch(nil)
+	orders := startOrders(false)
+	orders.Starts[0].Run = 4
+	h.answerReport(orders)
+	h.o.handleResult(h.now, calls.Result{Call: h.takeCalls(calls.Start)[0], SentAt: h.now, Err: errors.New("no response")})
+	h.answerWatch([]runapi.Run{{Task: testTask, Run: 2}})
+	h.now += unansweredWait
+	h.answerWatch([]runapi.Run{{Task: testTask, Run: 2}})
+	for _, c := range h.takeCalls(calls.Stop) {
+		if c.Run == 4 {
+			return
+		}
+	}
+	t.Fatalf("run 4 is not stopped after its start was not answered: %+v", h.o.runs[testTask])
+}
+
+// Guards against a run that nobody stops: the orders that stop it also start a later
+// run of the task on the same target, which takes its place at the agent.
+func TestStopBesideAStartOfTheSameTaskIsCarriedOut(t *testing.T) {
+	h := newHarness(t)
+	h.answerWatch(nil)
+	h.answerReport(startOrders(false))
+	h.o.handleResult(h.now, calls.Result{Call: h.takeCalls(calls.Start)[0], SentAt: h.now})
+	h.answerWatch([]runapi.Run{{Task: testTask, Run: 1}})
+	h.nextReport()
+	orders := startOrders(false)
+	orders.Starts[0].Run = 2
+	orders.Stops = []controlapi.StopOrder{{Task: testTask, Run: 1}}
+	h.answerReport(orders)
+	stops := h.takeCalls(calls.Stop)
+	h.answerWatch([]runapi.Run{{Task: testTask, Run: 1}, {Task: testTask, Run: 2}})
+	if stops = append(stops, h.takeCalls(calls.Stop)...); len(stops) == 0 || stops[0].Run != 1 {
+		t.Fatalf("stops %v, want one of run 1", stops)
+	}
+}
--- a/daemon/targetagent/runs/watch.go
+++ b/daemon/targetagent/runs/watch.go
@@ -157,8 +157,12 @@
 func (o *owner) reconcileRuns(now time.Duration, w calls.Result) {
 	shown := make(map[job.Ref]bool, len(w.Status.Running))
 	for _, s := range w.Status.Running {
-		shown[s.Task] = true
 		r := o.runs[s.Task]
+		if r != nil && r.number > s.Run {
+			o.stopEarlierRun(now, s, r)
+			continue
+		}
+		shown[s.Task] = true
 		if r == nil || r.number < s.Run {
 			if o.hasEnded(s.Task, s.Run) {
 				continue
@@ -197,3 +201,14 @@
 		}
 	}
 }
+
+// stopEarlierRun stops a run beside which control has ordered a later one. Control does
+// not order that stop: it knows one run of a task.
+func (o *owner) stopEarlierRun(now time.Duration, earlier runapi.Run, later *run) {
+	if later.earlierStopAt > 0 && now-later.earlierStopAt < stopRetryDelay+time.Second {
+		return
+	}
+	later.earlierStopAt = now
+	o.calls = append(o.calls, calls.Call{Kind: calls.Stop, Incarnation: o.incarnation, Task: earlier.Task, Run: earlier.Run, FencingToken: o.term})
+	o.log.Info("earlier run stopped", zap.Stringer("task", earlier.Task), zap.Int("run", earlier.Run), zap.Int("ordered_run", later.number))
+}
