targetagent/runs: a target's own lease calls do not count as those of an earlier incarnation

All work of a target lapses, and it gets no lease for the longest lease of the platform (6 s or 10 s), again for each delayed announcement. Cause: a delayed announcement of an earlier incarnation under the same id, born later because the clock was set back, displaces the current incarnation until the next answer. On the way back the agent took the calls that it had sent to the current incarnation for calls meant for an earlier one, whose leases may bind the target for long. Change: calls with a lease are recorded by the incarnation that they were meant for. Evidence: TestDelayedAnnouncementCostsNoLease fails before.

--- a/daemon/targetagent/runs/lives.go
+++ b/daemon/targetagent/runs/lives.go
@@ -60,7 +60,8 @@
 	o.reportID, o.reportPending = o.reportID+1, false
 	undecided := o.unsettledRuns(now, a.Incarnation)
 	if a.Incarnation.ID != o.incarnation.ID {
-		o.leaseCallAt, o.longLeaseUntil = 0, 0 // the target refuses calls for another ID
+		clear(o.leaseCalls)
+		o.longLeaseUntil = 0 // the target refuses calls for another ID
 		clear(o.lateStarts)
 	}
 	o.incarnation, o.announcement, o.stale = a.Incarnation, a, false
@@ -149,7 +150,7 @@
 	if !carriesLease(c) || c.Incarnation.ID != o.incarnation.ID {
 		return
 	}
-	o.leaseCallAt = now
+	o.leaseCalls[c.Incarnation] = now
 	if c.Incarnation != o.incarnation && o.answeredAt > 0 {
 		o.assumeLongLease(now)
 	}
@@ -161,8 +162,11 @@
 func (o *owner) checkLongLease(now time.Duration, clockMillis int64) {
 	age := time.Duration(clockMillis) * time.Millisecond
 	born := now - age*(100+maxClockDriftPercent)/100 - birthSlack
-	if o.leaseCallAt > 0 && o.leaseCallAt >= born {
-		o.assumeLongLease(now)
+	for meantFor, at := range o.leaseCalls {
+		if meantFor != o.incarnation && at >= born {
+			o.assumeLongLease(now)
+			return
+		}
 	}
 }
 
--- a/daemon/targetagent/runs/lives_test.go
+++ b/daemon/targetagent/runs/lives_test.go
@@ -307,3 +307,20 @@
 		})
 	}
 }
+
+// Guards against a target that gets no lease for the longest lease, and loses its
+// runs, because a delayed announcement of an earlier incarnation with the same ID had
+// displaced its own for a moment: it holds only leases that were meant for it.
+func TestDelayedAnnouncementCostsNoLease(t *testing.T) {
+	h := newHarness(t)
+	w := h.grantLease()
+	earlier := job.TargetIncarnation{ID: testIncarnation.ID, Born: testIncarnation.Born + 500} // the clock was set back since
+	h.announce(earlier, 1, false)
+	h.now += 500 * time.Millisecond
+	h.answerAs(w, testIncarnation, h.now.Milliseconds()) // the watch in progress
+	h.answerAs(h.takeWatch(), testIncarnation, h.now.Milliseconds())
+	h.answerAs(h.takeWatch(), testIncarnation, h.now.Milliseconds())
+	if r := h.nextReport(); r.Incarnation != testIncarnation || !r.LeaseWanted {
+		t.Fatalf("incarnation %v, lease wanted %t", r.Incarnation, r.LeaseWanted)
+	}
+}
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -92,17 +92,17 @@
 	leaseEnd           time.Duration // on the instance's clock
 	pacer              *pacing.Pacer
 
-	unsettledLoggedAt time.Duration          // time of the last log line about unsettled runs
-	unreadableRows    int                    // in the newest status of the target
-	watching          bool                   // a watch is in progress
-	nextWatchAt       time.Duration          // when the next watch is due
-	answeredAt        time.Duration          // when the target last answered a watch; 0 for never
-	targetClockMillis int64                  // clock of the target at targetClockReadAt
-	targetClockReadAt time.Duration          // 0 while the clock is unknown
-	lateStarts        map[job.Ref]lateStart  // stopped starts that a restarted target may still carry out
-	leaseCallAt       time.Duration          // when a call with a lease was last in progress; 0 for never
-	longLeaseUntil    time.Duration          // a lease meant for an earlier incarnation may bind the target until then
-	servingSamples    []pacing.ServingSample // newest measurements
+	unsettledLoggedAt time.Duration                           // time of the last log line about unsettled runs
+	unreadableRows    int                                     // in the newest status of the target
+	watching          bool                                    // a watch is in progress
+	nextWatchAt       time.Duration                           // when the next watch is due
+	answeredAt        time.Duration                           // when the target last answered a watch; 0 for never
+	targetClockMillis int64                                   // clock of the target at targetClockReadAt
+	targetClockReadAt time.Duration                           // 0 while the clock is unknown
+	lateStarts        map[job.Ref]lateStart                   // stopped starts that a restarted target may still carry out
+	leaseCalls        map[job.TargetIncarnation]time.Duration // when a call with a lease was last in progress, by the incarnation that it was meant for
+	longLeaseUntil    time.Duration                           // a lease meant for an earlier incarnation may bind the target until then
+	servingSamples    []pacing.ServingSample                  // newest measurements
 	fillingSamples    []pacing.FillingSample
 	hasNewSamples     bool // measurements have arrived since the last decision about paces
 	hasNewFilling     bool // a filling task has started or was described since that decision
@@ -129,7 +129,7 @@
 }
 
 func newOwner(agentID uint64, host string, maxLease time.Duration, log *zap.Logger) *owner {
-	return &owner{log: log, agentID: agentID, host: host, maxLease: maxLease, runs: map[job.Ref]*run{}, lateStarts: map[job.Ref]lateStart{}, pacer: pacing.New(), reportedPairs: map[[2]string]job.Disturbance{}}
+	return &owner{log: log, agentID: agentID, host: host, maxLease: maxLease, runs: map[job.Ref]*run{}, lateStarts: map[job.Ref]lateStart{}, leaseCalls: map[job.TargetIncarnation]time.Duration{}, pacer: pacing.New(), reportedPairs: map[[2]string]job.Disturbance{}}
 }
 
 // handleOrders processes the response of control to the report with the ID.
