targetagent/runs: a rejection is final

Cause: a report with a rejection may be delayed while control repeats the order. The agent started the run that it had rejected; once control recorded the earlier report, the task started elsewhere beside it. Change: the agent remembers the highest rejected run of each task, and rejects orders up to it again. Evidence: TestRejectedRunIsNotStartedAgain fails before. Open: an agent that restarts in between does not remember.

--- a/daemon/targetagent/runs/lives.go
+++ b/daemon/targetagent/runs/lives.go
@@ -66,6 +66,7 @@
 	}
 	o.incarnation, o.announcement, o.stale = a.Incarnation, a, false
 	o.runs, o.unacknowledgedEnds, o.rejections = undecided, nil, nil
+	clear(o.rejectedRuns)
 	for task, r := range o.runs {
 		o.sendStop(now, task, r)
 	}
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -84,12 +84,13 @@
 	endedIncarnations  []job.TargetIncarnation // reported as gone until a report is answered
 	stale              bool                    // another incarnation has answered a call
 	runs               map[job.Ref]*run
-	unacknowledgedEnds []job.End     // not committed by control, in order of their numbers
-	rejections         []job.End     // runs that the target has not started and never will
-	acknowledgedEnd    uint64        // control has committed the ends up to this number
-	lastOrderNumber    uint64        // number of the newest orders
-	term               uint64        // of the newest orders; the fencing token
-	leaseEnd           time.Duration // on the instance's clock
+	unacknowledgedEnds []job.End       // not committed by control, in order of their numbers
+	rejections         []job.End       // runs that the target has not started and never will
+	rejectedRuns       map[job.Ref]int // highest run of each task that was reported so
+	acknowledgedEnd    uint64          // control has committed the ends up to this number
+	lastOrderNumber    uint64          // number of the newest orders
+	term               uint64          // of the newest orders; the fencing token
+	leaseEnd           time.Duration   // on the instance's clock
 	pacer              *pacing.Pacer
 
 	unsettledLoggedAt time.Duration                           // time of the last log line about unsettled runs
@@ -129,7 +130,7 @@
 }
 
 func newOwner(agentID uint64, host string, maxLease time.Duration, log *zap.Logger) *owner {
-	return &owner{log: log, agentID: agentID, host: host, maxLease: maxLease, runs: map[job.Ref]*run{}, lateStarts: map[job.Ref]lateStart{}, leaseCalls: map[job.TargetIncarnation]time.Duration{}, pacer: pacing.New(), reportedPairs: map[[2]string]job.Disturbance{}}
+	return &owner{log: log, agentID: agentID, host: host, maxLease: maxLease, runs: map[job.Ref]*run{}, rejectedRuns: map[job.Ref]int{}, lateStarts: map[job.Ref]lateStart{}, leaseCalls: map[job.TargetIncarnation]time.Duration{}, pacer: pacing.New(), reportedPairs: map[[2]string]job.Disturbance{}}
 }
 
 // handleOrders processes the response of control to the report with the ID.
@@ -197,6 +198,10 @@
 	if r != nil && r.number > s.Run || o.hasEnded(s.Task, s.Run) {
 		return
 	}
+	if s.Run <= o.rejectedRuns[s.Task] {
+		o.rejectAgain(s)
+		return
+	}
 	if !o.hasLease(now) {
 		return // control repeats the order once there is a lease
 	}
@@ -222,11 +227,21 @@
 // rejectRun reports that the run was not started and never will be.
 func (o *owner) rejectRun(task job.Ref, number int, why string) {
 	delete(o.runs, task)
+	o.rejectedRuns[task] = max(o.rejectedRuns[task], number)
 	o.rejections = append(o.rejections, job.End{Target: o.incarnation, Task: task, Run: number, Outcome: job.RunRejected})
 	o.reportNow = true
 	o.log.Info("run rejected", zap.Stringer("task", task), zap.Int("run", number), zap.String("why", why))
 }
 
+// rejectAgain repeats a rejection that control has not recorded. It is final: control may
+// record an earlier report of it at any time, and start the task elsewhere.
+func (o *owner) rejectAgain(s controlapi.StartOrder) {
+	reported := slices.ContainsFunc(o.rejections, func(e job.End) bool { return e.Task == s.Task && e.Run == s.Run })
+	if !reported {
+		o.rejectRun(s.Task, s.Run, "rejected before")
+	}
+}
+
 // stopRun ensures that the run ends or never starts. A run that is not known has ended,
 // unless no report has ever shown it: then its start may still be carried out.
 func (o *owner) stopRun(now time.Duration, s controlapi.StopOrder) {
--- a/daemon/targetagent/runs/settle_test.go
+++ b/daemon/targetagent/runs/settle_test.go
@@ -66,3 +66,23 @@
 		t.Fatalf("stops %v, want one of run 1", stops)
 	}
 }
+
+// Guards against a run that starts after it was reported as rejected: a copy of that
+// report may reach control later, which then starts the task elsewhere while the run
+// is running.
+func TestRejectedRunIsNotStartedAgain(t *testing.T) {
+	h := newHarness(t)
+	h.answerWatch(nil)
+	h.answerReport(startOrders(false))
+	h.o.handleResult(h.now, calls.Result{Call: h.takeCalls(calls.Start)[0], SentAt: h.now, Err: &runapi.RefusedError{Reason: runapi.ReasonNoCapacity}})
+	if countRejections(h.nextReport()) != 1 {
+		t.Fatal("not rejected")
+	}
+	h.answerReport(startOrders(true))
+	if started := h.takeCalls(calls.Start); len(started) > 0 {
+		t.Fatal("the rejected run is started")
+	}
+	if countRejections(h.nextReport()) != 1 {
+		t.Fatal("the rejection is not reported again")
+	}
+}
