control: runs are adopted whoever tells that the earlier incarnation has ended

A task is started elsewhere while its target executes it. Cause: control adopts the runs of an earlier incarnation that the current one executes when the agent names that incarnation as gone. An agent that was restarted together with its target does not know it; control then concludes from the instance that it has ended, and declared its tasks lost without adopting any. Evidence: TestRunOfALaterIncarnationIsAdoptedWithoutItsReportAsGone fails before.

--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -87,6 +87,7 @@
 	}
 	if report.LeaseWanted && report.Host != "" && !report.Unsettled {
 		for _, earlier := range e.store.SupersededTargets(report.Host, report.Incarnation) {
+			e.adoptRuns(s, earlier)
 			e.retireTarget(earlier, "a later incarnation of the target reports")
 		}
 	}
--- a/daemon/control/jobs/targets_test.go
+++ b/daemon/control/jobs/targets_test.go
@@ -43,3 +43,21 @@
 		t.Fatalf("task %+v, want run 1 on %+v, which executes it", *task, current)
 	}
 }
+
+// Guards against a task that is started elsewhere while the current incarnation of its
+// target executes it: an agent that was restarted together with the target does not
+// know the earlier incarnation and does not report it as gone.
+func TestRunOfALaterIncarnationIsAdoptedWithoutItsReportAsGone(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.placeTask()
+	next := job.TargetIncarnation{ID: testTarget.ID, Born: testTarget.Born + 1}
+	r := report(0, controlapi.RunReport{Task: job.Ref{Job: testJob}, Run: 1, Adopted: true})
+	r.Incarnation, r.Agent = next, 2
+	h.request(controlapi.OpTarget, r)
+	h.advance(tickInterval)
+	task := h.e.store.Jobs[testJob].Task(job.Ref{Job: testJob})
+	if task.Run != 1 || task.Target != next {
+		t.Fatalf("run %d on %v, want run 1 on %v, which executes it", task.Run, task.Target, next)
+	}
+}
