control: a report that asks for no lease is held like others

What callers saw: the leader's processor time. Cause: a report is answered at once when the lease of the target is nearly over, so that its renewal is in time. The answer renews nothing while the agent wants no lease. Evidence: TestReportWithoutWantedLeaseIsHeld fails before. Open: orders to start without a lease cause such a loop too.

--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -97,7 +97,7 @@
 // silent for a while gets its lease renewed at once, because held back, the answer
 // could come after the lease has expired.
 func (e *engine) holdTime(now time.Time, s *session) time.Duration {
-	if s.leaseExpiry.Sub(now) < e.options.Lease.TTL/2 {
+	if s.report.LeaseWanted && s.leaseExpiry.Sub(now) < e.options.Lease.TTL/2 {
 		return 0
 	}
 	return time.Duration(s.report.HoldMillis) * time.Millisecond
--- a/daemon/control/jobs/targets_test.go
+++ b/daemon/control/jobs/targets_test.go
@@ -61,3 +61,19 @@
 		t.Fatalf("run %d on %v, want run 1 on %v, which executes it", task.Run, task.Target, next)
 	}
 }
+
+// Guards against reports in a loop while a target does not answer its agent: the lease
+// is not renewed by the answer, so there is no reason to send it at once.
+func TestReportWithoutWantedLeaseIsHeld(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.manifest()
+	h.request(controlapi.OpTarget, report(0))
+	h.advance(time.Second)
+	h.now = h.now.Add(testTerms.TTL)
+	r := report(1)
+	r.LeaseWanted = false
+	if a := h.request(controlapi.OpTarget, r); len(a.got) > 0 {
+		t.Fatal("the report is answered at once")
+	}
+}
