job/dispatch: pending starts count on a target that was removed and returns

Cause: the starts that are proposed and not committed were kept with the dispatcher's view of a target. A target that is silent until its session is dropped, while commits are late, returned with an empty view, and its room was given a second time. Change: pending starts are kept by incarnation at the dispatcher. Evidence: TestPendingStartsCountOnATargetThatReturns fails before: 2 tasks of 40 cores on a target of 64. The comparison with a plain pass reads the pending starts from their new place and is as strict as before.

--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -54,11 +54,15 @@
 	lastChange    uint64
 	pending       map[job.Ref]bool // tasks whose start was returned by Run and is not settled
 	pendingSteps  map[stepKey]int  // number of pending tasks by step
+	// pendingOn contains the pending tasks with their steps by target, also by one that
+	// was removed and may return. Steps are kept, because the job may be finished
+	// meanwhile.
+	pendingOn map[job.TargetIncarnation]map[job.Ref]*job.Step
 }
 
 // New returns a dispatcher without targets.
 func New(l Limits) *Dispatcher {
-	return &Dispatcher{limits: l, byIncarnation: map[job.TargetIncarnation]*TargetState{}, byRack: map[string][]*TargetState{}, misfits: map[shape]uint64{}, pending: map[job.Ref]bool{}, pendingSteps: map[stepKey]int{}}
+	return &Dispatcher{limits: l, byIncarnation: map[job.TargetIncarnation]*TargetState{}, byRack: map[string][]*TargetState{}, misfits: map[shape]uint64{}, pending: map[job.Ref]bool{}, pendingSteps: map[stepKey]int{}, pendingOn: map[job.TargetIncarnation]map[job.Ref]*job.Step{}}
 }
 
 // Input is everything that a decision depends on besides the targets.
@@ -103,7 +107,7 @@
 	for _, s := range p.starts {
 		d.pending[s.Task] = true
 		d.pendingSteps[stepOf(s.Task)]++
-		d.byIncarnation[s.Target].pending[s.Task] = &in.Store.Jobs[s.Task.Job].Spec.Steps[s.Task.Step]
+		d.setPending(s, &in.Store.Jobs[s.Task.Job].Spec.Steps[s.Task.Step])
 	}
 	return p.starts
 }
@@ -117,13 +121,20 @@
 		if d.pendingSteps[key]--; d.pendingSteps[key] <= 0 {
 			delete(d.pendingSteps, key)
 		}
-		if ts := d.byIncarnation[s.Target]; ts != nil {
-			delete(ts.pending, s.Task)
-			d.markStale(ts)
+		if delete(d.pendingOn[s.Target], s.Task); len(d.pendingOn[s.Target]) == 0 {
+			delete(d.pendingOn, s.Target)
 		}
+		d.TasksChanged(s.Target)
 	}
 }
 
+func (d *Dispatcher) setPending(s job.Start, step *job.Step) {
+	if d.pendingOn[s.Target] == nil {
+		d.pendingOn[s.Target] = map[job.Ref]*job.Step{}
+	}
+	d.pendingOn[s.Target][s.Task] = step
+}
+
 // ReservedCPUShare returns the share of the processor time of the targets of a service
 // that is reserved.
 func (d *Dispatcher) ReservedCPUShare(service string) float64 {
--- a/job/dispatch/idle_test.go
+++ b/job/dispatch/idle_test.go
@@ -67,3 +67,25 @@
 		t.Errorf("%d starts past the filters, want 1 until it is settled", total)
 	}
 }
+
+// Guards against starts beyond the capacity of a target whose session was dropped and
+// made anew while starts on it are pending: they may still be committed.
+func TestPendingStartsCountOnATargetThatReturns(t *testing.T) {
+	w := newFixture(1)
+	step := job.Step{Count: 1, Need: cores(40), EstimateMillis: 3000}
+	w.submit(0, 0, step)
+	d := New(DefaultLimits())
+	w.describe(d)
+	first := d.Run(w.input())
+	if len(first) != 1 {
+		t.Fatalf("%d starts", len(first))
+	}
+	d.RemoveTarget(w.targets[0].Incarnation)
+	w.describe(d)
+	w.submit(0, 0, step)
+	if second := d.Run(w.input()); len(second) != 0 {
+		w.store.Apply(&job.Command{Starts: first})
+		w.store.Apply(&job.Command{Starts: second})
+		t.Fatalf("%d tasks of 40 cores are placed on a target of 64", len(w.store.TasksOn(w.targets[0].Incarnation)))
+	}
+}
--- a/job/dispatch/oracle_test.go
+++ b/job/dispatch/oracle_test.go
@@ -19,8 +19,8 @@
 	d := New(DefaultLimits())
 	w.describe(d)
 	d.pending, d.pendingSteps = maps.Clone(kept.pending), maps.Clone(kept.pendingSteps)
-	for _, ts := range d.targets {
-		ts.pending = maps.Clone(kept.byIncarnation[ts.Incarnation].pending)
+	for target, tasks := range kept.pendingOn {
+		d.pendingOn[target] = maps.Clone(tasks)
 	}
 	d.refresh(in.Store)
 	p := &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts}
--- a/job/dispatch/targets.go
+++ b/job/dispatch/targets.go
@@ -51,9 +51,6 @@
 	fillingShare map[string]float64 // share of the processors requested by filling tasks, by image
 	pausedImages map[string]bool    // images with paused filling tasks
 	perStep      map[stepKey]int    // number of tasks by step, for MaxPerTarget
-	// pending contains the tasks whose start on the target is pending. Their steps
-	// are kept, because the job may be finished meanwhile.
-	pending map[job.Ref]*job.Step
 }
 
 type stepKey struct {
@@ -78,7 +75,7 @@
 	ts := d.byIncarnation[t.Incarnation]
 	switch {
 	case ts == nil:
-		ts = &TargetState{Target: t, dispatcher: d, pending: map[job.Ref]*job.Step{}}
+		ts = &TargetState{Target: t, dispatcher: d}
 		d.byIncarnation[t.Incarnation] = ts
 		at, _ := slices.BinarySearchFunc(d.targets, ts, compareTargets)
 		d.targets = slices.Insert(d.targets, at, ts)
@@ -158,7 +155,7 @@
 	ts.serving, ts.fillingShare = map[string]int{}, map[string]float64{}
 	ts.pausedImages, ts.perStep = map[string]bool{}, map[stepKey]int{}
 	placed := st.TasksOn(ts.Incarnation)
-	for ref, step := range ts.pending {
+	for ref, step := range ts.dispatcher.pendingOn[ts.Incarnation] {
 		if placed[ref] == nil {
 			ts.reserve(l, ref, step)
 		}
