--- a/daemon/control/jobs/commands_test.go
+++ b/daemon/control/jobs/commands_test.go
@@ -298,3 +298,26 @@
 	b.ReportMetric(float64(len(config.Source)), "source-bytes")
 	b.ReportMetric(float64(len(data)), "entry-bytes")
 }
+
+// Guards against a leader that proposes nothing for the rest of its term after the replica
+// has dropped as many commands as may be overdue.
+func TestLeaderProposesAfterManyDroppedCommands(t *testing.T) {
+	h := newHarness(t)
+	h.lead(2, 3)
+	h.manifest()
+	h.held = true
+	for range 40 {
+		h.advance(time.Second)
+		h.request(controlapi.OpJobSubmit, submission())
+		h.proposals = nil // dropped: a transfer of leadership is in progress
+	}
+	h.held = false
+	for range 10 {
+		h.advance(time.Second)
+	}
+	a := h.request(controlapi.OpJobSubmit, submission())
+	h.advance(time.Second)
+	if len(a.got) != 1 {
+		t.Fatalf("the leader has not answered; %d commands overdue, %d parts wait", len(h.e.overdue), len(h.e.batch.parts))
+	}
+}
