control: the leader forgets unsent starts and sent stops of ended jobs

Memory of the leader grows with each job that is cancelled before its start was ordered, and with each stop, for as long as it leads. Evidence: TestCancelledRunThatWasNeverOrderedReleasesItsRoom, with the check of what is kept, fails before.

--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -275,7 +275,7 @@
 	e.leader.cleanedAt = now
 	e.ensureSessions(now)
 	e.forgetJobs(now)
-	e.leader.forgetFailures(e.store)
+	e.leader.forgetEnded(e.store)
 }
 
 // bootstrap creates the group on the first start, while it has no members.
--- a/daemon/control/jobs/failures.go
+++ b/daemon/control/jobs/failures.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,13 +70,13 @@
 	return len(targets)
 }
 
-// forgetFailures drops what is known of steps whose job has ended.
-func (l *leadership) forgetFailures(st *job.Store) {
+// forgetEnded drops what is known of steps, starts and stops whose job has ended.
+func (l *leadership) forgetEnded(st *job.Store) {
 	ended := func(id string) bool { j := st.Jobs[id]; return j == nil || !j.IsLive() }
 	l.faults.ForgetSteps(ended)
-	for ref := range l.startedAt {
-		if ended(ref.Job) {
-			delete(l.startedAt, ref)
-		}
+	maps.DeleteFunc(l.startedAt, func(ref job.Ref, _ time.Time) bool { return ended(ref.Job) })
+	maps.DeleteFunc(l.unsentStarts, func(ref job.Ref, _ int) bool { return ended(ref.Job) })
+	for target, s := range l.sessions {
+		maps.DeleteFunc(s.sentStops, func(ref job.Ref, _ sentOrder) bool { return ended(ref.Job) && st.TasksOn(target)[ref] == nil })
 	}
 }
--- a/daemon/control/jobs/orders_test.go
+++ b/daemon/control/jobs/orders_test.go
@@ -133,4 +133,9 @@
 	if n := len(h.e.store.TasksOn(testTarget)); n != 0 {
 		t.Fatalf("%d tasks hold room, want none", n)
 	}
+	h.request(controlapi.OpTarget, report(3))
+	h.advance(cleanUpInterval + tickInterval)
+	if l := h.e.leader; len(l.unsentStarts)+len(l.sessions[testTarget].sentStops) > 0 {
+		t.Fatalf("unsent starts %v and sent stops %v are kept for an ended job", l.unsentStarts, l.sessions[testTarget].sentStops)
+	}
 }
