targetagent/runs: a start without a lease causes no loop of reports

Cause: an agent that has no lease or no clock of its target drops an order to start and reports at once; control repeats the order in its answer. Change: the next report with nothing new waits 50 ms, as after an unanswered one.

--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -37,7 +37,8 @@
 	// minReportInterval is the shortest time between reports, so that runs that end
 	// at the same time share a report.
 	minReportInterval = 5 * time.Millisecond
-	// reportRetryDelay is the pause after a report that was not answered.
+	// reportRetryDelay is the pause after a report that was not answered, or whose answer
+	// could not be carried out.
 	reportRetryDelay = 50 * time.Millisecond
 )
 
@@ -203,7 +204,8 @@
 		return
 	}
 	if !o.hasLease(now) {
-		return // control repeats the order once there is a lease
+		o.reportRetryAt = now + reportRetryDelay // control repeats the order in each answer
+		return
 	}
 	if o.announcement.Draining {
 		// An earlier agent process may have started the run. Only a stop ensures
--- a/daemon/targetagent/runs/settle_test.go
+++ b/daemon/targetagent/runs/settle_test.go
@@ -86,3 +86,23 @@
 		t.Fatal("the rejection is not reported again")
 	}
 }
+
+// Guards against reports in a loop while control orders a start that the agent cannot
+// carry out yet: each of them costs control a round of confirmations by its quorum.
+func TestStartWithoutLeaseCausesNoLoopOfReports(t *testing.T) {
+	h := newHarness(t) // the target has not answered yet, so it gets no lease
+	reports := 0
+	for end := h.now + second; h.now < end; h.now += time.Millisecond {
+		h.o.decide(h.now)
+		if h.o.outgoingReport != nil {
+			h.o.outgoingReport = nil
+			reports++
+			orders := startOrders(true)
+			orders.LeaseMillis, orders.Number, orders.Term = 0, h.o.lastOrderNumber+1, 5
+			h.o.handleOrders(h.now, h.o.reportID, orders, nil)
+		}
+	}
+	if reports > 25 {
+		t.Fatalf("%d reports within a second", reports)
+	}
+}
