targetagent/runs: a report whose answer was lost inside the process is sent again

Read in the code, not seen in a run: the ring of answers drops one when it is full, and the agent waits for it without end unless something new is to be reported. Change: the answer counts as lost one second after the client of control has given the call up. Evidence: TestReportIsRepeatedWithoutAnAnswer fails before: no report for 6 s.

--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -40,6 +40,9 @@
 	// reportRetryDelay is the pause after a report that was not answered, or whose answer
 	// could not be carried out.
 	reportRetryDelay = 50 * time.Millisecond
+	// unansweredReport is the time after which the answer to a report counts as lost
+	// within this process: the client of control has given the call up by then.
+	unansweredReport = reportTimeout + time.Second
 )
 
 // runState is the state of a run as far as the agent knows it.
@@ -368,6 +371,9 @@
 	if !o.watching {
 		next = min(next, o.nextWatchAt)
 	}
+	if o.reportPending {
+		next = min(next, o.reportSentAt+unansweredReport)
+	}
 	if !o.reportPending {
 		next = min(next, max(o.reportRetryAt, o.reportSentAt+minReportInterval))
 	} else if o.reportNow {
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -11,6 +11,9 @@
 // buildReport prepares a report when one is due. While there is nothing new to
 // report, a single report is outstanding at control, waiting for orders.
 func (o *owner) buildReport(now time.Duration) {
+	if o.reportPending && now-o.reportSentAt >= unansweredReport {
+		o.reportPending = false
+	}
 	due := o.reportNow && now-o.reportSentAt >= minReportInterval
 	if !due && (o.reportPending || now < o.reportRetryAt || now-o.reportSentAt < minReportInterval) {
 		return
--- a/daemon/targetagent/runs/settle_test.go
+++ b/daemon/targetagent/runs/settle_test.go
@@ -106,3 +106,20 @@
 		t.Fatalf("%d reports within a second", reports)
 	}
 }
+
+// Guards against an agent that never reports again after the answer to its report was
+// lost between the duties of its process.
+func TestReportIsRepeatedWithoutAnAnswer(t *testing.T) {
+	h := newHarness(t)
+	h.answerWatch(nil)
+	h.nextReport()
+	h.o.outgoingReport = nil
+	for range 60 {
+		h.now += 100 * time.Millisecond
+		h.o.watching = true
+		h.answerWatch(nil)
+	}
+	if h.o.outgoingReport == nil {
+		t.Fatalf("no report for 6 s; reports time out after %s", reportTimeout)
+	}
+}
