placement: an evacuation that had no effect is proposed again

A task on a draining worker, or in a zone that is taken out, stays until its worker is gone. Cause: the scheduler marks the task as being evicted and drops it from its list. A proposal that the replica refuses, or that is lost with its leader, is not answered, unlike a rejected placement. Change: the task stays in the list until it has left the worker, and is proposed again after the time to confirm an action.

--- a/placement/actions.go
+++ b/placement/actions.go
@@ -8,10 +8,16 @@
 
 // evacuate proposes to checkpoint the tasks on workers that drain or whose zone
 // goes out of service. Neither the mitigator nor the eviction budget limits it,
-// since the workers leave at short notice.
+// since the workers leave at short notice. One that has no effect is proposed again:
+// nothing tells that its proposal was lost.
 func (s *Scheduler) evacuate() {
+	var waiting []*task // for the effect of their evacuation
 	for _, t := range s.evacuating {
-		if t.worker == nil || t.evicting || t.Kind == Service {
+		if t.worker == nil || t.Kind == Service || t.evicting && t.evacuateAgain.IsZero() {
+			continue
+		}
+		if s.now.Before(t.evacuateAgain) {
+			waiting = append(waiting, t)
 			continue
 		}
 		reason := ""
@@ -23,10 +29,11 @@
 		default:
 			continue
 		}
-		t.evicting = true
+		t.evicting, t.evacuateAgain = true, s.now.Add(s.options.Mitigation.ConfirmTimeout)
 		s.proposeAction(t, Checkpoint, Evacuation, reason)
+		waiting = append(waiting, t)
 	}
-	s.evacuating = s.evacuating[:0]
+	s.evacuating = waiting
 }
 
 func (s *Scheduler) proposeAction(t *task, kind ActionKind, cause Cause, reason string) {
--- a/placement/cache.go
+++ b/placement/cache.go
@@ -44,8 +44,9 @@
 	spreadGroup    *spreadGroup
 	waitingSince   time.Time // kept while a placement is proposed, for its rejection
 	placedAt       time.Time
-	proposed       bool // the placement is not confirmed yet
-	evicting       bool // an eviction or evacuation is proposed
+	proposed       bool      // the placement is not confirmed yet
+	evicting       bool      // an eviction or evacuation is proposed
+	evacuateAgain  time.Time // when an evacuation that had no effect is proposed again
 	throttled      bool
 	usedCPUMilli   int64 // measured, or declared until then
 	exclusions     []exclusion
@@ -220,7 +221,7 @@
 	u.used = u.used.Sub(t.Size)
 	u.tasks--
 	c.removeFromGroup(t, w)
-	t.worker, t.proposed, t.evicting, t.throttled = nil, false, false, false
+	t.worker, t.proposed, t.evicting, t.throttled, t.evacuateAgain = nil, false, false, false, time.Time{}
 	if w.absent {
 		c.removeWorker(w)
 	}
