job/dispatch: an idle filling gang starts in a pass with other starts

An idle filling gang waits for as long as other jobs start in each pass. Cause: past the filters a job may have one start, and a gang needs as many as it has tasks. Evidence: TestIdleFillingGangStartsInAPassWithOtherStarts fails before.

--- a/job/dispatch/gangs.go
+++ b/job/dispatch/gangs.go
@@ -9,7 +9,11 @@
 func (p *pass) startGang(j *job.Job, q *job.Queue, occurrence, index int) {
 	s := &j.Spec.Steps[index]
 	state := &j.Occurrences[occurrence][index]
-	if state.Waiting-p.pendingSteps[stepKey{j.Spec.ID, occurrence, index}] < len(state.Tasks) || len(p.starts)+len(state.Tasks) > max(p.maxStarts, len(state.Tasks)) {
+	if state.Waiting-p.pendingSteps[stepKey{j.Spec.ID, occurrence, index}] < len(state.Tasks) {
+		return
+	}
+	// The limit of one start past the filters is not meant for gangs.
+	if !p.skipFillingFilters && len(p.starts)+len(state.Tasks) > max(p.maxStarts, len(state.Tasks)) {
 		return
 	}
 	ref := job.Ref{Job: j.Spec.ID, Occurrence: occurrence, Step: index}
--- a/job/dispatch/idle_test.go
+++ b/job/dispatch/idle_test.go
@@ -89,3 +89,29 @@
 		t.Fatalf("%d tasks of 40 cores are placed on a target of 64", len(w.store.TasksOn(w.targets[0].Incarnation)))
 	}
 }
+
+// Guards against an idle filling gang that is never started, because other jobs start in
+// each pass: the pass without filters is limited to one start.
+func TestIdleFillingGangStartsInAPassWithOtherStarts(t *testing.T) {
+	w := newFixture(1)
+	w.submit(0, 0, servingStep(2))
+	w.store.Apply(&job.Command{Starts: w.run()})
+	w.coefficients["f"] = 6
+	for _, target := range w.targets {
+		target.Headroom = map[string]float64{"s": 0.1}
+	}
+	gang := fillingStep(2)
+	gang.Gang = true
+	id := w.submit(2, 0, gang)
+	if starts := w.run(); len(starts) != 0 {
+		t.Fatalf("starts %v, want none while the job does not count as idle", starts)
+	}
+	alone := w.run(id)
+	if len(alone) != 2 {
+		t.Fatalf("starts %v of the idle gang alone, want 2", alone)
+	}
+	w.submit(0, 0, job.Step{Count: 1, Need: cores(1), EstimateMillis: 100})
+	if starts := w.run(id); len(starts) != 3 {
+		t.Errorf("starts %v, want the gang of 2 and the other job", starts)
+	}
+}
