targetagent/runs: a start waits for its call for a second at most

Cause: calls that are not answered hold a caller for a second each. Starts queued behind them were sent for as long as the lease lasted, 3.4 s after their order, although the stop was queued behind them by then. Change: a start that was not sent within a second of its order is not sent, and is reported as rejected. Evidence: TestStartIsNotSentLongAfterItsOrder fails before. Class: acting on a permission that has run out meanwhile; stops need no bound, because they are valid at any time.

--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -21,6 +21,10 @@
 	// unansweredWait is how long the agent waits for a run to appear on the target
 	// after its start was not answered. Then it stops the run.
 	unansweredWait = 100 * time.Millisecond
+	// maxStartDelay bounds the time that a start waits behind calls that the target does
+	// not answer. Its job may be cancelled meanwhile; the platform allows starts up to 3 s
+	// after a cancel.
+	maxStartDelay = time.Second
 	// stopRetryDelay is the pause before a stop is sent again, after its call has
 	// timed out.
 	stopRetryDelay = 500 * time.Millisecond
@@ -220,7 +224,7 @@
 	}
 	o.runs[s.Task] = &run{number: s.Run, state: starting, order: s, checkpoint: s.Checkpoint, pacePercent: 100, stateSince: now}
 	o.calls = append(o.calls, calls.Call{
-		Kind: calls.Start, Incarnation: o.incarnation, Task: s.Task, Run: s.Run, ValidUntil: o.leaseEnd,
+		Kind: calls.Start, Incarnation: o.incarnation, Task: s.Task, Run: s.Run, ValidUntil: min(o.leaseEnd, now+maxStartDelay),
 		Start: runapi.StartRequest{Task: s.Task, Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Lease: o.targetLease()},
 	})
 }
--- a/daemon/targetagent/runs/settle_test.go
+++ b/daemon/targetagent/runs/settle_test.go
@@ -123,3 +123,20 @@
 		t.Fatalf("no report for 6 s; reports time out after %s", reportTimeout)
 	}
 }
+
+// Guards against a start that is sent seconds after its job was cancelled, because it has
+// waited behind calls that the target does not answer.
+func TestStartIsNotSentLongAfterItsOrder(t *testing.T) {
+	const cancelBound = 3 * second // the platform's, from the acknowledged cancel to the last start
+	h := newHarness(t)
+	h.answerWatch(nil)
+	h.answerReport(startOrders(false))
+	started := h.takeCalls(calls.Start)[0]
+	if delay := started.ValidUntil - h.now; delay >= cancelBound {
+		t.Fatalf("the start may be sent %s after its order", delay)
+	}
+	h.o.handleResult(h.now, calls.Result{Call: started, SentAt: started.ValidUntil, Err: &runapi.RefusedError{Reason: runapi.ReasonLeaseExpired}})
+	if countRejections(h.nextReport()) != 1 {
+		t.Fatal("a start that was not sent is not reported as rejected")
+	}
+}
