--- a/daemon/control/jobs/progress.go
+++ b/daemon/control/jobs/progress.go
@@ -86,6 +86,7 @@
 func (e *engine) logWaitingSteps(now time.Time) {
 	waiting := e.waitingSteps(now)
 	slices.SortFunc(waiting, func(x, y waitingStep) int { return x.since.Compare(y.since) })
+	blocked := e.blockedTargets(now)
 	for _, w := range waiting[:min(len(waiting), maxWaitingLogged)] {
 		if w.since.Equal(now) {
 			return
@@ -99,7 +100,7 @@
 		for _, r := range slices.Sorted(maps.Keys(x.Rejections)) {
 			fields = append(fields, zap.Int(string(r), x.Rejections[r]))
 		}
-		e.log.Info("step waiting", append(fields, zap.Strings("blocked_targets", e.blockedTargets(now)))...)
+		e.log.Info("step waiting", append(fields, zap.Strings("blocked_targets", blocked))...)
 	}
 }
 
@@ -162,16 +163,24 @@
 			}
 		}
 		if len(tasks) > 0 {
-			slices.Sort(tasks)
-			e.log.Info("runs missing", zap.String("target", target.ID), zap.Int64("born", target.Born), zap.Bool("connected", s.report != nil),
-				zap.Duration("silent_for", now.Sub(s.reportedAt)), zap.Duration("lease", s.leaseExpiry.Sub(now)),
-				zap.Bool("loss_proposed", e.leader.proposedLosses[target]), zap.Uint64("watermark", e.store.LastEndNumber(target)),
-				zap.Uint64("proposed_watermark", s.proposedWatermark), zap.Int("count", len(tasks)), zap.Strings("runs", tasks[:min(len(tasks), maxMissingLogged)]))
+			e.logMissing(now, s, tasks)
 		}
 	}
 	e.leader.missingRuns = missing
 }
 
+func (e *engine) logMissing(now time.Time, s *session, tasks []string) {
+	slices.Sort(tasks)
+	fields := []zap.Field{zap.String("target", s.target.ID), zap.Int64("born", s.target.Born), zap.Bool("connected", s.report != nil)}
+	if s.report != nil {
+		fields = append(fields, zap.Duration("silent_for", now.Sub(s.reportedAt)))
+	}
+	e.log.Info("runs missing", append(fields, zap.Duration("lease", s.leaseExpiry.Sub(now)),
+		zap.Bool("loss_proposed", e.leader.proposedLosses[s.target]), zap.Uint64("watermark", e.store.LastEndNumber(s.target)),
+		zap.Uint64("proposed_watermark", s.proposedWatermark), zap.Int("count", len(tasks)),
+		zap.Strings("runs", tasks[:min(len(tasks), maxMissingLogged)]))...)
+}
+
 // missingState tells why the start of a missing run is not ordered again now.
 func (e *engine) missingState(now time.Time, s *session, ref job.Ref, t *job.Task) string {
 	switch {
