--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -395,15 +396,16 @@
 		return "", fmt.Errorf("the watchers were answered %d", status)
 	}
 	time.Sleep(3 * time.Second)
-	const tasks, need, work, specBytes = 400, 100, 2000, 4000
+	const steps, tasks, need, work, specBytes = 4, 100, 100, 2000, 4000
 	filler := "x"
 	if w.trouble {
 		filler = "<"
 	}
 	head, tail := fmt.Sprintf(`{"ms":%d,"cpu":%d,"text":"`, work, need), `"}`
 	body := submission(work, step{Count: tasks, CPU: need})
+	body["steps"] = slices.Repeat(body["steps"].([]step), steps)
 	body["spec"] = head + strings.Repeat(filler, specBytes-len(head)-len(tail)) + tail
-	w.record("client: a submission of %d tasks with a spec of %d bytes, mostly %q", tasks, specBytes, filler)
+	w.record("client: a submission of %d steps of %d tasks with a spec of %d bytes, mostly %q", steps, tasks, specBytes, filler)
 	id := newID()
 	if status, _ := w.request(w.fronts[0], http.MethodPost, "/q/"+id, body); status != http.StatusOK {
 		return "", fmt.Errorf("the submission was answered %d", status)
