control/jobs: bound the orders in one answer

Cause: an answer to an agent held all starts that were due, each with the payload of its job. JSON writes "<" as six bytes, so the answer exceeded the largest frame, the link ended, and the next report got the same answer.

Evidence: on the unchanged code the leader logs "frame too large" for the link to that agent 19 times in 20 s.

Change: an answer holds starts of up to 256 KiB by their encoded size, the window of a stream, and 1,024 stops. Starts that were never sent come first, then those sent longest ago; what is left out is due in the next answer, which the agent asks for at once. So the size no longer depends on the jobs, and no start waits behind repeated ones.

--- a/daemon/control/jobs/orders.go
+++ b/daemon/control/jobs/orders.go
@@ -139,34 +139,43 @@
 	return !s.sentStarts[ref].isPending(now, t.Run)
 }
 
-// startOrders returns the starts that must be sent to the target.
+// startOrders returns the starts that must be sent to the target, as many as fit into
+// an answer.
 func (e *engine) startOrders(now time.Time, s *session) []controlapi.StartOrder {
 	var orders []controlapi.StartOrder
-	for ref, t := range e.store.TasksOn(s.target) {
-		if !e.needsStart(now, s, ref, t) {
-			continue
+	due := e.dueStarts(now, s)
+	size := 0
+	for _, d := range due {
+		order := e.startOrder(s, d.ref, d.task)
+		size += e.encodedBytes(&order)
+		if len(orders) > 0 && size > maxStartBytes {
+			e.log.Info("starts left for the next answer", zap.String("target", s.target.ID), zap.Int("sent", len(orders)), zap.Int("due", len(due)))
+			break
 		}
-		j := e.store.Jobs[ref.Job]
-		step := &j.Spec.Steps[ref.Step]
-		again := e.leader.unsentStarts[ref] != t.Run || s.adopted[ref]
-		delete(e.leader.unsentStarts, ref)
-		s.sentStarts[ref] = sentOrder{run: t.Run, orderNumber: s.orderNumber, sentAt: now}
-		orders = append(orders, controlapi.StartOrder{
-			Task:             ref,
-			Run:              t.Run,
-			Payload:          j.Spec.Payload,
-			Checkpoint:       t.Checkpoint,
-			Again:            again,
-			Filling:          step.Filling,
-			CPUMilli:         step.Need.CPUMilli,
-			Image:            step.Image,
-			TailTargetMillis: step.TailTargetMillis,
-			Disturbs:         e.leader.disturbances.byServingImage(step),
-		})
+		delete(e.leader.unsentStarts, d.ref)
+		s.sentStarts[d.ref] = sentOrder{run: d.task.Run, orderNumber: s.orderNumber, sentAt: now}
+		orders = append(orders, order)
 	}
 	return orders
 }
 
+func (e *engine) startOrder(s *session, ref job.Ref, t *job.Task) controlapi.StartOrder {
+	j := e.store.Jobs[ref.Job]
+	step := &j.Spec.Steps[ref.Step]
+	return controlapi.StartOrder{
+		Task:             ref,
+		Run:              t.Run,
+		Payload:          j.Spec.Payload,
+		Checkpoint:       t.Checkpoint,
+		Again:            e.leader.unsentStarts[ref] != t.Run || s.adopted[ref],
+		Filling:          step.Filling,
+		CPUMilli:         step.Need.CPUMilli,
+		Image:            step.Image,
+		TailTargetMillis: step.TailTargetMillis,
+		Disturbs:         e.leader.disturbances.byServingImage(step),
+	}
+}
+
 // needsStop reports whether a run on the target must be stopped: it is not in
 // the log, has stalled, or is a filling task that the serving tasks have kept
 // paused for maxPause. A stopped task continues from its checkpoint, possibly
@@ -190,16 +199,17 @@
 	return t.State == job.Stopping && !reported && e.leader.proposedEnds[ref] != t.Run && !s.sentStops[ref].isPending(now, t.Run)
 }
 
-// stopOrders returns the stops that must be sent to the target.
+// stopOrders returns the stops that must be sent to the target, maxStops at most. Those
+// that were sent are not due again for a while, so the others follow.
 func (e *engine) stopOrders(now time.Time, s *session) []controlapi.StopOrder {
 	var orders []controlapi.StopOrder
 	for ref, run := range s.runs {
-		if e.needsStop(now, s, ref, run) {
+		if len(orders) < maxStops && e.needsStop(now, s, ref, run) {
 			orders = append(orders, controlapi.StopOrder{Task: ref, Run: run})
 		}
 	}
 	for ref, t := range e.store.TasksOn(s.target) {
-		if e.needsUnreportedStop(now, s, ref, t) {
+		if len(orders) < maxStops && e.needsUnreportedStop(now, s, ref, t) {
 			orders = append(orders, controlapi.StopOrder{Task: ref, Run: t.Run, Unreported: true})
 		}
 	}
