link: a frame above the size limit does not end the link

Cause: the size was checked in the sender of the link, where an error ends the link. The client of control took the lost link for a lost answer and sent the request again, to each member in turn.

Change: Send and SendData refuse such a frame when it is queued. The error has the size and the limit and is logged as a failure of the child "frame". The server answers the request as refused with the reason too_large; the client of control ends a call that no link can carry with the same reason, and does not send it again.

The new tests failed before: TestFrameAboveTheLimitDoesNotEndTheLink: error <nil>, want a refusal of the frame; no frame after the refused one within 10s TestMessageAboveTheLimitIsRefused: control is unavailable; the link was lost: step=write: wire: frame too large

--- a/controlapi/error.go
+++ b/controlapi/error.go
@@ -7,6 +7,7 @@
 	ReasonConflict    = "conflict"
 	ReasonBadRequest  = "bad_request"
 	ReasonNotAllowed  = "not_permitted"
+	ReasonTooLarge    = "too_large" // the request or its response exceeds a frame
 )
 
 // Error is the reason why control did not perform an operation.
--- a/daemon/control/server/server.go
+++ b/daemon/control/server/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -87,7 +88,19 @@
 		}
 		m.Payload = payload
 	}
-	_ = r.conn.SendData(&wire.Frame{Body: &wire.Frame_ControlResponse{ControlResponse: m}})
+	err := r.send(m)
+	if errors.Is(err, wire.ErrFrameTooLarge) {
+		// Sent again, the request would get the same response.
+		m.Status, m.Payload = wire.ControlStatus_CONTROL_STATUS_REFUSED, nil
+		m.Reason = controlapi.ReasonTooLarge + ": " + err.Error()
+		_ = r.send(m)
+	}
+}
+
+// send queues a response. If the ring of the link is full, or the link has ended, the
+// client sends the request again.
+func (r *replier) send(m *wire.ControlResponse) error {
+	return r.conn.SendData(&wire.Frame{Body: &wire.Frame_ControlResponse{ControlResponse: m}})
 }
 
 func statusOf(s applier.Status) wire.ControlStatus {
--- a/daemon/control/server/server_test.go
+++ b/daemon/control/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,6 +91,57 @@
 	}
 }
 
+// Guards against a request or a response above the size limit that ends the link of a
+// process to control, and against one that is sent again until its deadline.
+func TestMessageAboveTheLimitIsRefused(t *testing.T) {
+	tree := supervise.New("test", supervise.Policy{}, nil)
+	leader := startMember(t, tree, "leads", func(r *applier.Request) *applier.Response {
+		if r.Operation == controlapi.OpManifestRead {
+			return &applier.Response{Body: controlapi.ManifestResponse{Source: make([]byte, wire.MaxFrameBytes)}}
+		}
+		return &applier.Response{Body: controlapi.ResolveResponse{Accepted: true}}
+	})
+	lost := make(chan error, 16)
+	client := controlclient.New(controlclient.Options{
+		Local: link.Identity{Role: wire.Role_ROLE_ENTRY, ID: "e"}, Members: []settings.Member{leader},
+		Observer: func(_, child string, err error) {
+			if child != "frame" {
+				lost <- err
+			}
+		},
+	})
+	tree.Add("client", client)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- tree.Run(ctx) }()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	callCtx, cancelCall := context.WithTimeout(ctx, 20*time.Second)
+	defer cancelCall()
+	for name, call := range map[string]func() error{
+		"request": func() error {
+			large := controlapi.ResolveRequest{Outcome: controlapi.Recorded{Body: make([]byte, wire.MaxFrameBytes)}}
+			return client.Do(callCtx, controlapi.OpResolve, large, nil)
+		},
+		"response": func() error { return client.Do(callCtx, controlapi.OpManifestRead, controlapi.Empty{}, nil) },
+	} {
+		var refused *controlclient.RefusedError
+		if err := call(); !errors.As(err, &refused) || !strings.HasPrefix(refused.Reason, controlapi.ReasonTooLarge) {
+			t.Errorf("%s: got %v, want a refusal for its size", name, err)
+		}
+		if err := client.Do(callCtx, controlapi.OpResolve, controlapi.ResolveRequest{}, nil); err != nil {
+			t.Errorf("call after the %s: %v", name, err)
+		}
+	}
+	select {
+	case err := <-lost:
+		t.Errorf("the link was lost: %v", err)
+	default:
+	}
+}
+
 // Guards against an operation of the protocol that the server does not decode.
 func TestEveryOperationIsDecoded(t *testing.T) {
 	for _, op := range []controlapi.Operation{
--- a/daemon/controlclient/duty.go
+++ b/daemon/controlclient/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"slices"
 	"time"
 
@@ -175,7 +176,10 @@
 			if s.call.done || s.call.member != s.member {
 				continue
 			}
-			if !d.send(s) {
+			switch err := d.send(s); {
+			case errors.Is(err, wire.ErrFrameTooLarge):
+				t.refuse(s.call.id, controlapi.ReasonTooLarge+": "+err.Error())
+			case err != nil:
 				t.sendFailed(time.Now(), s.call.id)
 			}
 		}
@@ -186,12 +190,15 @@
 	t.completions = t.completions[:0]
 }
 
-// send sends a call and reports whether the link took it. It uses the data stream:
-// a payload can contain a recorded response and must not delay heartbeats.
-func (d *duty) send(s send) bool {
+// errNotLinked is returned for a member without a link.
+var errNotLinked = Error.New("member is not linked")
+
+// send sends a call. It uses the data stream: a payload can contain a recorded response
+// and must not delay heartbeats.
+func (d *duty) send(s send) error {
 	conn := d.links[s.member]
 	if conn == nil {
-		return false
+		return errNotLinked
 	}
 	return conn.SendData(&wire.Frame{Body: &wire.Frame_ControlRequest{ControlRequest: &wire.ControlRequest{
 		Id:            s.call.id,
@@ -199,7 +206,7 @@
 		Payload:       s.call.Payload,
 		TimeoutMillis: time.Until(s.call.Deadline).Milliseconds(),
 		TraceParent:   s.call.TraceParent,
-	}}}) == nil
+	}}})
 }
 
 func (d *duty) resetTimer(timer *time.Timer) {
--- a/daemon/controlclient/tracker.go
+++ b/daemon/controlclient/tracker.go
@@ -156,6 +156,13 @@
 	}
 }
 
+// refuse ends a call that no link can carry.
+func (t *tracker) refuse(id uint64, reason string) {
+	if c := t.calls[id]; c != nil {
+		t.complete(c, Result{Err: &RefusedError{Reason: reason}})
+	}
+}
+
 // handleTimeouts ends calls whose deadline has passed, and sends calls without a
 // response to another member.
 func (t *tracker) handleTimeouts(now time.Time) {
--- a/link/conn.go
+++ b/link/conn.go
@@ -134,18 +134,27 @@
 func (c *Conn) PeerConfigRevision() uint64 { return c.peerConfigRevision.Load() }
 
 // Send queues a frame on the control stream. It returns an error without waiting
-// when the ring is full or the link has ended.
+// when the frame is too large, the ring is full or the link has ended.
 func (c *Conn) Send(f *wire.Frame) error {
 	return c.offer(c.control, f)
 }
 
 // SendData queues a frame on the data stream. It returns an error without
-// waiting when the ring is full or the link has ended.
+// waiting when the frame is too large, the ring is full or the link has ended.
 func (c *Conn) SendData(f *wire.Frame) error {
 	return c.offer(c.data, f)
 }
 
+// offer queues a frame. A frame that is too large is refused here: in the sender, its
+// error would end the link for all other frames.
 func (c *Conn) offer(s *stream, f *wire.Frame) error {
+	if err := wire.CheckSize(f); err != nil {
+		err = c.wrap("send", err)
+		if c.options.Observer != nil {
+			c.options.Observer("link."+c.peer.ID, "frame", err)
+		}
+		return err
+	}
 	c.pending.Add(1)
 	if err := s.outgoing.Offer(f); err != nil {
 		c.pending.Add(-1)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync/atomic"
@@ -123,6 +124,30 @@
 	}
 }
 
+// Guards against one frame above the size limit that ends the link for all others.
+func TestFrameAboveTheLimitDoesNotEndTheLink(t *testing.T) {
+	server, client := connectPair(t, direct)
+	receive(t, server.up, "link")
+	dialed := receive(t, client.up, "link")
+	large := &wire.Frame{Body: &wire.Frame_Response{Response: &wire.Response{Body: make([]byte, wire.MaxFrameBytes)}}}
+	for _, send := range []func(*wire.Frame) error{dialed.Send, dialed.SendData} {
+		if err := send(large); !errors.Is(err, wire.ErrFrameTooLarge) {
+			t.Errorf("error %v, want a refusal of the frame", err)
+		}
+		if err := send(leaveFrame("next")); err != nil {
+			t.Fatal(err)
+		}
+		if f := receive(t, server.frames, "frame after the refused one"); f.GetLeave().GetTarget() != "next" {
+			t.Fatalf("frame %v", f)
+		}
+	}
+	select {
+	case err := <-client.down:
+		t.Fatalf("the link has ended: %v", err)
+	default:
+	}
+}
+
 // Guards against a link with a process whose role is not accepted.
 func TestWrongRoleIsRefused(t *testing.T) {
 	server := newRecorder()
--- a/wire/framing.go
+++ b/wire/framing.go
@@ -21,6 +21,14 @@
 
 const lengthPrefixBytes = 4
 
+// CheckSize returns an error that wraps ErrFrameTooLarge if the frame cannot be sent.
+func CheckSize(f *Frame) error {
+	if size := proto.Size(f); size > MaxFrameBytes {
+		return Error.New("%d bytes, limit is %d: %w", size, MaxFrameBytes, ErrFrameTooLarge)
+	}
+	return nil
+}
+
 // Writer writes length-delimited frames. It is not safe for concurrent use.
 type Writer struct {
 	w   *bufio.Writer
