control/jobs: a lease in a lost answer does not count

Cause: control counted the lease of each answer when it sent the answer. A target whose agent reports but receives nothing was never lost, and new tasks were placed on it.

Evidence: the lines "runs missing" of the unchanged code show 3.4 to 4.1 s of lease left for 20 s on end, while the target ends its runs as lapsed.

Change: an agent processes only the answer to its newest report, and a report names the last orders that it has processed. So a lease in an earlier answer that is not processed when a later report is sent never reaches the target, and is dropped. If the leases that the target may have are over, it is lost before the next answer grants a lease, and it gets no starts until its agent has seen one. A report that is sent again, and one of another agent process, drop nothing.

--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -148,7 +148,7 @@
 		return "loss_proposed"
 	case now.Sub(s.reportedAt) >= silenceTimeout:
 		return "silent"
-	case !s.leaseExpiry.After(now):
+	case !s.seenLeaseExpiry.After(now):
 		return "lease_expired"
 	default:
 		return ""
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -54,6 +54,8 @@
 	confirming        bool                     // the answer waits for the leadership check
 	reportedAt        time.Time                // time of the latest report
 	leaseExpiry       time.Time                // the lease may be valid until then
+	seenLeaseExpiry   time.Time                // the same, of the answers that the agent has processed
+	grants            []grant                  // leases in answers that the agent may still process
 	orderNumber       uint64                   // of the last answer
 	sentWatermark     uint64                   // end number that was last acknowledged to the agent
 	proposedWatermark uint64                   // highest end number that was proposed
@@ -103,7 +105,8 @@
 func (l *leadership) session(now time.Time, target job.TargetIncarnation) *session {
 	s := l.sessions[target]
 	if s == nil {
-		s = &session{target: target, leaseExpiry: now.Add(l.leaseTiming.SafeExpiry()), sentStarts: map[job.Ref]sentOrder{}, sentStops: map[job.Ref]sentOrder{}}
+		inherited := now.Add(l.leaseTiming.SafeExpiry())
+		s = &session{target: target, leaseExpiry: inherited, seenLeaseExpiry: inherited, sentStarts: map[job.Ref]sentOrder{}, sentStops: map[job.Ref]sentOrder{}}
 		l.sessions[target] = s
 	}
 	return s
--- a/daemon/control/jobs/orders.go
+++ b/daemon/control/jobs/orders.go
@@ -85,7 +85,7 @@
 	s.sentWatermark = orders.EndWatermark
 	if s.report.LeaseWanted && !e.leader.proposedLosses[s.target] {
 		orders.LeaseMillis = e.options.Lease.TTL.Milliseconds()
-		s.leaseExpiry = now.Add(e.options.Lease.SafeExpiry())
+		s.grantLease(now.Add(e.options.Lease.SafeExpiry()))
 	}
 	orders.Starts = e.startOrders(now, s)
 	orders.Stops = e.stopOrders(now, s)
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -45,6 +45,9 @@
 	if s.heldRequest != nil && !s.confirming {
 		replyOK(s.heldRequest, controlapi.TargetOrders{}) // superseded
 	}
+	if s.settleGrants(report) && !s.leaseExpiry.After(now) {
+		e.loseTarget(s.target, "answers not received") // before the next answer grants a lease
+	}
 	if s.report == nil || s.report.Agent != report.Agent {
 		s.sentStarts, s.sentStops = map[job.Ref]sentOrder{}, map[job.Ref]sentOrder{}
 		s.orderNumber, s.sentWatermark = max(s.orderNumber, report.Seen), 0
