targetagent/runs, job/dispatch: bound reports and the tasks on a target

Above the frame limit no report would reach control, and the target would lose its lease.

Change: a report holds ends, and rejected starts, of up to 1 MiB; the others follow once those before are committed. Checkpoints of running tasks are left out: control never used them. A target gets 8,192 tasks at most, so that tasks which reserve nothing cannot make its lists grow without end.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -65,10 +65,9 @@
 
 // RunReport is the state of a run on a target.
 type RunReport struct {
-	Task       job.Ref
-	Run        int
-	Checkpoint string `json:",omitempty"`
-	Paused     bool   `json:",omitempty"` // a filling task that is suspended in favour of serving tasks
+	Task   job.Ref
+	Run    int
+	Paused bool `json:",omitempty"` // a filling task that is suspended in favour of serving tasks
 	// Stalled is set if the run has made no progress for a while although it is not
 	// paused.
 	Stalled bool `json:",omitempty"`
--- a/daemon/targetagent/runs/owner.go
+++ b/daemon/targetagent/runs/owner.go
@@ -64,7 +64,6 @@
 	number          int
 	state           runState
 	order           controlapi.StartOrder
-	checkpoint      string
 	level           int64         // newest runapi.Run.Measurement
 	progressPercent int           // share of the work that is done; 100 for a long-running task that is working
 	progressAt      time.Duration // when the progress or the pace last changed
@@ -222,7 +221,7 @@
 		o.sendStop(now, s.Task, r)
 		return
 	}
-	o.runs[s.Task] = &run{number: s.Run, state: starting, order: s, checkpoint: s.Checkpoint, pacePercent: 100, stateSince: now}
+	o.runs[s.Task] = &run{number: s.Run, state: starting, order: s, pacePercent: 100, stateSince: now}
 	o.calls = append(o.calls, calls.Call{
 		Kind: calls.Start, Incarnation: o.incarnation, Task: s.Task, Run: s.Run, ValidUntil: min(o.leaseEnd, now+maxStartDelay),
 		Start: runapi.StartRequest{Task: s.Task, Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Lease: o.targetLease()},
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ibispier/ibispier/controlapi"
+	"github.com/ibispier/ibispier/job"
 )
 
 // buildReport prepares a report when one is due. While there is nothing new to
@@ -20,7 +21,9 @@
 	}
 	o.reportID++
 	o.reportPending, o.reportNow, o.reportSentAt = true, false, now
-	o.reportedCounts = reportCounts{rejections: len(o.rejections)}
+	ends := endsWithin(o.unacknowledgedEnds, maxEndBytes)
+	rejections := endsWithin(o.rejections, maxEndBytes)
+	o.reportedCounts = reportCounts{rejections: len(rejections)}
 	r := &controlapi.TargetReport{
 		Incarnation:     o.incarnation,
 		Host:            o.host,
@@ -35,7 +38,7 @@
 		Sequence:        o.reportID,
 		Seen:            o.lastOrderNumber,
 		LeaseWanted:     o.wantsLease(now),
-		Ends:            append(slices.Clone(o.unacknowledgedEnds), o.rejections...),
+		Ends:            append(slices.Clone(ends), rejections...),
 		HoldMillis:      reportHold.Milliseconds(),
 	}
 	r.Unsettled = o.hasInheritedRuns()
@@ -48,7 +51,7 @@
 	o.reportedCounts.endedIncarnations = len(r.Gone)
 	for task, known := range o.runs {
 		r.Running = append(r.Running, controlapi.RunReport{
-			Task: task, Run: known.number, Checkpoint: known.checkpoint, Paused: known.order.Filling && known.pacePercent == 0,
+			Task: task, Run: known.number, Paused: known.order.Filling && known.pacePercent == 0,
 			Adopted: known.adopted, Stalled: known.isStalled(),
 		})
 	}
@@ -59,6 +62,28 @@
 	o.outgoingReport = r
 }
 
+const (
+	// maxEndBytes bounds the ends, and the rejected starts, of one report, so that it
+	// stays far below wire.MaxFrameBytes. The others follow once control has committed
+	// those before them.
+	maxEndBytes = 1 << 20
+	// endBytes is the encoded size of an end without its checkpoint, rounded up.
+	endBytes = 256
+	// maxEscapedBytes is the largest number of bytes that JSON writes for one byte.
+	maxEscapedBytes = 6
+)
+
+// endsWithin returns the first ends that fit into the bytes, at least one.
+func endsWithin(ends []job.End, bytes int) []job.End {
+	for i := range ends {
+		bytes -= endBytes + maxEscapedBytes*len(ends[i].Checkpoint)
+		if bytes < 0 && i > 0 {
+			return ends[:i]
+		}
+	}
+	return ends
+}
+
 // wantsLease reports whether control may grant the target a lease. While a lease of
 // an earlier incarnation may bind the target, its runs could outlast the lease that
 // control counts.
--- a/daemon/targetagent/runs/watch.go
+++ b/daemon/targetagent/runs/watch.go
@@ -175,7 +175,7 @@
 		r.confirmed = true
 		// A target that is slow to answer has read its status by the end of the wait.
 		r.shownAt = min(now, w.SentAt+w.Watch.Wait)
-		r.checkpoint, r.level = s.Checkpoint, s.Measurement
+		r.level = s.Measurement
 		if r.progressPercent != s.Percent || r.progressAt == 0 {
 			r.progressPercent, r.progressAt = s.Percent, now
 		}
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -32,11 +32,14 @@
 	LowReservationShare float64
 	// MaxStarts bounds the starts of one pass, and so the size of a log entry.
 	MaxStarts int
+	// MaxTasksPerTarget bounds the tasks on one target, and so the size of its lists and
+	// of the reports about it. Tasks that reserve nothing would fill it without end.
+	MaxTasksPerTarget int
 }
 
 // DefaultLimits returns the limits used in deployments.
 func DefaultLimits() Limits {
-	return Limits{ServingCPUShare: 0.55, FillingCPUShare: 1.0, MinPace: 0.8, NonServingTargetShare: 0.2, DeviationMargin: 0.3, LowReservationShare: 0.7, MaxStarts: 400}
+	return Limits{ServingCPUShare: 0.55, FillingCPUShare: 1.0, MinPace: 0.8, NonServingTargetShare: 0.2, DeviationMargin: 0.3, LowReservationShare: 0.7, MaxStarts: 400, MaxTasksPerTarget: 8192}
 }
 
 // Dispatcher keeps the view of the targets between decisions.
--- a/job/dispatch/dispatch_test.go
+++ b/job/dispatch/dispatch_test.go
@@ -127,6 +127,31 @@
 	}
 }
 
+// Guards against a target with so many tasks that reserve nothing that the reports about
+// it exceed a message.
+func TestTasksPerTargetAreBounded(t *testing.T) {
+	w := newFixture(2)
+	limits := DefaultLimits()
+	limits.MaxTasksPerTarget = 3
+	d := New(limits)
+	w.describe(d)
+	w.submit(0, 0, job.Step{Count: 10})
+	on := map[job.TargetIncarnation]int{}
+	for range 2 {
+		for _, s := range d.Run(w.input()) {
+			on[s.Target]++
+		}
+	}
+	for target, tasks := range on {
+		if tasks != limits.MaxTasksPerTarget {
+			t.Errorf("%d tasks on %s, want %d", tasks, target.ID, limits.MaxTasksPerTarget)
+		}
+	}
+	if len(on) != 2 {
+		t.Errorf("%d targets used, want 2", len(on))
+	}
+}
+
 // Guards against a step that starts before its dependencies are done.
 func TestStepsInOrder(t *testing.T) {
 	w := newFixture(1)
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -16,6 +16,7 @@
 	NotStartable Rejection = "not_startable"
 	OtherService Rejection = "other_service"
 	NoRoom       Rejection = "no_room"
+	TaskLimit    Rejection = "task_limit"
 	ZoneOut      Rejection = "zone_out"
 	LabelMissing Rejection = "label_missing"
 	TargetLimit  Rejection = "target_limit"
@@ -32,6 +33,8 @@
 		return OtherService
 	case !fits(ts, s):
 		return NoRoom
+	case !p.underTaskLimit(ts):
+		return TaskLimit
 	case p.Store.ZonesOut[ts.Zone]:
 		return ZoneOut
 	case !hasLabel(ts, s):
@@ -66,6 +69,8 @@
 
 func fits(ts *TargetState, s *job.Step) bool { return s.Reserved().FitsIn(ts.free) }
 
+func (p *pass) underTaskLimit(ts *TargetState) bool { return ts.tasks < p.limits.MaxTasksPerTarget }
+
 // hasIdleCPU keeps filling tasks from competing with each other. A target
 // without serving or filling tasks accepts a filling task of any size.
 func (p *pass) hasIdleCPU(ts *TargetState, s *job.Step) bool {
--- a/job/dispatch/targets.go
+++ b/job/dispatch/targets.go
@@ -46,6 +46,7 @@
 	startable bool
 
 	free         resource.Vector    // unreserved capacity
+	tasks        int                // number of tasks
 	idleCPU      int64              // millicores that filling tasks may still request
 	serving      map[string]int     // number of serving tasks by image
 	fillingShare map[string]float64 // share of the processors requested by filling tasks, by image
@@ -151,7 +152,7 @@
 
 // load reads the load of the target from the store.
 func (ts *TargetState) load(l Limits, st *job.Store) {
-	ts.free, ts.idleCPU = ts.Capacity, ts.Capacity.CPUMilli
+	ts.free, ts.idleCPU, ts.tasks = ts.Capacity, ts.Capacity.CPUMilli, 0
 	ts.serving, ts.fillingShare = map[string]int{}, map[string]float64{}
 	ts.pausedImages, ts.perStep = map[string]bool{}, map[stepKey]int{}
 	placed := st.TasksOn(ts.Incarnation)
@@ -163,6 +164,7 @@
 	for ref := range placed {
 		step := &st.Jobs[ref.Job].Spec.Steps[ref.Step]
 		if ts.Paused[ref] {
+			ts.tasks++
 			ts.free = ts.free.Sub(step.Reserved())
 			ts.pausedImages[step.Image] = true
 			continue
@@ -173,6 +175,7 @@
 
 // reserve accounts for one task.
 func (ts *TargetState) reserve(l Limits, ref job.Ref, s *job.Step) {
+	ts.tasks++
 	ts.free = ts.free.Sub(s.Reserved())
 	if s.MaxPerTarget > 0 {
 		ts.perStep[stepOf(ref)]++
