control/jobs: never propose a command that cannot be decoded

Submissions with repetitive specs compress a thousandfold, so a command could exceed the 64 MiB that a member decompresses. Its entry would be committed, and then end every member that applies it, again after each restart.

Change: the parts of a command are split above 16 MiB of decompressed size, and a single part above 64 MiB is refused.

TestCommandsThatCompressWellCanBeDecoded failed before: entry 4 of 377460 bytes cannot be decoded: unexpected end of JSON input

--- a/daemon/control/jobs/commands.go
+++ b/daemon/control/jobs/commands.go
@@ -96,7 +96,7 @@
 	}
 	e.nextProbe = now.Add(proposalTimeout)
 	e.sequence++
-	data, err := encodeCommand(&job.Command{Origin: e.origin, Sequence: e.sequence})
+	data, _, err := encodeCommand(&job.Command{Origin: e.origin, Sequence: e.sequence})
 	if err == nil {
 		err = e.offerInput(replica.Input{Propose: data})
 	}
@@ -105,17 +105,20 @@
 	}
 }
 
-// fitBatch splits a batch whose command is larger than the replica takes. It returns
-// the first batch, its encoded command, and the rest.
+// fitBatch splits a batch whose command is larger than the replica takes, or than the
+// members should decode at a time. It returns the first batch, its encoded command, and
+// the rest.
 func fitBatch(b batch, origin, sequence uint64) (first, rest batch, data []byte, err error) {
 	for {
 		b.command.Origin, b.command.Sequence = origin, sequence
-		data, err = encodeCommand(&b.command)
-		if err != nil || len(data) <= replica.MaxCommandBytes {
+		var size int
+		data, size, err = encodeCommand(&b.command)
+		single := len(b.parts) == 1
+		switch {
+		case err != nil, len(data) <= replica.MaxCommandBytes && (size <= splitAbove || single && size <= maxDecodedBytes):
 			return b, rest, data, err
-		}
-		if len(b.parts) == 1 {
-			return b, rest, nil, Error.New("step=propose bytes=%d: command is too large", len(data))
+		case single:
+			return b, rest, nil, Error.New("step=propose bytes=%d decompressed=%d: command is too large", len(data), size)
 		}
 		half := len(b.parts) / 2
 		rest = newBatch(append(slices.Clone(b.parts[half:]), rest.parts...))
--- a/daemon/control/jobs/commands_test.go
+++ b/daemon/control/jobs/commands_test.go
@@ -38,7 +38,7 @@
 // one with 3,200 queues fill a disk.
 func TestLargeCommandsAreCompressed(t *testing.T) {
 	config := largeConfig(3, 3200)
-	data, err := encodeCommand(&job.Command{Config: &config})
+	data, _, err := encodeCommand(&job.Command{Config: &config})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -286,7 +286,7 @@
 	config := largeConfig(3, 3200)
 	var data []byte
 	for b.Loop() {
-		encoded, err := encodeCommand(&job.Command{Config: &config})
+		encoded, _, err := encodeCommand(&job.Command{Config: &config})
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -321,3 +321,34 @@
 		t.Fatalf("the leader has not answered; %d commands overdue, %d parts wait", len(h.e.overdue), len(h.e.batch.parts))
 	}
 }
+
+// Guards against a command that compresses well and that no member can decode: its entry
+// was committed, and then ended every member again and again.
+func TestCommandsThatCompressWellCanBeDecoded(t *testing.T) {
+	h := newHarness(t)
+	h.lead(1, 3)
+	h.manifest()
+	h.held = true
+	h.request(controlapi.OpJobSubmit, submission()) // occupies the commands in flight
+	const jobs = maxDecodedBytes/(6*job.MaxPayloadBytes) + 100
+	for i := range jobs {
+		s := submission()
+		s.Spec.ID = fmt.Sprintf("%016x", 0x1000+i)
+		s.Path = "/q/" + s.Spec.ID
+		s.Spec.Payload = escapedPayload
+		h.request(controlapi.OpJobSubmit, s)
+	}
+	h.held = false
+	h.settle()
+	submitted := 0
+	for _, entry := range h.log {
+		c, err := decodeCommand(entry.Data)
+		if err != nil {
+			t.Fatalf("entry %d of %d bytes cannot be decoded: %v", entry.Index, len(entry.Data), err)
+		}
+		submitted += len(c.Submit)
+	}
+	if submitted != jobs+1 {
+		t.Errorf("%d submissions in the log, want %d", submitted, jobs+1)
+	}
+}
