job/dispatch, job/faults: failing tasks do not keep sound ones from room

Cause: a failure held back the starts of its whole step, for up to 4 s. Once the hold ended, the ready tasks started in the order of their indexes, so the failing ones took the room again. The same order held between the steps of a job and between jobs: failing tasks of an older job went before sound ones of a newer job.

Change: a failed task is held back, and not its step. Lasting tasks whose latest run has failed are candidates of their own, which come after the other tasks of their priority that are due, in the order of their failures. A success of one task no longer ends the holds of others. So room goes to a task that has not failed before it goes to one that has, and failing tasks take turns.

The oracle of job/dispatch draws failures now. The tests of job/faults name a task where they named a step; their checks are unchanged.

--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -6,7 +6,6 @@
 
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/dispatch"
-	"github.com/ibispier/ibispier/job/faults"
 )
 
 // dispatch proposes starts. Earlier starts that are not committed yet are pending at
@@ -40,12 +39,11 @@
 // dispatchInput returns the input of a decision, without idle jobs.
 func (e *engine) dispatchInput(now time.Time) dispatch.Input {
 	return dispatch.Input{
-		Store:    e.store,
-		Disturbs: e.leader.disturbances.estimate,
-		Now:      time.Now(),
-		IsHeld: func(id string, step int) bool {
-			return e.leader.faults.HeldUntil(faults.Step{Job: id, Index: step}).After(now)
-		},
+		Store:       e.store,
+		Disturbs:    e.leader.disturbances.estimate,
+		Now:         time.Now(),
+		FailedTasks: e.leader.faults.FailedTasks,
+		SteadyNow:   now,
 	}
 }
 
--- a/daemon/control/jobs/failures.go
+++ b/daemon/control/jobs/failures.go
@@ -28,30 +28,28 @@
 	if t == nil || t.Run != end.Run {
 		return
 	}
-	step := faults.StepOf(end.Task)
 	lasting := j.Spec.Steps[end.Task.Step].Lasting
 	startedAt, known := l.startedAt[end.Task]
 	delete(l.startedAt, end.Task)
 	proven := lasting && (!known || now.Sub(startedAt) >= provenRun)
 	switch {
 	case end.Outcome == job.RunDone, end.Outcome == job.RunFailed && proven:
-		l.faults.RecordSuccess(step, end.Target)
+		l.faults.RecordSuccess(end.Task, end.Target)
 	case end.Outcome == job.RunFailed:
-		l.recordFailure(now, j, faults.Failure{Step: step, Target: end.Target, Lasting: lasting})
+		l.recordFailure(now, j, faults.Failure{Task: end.Task, Target: end.Target, Lasting: lasting})
 	}
 }
 
 func (l *leadership) recordFailure(now time.Time, j *job.Job, f faults.Failure) {
-	f.RunningElsewhere = targetsRunning(j, f.Step.Index, f.Target)
-	suspended, held := l.faults.SuspendedUntil(f.Target), l.faults.HeldUntil(f.Step)
+	f.RunningElsewhere = targetsRunning(j, f.Task.Step, f.Target)
+	suspended, held := l.faults.SuspendedUntil(f.Target), l.faults.HeldUntil(f.Task)
 	l.faults.RecordFailure(now, f)
 	if until := l.faults.SuspendedUntil(f.Target); until.After(now) && until != suspended {
-		l.log.Info("target suspended", zap.String("target", f.Target.ID), zap.String("job", f.Step.Job),
+		l.log.Info("target suspended", zap.String("target", f.Target.ID), zap.String("job", f.Task.Job),
 			zap.Bool("stalled", f.Stalled), zap.Duration("for", until.Sub(now)))
 	}
-	if until := l.faults.HeldUntil(f.Step); until.After(now) && until != held {
-		l.log.Info("step held back", zap.String("job", f.Step.Job), zap.Int("step", f.Step.Index),
-			zap.String("target", f.Target.ID), zap.Duration("for", until.Sub(now)))
+	if until := l.faults.HeldUntil(f.Task); until.After(now) && until != held {
+		l.log.Info("task held back", zap.Stringer("task", f.Task), zap.String("target", f.Target.ID), zap.Duration("for", until.Sub(now)))
 	}
 }
 
--- a/daemon/control/jobs/fleet_test.go
+++ b/daemon/control/jobs/fleet_test.go
@@ -28,6 +28,7 @@
 	idleRoutes    = 240
 	taskOfQuick   = 640 * time.Millisecond
 	taskOfFilling = 2700 * time.Millisecond
+	failingRun    = 200 * time.Millisecond  // life of a run that fails by itself
 	stallAfter    = 1500 * time.Millisecond // time without progress after which an agent reports a run as stalled
 )
 
@@ -58,6 +59,7 @@
 	firstStart  map[string]time.Duration // from submission to the first start
 	lastingRuns map[job.Ref]int          // newest run that was started of each lasting task
 	failAfter   map[string]time.Duration // by image, after how long each of its runs fails
+	failTask    func(job.Ref) bool       // whether the runs of a task fail after failingRun; may be nil
 	stall       map[string]bool          // by image, whether its runs make no progress
 	refused     int
 }
@@ -87,6 +89,7 @@
 	f       *fleet
 	target  job.TargetIncarnation
 	number  int
+	labels  []string
 	running map[job.Ref]int
 	ends    []job.End
 	ended   uint64
@@ -205,15 +208,22 @@
 }
 
 func (f *fleet) submit(queue string, step job.Step) {
-	f.jobs++
-	id := fmt.Sprintf("%016x", f.jobs)
-	spec := job.Spec{ID: id, Payload: "p", Steps: []job.Step{step}}
+	steps := []job.Step{step}
 	if !step.Lasting && f.random.Float64() < 0.6 {
 		step.After = []int{0}
-		spec.Steps = append(spec.Steps, step)
+		steps = append(steps, step)
 	}
+	f.submitSteps(queue, steps...)
+}
+
+func (f *fleet) submitSteps(queue string, steps ...job.Step) string {
+	f.jobs++
+	id := fmt.Sprintf("%016x", f.jobs)
 	f.submittedAt[id], f.queueOf[id] = f.now, queue
-	f.request(controlapi.OpJobSubmit, &controlapi.JobSubmitRequest{Host: "h", Path: "/" + queue + "/" + id, Spec: spec}, f)
+	f.request(controlapi.OpJobSubmit, &controlapi.JobSubmitRequest{
+		Host: "h", Path: "/" + queue + "/" + id, Spec: job.Spec{ID: id, Payload: "p", Steps: steps},
+	}, f)
+	return id
 }
 
 // Reply implements applier.Replier for submissions.
@@ -233,7 +243,7 @@
 		a.due = false
 		r := &controlapi.TargetReport{
 			Incarnation: a.target, Host: a.target.ID, Service: "s", Zone: fmt.Sprintf("z%d", a.number%5), Rack: fmt.Sprintf("r%d", a.number/8),
-			Capacity: resource.Vector{CPUMilli: 64_000, MemoryMiB: 256_000}, Agent: 1, Seen: a.seen, LeaseWanted: true,
+			Labels: a.labels, Capacity: resource.Vector{CPUMilli: 64_000, MemoryMiB: 256_000}, Agent: 1, Seen: a.seen, LeaseWanted: true,
 			Ends: slices.Clone(a.ends), HoldMillis: fleetHold,
 			Serving: []controlapi.ServingHeadroom{{Image: "s", Headroom: 1 + float64(a.f.random.IntN(8))/8}},
 		}
@@ -265,7 +275,11 @@
 		if _, started := a.f.firstStart[s.Task.Job]; !started {
 			a.f.firstStart[s.Task.Job] = a.f.now.Sub(a.f.submittedAt[s.Task.Job])
 		}
-		switch life, fails := a.f.failAfter[s.Image]; {
+		life, fails := a.f.failAfter[s.Image]
+		if a.f.failTask != nil && a.f.failTask(s.Task) {
+			life, fails = failingRun, true
+		}
+		switch {
 		case a.f.stall[s.Image]:
 			delete(a.stalled, s.Task)
 			a.f.after(stallAfter, func() { a.stalled[s.Task] = true; a.report() })
--- a/daemon/control/jobs/progress.go
+++ b/daemon/control/jobs/progress.go
@@ -94,7 +94,7 @@
 		x := e.leader.dispatcher.Explain(e.dispatchInput(now), w.job, w.occurrence, w.step)
 		state := &w.job.Occurrences[w.occurrence][w.step]
 		fields := []zap.Field{zap.String("job", w.job.Spec.ID), zap.Int("occurrence", w.occurrence), zap.Int("step", w.step),
-			zap.Int("ready_tasks", state.Waiting), zap.Duration("for_at_least", now.Sub(w.since)), zap.Bool("held_back", x.Held),
+			zap.Int("ready_tasks", state.Waiting), zap.Duration("for_at_least", now.Sub(w.since)), zap.Int("held_back", x.Held),
 			zap.Int("pending_starts", x.Pending), zap.Int("accepting_targets", x.Accepting), zap.Int("candidates", x.Candidates),
 			zap.Int("in_flight", len(e.inFlight)), zap.Int("overdue", len(e.overdue))}
 		for _, r := range slices.Sorted(maps.Keys(x.Rejections)) {
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		lasting := j.Spec.Steps[ref.Step].Lasting
-		e.leader.recordFailure(now, j, faults.Failure{Step: faults.StepOf(ref), Target: s.target, Lasting: lasting, Stalled: true})
+		e.leader.recordFailure(now, j, faults.Failure{Task: ref, Target: s.target, Lasting: lasting, Stalled: true})
 	}
 }
 
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/job/faults"
 )
 
 // Limits are the thresholds of the placement policy.
@@ -79,8 +80,10 @@
 	// lasting task, for some time. One task of each is started while spare capacity
 	// exists.
 	IdleJobs map[string]bool
-	// IsHeld reports whether the starts of a step are held back. It may be nil.
-	IsHeld func(jobID string, step int) bool
+	// FailedTasks returns the lasting tasks of a step whose latest run has failed. It may
+	// be nil.
+	FailedTasks func(faults.Step) map[job.Ref]*faults.FailedTask
+	SteadyNow   time.Time // on the clock of the holds of FailedTasks
 }
 
 // pass is the state of one decision.
@@ -90,21 +93,25 @@
 	maxStarts          int
 	skipFillingFilters bool // ignore the filters for filling tasks
 	starts             []job.Start
+	startedJobs        map[string]bool // jobs with starts in this pass
+}
+
+func newPass(in Input, d *Dispatcher) *pass {
+	return &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts, startedJobs: map[string]bool{}}
 }
 
 // Run returns the starts for the ready tasks. They are pending until Settle is
 // called with them: they count as load, and their tasks are not started again.
 func (d *Dispatcher) Run(in Input) []job.Start {
 	d.refresh(in.Store)
-	p := &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts}
-	for _, j := range p.orderedJobs() {
+	p := newPass(in, d)
+	for _, c := range p.orderedCandidates() {
 		if len(p.starts) >= p.maxStarts {
 			break
 		}
-		before := len(p.starts)
-		p.startJob(j)
-		if len(p.starts) == before && p.mayStartUnfiltered(j) {
-			p.startOneUnfiltered(j)
+		p.startCandidate(c)
+		if p.mayStartUnfiltered(c.job) {
+			p.startOneUnfiltered(c)
 		}
 	}
 	for _, s := range p.starts {
@@ -156,10 +163,11 @@
 }
 
 // mayStartUnfiltered reports whether a task of the job may start although the filters for
-// filling tasks reject it: the job is idle, no start of it is pending, and less than
-// LowReservationShare of the processor time of its service is reserved.
+// filling tasks reject it: the job is idle, it has no start in this pass and none is
+// pending, and less than LowReservationShare of the processor time of its service is
+// reserved.
 func (p *pass) mayStartUnfiltered(j *job.Job) bool {
-	return p.IdleJobs[j.Spec.ID] && !p.hasPending(j) && p.ReservedCPUShare(p.Store.QueueOf(j).Service) < p.limits.LowReservationShare
+	return !p.startedJobs[j.Spec.ID] && p.IdleJobs[j.Spec.ID] && !p.hasPending(j) && p.ReservedCPUShare(p.Store.QueueOf(j).Service) < p.limits.LowReservationShare
 }
 
 // hasPending reports whether a start of the job is pending.
@@ -178,48 +186,65 @@
 // filling tasks keep from starting, on the target where it disturbs least.
 // Pacing protects the serving tasks, and the job makes progress whenever they
 // leave headroom.
-func (p *pass) startOneUnfiltered(j *job.Job) {
+func (p *pass) startOneUnfiltered(c candidate) {
+	p.skipFillingFilters = true
+	p.startOne(c)
+	p.skipFillingFilters = false
+}
+
+// startOne starts one task of the candidate.
+func (p *pass) startOne(c candidate) {
 	limit := p.maxStarts
-	p.skipFillingFilters, p.maxStarts = true, len(p.starts)+1
-	p.startJob(j)
-	p.skipFillingFilters, p.maxStarts = false, limit
+	p.maxStarts = len(p.starts) + 1
+	p.startCandidate(c)
+	p.maxStarts = limit
 }
 
-func (p *pass) startJob(j *job.Job) {
-	q := p.Store.QueueOf(j)
-	for k := range j.Occurrences {
-		if due := j.Spec.DueMillis(k); due > p.Now.UnixMilli() {
+// startCandidate starts the tasks of the candidate that fit.
+func (p *pass) startCandidate(c candidate) {
+	before := len(p.starts)
+	if c.failed {
+		p.startReady(c, c.occurrence, c.step)
+	} else {
+		p.startJob(c)
+	}
+	if len(p.starts) > before {
+		p.startedJobs[c.job.Spec.ID] = true
+	}
+}
+
+func (p *pass) startJob(c candidate) {
+	for k := range c.job.Occurrences {
+		if !p.isDue(c.job, k) {
 			return
 		}
-		for s := range j.Spec.Steps {
-			waiting := j.Occurrences[k][s].Waiting - p.pendingSteps[stepKey{j.Spec.ID, k, s}]
-			if waiting <= 0 || !j.StepReady(k, s) || p.IsHeld != nil && p.IsHeld(j.Spec.ID, s) {
-				continue
-			}
-			switch step := &j.Spec.Steps[s]; {
-			case step.Gang:
-				p.startGang(j, q, k, s)
-			case step.Serves():
-				p.startServingStep(j, q, k, s)
-			default:
-				p.startStep(j, q, k, s)
-			}
+		for s := range c.job.Spec.Steps {
+			p.startReady(c, k, s)
 		}
 	}
 }
 
+func (p *pass) startReady(c candidate, occurrence, index int) {
+	if !p.hasWaiting(c.job, occurrence, index) {
+		return
+	}
+	step := readyStep{candidate: c, queue: p.Store.QueueOf(c.job), ref: job.Ref{Job: c.job.Spec.ID, Occurrence: occurrence, Step: index}}
+	switch s := step.spec(); {
+	case s.Gang:
+		p.startGang(step)
+	case s.Serves():
+		p.startServingStep(step)
+	default:
+		p.startStep(step)
+	}
+}
+
 // startStep places as many ready tasks of a step as fit.
-func (p *pass) startStep(j *job.Job, q *job.Queue, occurrence, index int) {
-	s := &j.Spec.Steps[index]
-	tasks := j.Occurrences[occurrence][index].Tasks
-	ref := job.Ref{Job: j.Spec.ID, Occurrence: occurrence, Step: index}
+func (p *pass) startStep(r readyStep) {
+	q, s, ref, tasks := r.queue, r.spec(), r.ref, r.tasks()
 	key := p.shapeOf(q, s, ref)
 	fitting := p.rank(p.candidates(key), q, s, ref)
-	for i := range tasks {
-		ref.Index = i
-		if tasks[i].State != job.Ready || p.pending[ref] {
-			continue
-		}
+	for i := range p.readyTasks(r) {
 		if len(p.starts) >= p.maxStarts {
 			return
 		}
@@ -227,6 +252,7 @@
 			p.recordMisfit(key) // tasks of a step are identical, so no other fits either
 			return
 		}
+		ref.Index = i
 		p.placeTask(fitting[0].target, ref, s, tasks[i].Run+1)
 		p.updateBest(&fitting, q, s, ref)
 	}
@@ -235,20 +261,15 @@
 // startServingStep places as many ready tasks of a serving step as fit. The score
 // of a target depends on where the other serving tasks are, so it is computed anew
 // for each task.
-func (p *pass) startServingStep(j *job.Job, q *job.Queue, occurrence, index int) {
-	s := &j.Spec.Steps[index]
-	tasks := j.Occurrences[occurrence][index].Tasks
-	ref := job.Ref{Job: j.Spec.ID, Occurrence: occurrence, Step: index}
+func (p *pass) startServingStep(r readyStep) {
+	q, s, ref, tasks := r.queue, r.spec(), r.ref, r.tasks()
 	key := p.shapeOf(q, s, ref)
 	candidates := p.candidates(key)
-	for i := range tasks {
-		ref.Index = i
-		if tasks[i].State != job.Ready || p.pending[ref] {
-			continue
-		}
+	for i := range p.readyTasks(r) {
 		if len(p.starts) >= p.maxStarts {
 			return
 		}
+		ref.Index = i
 		ts := p.selectTarget(candidates, q, s, ref)
 		if ts == nil {
 			p.recordMisfit(key)
--- a/job/dispatch/explain.go
+++ b/job/dispatch/explain.go
@@ -8,7 +8,7 @@
 	Accepting  int               // targets that pass every filter
 	Candidates int               // targets that a decision looks at; the others are remembered not to fit
 	Pending    int               // tasks of the step whose start is not settled
-	Held       bool              // the starts of the step are held back
+	Held       int               // ready tasks that are held back after failures
 }
 
 // Explain returns why the tasks of a step are not started, as of the latest decision.
@@ -20,7 +20,11 @@
 		Rejections: map[Rejection]int{},
 		Candidates: len(p.candidates(p.shapeOf(q, s, ref))),
 		Pending:    d.pendingSteps[stepOf(ref)],
-		Held:       in.IsHeld != nil && in.IsHeld(j.Spec.ID, index),
+	}
+	for ref, f := range p.failedTasks(j, index) {
+		if ref.Occurrence == occurrence && f.IsHeld(in.SteadyNow) && p.isReady(j, ref) {
+			x.Held++
+		}
 	}
 	for _, ts := range d.targets {
 		if r := p.rejectedBy(ts, q, s, ref); r != accepted {
--- a/job/dispatch/gangs.go
+++ b/job/dispatch/gangs.go
@@ -6,17 +6,15 @@
 // no member has used before. A gang waits until no member of an earlier run is
 // left. A gang that is slow across racks tries each rack alone before it is spread
 // over all.
-func (p *pass) startGang(j *job.Job, q *job.Queue, occurrence, index int) {
-	s := &j.Spec.Steps[index]
-	state := &j.Occurrences[occurrence][index]
-	if state.Waiting-p.pendingSteps[stepKey{j.Spec.ID, occurrence, index}] < len(state.Tasks) {
+func (p *pass) startGang(r readyStep) {
+	q, s, ref, state := r.queue, r.spec(), r.ref, r.state()
+	if state.Waiting-p.pendingSteps[stepOf(ref)] < len(state.Tasks) || !p.isGangReady(r) {
 		return
 	}
 	// The limit of one start past the filters is not meant for gangs.
 	if !p.skipFillingFilters && len(p.starts)+len(state.Tasks) > max(p.maxStarts, len(state.Tasks)) {
 		return
 	}
-	ref := job.Ref{Job: j.Spec.ID, Occurrence: occurrence, Step: index}
 	key := p.shapeOf(q, s, ref)
 	if since, known := p.misfits[key]; known && since == p.lastChange {
 		return
--- a/job/dispatch/oracle_test.go
+++ b/job/dispatch/oracle_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -10,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/ibispier/ibispier/job"
+	"github.com/ibispier/ibispier/job/faults"
 	"github.com/ibispier/ibispier/resource"
 )
 
@@ -23,25 +25,49 @@
 		d.pendingOn[target] = maps.Clone(tasks)
 	}
 	d.refresh(in.Store)
-	p := &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts}
-	for _, j := range p.orderedJobs() {
+	p := newPass(in, d)
+	for _, c := range p.orderedCandidates() {
 		before := len(p.starts)
-		p.plainJob(j, p.maxStarts)
-		if len(p.starts) == before && p.mayStartUnfiltered(j) {
+		p.plainCandidate(c, p.maxStarts)
+		if len(p.starts) == before && p.mayStartUnfiltered(c.job) {
 			p.skipFillingFilters = true
-			p.plainJob(j, before+1)
+			p.plainCandidate(c, before+1)
 			p.skipFillingFilters = false
 		}
+		p.startedJobs[c.job.Spec.ID] = p.startedJobs[c.job.Spec.ID] || len(p.starts) > before
 	}
 	return p.starts
 }
 
-func (p *pass) plainJob(j *job.Job, limit int) {
+// plainOrder returns the indexes of the tasks in the order in which a candidate starts
+// them, if they are ready.
+func (p *pass) plainOrder(c candidate, step, count int) []int {
+	failed := map[int]*faults.FailedTask{}
+	if c.job.Spec.Steps[step].Lasting {
+		for ref, f := range p.FailedTasks(faults.Step{Job: c.job.Spec.ID, Index: step}) {
+			failed[ref.Index] = f
+		}
+	}
+	var order []int
+	for i := range count {
+		f := failed[i]
+		if !c.failed && f == nil || c.failed && f != nil && !f.IsHeld(p.SteadyNow) {
+			order = append(order, i)
+		}
+	}
+	if c.failed {
+		slices.SortFunc(order, func(x, y int) int { return cmp.Compare(failed[x].Number, failed[y].Number) })
+	}
+	return order
+}
+
+func (p *pass) plainCandidate(c candidate, limit int) {
+	j := c.job
 	q := p.Store.QueueOf(j)
 	for s := range j.Spec.Steps {
 		step := &j.Spec.Steps[s]
 		state := &j.Occurrences[0][s]
-		if !j.StepReady(0, s) {
+		if !j.StepReady(0, s) || c.failed && s != c.step {
 			continue
 		}
 		ref := job.Ref{Job: j.Spec.ID, Step: s}
@@ -49,7 +75,7 @@
 			p.plainGang(q, step, state, ref, limit)
 			continue
 		}
-		for i := range state.Tasks {
+		for _, i := range p.plainOrder(c, s, len(state.Tasks)) {
 			ref.Index = i
 			if state.Tasks[i].State != job.Ready || p.pending[ref] || len(p.starts) >= limit {
 				continue
@@ -95,6 +121,7 @@
 		s.MaxPerTarget = rapid.IntRange(1, 2).Draw(t, "limit")
 	case 4:
 		s.Label = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "label")
+		s.Lasting = rapid.Bool().Draw(t, "lasting")
 	default:
 		s.DataRack = "r1"
 	}
@@ -113,6 +140,7 @@
 		d := New(DefaultLimits())
 		numbers := map[job.TargetIncarnation]uint64{}
 		var pending [][]job.Start // proposals that are not settled
+		tracker, steadyNow := faults.NewTracker(), testNow
 		apply := func(c *job.Command) {
 			w.store.Apply(c)
 			for target := range w.store.TakeChanged() {
@@ -138,6 +166,16 @@
 			"lose": func(t *rapid.T) {
 				apply(&job.Command{Lost: []job.TargetIncarnation{w.targets[drawTarget(t)].Incarnation}})
 			},
+			"fail": func(t *rapid.T) {
+				target := w.targets[drawTarget(t)].Incarnation
+				for ref, task := range maps.Clone(w.store.TasksOn(target)) {
+					lasting := w.store.Jobs[ref.Job].Spec.Steps[ref.Step].Lasting
+					tracker.RecordFailure(steadyNow, faults.Failure{Task: ref, Target: target, Lasting: lasting})
+					numbers[target]++
+					apply(&job.Command{Ends: []job.End{{Target: target, Number: numbers[target], Task: ref, Run: task.Run, Outcome: job.RunFailed}}})
+				}
+				steadyNow = steadyNow.Add(100 * time.Millisecond)
+			},
 			"startable": func(t *rapid.T) {
 				i := drawTarget(t)
 				w.unstartable[i] = !w.unstartable[i]
@@ -192,6 +230,7 @@
 				}
 				w.describe(d)
 				in := w.input(idle...)
+				in.FailedTasks, in.SteadyNow = tracker.FailedTasks, steadyNow
 				want := plainRun(w, in, d)
 				got := d.Run(in)
 				if !slices.Equal(got, want) {
--- a/job/dispatch/order.go
+++ b/job/dispatch/order.go
@@ -21,41 +21,58 @@
 	missed                           // finishes too late to be useful; run for completeness
 )
 
-// rankedJob holds the sort keys of a job.
-type rankedJob struct {
-	job       *job.Job
+// candidate is a job with ready tasks, or the ready tasks of one step whose latest runs
+// have failed.
+type candidate struct {
+	job              *job.Job
+	failed           bool // the failed tasks of one step; otherwise all others of the job
+	occurrence, step int  // of the failed tasks
+}
+
+// rankedCandidate holds the sort keys of a candidate.
+type rankedCandidate struct {
+	candidate
 	priority  int
 	objective objectiveState
-	deadline  int64 // Unix milliseconds
+	deadline  int64  // Unix milliseconds
+	failure   uint64 // number of the earliest failure of the failed tasks
 }
 
-// orderedJobs returns the live jobs with ready tasks, sorted by priority, objective state and
-// deadline.
+// orderedCandidates returns the live jobs with ready tasks, sorted by priority, objective state
+// and deadline. Lasting tasks whose latest run has failed follow by themselves, as if they
+// were submitted now: those that fail again and again would otherwise keep the room from
+// others, which may be sound. Of them, the tasks that failed first come first.
 //
 // In order of acceptance, an overloaded system would finish every job late,
 // because work for jobs that have missed their objective delays those that can
 // still meet it. Deadlines grow with the length of a job, so wide and long jobs
 // do not starve.
-func (p *pass) orderedJobs() []*job.Job {
-	var ranked []rankedJob
+func (p *pass) orderedCandidates() []candidate {
+	var ranked []rankedCandidate
 	for _, j := range p.Store.LiveJobs() {
-		if j.HasReadyTasks() {
-			ranked = append(ranked, p.rankJob(j))
+		if !j.HasReadyTasks() {
+			continue
+		}
+		r := p.rankJob(j)
+		ranked = append(ranked, r)
+		for _, f := range p.failedCandidates(j) {
+			f.priority, f.objective, f.deadline = r.priority, r.objective, p.Now.UnixMilli()
+			ranked = append(ranked, f)
 		}
 	}
-	slices.SortStableFunc(ranked, func(x, y rankedJob) int {
-		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.objective, y.objective), cmp.Compare(x.deadline, y.deadline))
+	slices.SortStableFunc(ranked, func(x, y rankedCandidate) int {
+		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.objective, y.objective), cmp.Compare(x.deadline, y.deadline), cmp.Compare(x.failure, y.failure))
 	})
-	jobs := make([]*job.Job, len(ranked))
+	candidates := make([]candidate, len(ranked))
 	for i, r := range ranked {
-		jobs[i] = r.job
+		candidates[i] = r.candidate
 	}
-	return jobs
+	return candidates
 }
 
-func (p *pass) rankJob(j *job.Job) rankedJob {
+func (p *pass) rankJob(j *job.Job) rankedCandidate {
 	q := p.Store.QueueOf(j)
-	r := rankedJob{job: j, priority: q.Priority}
+	r := rankedCandidate{candidate: candidate{job: j}, priority: q.Priority}
 	if j.Spec.OccurrenceCount > 0 || j.Spec.Steps[0].Lasting {
 		r.deadline = j.AtMillis
 		return r
--- a/job/faults/faults.go
+++ b/job/faults/faults.go
@@ -1,12 +1,13 @@
 // Package faults decides whether failed runs are the fault of their step or of
 // their target. A target on which runs of several steps fail in a row gets no new
 // starts for a while. A step that fails wherever it is started is not held against
-// the targets; if its tasks are restarted however they end, its starts are held back
-// instead. The package performs no I/O and reads no clock.
+// the targets; if its tasks are restarted however they end, those that have failed are
+// held back instead. The package performs no I/O and reads no clock.
 package faults
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -31,7 +32,7 @@
 	// failureWindow is the age beyond which a failure of a step no longer counts.
 	// It exceeds maxHold, so that a step that fails after each hold stays at fault.
 	failureWindow = 10 * time.Second
-	// minHold is how long the starts of a lasting step at fault are first held back.
+	// minHold is how long a failed task of a lasting step at fault is first held back.
 	// Each further hold takes twice as long, up to maxHold. The platform allows a
 	// lasting task to be away for 6 s.
 	minHold = 250 * time.Millisecond
@@ -49,7 +50,7 @@
 
 // Failure is a run that has failed or makes no progress.
 type Failure struct {
-	Step    Step
+	Task    job.Ref
 	Target  job.TargetIncarnation
 	Lasting bool // the task is restarted however its run ends
 	Stalled bool // the run makes no progress
@@ -60,12 +61,23 @@
 
 // stepRecord holds the failures of a step since one of its runs last succeeded.
 type stepRecord struct {
-	failedOn  map[job.TargetIncarnation]time.Time // latest failure
-	atFault   bool
+	failedOn map[job.TargetIncarnation]time.Time // latest failure
+	atFault  bool
+}
+
+// FailedTask is a lasting task whose latest run has failed.
+type FailedTask struct {
+	// Number is the position of the failure among all failures of lasting tasks. The
+	// task with the lowest number has waited longest for its next run.
+	Number    uint64
+	HeldUntil time.Time // no starts until then; the time may have passed
+	failedAt  time.Time
 	holds     int
-	heldUntil time.Time
 }
 
+// IsHeld reports whether the task must not start yet.
+func (f *FailedTask) IsHeld(now time.Time) bool { return f.HeldUntil.After(now) }
+
 // targetRecord holds the failures on a target since a run on it last succeeded.
 type targetRecord struct {
 	failures       map[Step]int // by the step that failed
@@ -76,41 +88,71 @@
 
 // Tracker attributes failures to steps and targets.
 type Tracker struct {
-	steps   map[Step]*stepRecord
-	targets map[job.TargetIncarnation]*targetRecord
+	steps       map[Step]*stepRecord
+	targets     map[job.TargetIncarnation]*targetRecord
+	failedTasks map[Step]map[job.Ref]*FailedTask
+	lastNumber  uint64 // of FailedTask
 }
 
 // NewTracker returns a tracker without failures.
 func NewTracker() *Tracker {
-	return &Tracker{steps: map[Step]*stepRecord{}, targets: map[job.TargetIncarnation]*targetRecord{}}
+	return &Tracker{steps: map[Step]*stepRecord{}, targets: map[job.TargetIncarnation]*targetRecord{}, failedTasks: map[Step]map[job.Ref]*FailedTask{}}
 }
 
-// RecordSuccess notes that a run of the step has succeeded on the target.
-func (t *Tracker) RecordSuccess(step Step, target job.TargetIncarnation) {
+// RecordSuccess notes that a run of the task has succeeded on the target. Other tasks of
+// its step that have failed stay held back.
+func (t *Tracker) RecordSuccess(task job.Ref, target job.TargetIncarnation) {
+	step := StepOf(task)
 	delete(t.steps, step)
 	delete(t.targets, target)
+	if delete(t.failedTasks[step], task); len(t.failedTasks[step]) == 0 {
+		delete(t.failedTasks, step)
+	}
 }
 
 // RecordFailure notes a failure. It reports whether the step is at fault.
 func (t *Tracker) RecordFailure(now time.Time, f Failure) bool {
-	s := t.step(f.Step)
+	step := StepOf(f.Task)
+	s := t.step(step)
 	s.failedOn[f.Target] = now
 	s.expire(now)
 	if !s.atFault && len(s.failedOn) >= minFailedTargets && len(s.failedOn) > f.RunningElsewhere {
 		s.atFault = true
-		t.exonerateTargets(f.Step)
+		t.exonerateTargets(step)
 	}
 	if !s.atFault {
 		t.countFailure(now, f)
-		return false
 	}
-	if f.Lasting && !s.heldUntil.After(now) {
-		s.heldUntil = now.Add(doubled(minHold, s.holds, maxHold))
-		s.holds++
+	if f.Lasting {
+		t.recordFailedTask(now, f.Task, s.atFault)
+	}
+	return s.atFault
+}
+
+// recordFailedTask notes the failure of a lasting task. It is held back if its step is at
+// fault: the sound tasks of the step need the room in the meantime.
+func (t *Tracker) recordFailedTask(now time.Time, task job.Ref, hold bool) {
+	step := StepOf(task)
+	if t.failedTasks[step] == nil {
+		t.failedTasks[step] = map[job.Ref]*FailedTask{}
+	}
+	f := t.failedTasks[step][task]
+	if f == nil || now.Sub(f.failedAt) > failureWindow {
+		f = &FailedTask{}
+		t.failedTasks[step][task] = f
+	}
+	t.lastNumber++
+	f.Number, f.failedAt = t.lastNumber, now
+	if hold && !f.IsHeld(now) {
+		f.HeldUntil = now.Add(doubled(minHold, f.holds, maxHold))
+		f.holds++
 	}
-	return true
 }
 
+// FailedTasks returns the lasting tasks of the step whose latest run has failed. Callers
+// must not change them.
+func (t *Tracker) FailedTasks(step Step) map[job.Ref]*FailedTask { return t.failedTasks[step] }
+
 func (t *Tracker) step(step Step) *stepRecord {
 	s := t.steps[step]
 	if s == nil {
@@ -128,7 +170,7 @@
 		}
 	}
 	if len(s.failedOn) < minFailedTargets {
-		s.atFault, s.holds = false, 0
+		s.atFault = false
 	}
 }
 
@@ -162,7 +204,7 @@
 		clear(target.failures)
 		target.suspendedUntil = time.Time{}
 	}
-	target.failures[f.Step]++
+	target.failures[StepOf(f.Task)]++
 	switch {
 	case f.Stalled:
 		target.stalled = true
@@ -234,11 +276,10 @@
 	return time.Time{}
 }
 
-// HeldUntil returns until when starts of the step are held back. The time may have
-// passed.
-func (t *Tracker) HeldUntil(step Step) time.Time {
-	if s := t.steps[step]; s != nil {
-		return s.heldUntil
+// HeldUntil returns until when the task is held back. The time may have passed.
+func (t *Tracker) HeldUntil(task job.Ref) time.Time {
+	if f := t.failedTasks[StepOf(task)][task]; f != nil {
+		return f.HeldUntil
 	}
 	return time.Time{}
 }
@@ -248,9 +289,6 @@
 
 // ForgetSteps drops the failures of the steps for which ended returns true.
 func (t *Tracker) ForgetSteps(ended func(jobID string) bool) {
-	for step := range t.steps {
-		if ended(step.Job) {
-			delete(t.steps, step)
-		}
-	}
+	maps.DeleteFunc(t.steps, func(step Step, _ *stepRecord) bool { return ended(step.Job) })
+	maps.DeleteFunc(t.failedTasks, func(step Step, _ map[job.Ref]*FailedTask) bool { return ended(step.Job) })
 }
--- a/job/faults/faults_test.go
+++ b/job/faults/faults_test.go
@@ -11,12 +11,12 @@
 
 func target(name string) job.TargetIncarnation { return job.TargetIncarnation{ID: name, Born: 1} }
 
-func step(name string) Step { return Step{Job: name} }
+func task(name string) job.Ref { return job.Ref{Job: name} }
 
-// fail records failures of one step on the targets, one after another.
-func fail(t *Tracker, now time.Time, s Step, lasting bool, elsewhere int, targets ...string) {
+// fail records failures of one task on the targets, one after another.
+func fail(t *Tracker, now time.Time, r job.Ref, lasting bool, elsewhere int, targets ...string) {
 	for _, name := range targets {
-		t.RecordFailure(now, Failure{Step: s, Target: target(name), Lasting: lasting, RunningElsewhere: elsewhere})
+		t.RecordFailure(now, Failure{Task: r, Target: target(name), Lasting: lasting, RunningElsewhere: elsewhere})
 	}
 }
 
@@ -24,11 +24,11 @@
 // job alone shows it or if the steps that fail there fail on another target too.
 func TestFailingTargetIsSuspended(t *testing.T) {
 	for name, record := range map[string]func(tr *Tracker){
-		"one step": func(tr *Tracker) { fail(tr, start, step("j"), false, 0, "bad", "bad", "bad", "bad") },
+		"one step": func(tr *Tracker) { fail(tr, start, task("j"), false, 0, "bad", "bad", "bad", "bad") },
 		"several steps": func(tr *Tracker) {
 			for _, j := range []string{"a", "b", "c", "d"} {
-				fail(tr, start, step(j), false, 10, "bad", "other")
-				tr.RecordSuccess(step(j), target("other"))
+				fail(tr, start, task(j), false, 10, "bad", "other")
+				tr.RecordSuccess(task(j), target("other"))
 			}
 		},
 	} {
@@ -44,17 +44,17 @@
 // one of them was suspended before its other failures were known.
 func TestFailingStepSuspendsNoTarget(t *testing.T) {
 	tr := NewTracker()
-	fail(tr, start, step("j"), true, 2, "a", "a", "a", "a")
+	fail(tr, start, task("j"), true, 2, "a", "a", "a", "a")
 	if !tr.SuspendedUntil(target("a")).After(start) {
 		t.Fatal("the first target is not suspended, although nothing tells it from a faulty one")
 	}
-	fail(tr, start, step("j"), true, 1, "b", "b", "b", "b", "c", "c", "c", "c")
+	fail(tr, start, task("j"), true, 1, "b", "b", "b", "b", "c", "c", "c", "c")
 	for _, name := range []string{"a", "b", "c"} {
 		if tr.SuspendedUntil(target(name)).After(start) {
 			t.Errorf("target %s is suspended", name)
 		}
 	}
-	if got := tr.HeldUntil(step("j")); got != start.Add(minHold) {
+	if got := tr.HeldUntil(task("j")); got != start.Add(minHold) {
 		t.Errorf("step held until %v, want %v", got, start.Add(minHold))
 	}
 }
@@ -62,8 +62,8 @@
 // Guards against a wide step that counts as faulty because a few of its targets are.
 func TestStepThatRunsElsewhereIsNotAtFault(t *testing.T) {
 	tr := NewTracker()
-	fail(tr, start, step("j"), true, 16, "a", "b")
-	if tr.HeldUntil(step("j")).After(start) {
+	fail(tr, start, task("j"), true, 16, "a", "b")
+	if tr.HeldUntil(task("j")).After(start) {
 		t.Error("a step with 16 running targets is held back for 2 failures")
 	}
 }
@@ -74,8 +74,8 @@
 	tr := NewTracker()
 	now, last := start, time.Duration(0)
 	for range 12 {
-		fail(tr, now, step("j"), true, 0, "a", "b")
-		held := tr.HeldUntil(step("j")).Sub(now)
+		fail(tr, now, task("j"), true, 0, "a", "b")
+		held := tr.HeldUntil(task("j")).Sub(now)
 		if held < last || held > maxHold {
 			t.Fatalf("held for %s after %s", held, last)
 		}
@@ -85,35 +85,57 @@
 	if last != maxHold {
 		t.Errorf("held for %s at last, want %s", last, maxHold)
 	}
-	tr.RecordSuccess(step("j"), target("a"))
-	if tr.HeldUntil(step("j")).After(now) {
+	tr.RecordSuccess(task("j"), target("a"))
+	if tr.HeldUntil(task("j")).After(now) {
 		t.Error("held after a success")
 	}
-	fail(tr, now, step("batch"), false, 0, "a", "b", "a", "b")
-	if tr.HeldUntil(step("batch")).After(now) {
+	fail(tr, now, task("batch"), false, 0, "a", "b", "a", "b")
+	if tr.HeldUntil(task("batch")).After(now) {
 		t.Error("a step with bounded attempts is held back")
 	}
 	now = now.Add(failureWindow + time.Second)
-	fail(tr, now, step("j"), true, 0, "a")
-	if tr.HeldUntil(step("j")).After(now) {
+	fail(tr, now, task("j"), true, 0, "a")
+	if tr.HeldUntil(task("j")).After(now) {
 		t.Error("held for one failure, the others being old")
 	}
 }
 
+// Guards against a hold of the whole step for one failing task, and against one that ends
+// because another task of the step has succeeded.
+func TestHoldIsThatOfTheTask(t *testing.T) {
+	tr := NewTracker()
+	bad, sound := job.Ref{Job: "j", Index: 0}, job.Ref{Job: "j", Index: 1}
+	for range 3 {
+		fail(tr, start, bad, true, 0, "a", "b")
+	}
+	held := tr.HeldUntil(bad)
+	if !held.After(start) || tr.HeldUntil(sound).After(start) {
+		t.Fatalf("failing task held until %v, sound one until %v", held, tr.HeldUntil(sound))
+	}
+	tr.RecordSuccess(sound, target("a"))
+	if tr.HeldUntil(bad) != held || len(tr.FailedTasks(StepOf(bad))) != 1 {
+		t.Errorf("held until %v after the success of another task, want %v", tr.HeldUntil(bad), held)
+	}
+	tr.RecordSuccess(bad, target("a"))
+	if len(tr.FailedTasks(StepOf(bad))) != 0 {
+		t.Error("the task counts as failed after a success")
+	}
+}
+
 // Guards against suspensions that do not grow while a target goes on failing, and
 // against one that a success does not end.
 func TestSuspensionsGrowUntilASuccess(t *testing.T) {
 	tr := NewTracker()
 	now := start
 	for _, want := range []time.Duration{2, 4, 8, 16, 16} {
-		fail(tr, now, step("j"), false, 0, "bad", "bad", "bad", "bad")
+		fail(tr, now, task("j"), false, 0, "bad", "bad", "bad", "bad")
 		got := tr.SuspendedUntil(target("bad")).Sub(now)
 		if got != want*time.Second {
 			t.Fatalf("suspended for %s, want %s", got, want*time.Second)
 		}
 		now = now.Add(got)
 	}
-	tr.RecordSuccess(step("k"), target("bad"))
+	tr.RecordSuccess(task("k"), target("bad"))
 	if tr.SuspendedUntil(target("bad")).After(now) {
 		t.Error("suspended after a success")
 	}
@@ -122,13 +144,13 @@
 // Guards against records that stay after their job or target is gone.
 func TestForgottenRecords(t *testing.T) {
 	tr := NewTracker()
-	fail(tr, start, step("gone"), true, 0, "a", "b")
-	fail(tr, start, step("live"), true, 9, "a")
+	fail(tr, start, task("gone"), true, 0, "a", "b")
+	fail(tr, start, task("live"), true, 9, "a")
 	tr.ForgetSteps(func(id string) bool { return id == "gone" })
 	tr.ForgetTarget(target("a"))
 	tr.ForgetTarget(target("b"))
-	if len(tr.steps) != 1 || len(tr.targets) != 0 {
-		t.Errorf("%d steps and %d targets left, want 1 and 0", len(tr.steps), len(tr.targets))
+	if len(tr.steps) != 1 || len(tr.targets) != 0 || len(tr.failedTasks) != 1 {
+		t.Errorf("%d steps, %d targets and %d steps with failed tasks left, want 1, 0 and 1", len(tr.steps), len(tr.targets), len(tr.failedTasks))
 	}
 }
 
@@ -139,15 +161,15 @@
 	tr := NewTracker()
 	now := start
 	for range 100 {
-		fail(tr, now, step("j"), true, 0, "a", "b")
-		now = tr.HeldUntil(step("j")).Add(100 * time.Millisecond)
+		fail(tr, now, task("j"), true, 0, "a", "b")
+		now = tr.HeldUntil(task("j")).Add(100 * time.Millisecond)
 	}
-	fail(tr, now, step("j"), true, 0, "a", "b")
-	if held := tr.HeldUntil(step("j")).Sub(now); held != maxHold {
+	fail(tr, now, task("j"), true, 0, "a", "b")
+	if held := tr.HeldUntil(task("j")).Sub(now); held != maxHold {
 		t.Errorf("held for %s after 100 holds, want %s", held, maxHold)
 	}
 	for range 100 {
-		fail(tr, now, step("k"), false, 9, "bad", "bad", "bad", "bad")
+		fail(tr, now, task("k"), false, 9, "bad", "bad", "bad", "bad")
 		if got := tr.SuspendedUntil(target("bad")).Sub(now); got < minSuspension || got > maxSuspension {
 			t.Fatalf("suspended for %s", got)
 		}
@@ -166,11 +188,11 @@
 	}
 	failing, stalled := NewTracker(), NewTracker()
 	for _, target := range targets {
-		step := Step{Job: "job on " + target.ID}
+		failed := task("job on " + target.ID)
 		for range maxStreak {
-			failing.RecordFailure(now, Failure{Step: step, Target: target})
+			failing.RecordFailure(now, Failure{Task: failed, Target: target})
 		}
-		stalled.RecordFailure(now, Failure{Step: step, Target: target, Stalled: true})
+		stalled.RecordFailure(now, Failure{Task: failed, Target: target, Stalled: true})
 	}
 	if got := len(failing.Suspended(now, targets)); got != 2 {
 		t.Errorf("%d of 5 targets suspended by failed runs, want 2", got)
