job/dispatch: use a suspended target where no other fits

Failed runs suspend at most half of the targets of a service, but that half may hold every target with a label.

Change: a target that failed runs have suspended is no longer hidden from the dispatcher. An idle job starts one task at a time there: a lasting one, or any if all targets that could run it are suspended. Tasks with a limit of attempts still wait for room on other targets. A failure there holds the task back like one of a step at fault. What the dispatcher places together is called a part of a job now; candidates are targets.

--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/dispatch"
+	"github.com/ibispier/ibispier/job/faults"
 )
 
 // dispatch proposes starts. Earlier starts that are not committed yet are pending at
@@ -18,7 +19,8 @@
 	blockers := e.startBlockers(now)
 	for _, s := range e.leader.sessions {
 		if s.placement != nil {
-			s.placement.SetStartable(blockers[s] == "")
+			s.placement.SetStartable(blockers[s] == "" || blockers[s] == blockedSuspended)
+			s.placement.SetSuspended(blockers[s] == blockedSuspended)
 		}
 	}
 	in := e.dispatchInput(now)
@@ -110,6 +112,10 @@
 	return paused
 }
 
+// blockedSuspended is the blocker of a target whose runs fail. The dispatcher uses such a
+// target where no other fits.
+const blockedSuspended = "suspended"
+
 // startBlockers returns why no starts may be placed on the targets that have reported,
 // for those to which that applies.
 func (e *engine) startBlockers(now time.Time) map[*session]string {
@@ -127,8 +133,12 @@
 		}
 	}
 	for _, targets := range byService {
-		for target := range e.leader.faults.Suspended(now, targets) {
-			blockers[e.leader.sessions[target]] = "suspended"
+		for target, reason := range e.leader.faults.Suspended(now, targets) {
+			blocker := blockedSuspended
+			if reason == faults.StalledRun {
+				blocker = "stalled"
+			}
+			blockers[e.leader.sessions[target]] = blocker
 		}
 	}
 	return blockers
--- a/daemon/control/jobs/starvation_test.go
+++ b/daemon/control/jobs/starvation_test.go
@@ -1,12 +1,21 @@
 package jobs
 
 import (
+	"os"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
+	"github.com/ibispier/ibispier/internal/testseed"
 	"github.com/ibispier/ibispier/job"
 )
 
+func TestMain(m *testing.M) {
+	testseed.Fix()
+	os.Exit(m.Run())
+}
+
 // Bounds of the platform for a lasting task that waits although there is room for it
 // twice over: it waits for waitBound, and restartBound after its last run or startBound
 // after its job was accepted have passed.
@@ -141,3 +150,78 @@
 		}
 	}
 }
+
+// Guards against lasting tasks that wait beside the empty target that alone fits them,
+// because one job that can never be done has failed there and suspended it.
+func TestOnlyFittingTargetIsUsedThoughSuspended(t *testing.T) {
+	f := newFleet(4)
+	f.agents[0].labels = []string{"b"}
+	f.agents[0].report()
+	f.failAfter = map[string]time.Duration{"bad": 50 * time.Millisecond}
+	f.runFor(time.Second)
+	f.submitSteps("quick", job.Step{Count: 6, Need: cpu(500), EstimateMillis: 200, Image: "bad", Label: "b"})
+	f.runFor(5 * time.Second)
+	if !f.e.leader.faults.SuspendedUntil(f.agents[0].target).After(f.now) {
+		t.Fatal("the target is not suspended")
+	}
+	w := newStarvation(f)
+	id := w.submit("lasting", lastingTasks(2, 4, "b"))
+	batch := f.submitSteps("quick", job.Step{Count: 1, Need: cpu(500), EstimateMillis: 200, Label: "b"})
+	f.runFor(waitBound)
+	for i := range 2 {
+		if ref := (job.Ref{Job: id, Index: i}); f.lastingRuns[ref] == 0 {
+			t.Errorf("%v was not started in %s", ref, waitBound)
+		}
+	}
+	if _, started := f.firstStart[batch]; !started {
+		t.Errorf("the batch job was not started in %s", waitBound)
+	}
+}
+
+// Draws targets, labels, lasting jobs and which of their tasks fail soon after each start,
+// beside jobs that can never be done. Guards against a task that waits for good although
+// there is room for it twice over: behind failing tasks of its step, of other steps or of
+// other jobs, and for targets that failed runs have suspended.
+func TestNoTaskWaitsBesideRoomForTwo(t *testing.T) {
+	played := 25 * time.Second // beyond the longest suspension of a target
+	if testing.Short() {
+		played = 10 * time.Second
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(1, 4).Draw(t, "targets"))
+		f.failAfter = map[string]time.Duration{"bad": 50 * time.Millisecond}
+		for _, a := range f.agents[:rapid.IntRange(1, len(f.agents)).Draw(t, "labelled")] {
+			a.labels = []string{"b"}
+			a.report()
+		}
+		failing := map[job.Ref]bool{}
+		f.failTask = func(ref job.Ref) bool { return failing[ref] }
+		w := newStarvation(f)
+		perTarget := rapid.Int64Range(1, 4).Draw(t, "per target")
+		drawLabel := func() string { return rapid.SampledFrom([]string{"", "b"}).Draw(t, "label") }
+		for range rapid.IntRange(1, 4).Draw(t, "jobs") {
+			if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
+				w.submit("quick", job.Step{Count: 6, Need: cpu(500), EstimateMillis: 200, Image: "bad", Label: drawLabel()})
+			} else {
+				var steps []job.Step
+				for range rapid.IntRange(1, 2).Draw(t, "steps") {
+					steps = append(steps, lastingTasks(rapid.IntRange(1, 8).Draw(t, "tasks"), perTarget, drawLabel()))
+				}
+				id := w.submit("lasting", steps...)
+				for s := range steps {
+					for i := range steps[s].Count {
+						failing[job.Ref{Job: id, Step: s, Index: i}] = rapid.Bool().Draw(t, "fails")
+					}
+				}
+			}
+			ref, starved := w.watch(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+			if !starved {
+				continue
+			}
+			t.Fatalf("%v (fails: %v) has no run although there is room for two of it", ref, failing[ref])
+		}
+		if ref, starved := w.watch(played); starved {
+			t.Fatalf("%v (fails: %v) has no run after %s although there is room for two of it", ref, failing[ref], f.now.Sub(f.submittedAt[ref.Job]))
+		}
+	})
+}
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -92,12 +92,14 @@
 	*Dispatcher
 	maxStarts          int
 	skipFillingFilters bool // ignore the filters for filling tasks
+	probing            bool // use suspended targets
 	starts             []job.Start
 	startedJobs        map[string]bool // jobs with starts in this pass
+	onlySuspended      map[shape]bool  // whether all targets that could run a shape are suspended
 }
 
 func newPass(in Input, d *Dispatcher) *pass {
-	return &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts, startedJobs: map[string]bool{}}
+	return &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts, startedJobs: map[string]bool{}, onlySuspended: map[shape]bool{}}
 }
 
 // Run returns the starts for the ready tasks. They are pending until Settle is
@@ -105,13 +107,16 @@
 func (d *Dispatcher) Run(in Input) []job.Start {
 	d.refresh(in.Store)
 	p := newPass(in, d)
-	for _, c := range p.orderedCandidates() {
+	for _, part := range p.orderedParts() {
 		if len(p.starts) >= p.maxStarts {
 			break
 		}
-		p.startCandidate(c)
-		if p.mayStartUnfiltered(c.job) {
-			p.startOneUnfiltered(c)
+		p.startPart(part)
+		if p.mayStartUnfiltered(part.job) {
+			p.startOneUnfiltered(part)
+		}
+		if p.mayProbe(part.job) {
+			p.startOneSuspended(part)
 		}
 	}
 	for _, s := range p.starts {
@@ -186,50 +191,51 @@
 // filling tasks keep from starting, on the target where it disturbs least.
 // Pacing protects the serving tasks, and the job makes progress whenever they
 // leave headroom.
-func (p *pass) startOneUnfiltered(c candidate) {
+func (p *pass) startOneUnfiltered(part jobPart) {
 	p.skipFillingFilters = true
-	p.startOne(c)
+	p.startOne(part)
 	p.skipFillingFilters = false
 }
 
-// startOne starts one task of the candidate.
-func (p *pass) startOne(c candidate) {
+// startOne starts one task of the part.
+func (p *pass) startOne(part jobPart) {
 	limit := p.maxStarts
 	p.maxStarts = len(p.starts) + 1
-	p.startCandidate(c)
+	p.startPart(part)
 	p.maxStarts = limit
 }
 
-// startCandidate starts the tasks of the candidate that fit.
-func (p *pass) startCandidate(c candidate) {
+// startPart starts the tasks of the part that fit.
+func (p *pass) startPart(part jobPart) {
 	before := len(p.starts)
-	if c.failed {
-		p.startReady(c, c.occurrence, c.step)
+	if part.failed {
+		p.startReady(part, part.occurrence, part.step)
 	} else {
-		p.startJob(c)
+		p.startJob(part)
 	}
 	if len(p.starts) > before {
-		p.startedJobs[c.job.Spec.ID] = true
+		p.startedJobs[part.job.Spec.ID] = true
 	}
 }
 
-func (p *pass) startJob(c candidate) {
-	for k := range c.job.Occurrences {
-		if !p.isDue(c.job, k) {
+func (p *pass) startJob(part jobPart) {
+	for k := range part.job.Occurrences {
+		if !p.isDue(part.job, k) {
 			return
 		}
-		for s := range c.job.Spec.Steps {
-			p.startReady(c, k, s)
+		for s := range part.job.Spec.Steps {
+			p.startReady(part, k, s)
 		}
 	}
 }
 
-func (p *pass) startReady(c candidate, occurrence, index int) {
-	if !p.hasWaiting(c.job, occurrence, index) {
+func (p *pass) startReady(part jobPart, occurrence, index int) {
+	if !p.hasWaiting(part.job, occurrence, index) {
 		return
 	}
-	step := readyStep{candidate: c, queue: p.Store.QueueOf(c.job), ref: job.Ref{Job: c.job.Spec.ID, Occurrence: occurrence, Step: index}}
+	step := readyStep{jobPart: part, queue: p.Store.QueueOf(part.job), ref: job.Ref{Job: part.job.Spec.ID, Occurrence: occurrence, Step: index}}
 	switch s := step.spec(); {
+	case p.probing && !p.mayUseSuspended(step):
 	case s.Gang:
 		p.startGang(step)
 	case s.Serves():
--- a/job/dispatch/explain.go
+++ b/job/dispatch/explain.go
@@ -21,7 +21,7 @@
 		Candidates: len(p.candidates(p.shapeOf(q, s, ref))),
 		Pending:    d.pendingSteps[stepOf(ref)],
 	}
-	for ref, f := range p.failedTasks(j, index) {
+	for ref, f := range p.failedOf(j, index) {
 		if ref.Occurrence == occurrence && f.IsHeld(in.SteadyNow) && p.isReady(j, ref) {
 			x.Held++
 		}
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -14,6 +14,7 @@
 const (
 	accepted     Rejection = ""
 	NotStartable Rejection = "not_startable"
+	Suspended    Rejection = "suspended"
 	OtherService Rejection = "other_service"
 	NoRoom       Rejection = "no_room"
 	TaskLimit    Rejection = "task_limit"
@@ -29,6 +30,8 @@
 	switch {
 	case !ts.startable:
 		return NotStartable
+	case ts.suspended && !p.probing:
+		return Suspended
 	case !servesQueue(ts, q):
 		return OtherService
 	case !fits(ts, s):
--- a/job/dispatch/gangs.go
+++ b/job/dispatch/gangs.go
@@ -12,7 +12,7 @@
 		return
 	}
 	// The limit of one start past the filters is not meant for gangs.
-	if !p.skipFillingFilters && len(p.starts)+len(state.Tasks) > max(p.maxStarts, len(state.Tasks)) {
+	if !p.skipFillingFilters && !p.probing && len(p.starts)+len(state.Tasks) > max(p.maxStarts, len(state.Tasks)) {
 		return
 	}
 	key := p.shapeOf(q, s, ref)
--- a/job/dispatch/misfits.go
+++ b/job/dispatch/misfits.go
@@ -26,6 +26,7 @@
 	cpuMilli   int64
 	filling    bool
 	unfiltered bool    // the filters for filling tasks are ignored
+	probing    bool    // suspended targets are used
 	step       stepKey // of a step with a limit per target
 	gang       int     // number of tasks that start together or not at all
 }
@@ -38,6 +39,7 @@
 
 func (p *pass) shapeOf(q *job.Queue, s *job.Step, ref job.Ref) shape {
 	key := shape{service: q.Service, label: s.Label, reserved: s.Reserved(), cpuMilli: s.Need.CPUMilli, filling: s.Filling}
+	key.probing = p.probing
 	if s.Filling {
 		key.image, key.unfiltered = s.Image, p.skipFillingFilters
 	}
--- a/job/dispatch/oracle_test.go
+++ b/job/dispatch/oracle_test.go
@@ -26,12 +26,12 @@
 	}
 	d.refresh(in.Store)
 	p := newPass(in, d)
-	for _, c := range p.orderedCandidates() {
+	for _, c := range p.orderedParts() {
 		before := len(p.starts)
-		p.plainCandidate(c, p.maxStarts)
+		p.plainPart(c, p.maxStarts)
 		if len(p.starts) == before && p.mayStartUnfiltered(c.job) {
 			p.skipFillingFilters = true
-			p.plainCandidate(c, before+1)
+			p.plainPart(c, before+1)
 			p.skipFillingFilters = false
 		}
 		p.startedJobs[c.job.Spec.ID] = p.startedJobs[c.job.Spec.ID] || len(p.starts) > before
@@ -39,9 +39,9 @@
 	return p.starts
 }
 
-// plainOrder returns the indexes of the tasks in the order in which a candidate starts
+// plainOrder returns the indexes of the tasks in the order in which a part starts
 // them, if they are ready.
-func (p *pass) plainOrder(c candidate, step, count int) []int {
+func (p *pass) plainOrder(c jobPart, step, count int) []int {
 	failed := map[int]*faults.FailedTask{}
 	if c.job.Spec.Steps[step].Lasting {
 		for ref, f := range p.FailedTasks(faults.Step{Job: c.job.Spec.ID, Index: step}) {
@@ -61,7 +61,7 @@
 	return order
 }
 
-func (p *pass) plainCandidate(c candidate, limit int) {
+func (p *pass) plainPart(c jobPart, limit int) {
 	j := c.job
 	q := p.Store.QueueOf(j)
 	for s := range j.Spec.Steps {
--- a/job/dispatch/order.go
+++ b/job/dispatch/order.go
@@ -21,25 +21,25 @@
 	missed                           // finishes too late to be useful; run for completeness
 )
 
-// candidate is a job with ready tasks, or the ready tasks of one step whose latest runs
-// have failed.
-type candidate struct {
+// jobPart is the ready tasks of a job that are placed together: those of one step whose
+// latest runs have failed, or all others.
+type jobPart struct {
 	job              *job.Job
-	failed           bool // the failed tasks of one step; otherwise all others of the job
-	occurrence, step int  // of the failed tasks
+	failed           bool
+	occurrence, step int // of the failed tasks
 }
 
-// rankedCandidate holds the sort keys of a candidate.
-type rankedCandidate struct {
-	candidate
+// rankedPart holds the sort keys of a part.
+type rankedPart struct {
+	jobPart
 	priority  int
 	objective objectiveState
 	deadline  int64  // Unix milliseconds
 	failure   uint64 // number of the earliest failure of the failed tasks
 }
 
-// orderedCandidates returns the live jobs with ready tasks, sorted by priority, objective state
-// and deadline. Lasting tasks whose latest run has failed follow by themselves, as if they
+// orderedParts returns the parts of the live jobs with ready tasks, sorted by priority,
+// objective state and deadline. Lasting tasks whose latest run has failed follow by themselves, as if they
 // were submitted now: those that fail again and again would otherwise keep the room from
 // others, which may be sound. Of them, the tasks that failed first come first.
 //
@@ -47,32 +47,32 @@
 // because work for jobs that have missed their objective delays those that can
 // still meet it. Deadlines grow with the length of a job, so wide and long jobs
 // do not starve.
-func (p *pass) orderedCandidates() []candidate {
-	var ranked []rankedCandidate
+func (p *pass) orderedParts() []jobPart {
+	var ranked []rankedPart
 	for _, j := range p.Store.LiveJobs() {
 		if !j.HasReadyTasks() {
 			continue
 		}
 		r := p.rankJob(j)
 		ranked = append(ranked, r)
-		for _, f := range p.failedCandidates(j) {
+		for _, f := range p.failedParts(j) {
 			f.priority, f.objective, f.deadline = r.priority, r.objective, p.Now.UnixMilli()
 			ranked = append(ranked, f)
 		}
 	}
-	slices.SortStableFunc(ranked, func(x, y rankedCandidate) int {
+	slices.SortStableFunc(ranked, func(x, y rankedPart) int {
 		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.objective, y.objective), cmp.Compare(x.deadline, y.deadline), cmp.Compare(x.failure, y.failure))
 	})
-	candidates := make([]candidate, len(ranked))
+	parts := make([]jobPart, len(ranked))
 	for i, r := range ranked {
-		candidates[i] = r.candidate
+		parts[i] = r.jobPart
 	}
-	return candidates
+	return parts
 }
 
-func (p *pass) rankJob(j *job.Job) rankedCandidate {
+func (p *pass) rankJob(j *job.Job) rankedPart {
 	q := p.Store.QueueOf(j)
-	r := rankedCandidate{candidate: candidate{job: j}, priority: q.Priority}
+	r := rankedPart{jobPart: jobPart{job: j}, priority: q.Priority}
 	if j.Spec.OccurrenceCount > 0 || j.Spec.Steps[0].Lasting {
 		r.deadline = j.AtMillis
 		return r
--- a/job/dispatch/ready.go
+++ b/job/dispatch/ready.go
@@ -10,9 +10,9 @@
 	"github.com/ibispier/ibispier/job/faults"
 )
 
-// readyStep is a step of a candidate in one occurrence.
+// readyStep is a step of a part in one occurrence.
 type readyStep struct {
-	candidate
+	jobPart
 	queue *job.Queue
 	ref   job.Ref // of the step; the index is not used
 }
@@ -33,19 +33,19 @@
 	return waiting > 0 && j.StepReady(occurrence, index)
 }
 
-// failedTasks returns the tasks of the step whose latest run has failed.
-func (p *pass) failedTasks(j *job.Job, index int) map[job.Ref]*faults.FailedTask {
+// failedOf returns the tasks of the step whose latest run has failed.
+func (p *pass) failedOf(j *job.Job, index int) map[job.Ref]*faults.FailedTask {
 	if p.FailedTasks == nil || !j.Spec.Steps[index].Lasting {
 		return nil
 	}
 	return p.FailedTasks(faults.Step{Job: j.Spec.ID, Index: index})
 }
 
-// failedCandidates returns the steps of the job with failed tasks that may start.
-func (p *pass) failedCandidates(j *job.Job) []rankedCandidate {
-	var candidates []rankedCandidate
+// failedParts returns the steps of the job with failed tasks that may start.
+func (p *pass) failedParts(j *job.Job) []rankedPart {
+	var parts []rankedPart
 	for s := range j.Spec.Steps {
-		failed := p.failedTasks(j, s)
+		failed := p.failedOf(j, s)
 		if len(failed) == 0 {
 			continue
 		}
@@ -57,12 +57,12 @@
 			earliest[ref.Occurrence] = min(cmp.Or(earliest[ref.Occurrence], math.MaxUint64), f.Number)
 		}
 		for occurrence, number := range earliest {
-			candidates = append(candidates, rankedCandidate{
-				candidate: candidate{job: j, failed: true, occurrence: occurrence, step: s}, failure: number,
+			parts = append(parts, rankedPart{
+				jobPart: jobPart{job: j, failed: true, occurrence: occurrence, step: s}, failure: number,
 			})
 		}
 	}
-	return candidates
+	return parts
 }
 
 // isReady reports whether the task is ready and its start is not pending.
@@ -71,10 +71,10 @@
 	return t != nil && t.State == job.Ready && !p.pending[ref]
 }
 
-// readyTasks returns the indexes of the tasks of the candidate in a step that may start:
+// readyTasks returns the indexes of the tasks of the part in a step that may start:
 // the failed ones in the order of their failures, or all others by their indexes.
 func (p *pass) readyTasks(r readyStep) iter.Seq[int] {
-	failed := p.failedTasks(r.job, r.ref.Step)
+	failed := p.failedOf(r.job, r.ref.Step)
 	if r.failed {
 		return slices.Values(p.failedInOrder(r, failed))
 	}
@@ -102,11 +102,11 @@
 	return indexes
 }
 
-// isGangReady reports whether a gang starts with the candidate. A gang with a failed task
+// isGangReady reports whether a gang starts with the part. A gang with a failed task
 // starts with the failed ones, once none of them is held back.
 func (p *pass) isGangReady(r readyStep) bool {
 	hasFailed := false
-	for ref, f := range p.failedTasks(r.job, r.ref.Step) {
+	for ref, f := range p.failedOf(r.job, r.ref.Step) {
 		if ref.Occurrence != r.ref.Occurrence {
 			continue
 		}
--- a/job/dispatch/ready_test.go
+++ b/job/dispatch/ready_test.go
@@ -119,3 +119,22 @@
 		t.Errorf("started %v, want both members", got)
 	}
 }
+
+// Guards against tasks with a limited number of attempts that are spent on a suspended
+// target, while another only lacks room.
+func TestBatchTasksWaitForRoomBesideASuspendedTarget(t *testing.T) {
+	w := newFixture(2)
+	w.submit(0, time.Hour, job.Step{Count: 1, Need: cores(64), Lasting: true})
+	d := New(DefaultLimits())
+	w.describe(d)
+	d.byIncarnation[w.targets[1].Incarnation].SetSuspended(true)
+	if starts := d.Run(w.input()); len(starts) != 1 || starts[0].Target != w.targets[0].Incarnation {
+		t.Fatalf("starts %v, want one on the target that is not suspended", starts)
+	}
+	batch := w.submit(0, 0, job.Step{Count: 1, Need: cores(1), EstimateMillis: 1000})
+	lasting := w.submit(0, 0, job.Step{Count: 1, Need: cores(1), Lasting: true})
+	starts := d.Run(w.input(batch, lasting))
+	if len(starts) != 1 || starts[0].Task.Job != lasting || starts[0].Target != w.targets[1].Incarnation {
+		t.Errorf("starts %v, want that of the lasting job on the suspended target", starts)
+	}
+}
--- a/job/dispatch/scores.go
+++ b/job/dispatch/scores.go
@@ -91,7 +91,7 @@
 func (p *pass) nonServingTargetsScarce(service string) bool {
 	targets, nonServing := 0, 0
 	for _, ts := range p.targets {
-		if !ts.startable || ts.Service != service {
+		if !ts.startable || ts.suspended || ts.Service != service {
 			continue
 		}
 		targets++
--- a/job/dispatch/targets.go
+++ b/job/dispatch/targets.go
@@ -42,8 +42,11 @@
 	removed    bool
 	stale      bool // the load must be read from the store again
 	// startable is false for a target that is draining, silent, or suspended
-	// because its runs fail or stall.
+	// because a run stalls.
 	startable bool
+	// suspended is true for a target that is suspended because its runs fail. It is
+	// used only for tasks that would otherwise wait for good.
+	suspended bool
 
 	free         resource.Vector    // unreserved capacity
 	tasks        int                // number of tasks
@@ -71,6 +74,15 @@
 	ts.dispatcher.recordChange(ts)
 }
 
+// SetSuspended sets whether the target is suspended because its runs fail.
+func (ts *TargetState) SetSuspended(suspended bool) {
+	if ts.suspended == suspended {
+		return
+	}
+	ts.suspended = suspended
+	ts.dispatcher.recordChange(ts)
+}
+
 // SetTarget adds a target, or replaces its description if it differs.
 func (d *Dispatcher) SetTarget(t Target) *TargetState {
 	ts := d.byIncarnation[t.Incarnation]
--- a/job/faults/faults.go
+++ b/job/faults/faults.go
@@ -124,13 +124,14 @@
 		t.countFailure(now, f)
 	}
 	if f.Lasting {
-		t.recordFailedTask(now, f.Task, s.atFault)
+		t.recordFailedTask(now, f.Task, s.atFault || t.SuspendedUntil(f.Target).After(now))
 	}
 	return s.atFault
 }
 
 // recordFailedTask notes the failure of a lasting task. It is held back if its step is at
-// fault: the sound tasks of the step need the room in the meantime.
+// fault, because the sound tasks of the step need the room in the meantime, or if it has
+// failed on a suspended target, which is used only where no other fits.
 func (t *Tracker) recordFailedTask(now time.Time, task job.Ref, hold bool) {
 	step := StepOf(task)
 	if t.failedTasks[step] == nil {
@@ -232,18 +233,28 @@
 	return n
 }
 
+// Suspension tells why a target gets no starts.
+type Suspension uint8
+
+// Reasons of a suspension.
+const (
+	NotSuspended Suspension = iota
+	FailedRuns
+	StalledRun
+)
+
 // Suspended returns which of the targets of a service get no starts. Failed runs suspend
 // at most maxSuspendedShare of them, those with the longest suspensions: jobs that fail
 // in all their attempts on one target cannot be told from a target that fails, and must
 // not leave a service without targets.
-func (t *Tracker) Suspended(now time.Time, of []job.TargetIncarnation) map[job.TargetIncarnation]bool {
-	suspended := map[job.TargetIncarnation]bool{}
+func (t *Tracker) Suspended(now time.Time, of []job.TargetIncarnation) map[job.TargetIncarnation]Suspension {
+	suspended := map[job.TargetIncarnation]Suspension{}
 	var failing []job.TargetIncarnation
 	for _, target := range of {
 		switch {
 		case !t.SuspendedUntil(target).After(now):
 		case t.targets[target].stalled:
-			suspended[target] = true
+			suspended[target] = StalledRun
 		default:
 			failing = append(failing, target)
 		}
@@ -252,7 +263,7 @@
 		return cmp.Or(t.SuspendedUntil(y).Compare(t.SuspendedUntil(x)), cmp.Compare(x.ID, y.ID))
 	})
 	for _, target := range failing[:min(len(failing), int(maxSuspendedShare*float64(len(of))))] {
-		suspended[target] = true
+		suspended[target] = FailedRuns
 	}
 	return suspended
 }
--- a/job/faults/faults_test.go
+++ b/job/faults/faults_test.go
@@ -122,6 +122,18 @@
 	}
 }
 
+// Guards against a failing task that is started again without a pause on a suspended
+// target, which is used where no other fits.
+func TestFailureOnASuspendedTargetIsHeld(t *testing.T) {
+	tr := NewTracker()
+	for range maxStreak {
+		fail(tr, start, task("j"), true, 0, "a")
+	}
+	if got := tr.HeldUntil(task("j")); got != start.Add(minHold) {
+		t.Errorf("held until %v, want %v", got, start.Add(minHold))
+	}
+}
+
 // Guards against suspensions that do not grow while a target goes on failing, and
 // against one that a success does not end.
 func TestSuspensionsGrowUntilASuccess(t *testing.T) {
