control/jobs: a cancel of an unknown job refuses its submission

Cause: control kept nothing of a cancel for an id that it did not know, although the answer "no such job" is a promise about copies of the submission that are on their way. A cancel that arrived while the submission was only proposed was lost too.

Evidence: on the unchanged code, the logs have "job accepted" for the id after the cancel, and no line about the cancel.

Change: such a cancel is an entry in the log and leaves a tombstone in the state; it is answered once it is applied. The log decides the order, so it holds behind frozen entry instances, in proposals, after a change of the leader and a loss of power.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -28,6 +28,8 @@
 	JobRefused    JobOutcome = "refused"     // not accepted; it never runs
 	JobNoManifest JobOutcome = "no-manifest" // not accepted, because there is no configuration yet
 	JobInvalid    JobOutcome = "invalid"     // the specification is invalid
+	JobCancelled  JobOutcome = "cancelled"   // not accepted, because it was cancelled before it arrived; it never runs
+	JobOverloaded JobOutcome = "overloaded"  // nothing was done; it may be sent again after RetryAfterMillis
 )
 
 // JobSubmitRequest submits a job. Path is the path prefix of a queue followed by
--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -162,21 +162,3 @@
 		return ""
 	}
 }
-
-// forgetJobs removes finished jobs after the retention time.
-func (e *engine) forgetJobs(now time.Time) {
-	for id, j := range e.store.Jobs {
-		if j.IsLive() {
-			continue
-		}
-		since, known := e.leader.finishedAt[id]
-		if !known {
-			e.leader.finishedAt[id] = now
-			continue
-		}
-		if now.Sub(since) >= e.options.Retention {
-			delete(e.leader.finishedAt, id)
-			e.addPart(func(c *job.Command) { c.Forget = append(c.Forget, id) }, nil, nil)
-		}
-	}
-}
--- a/daemon/control/jobs/duty.go
+++ b/daemon/control/jobs/duty.go
@@ -34,7 +34,7 @@
 // Options configure the duty.
 type Options struct {
 	Lease     lease.Timing  // of a target
-	Retention time.Duration // how long a finished job is kept
+	Retention time.Duration // how long a finished job or a tombstone is kept
 	MinVoters int           // number of voters below which a new group accepts no requests
 	Bootstrap bool          // whether this member creates the group if none exists
 	Limits    dispatch.Limits
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -23,7 +23,8 @@
 	proposedEnds      map[job.Ref]int                // runs whose end is proposed
 	unsentStarts      map[job.Ref]int                // runs committed in this term whose start was not sent yet
 	proposedLosses    map[job.TargetIncarnation]bool // targets whose loss is proposed
-	finishedAt        map[string]time.Time           // when this leader first saw that a job is finished
+	finishedAt        map[string]time.Time           // when this leader first saw that a job is finished, or a tombstone
+	nextForgotten     time.Time                      // when the next of them is past the retention time
 	confirmedAt       time.Time                      // a quorum has confirmed this leader at that time or later
 	needsDispatch     bool                           // something has changed since the last dispatch
 	disturbances      *disturbanceTable              // disturbance between filling and serving images
--- a/daemon/control/jobs/requests.go
+++ b/daemon/control/jobs/requests.go
@@ -89,6 +89,11 @@
 	}
 	submission := &job.Submission{Spec: s.Spec, Queue: *queue, AtMillis: time.Now().UnixMilli()}
 	e.addPart(func(c *job.Command) { c.Submit = append(c.Submit, submission) }, func(time.Time) {
+		if e.store.HasTombstone(s.Spec.ID) { // cancelled by an entry before this one
+			e.log.Info("job refused", zap.String("job", s.Spec.ID), zap.String("outcome", string(controlapi.JobCancelled)), zap.Uint64("index", e.applied))
+			replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobCancelled})
+			return
+		}
 		e.log.Info("job accepted", zap.String("job", s.Spec.ID), zap.String("queue", submission.Queue.Name),
 			zap.Int("steps", len(s.Spec.Steps)), zap.Int("max_per_target", s.Spec.Steps[0].MaxPerTarget), zap.Bool("lasting", s.Spec.Steps[0].Lasting), zap.Int64("cpu_milli", s.Spec.Steps[0].Need.CPUMilli), zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Uint64("index", e.applied))
 		replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobOK})
@@ -99,6 +104,8 @@
 // whether it must be.
 func (e *engine) checkSubmission(q *job.Queue, rest string, s *controlapi.JobSubmitRequest) (controlapi.JobResponse, bool) {
 	switch {
+	case e.store.HasTombstone(s.Spec.ID):
+		return controlapi.JobResponse{Outcome: controlapi.JobCancelled}, true
 	case e.store.Config.Version == 0:
 		return controlapi.JobResponse{Outcome: controlapi.JobNoManifest, RetryAfterMillis: noManifestRetry.Milliseconds()}, true
 	case q == nil:
@@ -127,7 +134,7 @@
 		case controlapi.OpJobWaiting:
 			e.answerWaiting(r, queue)
 		case controlapi.OpJobCancel:
-			e.cancelJob(r, q, queue)
+			e.cancelJob(now, r, q, queue)
 		default:
 			e.answerStatus(r, q, queue)
 		}
@@ -146,8 +153,7 @@
 // now matches the path plays no part: it may be another one than at the submission,
 // because queues are removed, moved and covered by others while jobs run.
 func (e *engine) findJob(q *controlapi.JobQuery, queue *job.Queue) (*job.Job, controlapi.JobOutcome) {
-	id := q.Path[strings.LastIndexByte(q.Path, '/')+1:]
-	switch j := e.store.Jobs[id]; {
+	switch j := e.store.Jobs[jobID(q)]; {
 	case j != nil:
 		return j, controlapi.JobOK
 	case queue == nil:
@@ -157,6 +163,8 @@
 	}
 }
 
+func jobID(q *controlapi.JobQuery) string { return q.Path[strings.LastIndexByte(q.Path, '/')+1:] }
+
 func (e *engine) answerStatus(r *applier.Request, q *controlapi.JobQuery, queue *job.Queue) {
 	j, outcome := e.findJob(q, queue)
 	answer := controlapi.JobResponse{Outcome: outcome}
@@ -166,19 +174,46 @@
 	replyOK(r, answer)
 }
 
-func (e *engine) cancelJob(r *applier.Request, q *controlapi.JobQuery, queue *job.Queue) {
+// cancelJob cancels a job. An ID that no job has is stored as a tombstone before the caller
+// is told that there is no such job: a copy of the submission may still be on its way.
+func (e *engine) cancelJob(now time.Time, r *applier.Request, q *controlapi.JobQuery, queue *job.Queue) {
+	id := jobID(q)
 	j, outcome := e.findJob(q, queue)
-	if j == nil {
+	switch {
+	case j != nil:
+	case outcome != controlapi.JobUnknown, !job.ValidID(id), e.store.HasTombstone(id):
 		replyOK(r, controlapi.JobResponse{Outcome: outcome})
 		return
+	case len(e.store.Tombstones) >= job.MaxTombstones:
+		e.answerTooManyTombstones(now, r, id)
+		return
 	}
-	id := j.Spec.ID
-	e.addPart(func(c *job.Command) { c.Cancel = append(c.Cancel, id) }, func(time.Time) {
-		e.log.Info("job cancelled", zap.String("job", id), zap.Uint64("index", e.applied))
-		replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobOK})
+	e.addPart(func(c *job.Command) { c.Cancel = append(c.Cancel, id) }, func(now time.Time) {
+		switch {
+		case e.store.Jobs[id] != nil: // also if its submission was under way
+			e.log.Info("job cancelled", zap.String("job", id), zap.Uint64("index", e.applied))
+			replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobOK})
+		case e.store.HasTombstone(id):
+			e.log.Info("unknown job cancelled", zap.String("job", id), zap.Int("tombstones", len(e.store.Tombstones)), zap.Uint64("index", e.applied))
+			replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobUnknown})
+		default:
+			e.answerTooManyTombstones(now, r, id)
+		}
 	}, func() { replyUnavailable(r) })
 }
 
+// answerTooManyTombstones refuses to cancel an unknown job until the oldest tombstone is
+// forgotten.
+func (e *engine) answerTooManyTombstones(now time.Time, r *applier.Request, id string) {
+	retry := max(e.leader.nextForgotten.Sub(now), minTombstoneRetry)
+	e.log.Info("cancel refused", zap.String("job", id), zap.Int("tombstones", len(e.store.Tombstones)), zap.Duration("retry_after", retry))
+	replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobOverloaded, RetryAfterMillis: retry.Milliseconds()})
+}
+
+// minTombstoneRetry is the shortest retry delay sent to callers while there are too many
+// tombstones. Expired ones are forgotten every cleanUpInterval.
+const minTombstoneRetry = time.Second
+
 // putManifest proposes an externally approved configuration. An older or equal
 // version is acknowledged without effect.
 func (e *engine) putManifest(now time.Time, r *applier.Request, m *controlapi.ManifestRequest) {
--- a/job/apply.go
+++ b/job/apply.go
@@ -74,7 +74,7 @@
 	Lost     []TargetIncarnation `json:",omitempty"` // targets whose lease expired or that are known to have ended
 	Starts   []Start             `json:",omitempty"`
 	Learned  []PairEstimate      `json:",omitempty"`
-	Forget   []string            `json:",omitempty"` // finished jobs past their retention time
+	Forget   []string            `json:",omitempty"` // finished jobs and tombstones past their retention time
 }
 
 // PairEstimate is a new disturbance estimate for a pair of images.
@@ -83,6 +83,10 @@
 	Disturbance
 }
 
+// MaxTombstones bounds the tombstones in the store, because callers may cancel IDs that
+// they make up.
+const MaxTombstones = 8192
+
 // MaxImagePairs bounds the number of image pairs in the store.
 const MaxImagePairs = 4096
 
@@ -125,9 +129,10 @@
 	}
 }
 
-// submitJob adds a job. A repeated submission with the same ID has no effect.
+// submitJob adds a job. A repeated submission with the same ID has no effect, nor has
+// one that arrives after its cancelling.
 func (st *Store) submitJob(s *Submission) {
-	if st.Jobs[s.Spec.ID] != nil {
+	if st.Jobs[s.Spec.ID] != nil || st.HasTombstone(s.Spec.ID) {
 		return
 	}
 	st.Orders++
@@ -145,8 +150,14 @@
 	st.liveJobs = append(st.liveJobs, j)
 }
 
+// cancelJob cancels a live job. An ID that no job has becomes a tombstone, unless there are
+// too many of them.
 func (st *Store) cancelJob(id string) {
-	if j := st.Jobs[id]; j != nil && j.IsLive() {
+	j := st.Jobs[id]
+	switch {
+	case j == nil && len(st.Tombstones) < MaxTombstones:
+		st.Tombstones[id] = struct{}{}
+	case j != nil && j.IsLive():
 		j.Cancelled = true
 		st.finishJob(j)
 	}
@@ -362,8 +373,9 @@
 	return count
 }
 
-// forgetJob removes a finished job of which no run is active.
+// forgetJob removes a finished job of which no run is active, or a tombstone.
 func (st *Store) forgetJob(id string) {
+	delete(st.Tombstones, id)
 	j := st.Jobs[id]
 	if j == nil || j.IsLive() {
 		return
--- a/job/store.go
+++ b/job/store.go
@@ -128,13 +128,16 @@
 // Invariants: a task is placed on at most one target; byTarget contains exactly
 // the tasks that are Placed or Stopping; liveJobs contains exactly the live
 // jobs in the order of acceptance; a job that is not live and has no task in
-// byTarget has no occurrences.
+// byTarget has no occurrences; no ID is in both Jobs and Tombstones.
 type Store struct {
 	Config        Config
 	ZonesOut      map[string]bool
 	Jobs          map[string]*Job
 	EndWatermarks map[string]EndWatermark `json:"Noted"` // watermark of applied ends, by watermarkKey
 	Orders        uint64                  // order number of the last accepted job
+	// Tombstones holds the IDs that were cancelled although no job had them. A
+	// submission that was sent before the cancelling may arrive later, and is refused.
+	Tombstones map[string]struct{} `json:",omitempty"`
 	// Disturbs holds the learned disturbance by serving image and filling
 	// image. It is replicated so that it survives restarts of the processes
 	// that learned it.
@@ -167,7 +170,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	st := &Store{ZonesOut: map[string]bool{}, Jobs: map[string]*Job{}, EndWatermarks: map[string]EndWatermark{}, Disturbs: map[string]map[string]Disturbance{}}
+	st := &Store{ZonesOut: map[string]bool{}, Jobs: map[string]*Job{}, Tombstones: map[string]struct{}{}, EndWatermarks: map[string]EndWatermark{}, Disturbs: map[string]map[string]Disturbance{}}
 	st.RebuildIndexes()
 	return st
 }
@@ -283,6 +286,12 @@
 	return j, j.Task(r)
 }
 
+// HasTombstone reports whether the ID was cancelled before a job had it.
+func (st *Store) HasTombstone(id string) bool {
+	_, cancelled := st.Tombstones[id]
+	return cancelled
+}
+
 // QueueOf returns the current settings of the job's queue.
 // If the queue was removed, they are those at the time of submission.
 func (st *Store) QueueOf(j *Job) *Queue {
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -19,6 +19,7 @@
 	done     map[Ref]bool
 	failures map[Ref]int
 	finished map[string]State
+	refused  map[string]bool // IDs that were cancelled before a job had them
 }
 
 func testSpec(t *rapid.T, id string) Spec {
@@ -39,13 +40,13 @@
 
 // Compares the store with the oracle over random commands. Guards against a
 // task that runs twice at a time or again after it is done, steps out of order,
-// attempts beyond the limit, jobs reported completed too early, and indexes
-// that differ from the state. A snapshot must keep the zones out of service, the
-// acknowledged ends and all jobs.
+// attempts beyond the limit, jobs reported completed too early, indexes that
+// differ from the state, and a job that is accepted after its cancelling. A snapshot must
+// keep the zones out of service, the acknowledged ends, all jobs and the tombstones.
 func TestBookAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		st := NewStore()
-		o := &oracle{placed: map[Ref]Start{}, done: map[Ref]bool{}, failures: map[Ref]int{}, finished: map[string]State{}}
+		o := &oracle{placed: map[Ref]Start{}, done: map[Ref]bool{}, failures: map[Ref]int{}, finished: map[string]State{}, refused: map[string]bool{}}
 		numbers := map[TargetIncarnation]uint64{}
 		targets := []TargetIncarnation{{"a", 1}, {"b", 1}, {"b", 2}}
 		t.Repeat(map[string]func(*rapid.T){
@@ -58,8 +59,16 @@
 				if j := st.Jobs[id]; j != nil && j.IsLive() {
 					o.finished[id] = Cancelled
 				}
+				o.refused[id] = st.Jobs[id] == nil
 				st.Apply(&Command{Cancel: []string{id}})
 			},
+			"forget": func(t *rapid.T) {
+				id := fmt.Sprintf("%016x", rapid.IntRange(1, 4).Draw(t, "id"))
+				if o.refused[id] {
+					o.refused[id] = false
+					st.Apply(&Command{Forget: []string{id}})
+				}
+			},
 			"start": func(t *rapid.T) {
 				for _, j := range st.LiveJobs() {
 					o.start(t, st, j, rapid.SampledFrom(targets).Draw(t, "life"))
@@ -104,7 +113,7 @@
 				if len(restored.LiveJobs()) != len(st.LiveJobs()) || !reflect.DeepEqual(restored.OccupiedTargets() == nil, st.OccupiedTargets() == nil) {
 					t.Fatalf("restored %d live jobs, want %d", len(restored.LiveJobs()), len(st.LiveJobs()))
 				}
-				if !maps.Equal(restored.ZonesOut, st.ZonesOut) || !maps.Equal(restored.EndWatermarks, st.EndWatermarks) || !reflect.DeepEqual(restored.Jobs, st.Jobs) {
+				if !maps.Equal(restored.ZonesOut, st.ZonesOut) || !maps.Equal(restored.EndWatermarks, st.EndWatermarks) || !reflect.DeepEqual(restored.Jobs, st.Jobs) || !maps.Equal(restored.Tombstones, st.Tombstones) {
 					t.Fatal("the restored store differs")
 				}
 				st = restored
@@ -198,6 +207,11 @@
 	if held != len(o.placed) {
 		t.Fatalf("%d tasks held, the oracle says %d", held, len(o.placed))
 	}
+	for id, refused := range o.refused {
+		if st.HasTombstone(id) != refused || refused && st.Jobs[id] != nil {
+			t.Fatalf("job %s: tombstone %v, want %v; job %v", id, st.HasTombstone(id), refused, st.Jobs[id] != nil)
+		}
+	}
 	for id, j := range st.Jobs {
 		if want, over := o.finished[id]; over && j.State() != want {
 			t.Fatalf("job %s is %s, want %s", id, j.State(), want)
