--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -89,6 +89,10 @@
 		pause = time.Duration(promptCancelShare * float64(pause))
 	}
 	impatient := r.IntN(12) == 0
+	if givesUp := j.id[0] == '0'; givesUp {
+		a.calls.Go(func() { a.giveUp(ctx, j, first, body, impatience) })
+		return
+	}
 	a.calls.Go(func() {
 		if impatient {
 			// The answer to the first attempt is lost.
@@ -129,8 +133,20 @@
 	a.cluster.oracle.updateJob(j.id, func(j *submittedJob) { j.refused = unknown == 0 })
 }
 
-func (a *callers) cancel(ctx context.Context, j *submittedJob) {
-	for n := 0; ctx.Err() == nil; n++ {
+// giveUp submits a job once, leaves without an answer, and cancels it at other entry
+// instances. The submission may arrive after that.
+func (a *callers) giveUp(ctx context.Context, j *submittedJob, entry int, body []byte, patience time.Duration) {
+	short, leave := context.WithTimeout(ctx, patience)
+	defer leave()
+	a.call(short, entry, http.MethodPost, "/q/"+j.id, body)
+	a.cancelAt(ctx, j, entry+1)
+}
+
+func (a *callers) cancel(ctx context.Context, j *submittedJob) { a.cancelAt(ctx, j, 0) }
+
+// cancelAt cancels a job at one entry instance after another until one confirms it.
+func (a *callers) cancelAt(ctx context.Context, j *submittedJob, entry int) {
+	for n := entry; ctx.Err() == nil; n++ {
 		status, _ := a.call(ctx, n%a.entryCount(), http.MethodDelete, "/q/"+j.id, nil)
 		if status/100 == 2 || status == http.StatusGone {
 			a.cluster.oracle.updateJob(j.id, func(j *submittedJob) { j.cancelledAt = time.Now() })
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -235,10 +235,21 @@
 
 // cancelBehindFrozenAgents suspends every second agent, and submits jobs that are
 // cancelled as soon as they are accepted. The starts on those agents are still on their
-// way then.
+// way then. It also suspends an entry instance that jobs are submitted to; their callers
+// leave and cancel them at another one, before the submission arrives.
 func (a *callers) cancelBehindFrozenAgents(ctx context.Context, r *rand.Rand) string {
 	const waveJobs, agentFreeze = 16, 1200 * time.Millisecond
+	const entryFreeze, patience = 1200 * time.Millisecond, 300 * time.Millisecond
 	var all sync.WaitGroup
+	all.Go(func() { suspend(a.cluster.entries[0], entryFreeze) })
+	for range waveJobs {
+		j := a.newJob(r, lastingPayload)
+		body := fmt.Appendf(nil, `{"spec":%q,"steps":[{"count":2,"cpu":1000,"memMb":64,"longRunning":true}]}`, j.payload)
+		all.Go(func() {
+			time.Sleep(patience) // the entry instance is suspended by then
+			a.giveUp(ctx, j, 0, body, patience)
+		})
+	}
 	for i := 0; i < len(a.cluster.agents); i += 2 {
 		all.Go(func() { suspend(a.cluster.agents[i], agentFreeze) })
 	}
@@ -252,7 +263,7 @@
 		})
 	}
 	all.Wait()
-	return "jobs are cancelled while agents are frozen"
+	return "jobs are cancelled while agents and an entry instance are frozen"
 }
 
 // faults returns the faults of the shape.
