control/jobs: forget the times of jobs that are forgotten

The leader keeps when it first saw a finished job or a tombstone. A clean-up that ran while the command to forget one was still in flight noted it anew, and that time was kept for the rest of the term. Cancels of made-up jobs would have grown it without a bound. Now times of ids that are not in the store are dropped.

--- a/daemon/control/jobs/cancel_test.go
+++ b/daemon/control/jobs/cancel_test.go
@@ -165,10 +165,14 @@
 	if got := h.cancel("not-an-id").outcome(t); got != controlapi.JobUnknown {
 		t.Errorf("cancelling of an ID that no job can have answered %s", got)
 	}
+	h.held = true // the commands that forget them are still in flight at the next clean-up
 	h.advance(h.e.options.Retention)
 	h.advance(cleanUpInterval)
-	if n := len(h.e.store.Tombstones); n != 0 {
-		t.Errorf("%d are kept after the retention time", n)
+	h.held = false
+	h.settle()
+	h.advance(cleanUpInterval)
+	if n, known := len(h.e.store.Tombstones), len(h.e.leader.finishedAt); n != 0 || known != 0 {
+		t.Errorf("%d are kept after the retention time, and the times of %d", n, known)
 	}
 	if got := h.cancel(testJob).outcome(t); got != controlapi.JobUnknown {
 		t.Errorf("answered %s after the retention time", got)
--- a/daemon/control/jobs/retention.go
+++ b/daemon/control/jobs/retention.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"time"
 
 	"github.com/ibispier/ibispier/job"
@@ -18,6 +19,9 @@
 	for id := range e.store.Tombstones {
 		e.forgetLater(now, id)
 	}
+	maps.DeleteFunc(e.leader.finishedAt, func(id string, _ time.Time) bool {
+		return e.store.Jobs[id] == nil && !e.store.HasTombstone(id)
+	})
 }
 
 // forgetLater removes a finished job or a tombstone once the retention time has passed
