--- a/daemon/control/jobs/commands_test.go
+++ b/daemon/control/jobs/commands_test.go
@@ -332,11 +332,7 @@
 	h.request(controlapi.OpJobSubmit, submission()) // occupies the commands in flight
 	const jobs = maxDecodedBytes/(6*job.MaxPayloadBytes) + 100
 	for i := range jobs {
-		s := submission()
-		s.Spec.ID = fmt.Sprintf("%016x", 0x1000+i)
-		s.Path = "/q/" + s.Spec.ID
-		s.Spec.Payload = escapedPayload
-		h.request(controlapi.OpJobSubmit, s)
+		h.submitTasks(uint64(0x1000+i), 1, escapedPayload)
 	}
 	h.held = false
 	h.settle()
--- a/daemon/control/server/server_test.go
+++ b/daemon/control/server/server_test.go
@@ -44,6 +44,20 @@
 	return settings.Member{ID: id, Address: socket.Addr()}
 }
 
+// runTree runs the tree until the end of the test, and returns a context for calls.
+func runTree(t *testing.T, tree *supervise.Supervisor) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- tree.Run(ctx) }()
+	callCtx, cancelCall := context.WithTimeout(ctx, 20*time.Second)
+	t.Cleanup(func() {
+		cancelCall()
+		cancel()
+		<-done
+	})
+	return callCtx
+}
+
 // Guards against a client that fails to find the leader among a member that refuses
 // with a wrong hint, a member that does not respond, and the leader.
 func TestClientFindsTheLeader(t *testing.T) {
@@ -65,15 +79,7 @@
 		},
 	})
 	tree.Add("client", client)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- tree.Run(ctx) }()
-	defer func() {
-		cancel()
-		<-done
-	}()
-	callCtx, cancelCall := context.WithTimeout(ctx, 20*time.Second)
-	defer cancelCall()
+	callCtx := runTree(t, tree)
 	for range 3 {
 		var out controlapi.ResolveResponse
 		if err := client.Do(callCtx, controlapi.OpResolve, controlapi.ResolveRequest{Epoch: 7}, &out); err != nil || !out.Accepted {
@@ -111,15 +117,7 @@
 		},
 	})
 	tree.Add("client", client)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- tree.Run(ctx) }()
-	defer func() {
-		cancel()
-		<-done
-	}()
-	callCtx, cancelCall := context.WithTimeout(ctx, 20*time.Second)
-	defer cancelCall()
+	callCtx := runTree(t, tree)
 	for name, call := range map[string]func() error{
 		"request": func() error {
 			large := controlapi.ResolveRequest{Outcome: controlapi.Recorded{Body: make([]byte, wire.MaxFrameBytes)}}
