control/jobs: encode starts twice only near the limit of an answer

Change: an upper bound of the size, from the lengths of the strings, decides whether the starts fit. They are sorted and measured only if they may not.

--- a/daemon/control/jobs/orderlimits.go
+++ b/daemon/control/jobs/orderlimits.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/ibispier/ibispier/controlapi"
-	"github.com/ibispier/ibispier/job"
 )
 
 const (
@@ -21,33 +20,49 @@
 	maxStops = 1024
 )
 
-// dueStart is a committed start that the target must be told of.
-type dueStart struct {
-	ref    job.Ref
-	task   *job.Task
-	sentAt time.Time // zero if this leader has not sent it
-}
+// Upper bounds of the encoded size of a start.
+const (
+	startBytes       = 512 // fields of a fixed size, and names of fields
+	disturbanceBytes = 128 // an entry of Disturbs without its name
+	maxEscapedBytes  = 6   // for one byte of a string
+)
 
-// dueStarts returns the starts that must be sent to the target: those that were never
-// sent, and then those that were sent longest ago. What one answer leaves out comes
-// first in the next.
-func (e *engine) dueStarts(now time.Time, s *session) []dueStart {
-	var due []dueStart
-	for ref, t := range e.store.TasksOn(s.target) {
-		if !e.needsStart(now, s, ref, t) {
-			continue
+// mayExceed reports whether the encoded starts may be larger than the limit. It counts
+// upper bounds, because most answers are far smaller and need not be encoded twice.
+func mayExceed(orders []controlapi.StartOrder, limit int) bool {
+	size := 0
+	for i := range orders {
+		o := &orders[i]
+		size += startBytes + maxEscapedBytes*(len(o.Payload)+len(o.Checkpoint)+len(o.Image))
+		for image := range o.Disturbs {
+			size += disturbanceBytes + maxEscapedBytes*len(image)
 		}
-		d := dueStart{ref: ref, task: t}
-		if sent := s.sentStarts[ref]; sent.run == t.Run {
-			d.sentAt = sent.sentAt
+	}
+	return size > limit
+}
+
+// fitStarts returns the starts that fit into an answer: those that were never sent, and
+// then those that were sent longest ago. What one answer leaves out comes first in the next.
+func (e *engine) fitStarts(s *session, orders []controlapi.StartOrder) []controlapi.StartOrder {
+	sentAt := func(o *controlapi.StartOrder) time.Time {
+		if sent := s.sentStarts[o.Task]; sent.run == o.Run {
+			return sent.sentAt
 		}
-		due = append(due, d)
+		return time.Time{}
 	}
-	slices.SortFunc(due, func(x, y dueStart) int {
-		return cmp.Or(x.sentAt.Compare(y.sentAt), cmp.Compare(e.store.Jobs[x.ref.Job].Order, e.store.Jobs[y.ref.Job].Order),
-			cmp.Compare(x.ref.Occurrence, y.ref.Occurrence), cmp.Compare(x.ref.Step, y.ref.Step), cmp.Compare(x.ref.Index, y.ref.Index))
+	slices.SortFunc(orders, func(x, y controlapi.StartOrder) int {
+		return cmp.Or(sentAt(&x).Compare(sentAt(&y)), cmp.Compare(e.store.Jobs[x.Task.Job].Order, e.store.Jobs[y.Task.Job].Order),
+			cmp.Compare(x.Task.Occurrence, y.Task.Occurrence), cmp.Compare(x.Task.Step, y.Task.Step), cmp.Compare(x.Task.Index, y.Task.Index))
 	})
-	return due
+	size := 0
+	for i := range orders {
+		size += e.encodedBytes(&orders[i])
+		if i > 0 && size > maxStartBytes {
+			e.log.Info("starts left for the next answer", zap.String("target", s.target.ID), zap.Int("sent", i), zap.Int("due", len(orders)))
+			return orders[:i]
+		}
+	}
+	return orders
 }
 
 // encodedBytes returns the size of a start in an answer.
--- a/daemon/control/jobs/orders.go
+++ b/daemon/control/jobs/orders.go
@@ -143,18 +143,17 @@
 // an answer.
 func (e *engine) startOrders(now time.Time, s *session) []controlapi.StartOrder {
 	var orders []controlapi.StartOrder
-	due := e.dueStarts(now, s)
-	size := 0
-	for _, d := range due {
-		order := e.startOrder(s, d.ref, d.task)
-		size += e.encodedBytes(&order)
-		if len(orders) > 0 && size > maxStartBytes {
-			e.log.Info("starts left for the next answer", zap.String("target", s.target.ID), zap.Int("sent", len(orders)), zap.Int("due", len(due)))
-			break
+	for ref, t := range e.store.TasksOn(s.target) {
+		if e.needsStart(now, s, ref, t) {
+			orders = append(orders, e.startOrder(s, ref, t))
 		}
-		delete(e.leader.unsentStarts, d.ref)
-		s.sentStarts[d.ref] = sentOrder{run: d.task.Run, orderNumber: s.orderNumber, sentAt: now}
-		orders = append(orders, order)
+	}
+	if mayExceed(orders, maxStartBytes) {
+		orders = e.fitStarts(s, orders)
+	}
+	for _, o := range orders {
+		delete(e.leader.unsentStarts, o.Task)
+		s.sentStarts[o.Task] = sentOrder{run: o.Run, orderNumber: s.orderNumber, sentAt: now}
 	}
 	return orders
 }
