job/overload, job/dispatch: decide which jobs are delayed in an overload

Change: limits of the dispatcher, all off by default. PostponeLarge delays the jobs with most work while not all can be in time (the rule of Moore and Hodgson, with the measured rate of work); one job at a time that is overdue by far goes first. AvoidDisturbance scores filling targets by the headroom that the task takes.

--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -31,6 +31,13 @@
 	// an idle filling job is started even if the filters for filling tasks
 	// reject it.
 	LowReservationShare float64
+	// PostponeLarge delays the jobs with most work while not all can be in time.
+	PostponeLarge bool
+	// AvoidDisturbance places filling tasks where they take least headroom from
+	// serving tasks.
+	AvoidDisturbance bool
+	// MoveSlowed moves filling tasks that are slowed down to targets with room for them.
+	MoveSlowed bool
 	// MaxStarts bounds the starts of one pass, and so the size of a log entry.
 	MaxStarts int
 	// MaxTasksPerTarget bounds the tasks on one target, and so the size of its lists and
@@ -56,6 +63,7 @@
 	misfits       map[shape]uint64 // number of the last change before the shape fitted no target
 	changes       []change         // latest changes of targets
 	lastChange    uint64
+	postponed     int              // jobs that the latest decision has delayed
 	pending       map[job.Ref]bool // tasks whose start was returned by Run and is not settled
 	pendingSteps  map[stepKey]int  // number of pending tasks by step
 	// pendingOn contains the pending tasks with their steps by target, also by one that
@@ -84,6 +92,9 @@
 	// be nil.
 	FailedTasks func(faults.Step) map[job.Ref]*faults.FailedTask
 	SteadyNow   time.Time // on the clock of the holds of FailedTasks
+	// WorkRate returns the processor time in millicores that is worked off in a pool while
+	// work waits, or 0 if it is unknown. It is called only if Limits.PostponeLarge is set.
+	WorkRate func(Pool) float64
 }
 
 // pass is the state of one decision.
@@ -95,6 +106,7 @@
 	probing            bool // use suspended targets
 	starts             []job.Start
 	startedJobs        map[string]bool // jobs with starts in this pass
+	postponed          int             // parts that are delayed
 	onlySuspended      map[shape]bool  // whether all targets that could run a shape are suspended
 }
 
@@ -119,6 +131,7 @@
 			p.startOneSuspended(part)
 		}
 	}
+	d.postponed = p.postponed
 	for _, s := range p.starts {
 		d.pending[s.Task] = true
 		d.pendingSteps[stepOf(s.Task)]++
--- a/job/dispatch/order.go
+++ b/job/dispatch/order.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/ibispier/ibispier/job"
 )
@@ -33,11 +34,32 @@
 type rankedPart struct {
 	jobPart
 	priority  int
+	overdue   bool // comes first, so that it is not passed for good
 	objective objectiveState
+	postponed bool   // delayed in favour of others with the same priority and objective
+	work      int64  // of a postponed job; the least comes first
 	deadline  int64  // Unix milliseconds
 	failure   uint64 // number of the earliest failure of the failed tasks
 }
 
+// compareParts orders parts by their sort keys.
+func compareParts(x, y rankedPart) int {
+	return cmp.Or(cmp.Compare(x.priority, y.priority), compareBool(y.overdue, x.overdue), cmp.Compare(x.objective, y.objective),
+		compareBool(x.postponed, y.postponed), cmp.Compare(x.work, y.work), cmp.Compare(x.deadline, y.deadline), cmp.Compare(x.failure, y.failure))
+}
+
+// compareBool orders false before true.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // orderedParts returns the parts of the live jobs with ready tasks, sorted by priority,
 // objective state and deadline. Lasting tasks whose latest run has failed follow by themselves, as if they
 // were submitted now: those that fail again and again would otherwise keep the room from
@@ -60,9 +82,10 @@
 			ranked = append(ranked, f)
 		}
 	}
-	slices.SortStableFunc(ranked, func(x, y rankedPart) int {
-		return cmp.Or(cmp.Compare(x.priority, y.priority), cmp.Compare(x.objective, y.objective), cmp.Compare(x.deadline, y.deadline), cmp.Compare(x.failure, y.failure))
-	})
+	if p.limits.PostponeLarge {
+		p.postpone(ranked)
+	}
+	slices.SortStableFunc(ranked, compareParts)
 	parts := make([]jobPart, len(ranked))
 	for i, r := range ranked {
 		parts[i] = r.jobPart
@@ -77,7 +100,7 @@
 		r.deadline = j.AtMillis
 		return r
 	}
-	objective := int64(max(q.Stretch, 1)*float64(criticalPathMillis(j, false, 1))) + q.SlackMillis
+	objective := objectiveMillis(j, q)
 	r.deadline = j.AtMillis + objective
 	earliestEnd := p.Now.UnixMilli() + criticalPathMillis(j, true, p.limits.MinPace)
 	switch {
@@ -91,6 +114,35 @@
 	return r
 }
 
+// objectiveMillis returns the time after its acceptance within which a job that neither
+// lasts nor has a schedule should be done.
+func objectiveMillis(j *job.Job, q *job.Queue) int64 {
+	return int64(max(q.Stretch, 1)*float64(criticalPathMillis(j, false, 1))) + q.SlackMillis
+}
+
+// Objective returns the time after its acceptance within which the job should be done. Jobs
+// that last or have a schedule have none.
+func Objective(st *job.Store, j *job.Job) (time.Duration, bool) {
+	if j.Spec.OccurrenceCount > 0 || j.Spec.Steps[0].Lasting {
+		return 0, false
+	}
+	return time.Duration(objectiveMillis(j, st.QueueOf(j))) * time.Millisecond, true
+}
+
+// ResultOf tells whether a finished job with an objective has met it.
+func ResultOf(j *job.Job, took, objective time.Duration) string {
+	switch {
+	case j.State() != job.Completed:
+		return string(j.State())
+	case took <= objective:
+		return "in_time"
+	case took <= lateFactor*objective:
+		return "late"
+	default:
+		return "missed"
+	}
+}
+
 // criticalPathMillis returns the estimated run time of the longest dependency
 // chain. With openOnly, it counts only steps that are not done. Filling tasks are
 // expected to run at the pace.
--- a/job/dispatch/scores.go
+++ b/job/dispatch/scores.go
@@ -17,6 +17,10 @@
 	// disturbs about half of the serving images, so a target that serves one
 	// image suits it far more often than a target that serves several.
 	imageAffinityWeight = 4.0
+	// headroomWeight outweighs idleCPUWeight: a task that takes headroom is slowed down
+	// or moved once the load of the serving tasks rises, and one beside other filling
+	// tasks is not.
+	headroomWeight = 4.0
 )
 
 // score returns the score of a target; higher is better. scarce tells that few
@@ -26,6 +30,9 @@
 	switch {
 	case s.Filling:
 		score += idleCPUWeight*idleCPUScore(ts) + paceWeight*p.expectedPace(ts, s)
+		if p.limits.AvoidDisturbance {
+			score -= headroomWeight * p.headroomTaken(ts, s)
+		}
 	case s.Serves():
 		score += packWeight*packScore(ts, s) + imageAffinityWeight*imageAffinityScore(ts, s, scarce)
 	default:
@@ -101,3 +108,13 @@
 	}
 	return float64(nonServing) <= p.limits.NonServingTargetShare*float64(targets)
 }
+
+// headroomTaken returns the headroom that the filling task at full pace is expected to take
+// from the serving image that it disturbs most.
+func (p *pass) headroomTaken(ts *TargetState, s *job.Step) float64 {
+	taken := 0.0
+	for image := range ts.serving {
+		taken = max(taken, p.cautiousCoefficient(image, s.Image)*ts.cpuShare(s))
+	}
+	return taken
+}
