control/jobs, targetagent: move slowed filling tasks, count finished jobs

Cause: a filling task whose pace is lowered stayed until it had been paused for 1.2 s, and was then stopped whether or not there was room elsewhere. Change: agents report tasks at 40% of their pace or below; the leader stops one with checkpoints after 0.5 s if another target has room for it, and leaves it in place otherwise. The rate of work is measured from ends. Finished jobs are counted and logged by whether they met their objective.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -70,6 +70,9 @@
 	Task   job.Ref
 	Run    int
 	Paused bool `json:",omitempty"` // a filling task that is suspended in favour of serving tasks
+	// Slowed is set for a filling task whose pace is so low that a move is worth it, also
+	// if it is paused.
+	Slowed bool `json:",omitempty"`
 	// Stalled is set if the run has made no progress for a while although it is not
 	// paused.
 	Stalled bool `json:",omitempty"`
--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -46,6 +46,7 @@
 		Now:         time.Now(),
 		FailedTasks: e.leader.faults.FailedTasks,
 		SteadyNow:   now,
+		WorkRate:    func(pool dispatch.Pool) float64 { return e.leader.workRate(now, pool) },
 	}
 }
 
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -124,6 +124,7 @@
 	e.store.Apply(c)
 	if e.leader != nil {
 		e.leader.afterApply(e.store, c)
+		e.recordFinished(time.Now())
 	} else {
 		e.store.TakeChanged() // a new leader starts with the whole store
 	}
@@ -263,6 +264,7 @@
 	e.cleanUp(now)
 	e.logOccupancy(now)
 	e.storeDisturbances(now)
+	e.planMoves(now)
 	e.checkWaitingTargets(now)
 	e.leader.needsDispatch = true
 }
--- a/daemon/control/jobs/failures.go
+++ b/daemon/control/jobs/failures.go
@@ -29,6 +29,9 @@
 		return
 	}
 	lasting := j.Spec.Steps[end.Task.Step].Lasting
+	if end.Outcome == job.RunDone {
+		l.observeWork(now, st, j, &j.Spec.Steps[end.Task.Step])
+	}
 	startedAt, known := l.startedAt[end.Task]
 	delete(l.startedAt, end.Task)
 	proven := lasting && (!known || now.Sub(startedAt) >= provenRun)
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -10,6 +10,7 @@
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/dispatch"
 	"github.com/ibispier/ibispier/job/faults"
+	"github.com/ibispier/ibispier/job/overload"
 	"github.com/ibispier/ibispier/lease"
 )
 
@@ -39,6 +40,10 @@
 	faults            *faults.Tracker
 	newestReports     map[string]reportKey  // by host
 	startedAt         map[job.Ref]time.Time // when the start of a lasting task was committed in this term
+	moves             map[job.Ref]int       // runs that are stopped to start elsewhere
+	movesPlannedAt    time.Time
+	workRates         map[dispatch.Pool]*overload.Rate // work done in this term
+	ending            map[string]endingJob             // jobs that the command being applied may finish
 }
 
 // reportKey identifies a report among those from one instance.
@@ -63,6 +68,7 @@
 	sentStarts        map[job.Ref]sentOrder    // starts that the reports do not reflect yet
 	sentStops         map[job.Ref]sentOrder    // latest stop sent for each task
 	pausedSince       map[job.Ref]time.Time    // when filling tasks were first reported as paused
+	slowedSince       map[job.Ref]time.Time    // when filling tasks were first reported as slowed down
 	stalledRuns       map[job.Ref]bool         // runs reported as making no progress
 	placement         *dispatch.TargetState    // view of the dispatcher; nil before the first report
 	inCheckQueue      bool                     // is in leadership.checkQueue
@@ -97,6 +103,8 @@
 		faults:         faults.NewTracker(),
 		newestReports:  map[string]reportKey{},
 		startedAt:      map[job.Ref]time.Time{},
+		workRates:      map[dispatch.Pool]*overload.Rate{},
+		ending:         map[string]endingJob{},
 	}
 }
 
@@ -133,6 +141,7 @@
 		if l.proposedEnds[end.Task] == end.Run {
 			delete(l.proposedEnds, end.Task)
 		}
+		l.noteEnding(st, end.Task.Job)
 		s := l.sessions[end.Target]
 		if s == nil {
 			continue
--- a/daemon/control/jobs/orders.go
+++ b/daemon/control/jobs/orders.go
@@ -177,13 +177,13 @@
 
 // needsStop reports whether a run on the target must be stopped: it is not in
 // the log, has stalled, or is a filling task that the serving tasks have kept
-// paused for maxPause. A stopped task continues from its checkpoint, possibly
+// paused or slowed down. A stopped task continues from its checkpoint, possibly
 // on a more suitable target.
 func (e *engine) needsStop(now time.Time, s *session, ref job.Ref, run int) bool {
 	if e.leader.proposedEnds[ref] == run || s.sentStops[ref].isPending(now, run) {
 		return false
 	}
-	if since, paused := s.pausedSince[ref]; paused && now.Sub(since) >= maxPause || s.stalledRuns[ref] {
+	if s.stalledRuns[ref] || e.isPausedTooLong(now, s, ref, run) {
 		return true
 	}
 	_, t := e.store.Find(ref)
--- a/daemon/control/jobs/progress.go
+++ b/daemon/control/jobs/progress.go
@@ -23,6 +23,7 @@
 	maxServicesLogged = 8
 	// maxMissingLogged bounds the tasks named in one line about missing runs.
 	maxMissingLogged = 8
+	millicores       = 1000
 )
 
 // logOccupancy logs how many tasks are ready or paused and how many targets
@@ -61,7 +62,8 @@
 	}
 	e.log.Info("occupancy", zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Int("ready_tasks", ready),
 		zap.Int("paused_tasks", paused), zap.Int("targets", len(l.sessions)), zap.Int("startable", startable),
-		zap.Strings("reserved_cpu_shares", e.reservedCPUShares()))
+		zap.Strings("reserved_cpu_shares", e.reservedCPUShares()), zap.Int("postponed_jobs", l.dispatcher.Postponed()),
+		zap.Strings("work_rates", e.workRates(now)))
 }
 
 // reservedCPUShares returns the reserved share of the processor time by service.
@@ -74,6 +76,21 @@
 	return shares
 }
 
+// workRates returns the processors that are worked off at a time, by pool.
+func (e *engine) workRates(now time.Time) []string {
+	var rates []string
+	for pool := range e.leader.workRates {
+		kind := "reserving"
+		if pool.Filling {
+			kind = "filling"
+		}
+		cores := e.leader.workRate(now, pool) / millicores
+		rates = append(rates, pool.Service+"/"+kind+":"+strconv.FormatFloat(cores, 'f', 1, 64))
+	}
+	slices.Sort(rates)
+	return rates[:min(len(rates), maxServicesLogged)]
+}
+
 // waitingStep is a step with ready tasks that are not started.
 type waitingStep struct {
 	job        *job.Job
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -74,7 +74,7 @@
 			paused[run.Task] = cmp.Or(s.pausedSince[run.Task], now)
 		}
 	}
-	s.pausedSince = paused
+	s.pausedSince, s.slowedSince = paused, s.slowedTasks(now, report)
 	e.recordStalled(now, s)
 	e.leader.disturbances.learn(report.Host, report.Serving, report.Learned)
 	if len(report.Learned) > 0 {
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -66,8 +66,9 @@
 		Retention: s.Jobs.Retention,
 		MinVoters: 2*s.Jobs.ToleratedDiskLosses + 1,
 		Bootstrap: s.Jobs.Bootstrap && len(s.Cluster.Control) > 0 && s.Cluster.Control[0].ID == s.Daemon.ID,
-		Limits:    dispatch.DefaultLimits(),
+		Limits:    dispatchLimits(s.Jobs),
 		Log:       d.log,
+		Metrics:   d.telemetry.Metrics,
 		OnMembers: role.EnsureMembers,
 	}, role.Inputs, role.Updates)
 	role.AddCoreDuty("jobs", duty)
@@ -90,6 +91,14 @@
 }
 
 // newControlClient returns a client of the control members.
+// dispatchLimits returns the placement policy that the settings ask for.
+func dispatchLimits(s settings.Jobs) dispatch.Limits {
+	l := dispatch.DefaultLimits()
+	l.PostponeLarge, l.AvoidDisturbance, l.MoveSlowed = s.PostponeLarge, s.AvoidDisturbance, s.MoveSlowed
+	l.FillingCPUShare = float64(s.FillingPercent) / 100
+	return l
+}
+
 func (d *Daemon) newControlClient(role wire.Role) *controlclient.Client {
 	o := controlclient.Options{
 		Local:             link.Identity{Role: role, ID: d.settings.Daemon.ID, Zone: d.settings.Daemon.Zone},
--- a/daemon/targetagent/runs/pace.go
+++ b/daemon/targetagent/runs/pace.go
@@ -14,6 +14,14 @@
 // failed. The next decision sends the pace again.
 const paceUnknown = -1
 
+// slowedPercent is the pace up to which a task counts as slowed. The rest of an average
+// run then takes longer than a stop, a start elsewhere and a restore.
+const slowedPercent = 40
+
+func (r *run) isSlowed() bool {
+	return r.order.Filling && r.pacePercent != paceUnknown && r.pacePercent <= slowedPercent
+}
+
 // decidePaces feeds new samples to the pacer and sets the pace of the filling
 // tasks. A filling task that has just started gets its pace without waiting for
 // new samples.
--- a/daemon/targetagent/runs/report.go
+++ b/daemon/targetagent/runs/report.go
@@ -52,7 +52,7 @@
 	for task, known := range o.runs {
 		r.Running = append(r.Running, controlapi.RunReport{
 			Task: task, Run: known.number, Paused: known.order.Filling && known.pacePercent == 0,
-			Adopted: known.adopted, Stalled: known.isStalled(),
+			Slowed: known.isSlowed(), Adopted: known.adopted, Stalled: known.isStalled(),
 		})
 	}
 	for _, headroom := range o.pacer.Headrooms() {
