--- a/settings/keys.go
+++ b/settings/keys.go
@@ -62,6 +62,10 @@
 		{"trace", "ratio", "share", "1", "share of the traces that are recorded", fraction(&s.Trace.SampleRatio)},
 
 		{"jobs", "enabled", "bool", "false", "serve jobs for the users' platform", boolean(&s.Jobs.Enabled)},
+		{"jobs", "postpone_large", "bool", "false", "while not all jobs of a priority can be in time, start those with most work last; role control", boolean(&s.Jobs.PostponeLarge)},
+		{"jobs", "avoid_disturbance", "bool", "false", "place filling tasks where they take least headroom from serving tasks; role control", boolean(&s.Jobs.AvoidDisturbance)},
+		{"jobs", "move_slowed", "bool", "false", "move filling tasks that are slowed down to targets with room, and leave them in place without; role control", boolean(&s.Jobs.MoveSlowed)},
+		{"jobs", "filling_percent", "percent", "100", "share of the idle processor time of a target that filling tasks may request; role control", integer(&s.Jobs.FillingPercent, 10, 400)},
 		{"jobs", "bootstrap", "bool", "false", "the whole system starts for the first time, with empty disks", boolean(&s.Jobs.Bootstrap)},
 		{"jobs", "tolerated", "disks", "1", "disks that may be lost at once; a new group of control members accepts nothing until it has twice as many voters plus one", integer(&s.Jobs.ToleratedDiskLosses, 0, 10)},
 		{"jobs", "lease", "duration", "4s", "lease of a target; once it has expired, the work of the target starts elsewhere", duration(&s.Jobs.Lease, 1, 60)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -129,6 +129,12 @@
 	Lease               time.Duration
 	MaxLeaseMillis      int64 // longest lease that a target takes; 0 if unknown
 	Retention           time.Duration
+
+	// Placement while there is too little room.
+	PostponeLarge    bool
+	AvoidDisturbance bool
+	MoveSlowed       bool
+	FillingPercent   int // of the idle processor time
 }
 
 // Platform holds the addresses of the interfaces to the users' platform.
