job: Config.Faults lists every reason to refuse a configuration

Cause: Config.Check returns the first fault only, so a check before sending would show one fault at a time. Change: Faults returns all of them, each with its queue; Check returns the first one as before. The message on a taken host and prefix quotes the name of the other queue.

--- a/job/config.go
+++ b/job/config.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 )
@@ -34,26 +35,52 @@
 	Source []byte
 }
 
+// WholeConfig is the Queue of a Fault that concerns no single queue.
+const WholeConfig = -1
+
+// Fault is a reason to refuse a configuration.
+type Fault struct {
+	Queue   int // index of the queue, or WholeConfig
+	Message string
+}
+
 // Check returns an error if the configuration is inconsistent.
 func (c *Config) Check() error {
+	faults := c.Faults()
+	switch {
+	case len(faults) == 0:
+		return nil
+	case faults[0].Queue == WholeConfig:
+		return Error.New("step=check: %s", faults[0].Message)
+	default:
+		return Error.New("step=check queue=%s: %s", c.Queues[faults[0].Queue].Name, faults[0].Message)
+	}
+}
+
+// Faults returns every reason to refuse the configuration.
+func (c *Config) Faults() []Fault {
+	var faults []Fault
+	add := func(queue int, format string, args ...any) {
+		faults = append(faults, Fault{Queue: queue, Message: fmt.Sprintf(format, args...)})
+	}
 	if c.Version == 0 {
-		return Error.New("step=check: version is missing")
+		add(WholeConfig, "version is missing")
 	}
-	routes := map[[2]string]string{}
-	for _, q := range c.Queues {
+	routes := map[route]string{}
+	for i, q := range c.Queues {
 		if !slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == q.Service }) {
-			return Error.New("step=check queue=%s: unknown service %q", q.Name, q.Service)
+			add(i, "unknown service %q", q.Service)
 		}
 		if q.TimeoutMillis <= 0 {
-			return Error.New("step=check queue=%s: timeout is %d ms", q.Name, q.TimeoutMillis)
+			add(i, "timeout is %d ms", q.TimeoutMillis)
 		}
-		route := [2]string{q.Host, q.Prefix}
-		if other, taken := routes[route]; taken {
-			return Error.New("step=check queue=%s: host and prefix belong to %s", q.Name, other)
+		if other, taken := routes[route{q.Host, q.Prefix}]; taken {
+			add(i, "host and prefix belong to queue %q", other)
+			continue
 		}
-		routes[route] = q.Name
+		routes[route{q.Host, q.Prefix}] = q.Name
 	}
-	return nil
+	return faults
 }
 
 // Match returns the queue on the host with the longest matching path prefix,
