cli: ibispier config check examines a manifest without sending it

Cause: package configcheck had no command. Measured: go test ./cli/... ./platform ./client passes, also with the race detector (-short); gofmt, vet and staticcheck find nothing. Not tried against a deployment.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -18,12 +18,18 @@
 
 // run executes a command line. handler serves the admin and the entry address.
 func run(t *testing.T, handler http.Handler, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	return runAt(t, handler, func(string) []string { return args })
+}
+
+// runAt executes a command line that names the address of the handler.
+func runAt(t *testing.T, handler http.Handler, args func(address string) []string) (code int, stdout, stderr string) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	var out, errOut bytes.Buffer
-	code = Run(context.Background(), args, Environment{Stdout: &out, Stderr: &errOut, Getenv: func(string) string { return address }})
+	code = Run(context.Background(), args(address), Environment{Stdout: &out, Stderr: &errOut, Getenv: func(string) string { return address }})
 	return code, out.String(), errOut.String()
 }
 
--- a/cli/commands.go
+++ b/cli/commands.go
@@ -32,6 +32,9 @@
 	{"plan history", "", 0, "show the decided proposals, newest first",
 		"ibispier plan history -limit 20", planHistory},
 
+	{"config check", "FILE", 1, "check the manifest in FILE (JSON) before it is sent; -in-force and -from compare it with the version in force",
+		"ibispier config check next.json -from 127.0.0.1:8080", configCheck},
+
 	{"zone out", "ZONE", 1, "propose to take a zone out of service; needs two approvals",
 		"ibispier zone out nl-west-b", zoneChange("out")},
 	{"zone in", "ZONE", 1, "propose to bring a zone back; needs two approvals",
--- a/client/client.go
+++ b/client/client.go
@@ -96,6 +96,14 @@
 	return c.do(ctx, c.options.Entry, method, path, in, out)
 }
 
+// Document returns the JSON document at a path of an HTTP interface other than the
+// admin and entry ones, from the first of its addresses that responds.
+func (c *Client) Document(ctx context.Context, addresses []string, path string) ([]byte, error) {
+	var out json.RawMessage
+	err := c.do(ctx, addresses, http.MethodGet, path, nil, &out)
+	return out, err
+}
+
 func (c *Client) do(ctx context.Context, addresses []string, method, path string, in, out any) error {
 	if len(addresses) == 0 {
 		return ErrorClass.New("step=call path=%s: no address", path)
