job, job/backlog: records of refused submissions, and the decision to refuse

Cause: a submission that cannot be done within three times its objective waits until its deadline has passed, and its room could serve others. Change: job.Store keeps records of refused IDs, bounded and replicated; a submission or a refusal takes effect only if its proposer knew the latest refusal of the ID. job/backlog measures drain and ratios of run times and decides, counting what is unknown in favour of the job. The leader proposes a record before it answers, with [jobs] refuse_hopeless, which is off by default.

--- a/controlapi/jobs.go
+++ b/controlapi/jobs.go
@@ -29,6 +29,7 @@
 	JobNoManifest JobOutcome = "no-manifest" // not accepted, because there is no configuration yet
 	JobInvalid    JobOutcome = "invalid"     // the specification is invalid
 	JobCancelled  JobOutcome = "cancelled"   // not accepted, because it was cancelled before it arrived; it never runs
+	JobNoRoom     JobOutcome = "no-room"     // not accepted, because it could not be done in time; it never runs, unless it is sent again after RetryAfterMillis
 	JobOverloaded JobOutcome = "overloaded"  // nothing was done; it may be sent again after RetryAfterMillis
 )
 
--- a/daemon/control/jobs/duty.go
+++ b/daemon/control/jobs/duty.go
@@ -18,6 +18,7 @@
 	"github.com/ibispier/ibispier/job/dispatch"
 	"github.com/ibispier/ibispier/lease"
 	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/telemetry"
 )
 
 // Error is the class of all errors of this package.
@@ -38,7 +39,10 @@
 	MinVoters int           // number of voters below which a new group accepts no requests
 	Bootstrap bool          // whether this member creates the group if none exists
 	Limits    dispatch.Limits
-	Log       *zap.Logger
+	// RefuseHopeless has submissions refused that surely cannot be done in time.
+	RefuseHopeless bool
+	Metrics        *telemetry.Metrics // may be nil
+	Log            *zap.Logger
 	// OnMembers receives the IDs of the control members whenever they change.
 	// It may be nil.
 	OnMembers func(ctx context.Context, ids []string) error
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -48,6 +48,7 @@
 	overdue  map[uint64]*batch // in flight for longer than proposalTimeout
 	reads    readindex.Queue
 	leader   *leadership // nil unless this member leads
+	gauges   refusalGauges
 
 	membersChanged bool
 	snapshotWanted bool
@@ -203,6 +204,7 @@
 	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
 		zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Uint64("manifest", e.store.Config.Version))
 	e.leader = newLeadership(e.log, term, e.options.Lease, e.options.Limits, e.store)
+	e.leader.refusals = newRefusals(now, e.options.RefuseHopeless)
 	e.ensureSessions(now)
 	e.confirmLeadership(now)
 }
@@ -275,6 +277,8 @@
 	e.leader.cleanedAt = now
 	e.ensureSessions(now)
 	e.forgetJobs(now)
+	e.expireRefusals(now)
+	e.sampleDrain(now)
 	e.leader.forgetEnded(e.store)
 }
 
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -39,6 +39,7 @@
 	faults            *faults.Tracker
 	newestReports     map[string]reportKey  // by host
 	startedAt         map[job.Ref]time.Time // when the start of a lasting task was committed in this term
+	refusals          *refusals             // holds of refused IDs, and the measurements that decide on refusals
 }
 
 // reportKey identifies a report among those from one instance.
@@ -126,6 +127,7 @@
 // beforeApply updates the leader's state for a command that is about to be
 // applied.
 func (l *leadership) beforeApply(now time.Time, st *job.Store, c *job.Command) {
+	l.refusals.observeRuns(now, st, c)
 	watermarks := map[job.TargetIncarnation]uint64{} // with the ends before in the command
 	for i := range c.Ends {
 		end := &c.Ends[i]
--- a/daemon/control/jobs/requests.go
+++ b/daemon/control/jobs/requests.go
@@ -87,13 +87,23 @@
 		})
 		return
 	}
-	submission := &job.Submission{Spec: s.Spec, Queue: *queue, AtMillis: time.Now().UnixMilli()}
-	e.addPart(func(c *job.Command) { c.Submit = append(c.Submit, submission) }, func(time.Time) {
+	e.admitJob(now, r, s, queue)
+}
+
+// acceptJob proposes the job. An entry before it may have cancelled or refused it.
+func (e *engine) acceptJob(r *applier.Request, s *controlapi.JobSubmitRequest, queue *job.Queue) {
+	submission := &job.Submission{Spec: s.Spec, Queue: *queue, AtMillis: time.Now().UnixMilli(), AfterRefusals: e.store.RefusalCount(s.Spec.ID)}
+	e.noteAccepted(submission)
+	e.addPart(func(c *job.Command) { c.Submit = append(c.Submit, submission) }, func(now time.Time) {
 		if e.store.HasTombstone(s.Spec.ID) { // cancelled by an entry before this one
 			e.log.Info("job refused", zap.String("job", s.Spec.ID), zap.String("outcome", string(controlapi.JobCancelled)), zap.Uint64("index", e.applied))
 			replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobCancelled})
 			return
 		}
+		if e.store.Jobs[s.Spec.ID] == nil {
+			e.answerRefused(now, r, s.Spec.ID)
+			return
+		}
 		e.log.Info("job accepted", zap.String("job", s.Spec.ID), zap.String("queue", submission.Queue.Name),
 			zap.Int("steps", len(s.Spec.Steps)), zap.Int("max_per_target", s.Spec.Steps[0].MaxPerTarget), zap.Bool("lasting", s.Spec.Steps[0].Lasting), zap.Int64("cpu_milli", s.Spec.Steps[0].Need.CPUMilli), zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Uint64("index", e.applied))
 		replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobOK})
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -62,13 +62,15 @@
 	}
 	s := d.settings
 	duty := jobs.New(jobs.Options{
-		Lease:     lease.Timing{TTL: s.Jobs.Lease, DriftPercent: targetDriftPercent, ClockGranularity: targetClockGranularity},
-		Retention: s.Jobs.Retention,
-		MinVoters: 2*s.Jobs.ToleratedDiskLosses + 1,
-		Bootstrap: s.Jobs.Bootstrap && len(s.Cluster.Control) > 0 && s.Cluster.Control[0].ID == s.Daemon.ID,
-		Limits:    dispatch.DefaultLimits(),
-		Log:       d.log,
-		OnMembers: role.EnsureMembers,
+		Lease:          lease.Timing{TTL: s.Jobs.Lease, DriftPercent: targetDriftPercent, ClockGranularity: targetClockGranularity},
+		Retention:      s.Jobs.Retention,
+		MinVoters:      2*s.Jobs.ToleratedDiskLosses + 1,
+		Bootstrap:      s.Jobs.Bootstrap && len(s.Cluster.Control) > 0 && s.Cluster.Control[0].ID == s.Daemon.ID,
+		Limits:         dispatch.DefaultLimits(),
+		Metrics:        d.telemetry.Metrics,
+		RefuseHopeless: s.Jobs.RefuseHopeless,
+		Log:            d.log,
+		OnMembers:      role.EnsureMembers,
 	}, role.Inputs, role.Updates)
 	role.AddCoreDuty("jobs", duty)
 	d.links = append(d.links, role)
--- a/job/apply.go
+++ b/job/apply.go
@@ -44,6 +44,9 @@
 	Spec     Spec
 	Queue    Queue
 	AtMillis int64 // Unix time of acceptance; used only to order jobs
+	// AfterRefusals is the number of refusals of the ID that the proposer knew of. If there
+	// are more, the submission has no effect.
+	AfterRefusals int `json:",omitempty"`
 }
 
 // ZoneChange takes an availability zone out of service or returns it.
@@ -68,6 +71,7 @@
 	Config   *Config             `json:",omitempty"` // replaces the current one if its version is higher
 	Zones    []ZoneChange        `json:",omitempty"`
 	Submit   []*Submission       `json:",omitempty"`
+	Refuse   []NewRefusal        `json:",omitempty"`
 	Cancel   []string            `json:",omitempty"`
 	Ends     []End               `json:",omitempty"`
 	Adopted  []Adoption          `json:",omitempty"`
@@ -75,6 +79,7 @@
 	Starts   []Start             `json:",omitempty"`
 	Learned  []PairEstimate      `json:",omitempty"`
 	Forget   []string            `json:",omitempty"` // finished jobs and tombstones past their retention time
+	Expired  []ExpiredRefusal    `json:",omitempty"`
 }
 
 // PairEstimate is a new disturbance estimate for a pair of images.
@@ -106,6 +111,9 @@
 	for _, s := range c.Submit {
 		st.submitJob(s)
 	}
+	for i := range c.Refuse {
+		st.refuseJob(&c.Refuse[i])
+	}
 	for _, id := range c.Cancel {
 		st.cancelJob(id)
 	}
@@ -127,14 +135,18 @@
 	for _, id := range c.Forget {
 		st.forgetJob(id)
 	}
+	for _, x := range c.Expired {
+		st.expireRefusal(x)
+	}
 }
 
 // submitJob adds a job. A repeated submission with the same ID has no effect, nor has
-// one that arrives after its cancelling.
+// one that arrives after its cancelling, or after a refusal that its proposer did not know.
 func (st *Store) submitJob(s *Submission) {
-	if st.Jobs[s.Spec.ID] != nil || st.HasTombstone(s.Spec.ID) {
+	if st.Jobs[s.Spec.ID] != nil || st.HasTombstone(s.Spec.ID) || st.RefusalCount(s.Spec.ID) > s.AfterRefusals {
 		return
 	}
+	delete(st.Refusals, s.Spec.ID)
 	st.Orders++
 	j := &Job{Spec: s.Spec, Queue: s.Queue, Order: st.Orders, AtMillis: s.AtMillis}
 	for range s.Spec.Occurrences() {
@@ -157,6 +169,7 @@
 	switch {
 	case j == nil && len(st.Tombstones) < MaxTombstones:
 		st.Tombstones[id] = struct{}{}
+		delete(st.Refusals, id)
 	case j != nil && j.IsLive():
 		j.Cancelled = true
 		st.finishJob(j)
--- a/job/store.go
+++ b/job/store.go
@@ -128,7 +128,8 @@
 // Invariants: a task is placed on at most one target; byTarget contains exactly
 // the tasks that are Placed or Stopping; liveJobs contains exactly the live
 // jobs in the order of acceptance; a job that is not live and has no task in
-// byTarget has no occurrences; no ID is in both Jobs and Tombstones.
+// byTarget has no occurrences; no ID is in two of Jobs, Tombstones and
+// Refusals.
 type Store struct {
 	Config        Config
 	ZonesOut      map[string]bool
@@ -138,6 +139,9 @@
 	// Tombstones holds the IDs that were cancelled although no job had them. A
 	// submission that was sent before the cancelling may arrive later, and is refused.
 	Tombstones map[string]struct{} `json:",omitempty"`
+	// Refusals holds the records of submissions that were refused because they could not
+	// be done in time.
+	Refusals map[string]Refusal `json:",omitempty"`
 	// Disturbs holds the learned disturbance by serving image and filling
 	// image. It is replicated so that it survives restarts of the processes
 	// that learned it.
--- a/settings/check.go
+++ b/settings/check.go
@@ -28,6 +28,8 @@
 		return missing("cluster", "entries", "an agent needs the addresses of the entry instances")
 	case s.HasRole(RoleAgent) && s.Agent.TargetURL != "" && s.Agent.Service == "":
 		return missing("agent", "service", "a target serves a service")
+	case s.Jobs.RefuseHopeless && !(s.Jobs.Enabled && s.HasRole(RoleControl)):
+		return Error.New("file=%s section=jobs key=refuse_hopeless: only control members with jobs.enabled refuse submissions", path)
 	}
 	return s.checkMembers(path)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -129,6 +129,7 @@
 	Lease               time.Duration
 	MaxLeaseMillis      int64 // longest lease that a target takes; 0 if unknown
 	Retention           time.Duration
+	RefuseHopeless      bool // refuse submissions that surely cannot be done in time
 }
 
 // Platform holds the addresses of the interfaces to the users' platform.
