job/backlog, control/jobs: tests of refusals; bounds follow the order of dispatch

Change: three phases follow the rank of a job (on time, late, missed), and hysteresis applies to the drain. Work that fails for the most part is no measurement.

--- a/daemon/control/jobs/fleet_test.go
+++ b/daemon/control/jobs/fleet_test.go
@@ -62,6 +62,7 @@
 	failTask    func(job.Ref) bool       // whether the runs of a task fail after failingRun; may be nil
 	stall       map[string]bool          // by image, whether its runs make no progress
 	refused     int
+	sleep       func(time.Duration) // advances the wall clock with virtual time; may be nil
 }
 
 type event struct {
@@ -175,10 +176,10 @@
 			next = f.events[0].at
 		}
 		if !next.Before(end) {
-			f.now = end
+			f.setNow(end)
 			return
 		}
-		f.now = next
+		f.setNow(next)
 		if next == nextTick {
 			nextTick = nextTick.Add(tickInterval)
 			f.measured(func() { f.e.tick(f.now) })
@@ -188,6 +189,13 @@
 	}
 }
 
+func (f *fleet) setNow(to time.Time) {
+	if f.sleep != nil {
+		f.sleep(to.Sub(f.now))
+	}
+	f.now = to
+}
+
 // play submits jobs at the rates for the time.
 func (f *fleet) play(r rates, d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.runFor(fleetTick) {
--- a/job/backlog/decide.go
+++ b/job/backlog/decide.go
@@ -1,7 +1,8 @@
 package backlog
 
 import (
-	"hash/fnv"
+	"crypto/sha256"
+	"encoding/binary"
 	"math"
 	"time"
 
@@ -19,17 +20,17 @@
 	MaxRetryAfter = 5 * time.Minute
 	// retrySpread is the share by which the times told to callers differ, so that those
 	// refused together do not return together.
-	retrySpread = 0.25
+	retrySpread = 0.5
 	// MaxRefusalsPerJob is the number of refusals after which a job is accepted. Callers send
 	// a submission five times at most.
 	MaxRefusalsPerJob = 3
 	// MinObservation is how long a leader must have measured before it refuses a job.
 	MinObservation = 10 * time.Second
-	// enterFactor is the multiple of the late bound that a job must miss before the first
-	// refusal of its kind. With exitAfter, it keeps the decision from flipping with each
-	// measurement.
+	// enterFactor is the multiple of the drain with which a job must still miss its bound
+	// for the first refusal of its kind. With exitAfter, it keeps the decision from
+	// flipping with each measurement.
 	enterFactor = 1.2
-	// exitAfter is how long after a refusal the plain bound holds for its kind.
+	// exitAfter is how long after a refusal the plain drain counts for its kind.
 	exitAfter = 5 * time.Second
 	// horizonPoints is the number of times at which the room left for a job is evaluated.
 	horizonPoints = 12
@@ -44,7 +45,8 @@
 	NowMillis      int64   // Unix time
 	DeadlineMillis int64   // Unix time by which it is ranked
 	Objective      float64 // within this time it is on time
-	Late           float64 // after this time its result is of no use
+	Late           float64 // after this time its result is of no use, by its estimates
+	Bound          float64 // the same, if its runs take as long as the longest do
 	Path           float64 // shortest time that it takes on free targets
 	Work           float64 // core-milliseconds, counted low
 	ExpectedPath   float64
@@ -63,7 +65,7 @@
 	}
 	return Candidate{
 		ID: s.ID, Queue: q.Name, Priority: q.Priority, NowMillis: nowMillis, DeadlineMillis: rankedFrom + int64(objective),
-		Objective: objective, Late: lateFactor * objectiveMillis(s, q, max(1, ratios.High)),
+		Objective: objective, Late: lateFactor * objective, Bound: lateFactor * objectiveMillis(s, q, max(1, ratios.High)),
 		Path: pathMillis(s, min(1, ratios.Low)), Work: work * min(1, ratios.Low),
 		ExpectedPath: pathMillis(s, ratios.Mean), ExpectedWork: work * ratios.Mean, Refusals: earlier.Count,
 	}
@@ -103,7 +105,7 @@
 // Without capacity nothing is refused: nobody knows when targets return, so there is
 // neither a bound to miss nor a time after which to send again, and accepted work is kept.
 func (g *Gate) Decide(now time.Time, measuredFor time.Duration, b *Backlog, drain Drain, returning float64, c Candidate) Decision {
-	d := Decision{Drain: drain, Late: millis(c.Late)}
+	d := Decision{Drain: drain, Late: millis(c.Bound)}
 	switch {
 	case measuredFor < MinObservation:
 		d.Reason = ReasonObservation
@@ -121,7 +123,7 @@
 	if refused, known := g.refusedAt[c.Queue]; known && now.Sub(refused) < exitAfter {
 		factor = 1
 	}
-	if b.fits(c, drain.Upper, factor) {
+	if b.fits(c, factor*drain.Upper) {
 		d.Reason = ReasonInTime
 		return d
 	}
@@ -134,56 +136,76 @@
 	return d
 }
 
+// phase is the rank that a candidate has at some time: while it can still be on time, while
+// it can still be of use, and afterwards. In each, package dispatch starts the jobs of the
+// same or a better phase first that have an earlier deadline.
+type phase uint8
+
+const (
+	onTime phase = iota
+	late
+	missed
+)
+
 // fits reports whether the job may still be done in time: on time behind the jobs that can
-// be on time too, or late behind all.
-func (b *Backlog) fits(c Candidate, drain, factor float64) bool {
-	return b.hasRoom(c, drain, factor*c.Objective, true) || b.hasRoom(c, drain, factor*c.Late, false)
+// be on time too, late behind those that can be of use, or behind all within its bound.
+func (b *Backlog) fits(c Candidate, drain float64) bool {
+	return b.hasRoom(c, drain, c.Objective, onTime) || b.hasRoom(c, drain, c.Late, late) || b.hasRoom(c, drain, c.Bound, missed)
 }
 
 // hasRoom reports whether, at some time up to the horizon, the drain can have done the work
 // that comes first and that of the job. It looks at some times only, and at each takes the
 // room until the next.
-func (b *Backlog) hasRoom(c Candidate, drain, horizon float64, onTime bool) bool {
+func (b *Backlog) hasRoom(c Candidate, drain, horizon float64, of phase) bool {
 	if c.Path > horizon {
 		return false
 	}
 	step := (horizon - c.Path) / horizonPoints
 	for i := range horizonPoints {
 		at := c.Path + float64(i)*step
-		if b.busyUntil(c, drain, at, onTime)+c.Work/drain <= at+step {
+		if b.busyUntil(c, drain, at, of)+c.Work/drain <= at+step {
 			return true
 		}
 	}
-	return b.busyUntil(c, drain, horizon, onTime)+c.Work/drain <= horizon
+	return b.busyUntil(c, drain, horizon, of)+c.Work/drain <= horizon
 }
 
 // busyUntil returns the time, in milliseconds from now, for which the drain is taken by the
 // work that comes before the candidate and can run until at. No job takes it beyond the
-// time from which it is ranked behind the candidate: the time at which it can no longer be
-// on time, or of use.
-func (b *Backlog) busyUntil(c Candidate, drain, at float64, onTime bool) float64 {
+// time from which it is ranked behind the candidate.
+func (b *Backlog) busyUntil(c Candidate, drain, at float64, of phase) float64 {
 	busy := 0.0
 	for i := range b.items {
 		x := &b.items[i]
 		if !x.isBefore(c) {
 			break
 		}
-		end := x.LateMillis
-		if onTime && x.Priority == c.Priority {
-			if !x.Attainable {
-				continue
-			}
-			end = x.DeadlineMillis
+		end, counts := x.rankedUntil(c, of)
+		if !counts {
+			continue
 		}
 		work := 0.0
 		for _, p := range x.Parts {
 			work += p.within(at)
 		}
-		busy = min(busy+work/drain, max(busy, float64(end-c.NowMillis)))
+		busy = min(busy+work/drain, max(busy, end))
 	}
 	return busy
 }
 
+// rankedUntil returns the time, in milliseconds from now, until which the job is ranked
+// before a candidate in the phase, and whether it is now.
+func (x *Item) rankedUntil(c Candidate, of phase) (float64, bool) {
+	switch {
+	case of == missed, x.Priority < c.Priority:
+		return math.Inf(1), true
+	case of == late:
+		return float64(x.LateMillis - c.NowMillis), true
+	default:
+		return float64(x.DeadlineMillis - c.NowMillis), x.Attainable
+	}
+}
+
 func (x *Item) isBefore(c Candidate) bool {
 	return x.Priority < c.Priority || x.Priority == c.Priority && x.DeadlineMillis < c.DeadlineMillis
 }
@@ -206,9 +228,8 @@
 // and a part of it that follows from the ID.
 func retryAfter(id string, wait float64) time.Duration {
 	base := min(max(millis(wait), CopyLifetime), MaxRetryAfter)
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	share := float64(h.Sum64()>>11) / (1 << 53)
+	hash := sha256.Sum256([]byte(id)) // similar IDs must differ too
+	share := float64(binary.BigEndian.Uint32(hash[:])) / (1 << 32)
 	return base + time.Duration(retrySpread*share*float64(base))
 }
 
--- a/job/backlog/meter.go
+++ b/job/backlog/meter.go
@@ -19,6 +19,9 @@
 	// comparableCores is the share of the present capacity below which a measurement is
 	// dropped: it was made before targets arrived or returned.
 	comparableCores = 0.8
+	// minDoneShare is the share of the work that must not fail. Below it, a fault keeps the
+	// targets from working, and the measurement says nothing about the time after it.
+	minDoneShare = 0.5
 	// saturatedShare is the reserved share of the processors below which waiting work does
 	// not show a lack of room. Tasks may wait for a label, a rack or a place in a gang.
 	saturatedShare = 0.7
@@ -78,7 +81,8 @@
 
 type poolMeter struct {
 	intervals []interval // the oldest first
-	done      float64    // core-milliseconds since the last sample
+	work      float64    // core-milliseconds since the last sample
+	failed    float64    // of all work, the part that was found to have failed since
 	last      Sample
 	sampledAt time.Time
 }
@@ -86,7 +90,8 @@
 type interval struct {
 	end       time.Time
 	length    time.Duration
-	done      float64
+	work      float64
+	failed    float64
 	cores     float64
 	saturated bool
 }
@@ -112,7 +117,7 @@
 	}
 	delete(m.running, ref)
 	if !done {
-		m.pool(r.Pool).done -= r.credited
+		m.pool(r.Pool).failed += r.credited
 		return
 	}
 	m.credit(now, r)
@@ -132,7 +137,7 @@
 	work := r.Cores * float64(now.Sub(r.creditedAt).Milliseconds())
 	r.creditedAt = now
 	r.credited += work
-	m.pool(r.Pool).done += work
+	m.pool(r.Pool).work += work
 }
 
 // ElapsedMillis returns for how long the run has been active, and whether it is known.
@@ -174,31 +179,32 @@
 func (p *poolMeter) sample(now time.Time, s Sample) {
 	if !p.sampledAt.IsZero() {
 		p.intervals = append(p.intervals, interval{
-			end: now, length: now.Sub(p.sampledAt), done: p.done, cores: min(p.last.Cores, s.Cores), saturated: p.last.Saturated && s.Saturated,
+			end: now, length: now.Sub(p.sampledAt), work: p.work, failed: p.failed, cores: min(p.last.Cores, s.Cores), saturated: p.last.Saturated && s.Saturated,
 		})
 	}
-	p.done, p.last, p.sampledAt = 0, s, now
+	p.work, p.failed, p.last, p.sampledAt = 0, 0, s, now
 	for len(p.intervals) > 0 && now.Sub(p.intervals[0].end) > window {
 		p.intervals = p.intervals[1:]
 	}
 }
 
 // Drain returns the drain of the pool. Without a measurement it is the capacity. A pool
-// that has done nothing while saturated counts as not measured: what kept it from working
-// says nothing about the next minute.
+// whose work fails counts as not measured.
 func (m *Meter) Drain(p Pool) Drain {
 	pm := m.pools[p]
 	if pm == nil {
 		return Drain{}
 	}
-	done, length := 0.0, time.Duration(0)
+	work, failed, length := 0.0, 0.0, time.Duration(0)
 	for _, x := range pm.intervals {
 		if x.saturated && x.cores >= comparableCores*pm.last.Cores {
-			done += x.done
+			work += x.work
+			failed += x.failed
 			length += x.length
 		}
 	}
-	if length < minSaturated || done <= 0 {
+	done := work - failed
+	if length < minSaturated || done <= minDoneShare*work {
 		return Drain{Upper: pm.last.Cores, Expected: pm.last.Cores}
 	}
 	measured := min(done/float64(length.Milliseconds()), pm.last.Cores)
