job/backlog: the age of a backlog counts in the job's favour

Cause: reading the backlog takes 1.2 ms with 581 live jobs, about 2 us for each, ten times a second. Change: the drain is credited for the age, and a job that has lost its rank meanwhile does not come first any more. The backlog is read every 250 ms, and only when a submission comes.

--- a/daemon/control/jobs/backlog.go
+++ b/daemon/control/jobs/backlog.go
@@ -12,8 +12,8 @@
 )
 
 // backlogAge is the time after which the backlog is read from the store again. Until then,
-// submissions are added as they are accepted.
-const backlogAge = 100 * time.Millisecond
+// submissions are added as they are accepted. Reading takes about 2 us for each live job.
+const backlogAge = 250 * time.Millisecond
 
 // backlogView is the leader's view of the unfinished work and of the rate at which it is
 // done.
@@ -90,7 +90,7 @@
 
 func (v *backlogView) pool(p backlog.Pool) *backlog.Backlog {
 	if v.pools[p] == nil {
-		v.pools[p] = backlog.New(nil)
+		v.pools[p] = backlog.New(v.builtAt, nil)
 	}
 	return v.pools[p]
 }
@@ -115,7 +115,7 @@
 	}
 	v.pools = map[backlog.Pool]*backlog.Backlog{}
 	for p, of := range items {
-		v.pools[p] = backlog.New(of)
+		v.pools[p] = backlog.New(now, of)
 	}
 	for _, s := range e.submissionsUnderWay() {
 		e.noteAccepted(s)
@@ -202,7 +202,7 @@
 	if v == nil {
 		return
 	}
-	e.buildBacklogs(now)
+	v.fitting = map[taskShape]bool{}
 	samples := map[backlog.Pool]backlog.Sample{}
 	waiting := e.waitingPools()
 	for _, s := range e.store.Config.Services {
--- a/daemon/control/jobs/overload_test.go
+++ b/daemon/control/jobs/overload_test.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// isOfUse reports whether the caller got its result within three times its objective.
+func (c *overloadCaller) isOfUse() bool { return c.done > 0 && c.done <= 3*c.objective() }
+
+func (c *overloadCaller) objective() time.Duration {
+	return time.Duration(len(c.steps))*taskOfQuick*3/2 + 300*time.Millisecond
+}
+
 // overloadResult counts the callers by what they got.
 type overloadResult struct {
 	callers, onTime, late, useless, refused, open int
@@ -78,16 +85,14 @@
 func (o *overload) result() overloadResult {
 	r := overloadResult{callers: len(o.callers)}
 	for _, c := range o.callers {
-		path := time.Duration(len(c.steps)) * taskOfQuick
-		objective := path*3/2 + 300*time.Millisecond
 		switch {
 		case c.done == 0:
 			r.open++
 		case c.refusals > 0:
 			r.refused++
-		case c.done <= objective:
+		case c.done <= c.objective():
 			r.onTime++
-		case c.done <= 3*objective:
+		case c.isOfUse():
 			r.late++
 		default:
 			r.useless++
@@ -102,9 +107,9 @@
 
 // playOverload plays a calm time, a burst of several times the room, and a calm time in
 // which refused callers return.
-func playOverload(t *testing.T, refuse bool) (r overloadResult) {
+func playOverload(t *testing.T, refuse bool) (o *overload) {
 	synctest.Test(t, func(*testing.T) {
-		o := &overload{f: newFleet(3), returned: map[int]int{}}
+		o = &overload{f: newFleet(3), returned: map[int]int{}}
 		random := rand.New(rand.NewPCG(3, 4)) // the same arrivals with and without refusing
 		o.f.sleep = time.Sleep
 		o.f.e.leader.refusals = newRefusals(o.f.now, refuse)
@@ -126,18 +131,25 @@
 		play(33, 10*time.Second)
 		play(0.5, 80*time.Second)
 		play(0, 5*time.Second)
-		r = o.result()
 	})
-	return r
+	return o
 }
 
 // Guards against an overload in which callers wait for results that come too late to be of
 // use, and against refusals that cost more than they save: of results, of a fast answer,
 // of callers who never get in, or who all return at once.
 func TestRefusingInABurst(t *testing.T) {
-	without, with := playOverload(t, false), playOverload(t, true)
+	plain, refusing := playOverload(t, false), playOverload(t, true)
+	without, with := plain.result(), refusing.result()
+	mistaken := 0 // refused callers whose result was of use without refusing
+	for i, c := range refusing.callers {
+		if c.refusals > 0 && plain.callers[i].isOfUse() {
+			mistaken++
+		}
+	}
 	t.Logf("without: %+v", without)
 	t.Logf("with:    %+v", with)
+	t.Logf("refused although of use without refusing: %d", mistaken)
 	const answerBound = 100 * time.Millisecond // a refusal comes at once: two commits take 40 ms here
 	switch {
 	case without.useless < without.callers/4:
@@ -146,6 +158,8 @@
 		t.Errorf("%d callers waited in vain, without refusing %d", with.useless, without.useless)
 	case with.onTime+with.late < without.onTime+without.late:
 		t.Errorf("%d results of use, without refusing %d", with.onTime+with.late, without.onTime+without.late)
+	case mistaken > with.refused/10: // some, because others that arrive at the same time are served instead
+		t.Errorf("%d of %d refused callers got a result of use without refusing", mistaken, with.refused)
 	case with.open > 0 || with.mostRefusals > backlog.MaxRefusalsPerJob:
 		t.Errorf("%d callers never got in; %d refusals of one", with.open, with.mostRefusals)
 	case with.slowestAnswer > answerBound:
--- a/job/backlog/backlog.go
+++ b/job/backlog/backlog.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/ibispier/ibispier/job"
 )
@@ -30,23 +31,26 @@
 	Priority       int
 	DeadlineMillis int64 // Unix time of its objective
 	LateMillis     int64 // Unix time after which its result is of no use
-	Attainable     bool  // can still meet its objective
+	EndMillis      int64 // Unix time of its earliest end, if it is started at once
 	Parts          []Part
 }
 
 // Backlog is the unfinished work of the accepted jobs in one pool, in the order in which
 // package dispatch starts it: by priority and deadline. Jobs whose result is of no use any
 // more come last there and are not part of it.
-type Backlog struct{ items []Item }
+type Backlog struct {
+	items   []Item
+	builtAt time.Time
+}
 
 func compareItems(x, y Item) int {
 	return cmp.Or(cmp.Compare(x.Priority, y.Priority), cmp.Compare(x.DeadlineMillis, y.DeadlineMillis))
 }
 
-// New returns the backlog of the items.
-func New(items []Item) *Backlog {
+// New returns the backlog of the items as they are now.
+func New(now time.Time, items []Item) *Backlog {
 	slices.SortStableFunc(items, compareItems)
-	return &Backlog{items}
+	return &Backlog{items, now}
 }
 
 // Insert adds a job that was accepted.
@@ -69,7 +73,8 @@
 // ItemOf returns the unfinished work of a job in the pool, counted low, and whether it has
 // any that is of use.
 func ItemOf(j *job.Job, q *job.Queue, filling bool, o Options) (Item, bool) {
-	if !HasObjective(&j.Spec) || len(j.Occurrences) == 0 {
+	inPool := func(s job.Step) bool { return s.Filling == filling }
+	if !HasObjective(&j.Spec) || len(j.Occurrences) == 0 || !slices.ContainsFunc(j.Spec.Steps, inPool) {
 		return Item{}, false
 	}
 	objective := objectiveMillis(&j.Spec, q, 1)
@@ -88,9 +93,8 @@
 			x.Parts = append(x.Parts, parts...)
 		}
 	}
-	end := o.NowMillis + int64(longest)
-	x.Attainable = end <= x.DeadlineMillis
-	return x, len(x.Parts) > 0 && end <= x.LateMillis
+	x.EndMillis = o.NowMillis + int64(longest)
+	return x, len(x.Parts) > 0 && x.EndMillis <= x.LateMillis
 }
 
 // ItemOfSubmission returns the work of a submission that was accepted and is not in the store
--- a/job/backlog/backlog_test.go
+++ b/job/backlog/backlog_test.go
@@ -28,7 +28,7 @@
 	deadline := testNow + rapid.Int64Range(-2000, 20_000).Draw(t, "deadline")
 	x := Item{
 		Priority: rapid.IntRange(0, 2).Draw(t, "priority"), DeadlineMillis: deadline,
-		LateMillis: deadline + rapid.Int64Range(0, 20_000).Draw(t, "late"), Attainable: rapid.Bool().Draw(t, "attainable"),
+		LateMillis: deadline + rapid.Int64Range(0, 20_000).Draw(t, "late"), EndMillis: deadline + rapid.Int64Range(-2000, 2000).Draw(t, "end"),
 	}
 	for range rapid.IntRange(1, 3).Draw(t, "parts") {
 		x.Parts = append(x.Parts, Part{rapid.Float64Range(0, 5000).Draw(t, "offset"), rapid.Float64Range(1, 5000).Draw(t, "length"), rapid.Float64Range(0.1, 50).Draw(t, "cores")})
@@ -48,7 +48,7 @@
 }
 
 func decide(items []Item, cores float64, c Candidate) Decision {
-	return NewGate().Decide(start, time.Minute, New(slices.Clone(items)), Drain{Upper: cores, Expected: cores}, 0, c)
+	return NewGate().Decide(start, time.Minute, New(start, slices.Clone(items)), Drain{Upper: cores, Expected: cores}, 0, c)
 }
 
 // Guards against a job that is refused although an easier one would be, in the same
@@ -60,7 +60,7 @@
 		items := rapid.SliceOfN(rapid.Custom(drawItem), 0, 8).Draw(t, "items")
 		cores, c := rapid.Float64Range(1, 40).Draw(t, "cores"), drawCandidate(t)
 		d := decide(items, cores, c)
-		ahead := New(slices.Clone(items)).ahead(c)
+		ahead := New(start, slices.Clone(items)).ahead(c)
 		if d.Hopeless && (ahead+c.Work)/cores <= c.Bound {
 			t.Fatalf("refused although %.0f core-ms ahead and %.0f of its own take %.0f ms of %.0f", ahead, c.Work, (ahead+c.Work)/cores, c.Bound)
 		}
@@ -95,7 +95,7 @@
 }
 
 func blocked() []Item {
-	return []Item{{Priority: 0, DeadlineMillis: testNow + 900_000, LateMillis: testNow + 900_000, Attainable: true, Parts: []Part{{0, 900_000, 30}}}}
+	return []Item{{Priority: 0, DeadlineMillis: testNow + 900_000, LateMillis: testNow + 900_000, Parts: []Part{{0, 900_000, 30}}}}
 }
 
 func waiting(id string) Candidate {
@@ -121,7 +121,7 @@
 	} {
 		x := waiting("a")
 		c.change(&x)
-		if d := NewGate().Decide(start, c.measured, New(blocked()), c.drain, 0, x); d.Hopeless != (c.reason == "") || d.Reason != c.reason {
+		if d := NewGate().Decide(start, c.measured, New(start, blocked()), c.drain, 0, x); d.Hopeless != (c.reason == "") || d.Reason != c.reason {
 			t.Errorf("%s: %+v, want reason %q", name, d, c.reason)
 		}
 	}
@@ -133,7 +133,7 @@
 	seen, sum := map[time.Duration]bool{}, [2]time.Duration{}
 	for i := range 1000 {
 		for k, returning := range [2]float64{0, 1e6} {
-			d := NewGate().Decide(start, time.Minute, New([]Item{{LateMillis: testNow + 600_000, Parts: []Part{{0, 60_000, 30}}}}), Drain{Upper: 10, Expected: 10}, returning, waiting(fmt.Sprintf("%016x", i)))
+			d := NewGate().Decide(start, time.Minute, New(start, []Item{{LateMillis: testNow + 600_000, Parts: []Part{{0, 60_000, 30}}}}), Drain{Upper: 10, Expected: 10}, returning, waiting(fmt.Sprintf("%016x", i)))
 			seen[d.RetryAfter.Truncate(time.Second)] = true
 			sum[k] += d.RetryAfter
 		}
@@ -152,7 +152,7 @@
 			drain *= 1.08
 		}
 		length := 2590.0 // with the work of its own, 3090 ms at the lower drain; the bound is 3000 ms
-		d := g.Decide(start.Add(time.Duration(i)*100*time.Millisecond), time.Minute, New([]Item{{LateMillis: testNow + 60_000, Parts: []Part{{0, length, 10}}}}), Drain{Upper: drain, Expected: drain}, 0, waiting("a"))
+		d := g.Decide(start.Add(time.Duration(i)*100*time.Millisecond), time.Minute, New(start.Add(time.Duration(i)*100*time.Millisecond), []Item{{LateMillis: testNow + 60_000, Parts: []Part{{0, length, 10}}}}), Drain{Upper: drain, Expected: drain}, 0, waiting("a"))
 		if i > 0 && d.Hopeless != last {
 			flips++
 		}
@@ -231,7 +231,7 @@
 	q := &job.Queue{Stretch: 2, SlackMillis: 300}
 	x, useful := ItemOf(j, q, false, o)
 	want := []Part{{0, 1000, 4}, {0, 600, 2}, {1000, 500, 1}}
-	if !useful || !slices.Equal(x.Parts, want) || x.DeadlineMillis != testNow+3300 || x.LateMillis != testNow+9900 || !x.Attainable {
+	if !useful || !slices.Equal(x.Parts, want) || x.DeadlineMillis != testNow+3300 || x.LateMillis != testNow+9900 || x.EndMillis != testNow+1500 {
 		t.Errorf("%+v", x)
 	}
 	o.Fits = func(*job.Step) bool { return false }
--- a/job/backlog/decide.go
+++ b/job/backlog/decide.go
@@ -52,6 +52,8 @@
 	ExpectedPath   float64
 	ExpectedWork   float64
 	Refusals       int // how often it was refused before
+
+	age float64 // of the backlog
 }
 
 // CandidateOf returns the candidate for a submission. A job that was refused before is
@@ -123,6 +125,7 @@
 	if refused, known := g.refusedAt[c.Queue]; known && now.Sub(refused) < exitAfter {
 		factor = 1
 	}
+	c.age = float64(now.Sub(b.builtAt).Milliseconds())
 	if b.fits(c, factor*drain.Upper) {
 		d.Reason = ReasonInTime
 		return d
@@ -172,9 +175,10 @@
 
 // busyUntil returns the time, in milliseconds from now, for which the drain is taken by the
 // work that comes before the candidate and can run until at. No job takes it beyond the
-// time from which it is ranked behind the candidate.
+// time from which it is ranked behind the candidate. Since the backlog was read, the drain
+// may have done a part of it.
 func (b *Backlog) busyUntil(c Candidate, drain, at float64, of phase) float64 {
-	busy := 0.0
+	busy := -c.age
 	for i := range b.items {
 		x := &b.items[i]
 		if !x.isBefore(c) {
@@ -186,24 +190,24 @@
 		}
 		work := 0.0
 		for _, p := range x.Parts {
-			work += p.within(at)
+			work += p.within(at + c.age)
 		}
 		busy = min(busy+work/drain, max(busy, end))
 	}
-	return busy
+	return max(0, busy)
 }
 
 // rankedUntil returns the time, in milliseconds from now, until which the job is ranked
 // before a candidate in the phase, and whether it is now.
 func (x *Item) rankedUntil(c Candidate, of phase) (float64, bool) {
-	switch {
-	case of == missed, x.Priority < c.Priority:
+	until := x.LateMillis
+	if of == onTime {
+		until = x.DeadlineMillis
+	}
+	if of == missed || x.Priority < c.Priority {
 		return math.Inf(1), true
-	case of == late:
-		return float64(x.LateMillis - c.NowMillis), true
-	default:
-		return float64(x.DeadlineMillis - c.NowMillis), x.Attainable
 	}
+	return float64(until - c.NowMillis), x.EndMillis+int64(c.age) <= until
 }
 
 func (x *Item) isBefore(c Candidate) bool {
