job/backlog: measured ratios count in full, ranks follow the estimates

Change: the measured ratio counts in full, and the bounds of a rank, which follow from the estimates, are moved by the difference. Where runs take four times the estimate or a quarter of it on average, nothing is refused: the order of starts then says nothing.

--- a/job/backlog/backlog.go
+++ b/job/backlog/backlog.go
@@ -31,7 +31,8 @@
 	Priority       int
 	DeadlineMillis int64 // Unix time of its objective
 	LateMillis     int64 // Unix time after which its result is of no use
-	EndMillis      int64 // Unix time of its earliest end, if it is started at once
+	EndMillis      int64 // Unix time of its earliest end by its estimates, from which its rank follows
+	ExtraMillis    int64 // by which its measured run times exceed the estimates
 	Parts          []Part
 }
 
@@ -74,7 +75,7 @@
 // any that is of use.
 func ItemOf(j *job.Job, q *job.Queue, filling bool, o Options) (Item, bool) {
 	inPool := func(s job.Step) bool { return s.Filling == filling }
-	if !HasObjective(&j.Spec) || len(j.Occurrences) == 0 || !slices.ContainsFunc(j.Spec.Steps, inPool) {
+	if !HasObjective(&j.Spec) || !o.Ratios.isReliable() || len(j.Occurrences) == 0 || !slices.ContainsFunc(j.Spec.Steps, inPool) {
 		return Item{}, false
 	}
 	objective := objectiveMillis(&j.Spec, q, 1)
@@ -93,7 +94,8 @@
 			x.Parts = append(x.Parts, parts...)
 		}
 	}
-	x.EndMillis = o.NowMillis + int64(longest)
+	openPath := openPathMillis(j)
+	x.EndMillis, x.ExtraMillis = o.NowMillis+int64(openPath), int64(longest-openPath)
 	return x, len(x.Parts) > 0 && x.EndMillis <= x.LateMillis
 }
 
@@ -168,6 +170,18 @@
 	return longest
 }
 
+// openPathMillis returns the length of the longest dependency chain of the steps that are
+// not done, by their estimates.
+func openPathMillis(j *job.Job) float64 {
+	open := job.Spec{Steps: slices.Clone(j.Spec.Steps)}
+	for i := range open.Steps {
+		if j.Occurrences[0][i].Open == 0 {
+			open.Steps[i].EstimateMillis = 0
+		}
+	}
+	return pathMillis(&open, 1)
+}
+
 // objectiveMillis returns the time from the submission within which the job is to be done.
 func objectiveMillis(s *job.Spec, q *job.Queue, ratio float64) float64 {
 	return max(q.Stretch, 1)*pathMillis(s, ratio) + float64(q.SlackMillis)
--- a/job/backlog/backlog_test.go
+++ b/job/backlog/backlog_test.go
@@ -40,7 +40,7 @@
 	objective := rapid.Float64Range(100, 10_000).Draw(t, "objective")
 	c := Candidate{
 		ID: "a", Queue: "q", Priority: rapid.IntRange(0, 2).Draw(t, "priority"), NowMillis: testNow, DeadlineMillis: testNow + int64(objective),
-		Objective: objective, Late: lateFactor * objective, Bound: lateFactor * objective * rapid.Float64Range(1, 3).Draw(t, "tail"), Path: objective * rapid.Float64Range(0, 1).Draw(t, "path"),
+		Objective: objective, OnTime: objective, Late: lateFactor * objective, Bound: lateFactor * objective * rapid.Float64Range(1, 3).Draw(t, "tail"), Path: objective * rapid.Float64Range(0, 1).Draw(t, "path"),
 		Work: rapid.Float64Range(1, 100_000).Draw(t, "work"),
 	}
 	c.ExpectedPath, c.ExpectedWork = c.Path, c.Work
@@ -81,7 +81,7 @@
 		}
 		earlier := c
 		earlier.Late = c.Late * rapid.Float64Range(c.Path/c.Late, 1).Draw(t, "earlier")
-		earlier.Objective, earlier.Bound = min(c.Objective, earlier.Late), c.Bound*earlier.Late/c.Late
+		earlier.OnTime, earlier.Bound = min(c.OnTime, earlier.Late), c.Bound*earlier.Late/c.Late
 		if !decide(items, cores, earlier).Hopeless {
 			t.Fatal("accepted with an earlier bound")
 		}
@@ -99,7 +99,7 @@
 }
 
 func waiting(id string) Candidate {
-	return Candidate{ID: id, Queue: "q", Priority: 1, NowMillis: testNow, DeadlineMillis: testNow + 1000, Objective: 1000, Late: 3000, Bound: 3000, Path: 500, Work: 5000, ExpectedPath: 500, ExpectedWork: 5000}
+	return Candidate{ID: id, Queue: "q", Priority: 1, NowMillis: testNow, DeadlineMillis: testNow + 1000, Objective: 1000, OnTime: 1000, Late: 3000, Bound: 3000, Path: 500, Work: 5000, ExpectedPath: 500, ExpectedWork: 5000}
 }
 
 // Guards against refusals without ground: by a leader that has just begun to measure,
@@ -117,6 +117,7 @@
 		"young leader": {MinObservation - 1, drain, func(*Candidate) {}, ReasonObservation},
 		"no targets":   {time.Minute, Drain{}, func(*Candidate) {}, ReasonNoCapacity},
 		"no work":      {time.Minute, drain, func(c *Candidate) { c.Work = 0 }, ReasonNoWork},
+		"estimates":    {time.Minute, drain, func(c *Candidate) { c.Unreliable = true }, ReasonEstimates},
 		"often":        {time.Minute, drain, func(c *Candidate) { c.Refusals = MaxRefusalsPerJob }, ReasonReturned},
 	} {
 		x := waiting("a")
--- a/job/backlog/decide.go
+++ b/job/backlog/decide.go
@@ -45,13 +45,15 @@
 	NowMillis      int64   // Unix time
 	DeadlineMillis int64   // Unix time by which it is ranked
 	Objective      float64 // within this time it is on time
-	Late           float64 // after this time its result is of no use, by its estimates
-	Bound          float64 // the same, if its runs take as long as the longest do
+	OnTime         float64 // latest end if it is started while it is ranked as on time
+	Late           float64 // latest end if it is started while it is ranked as of use
+	Bound          float64 // after this time its result is of no use, if its runs take as long as the longest do
 	Path           float64 // shortest time that it takes on free targets
 	Work           float64 // core-milliseconds, counted low
 	ExpectedPath   float64
 	ExpectedWork   float64
-	Refusals       int // how often it was refused before
+	Refusals       int  // how often it was refused before
+	Unreliable     bool // its estimates do not tell when it is started
 
 	age float64 // of the backlog
 }
@@ -60,16 +62,18 @@
 // ranked by the time of its first refusal, so that it keeps its place among those that
 // came after it.
 func CandidateOf(s *job.Spec, q *job.Queue, filling bool, nowMillis int64, ratios Ratios, earlier job.Refusal) Candidate {
-	work, objective := WorkMillis(s, filling), objectiveMillis(s, q, 1)
+	work, objective, path := WorkMillis(s, filling), objectiveMillis(s, q, 1), pathMillis(s, ratios.Low)
+	extra := path - pathMillis(s, 1) // ranks follow the estimates
 	rankedFrom := nowMillis
 	if earlier.Count > 0 {
 		rankedFrom = min(nowMillis, earlier.FirstMillis)
 	}
 	return Candidate{
 		ID: s.ID, Queue: q.Name, Priority: q.Priority, NowMillis: nowMillis, DeadlineMillis: rankedFrom + int64(objective),
-		Objective: objective, Late: lateFactor * objective, Bound: lateFactor * objectiveMillis(s, q, max(1, ratios.High)),
-		Path: pathMillis(s, min(1, ratios.Low)), Work: work * min(1, ratios.Low),
-		ExpectedPath: pathMillis(s, ratios.Mean), ExpectedWork: work * ratios.Mean, Refusals: earlier.Count,
+		Objective: objective, OnTime: objective + extra, Late: lateFactor*objective + extra,
+		Bound: lateFactor * objectiveMillis(s, q, max(1, ratios.High)),
+		Path:  path, Work: work * ratios.Low,
+		ExpectedPath: pathMillis(s, ratios.Mean), ExpectedWork: work * ratios.Mean, Refusals: earlier.Count, Unreliable: !ratios.isReliable(),
 	}
 }
 
@@ -90,6 +94,7 @@
 	ReasonObservation = "observed_too_briefly"
 	ReasonNoCapacity  = "no_capacity"
 	ReasonNoWork      = "no_work"
+	ReasonEstimates   = "estimates_unreliable"
 	ReasonReturned    = "refused_often"
 )
 
@@ -115,6 +120,8 @@
 		d.Reason = ReasonNoCapacity
 	case c.Work <= 0:
 		d.Reason = ReasonNoWork
+	case c.Unreliable:
+		d.Reason = ReasonEstimates
 	case c.Refusals >= MaxRefusalsPerJob:
 		d.Reason = ReasonReturned
 	}
@@ -153,7 +160,7 @@
 // fits reports whether the job may still be done in time: on time behind the jobs that can
 // be on time too, late behind those that can be of use, or behind all within its bound.
 func (b *Backlog) fits(c Candidate, drain float64) bool {
-	return b.hasRoom(c, drain, c.Objective, onTime) || b.hasRoom(c, drain, c.Late, late) || b.hasRoom(c, drain, c.Bound, missed)
+	return b.hasRoom(c, drain, c.OnTime, onTime) || b.hasRoom(c, drain, c.Late, late) || b.hasRoom(c, drain, c.Bound, missed)
 }
 
 // hasRoom reports whether, at some time up to the horizon, the drain can have done the work
@@ -207,7 +214,7 @@
 	if of == missed || x.Priority < c.Priority {
 		return math.Inf(1), true
 	}
-	return float64(until - c.NowMillis), x.EndMillis+int64(c.age) <= until
+	return float64(until + x.ExtraMillis - c.NowMillis), x.EndMillis+int64(c.age) <= until
 }
 
 func (x *Item) isBefore(c Candidate) bool {
--- a/job/backlog/ratio.go
+++ b/job/backlog/ratio.go
@@ -14,6 +14,11 @@
 	// enough for the tail to stay.
 	maxRuns = 1024
 
+	// reliableRatio is the factor by which run times may differ from the estimates on
+	// average. Jobs are started in an order that follows from the estimates; beyond it,
+	// nobody can tell when.
+	reliableRatio = 4
+
 	lowQuantile  = 0.10
 	highQuantile = 0.98
 )
@@ -29,6 +34,12 @@
 // of a step tend to be off in the same direction.
 func (r Ratios) lowMean() float64 { return (r.Low + r.Mean) / 2 }
 
+// isReliable reports whether the estimates tell when a job is started. Those of a queue
+// without measurements do, because the lowest ratio is assumed for it.
+func (r Ratios) isReliable() bool {
+	return r == unknownRatios || r.Mean <= reliableRatio && r.Mean >= 1.0/reliableRatio
+}
+
 // unknownRatios stand for a queue without measurements. Estimates are off by up to nine
 // tenths; what is not known counts in the job's favour.
 var unknownRatios = Ratios{Low: 0.1, Mean: 0.1, High: 10}
