--- a/daemon/control/jobs/refusals.go
+++ b/daemon/control/jobs/refusals.go
@@ -69,7 +69,7 @@
 				replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobOK})
 				return
 			}
-			e.answerRefused(now, r, s.Spec.ID)
+			e.answerCopy(now, r, s.Spec.ID)
 		})
 		return
 	}
@@ -114,6 +114,12 @@
 		zap.Duration("bound", d.Late), zap.Duration("retry_after", d.RetryAfter), zap.Int("records", len(e.store.Refusals)), zap.Uint64("index", e.applied))
 }
 
+// answerCopy answers a submission whose ID is refused already.
+func (e *engine) answerCopy(now time.Time, r *applier.Request, id string) {
+	e.log.Info("refusal in force", zap.String("job", id), zap.Int("refusals", e.store.RefusalCount(id)), zap.Uint64("index", e.applied))
+	e.answerRefused(now, r, id)
+}
+
 // answerRefused tells the caller for how long its submission stays refused. If the record
 // has expired meanwhile, the outcome is left open, and the caller sends again.
 func (e *engine) answerRefused(now time.Time, r *applier.Request, id string) {
--- a/daemon/control/jobs/requests.go
+++ b/daemon/control/jobs/requests.go
@@ -68,8 +68,8 @@
 	})
 }
 
-// submitJob accepts a job. It is refused only after a quorum read has shown
-// that no earlier attempt with the same ID was accepted.
+// submitJob accepts a job. It is refused only after a quorum read, or the entry of its
+// refusal, has shown that no earlier attempt with the same ID was accepted.
 func (e *engine) submitJob(now time.Time, r *applier.Request, s *controlapi.JobSubmitRequest) {
 	if e.store.Jobs[s.Spec.ID] != nil {
 		replyOK(r, controlapi.JobResponse{Outcome: controlapi.JobOK})
@@ -101,7 +101,7 @@
 			return
 		}
 		if e.store.Jobs[s.Spec.ID] == nil {
-			e.answerRefused(now, r, s.Spec.ID)
+			e.answerCopy(now, r, s.Spec.ID)
 			return
 		}
 		e.log.Info("job accepted", zap.String("job", s.Spec.ID), zap.String("queue", submission.Queue.Name),
