control/jobs: work that no targets could run does not count as ahead

Cause: a gang that is wider than all targets together, or than a rack, never uses the room that it waits for, and would have had other jobs refused. Change: a step counts, and may be refused, only if the empty targets could run a task of it, or its whole gang.

--- a/daemon/control/jobs/backlog.go
+++ b/daemon/control/jobs/backlog.go
@@ -23,13 +23,20 @@
 	builtAt   time.Time
 	pools     map[backlog.Pool]*backlog.Backlog // read from the store at builtAt
 	returning map[backlog.Pool]float64          // core-milliseconds of refused jobs that may return
-	fitting   map[taskShape]bool                // whether a target could run such tasks
+	fitting   map[taskShape]taskRoom            // how many such tasks the targets could run
 }
 
-// taskShape is what decides whether a target could ever run a task.
+// taskShape is what decides on which targets a task could ever run.
 type taskShape struct {
 	service, label string
 	need           resource.Vector
+	maxPerTarget   int
+}
+
+// taskRoom is the number of tasks of a shape that fit the empty targets.
+type taskRoom struct {
+	total int
+	rack  int // on the rack that takes most
 }
 
 func newBacklogView(now time.Time) *backlogView {
@@ -101,7 +108,7 @@
 	if v.pools != nil && now.Sub(v.builtAt) < backlogAge {
 		return
 	}
-	v.builtAt, v.fitting = now, map[taskShape]bool{}
+	v.builtAt, v.fitting = now, map[taskShape]taskRoom{}
 	items := map[backlog.Pool][]backlog.Item{}
 	for _, j := range e.store.LiveJobs() {
 		q := e.store.QueueOf(j)
@@ -177,23 +184,52 @@
 	return work
 }
 
-// fitsTarget reports whether a target that has reported could run tasks of the step if it
-// were empty.
+// fitsTarget reports whether the targets that have reported could run the tasks of the step
+// if they were empty: one of them, or the whole gang.
 func (e *engine) fitsTarget(service string, s *job.Step) bool {
-	shape := taskShape{service, s.Label, s.Reserved()}
+	shape := taskShape{service, s.Label, s.Reserved(), s.MaxPerTarget}
 	fitting := e.leader.refusals.backlogs.fitting
-	if fits, known := fitting[shape]; known {
-		return fits
+	room, known := fitting[shape]
+	if !known {
+		room = e.roomFor(shape)
+		fitting[shape] = room
+	}
+	switch {
+	case s.Gang && s.SameRack:
+		return room.rack >= s.Count
+	case s.Gang:
+		return room.total >= s.Count
+	default:
+		return room.total > 0
 	}
-	fitting[shape] = false
+}
+
+// roomFor counts the tasks of the shape that fit the empty targets.
+func (e *engine) roomFor(shape taskShape) taskRoom {
+	room, racks := taskRoom{}, map[string]int{}
 	for _, session := range e.leader.sessions {
 		r := session.report
-		if r != nil && !r.Draining && r.Service == service && (s.Label == "" || slices.Contains(r.Labels, s.Label)) && shape.need.FitsIn(r.Capacity) {
-			fitting[shape] = true
-			break
+		if r == nil || r.Draining || r.Service != shape.service || shape.label != "" && !slices.Contains(r.Labels, shape.label) {
+			continue
+		}
+		tasks := e.options.Limits.MaxTasksPerTarget
+		if shape.maxPerTarget > 0 {
+			tasks = min(tasks, shape.maxPerTarget)
 		}
+		tasks = min(tasks, tasksIn(r.Capacity.CPUMilli, shape.need.CPUMilli), tasksIn(r.Capacity.MemoryMiB, shape.need.MemoryMiB), tasksIn(r.Capacity.Accelerators, shape.need.Accelerators))
+		room.total += tasks
+		racks[r.Rack] += tasks
+		room.rack = max(room.rack, racks[r.Rack])
+	}
+	return room
+}
+
+// tasksIn returns how many tasks that need an amount of a resource fit the capacity.
+func tasksIn(capacity, need int64) int {
+	if need == 0 {
+		return math.MaxInt
 	}
-	return fitting[shape]
+	return int(capacity / need)
 }
 
 // sampleDrain closes an interval of the measurement.
@@ -202,7 +238,7 @@
 	if v == nil {
 		return
 	}
-	v.fitting = map[taskShape]bool{}
+	v.fitting = map[taskShape]taskRoom{}
 	samples := map[backlog.Pool]backlog.Sample{}
 	waiting := e.waitingPools()
 	for _, s := range e.store.Config.Services {
--- a/daemon/control/jobs/refusals_test.go
+++ b/daemon/control/jobs/refusals_test.go
@@ -161,7 +161,7 @@
 }
 
 // Guards against refusals that are not asked for: by a leader without the setting, by one
-// that has just begun to measure, or of lasting, scheduled or urgent jobs; and against a
+// that has just begun to measure, or of lasting, scheduled, urgent or impossible jobs; and against a
 // job that is refused again and again.
 func TestSubmissionsThatAreNotRefused(t *testing.T) {
 	h := leadOverloaded(t, false)
@@ -181,6 +181,14 @@
 	if got := h.submitSteps("u", "00000000000000c3", shortStep).outcome(t); got != controlapi.JobOK {
 		t.Errorf("urgent: %s", got)
 	}
+	gang := job.Step{Count: 65, Need: resource.Vector{CPUMilli: 1000}, EstimateMillis: 100, Gang: true}
+	if got := h.submitSteps("q", "00000000000000c5", gang).outcome(t); got != controlapi.JobOK {
+		t.Errorf("a gang for which there is no drain: %s", got)
+	}
+	gang.Count = 64
+	if got := h.submitSteps("q", "00000000000000c6", gang).outcome(t); got != controlapi.JobNoRoom {
+		t.Errorf("a gang that fits the target: %s", got)
+	}
 	for refusals := 0; ; refusals++ {
 		h.request(controlapi.OpTarget, report(0))
 		a := h.submitShort(testJob)
