--- a/daemon/control/jobs/duty.go
+++ b/daemon/control/jobs/duty.go
@@ -39,8 +39,10 @@
 	MinVoters int           // number of voters below which a new group accepts no requests
 	Bootstrap bool          // whether this member creates the group if none exists
 	Limits    dispatch.Limits
-	Log       *zap.Logger
-	Metrics   *telemetry.Metrics // may be nil
+	// RefuseHopeless has submissions refused that surely cannot be done in time.
+	RefuseHopeless bool
+	Metrics        *telemetry.Metrics // may be nil
+	Log            *zap.Logger
 	// OnMembers receives the IDs of the control members whenever they change.
 	// It may be nil.
 	OnMembers func(ctx context.Context, ids []string) error
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -44,6 +44,7 @@
 	movesPlannedAt    time.Time
 	workRates         map[dispatch.Pool]*overload.Rate // work done in this term
 	ending            map[string]endingJob             // jobs that the command being applied may finish
+	refusals          *refusals                        // holds of refused IDs, and the measurements that decide on refusals
 }
 
 // reportKey identifies a report among those from one instance.
@@ -134,6 +135,7 @@
 // beforeApply updates the leader's state for a command that is about to be
 // applied.
 func (l *leadership) beforeApply(now time.Time, st *job.Store, c *job.Command) {
+	l.refusals.observeRuns(now, st, c)
 	watermarks := map[job.TargetIncarnation]uint64{} // with the ends before in the command
 	for i := range c.Ends {
 		end := &c.Ends[i]
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -134,7 +134,8 @@
 	PostponeLarge    bool
 	AvoidDisturbance bool
 	MoveSlowed       bool
-	FillingPercent   int // of the idle processor time
+	FillingPercent   int  // of the idle processor time
+	RefuseHopeless   bool // refuse submissions that surely cannot be done in time
 }
 
 // Platform holds the addresses of the interfaces to the users' platform.
