job, fairqueue: weighted dominant shares and holdings by queue

Cause: queues of jobs share targets, but only the product's customers have shares. Change: Holding, Pool and Turns in fairqueue measure the share of any owner; the pass of the product's fair queue uses them. The job store keeps what the placed tasks of each queue hold. It follows from the applied entries, so a new leader has it at once.

--- a/fairqueue/doc.go
+++ b/fairqueue/doc.go
@@ -19,4 +19,7 @@
 // Remove only marks a task as removed. The next BeginPass drops all marked
 // tasks in one scan, so a burst of cancellations costs one scan of the queue
 // and not one for each task.
+//
+// Pool, Holding and Turns measure shares for any kind of owner. Queue uses them for
+// customers, and package job/dispatch for the queues of jobs.
 package fairqueue
--- a/fairqueue/fairqueue.go
+++ b/fairqueue/fairqueue.go
@@ -21,6 +21,9 @@
 // most a third more offers.
 const agedOfferInterval = 4
 
+// customerWeight is the weight of every customer. Their plans limit them by quotas.
+const customerWeight = 1
+
 // DefaultAgingBound is the wait after which a pending task goes ahead of newer
 // non-urgent tasks.
 const DefaultAgingBound = 5 * time.Minute
--- a/fairqueue/pass.go
+++ b/fairqueue/pass.go
@@ -66,7 +66,7 @@
 		return p.fifoKey(c)
 	}
 	k := orderKey{rank: rankNormal, since: e.WaitingSince, sequence: e.sequence}
-	k.share = c.inUse.Add(e.Size).DominantShare(p.queue.capacity)
+	k.share = Pool{Capacity: p.queue.capacity}.Level(Holding{Reserved: c.inUse.Add(e.Size)}, customerWeight)
 	switch {
 	case e.Urgent:
 		k.rank = rankUrgent
--- a/job/apply.go
+++ b/job/apply.go
@@ -338,6 +338,7 @@
 	host := ""
 	for r, t := range st.byTarget[target] {
 		host = t.Host
+		st.removeHeld(r)
 		j := st.Jobs[r.Job]
 		if t.State == Stopping {
 			t.State = Ended
--- a/job/store.go
+++ b/job/store.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strconv"
+
+	"github.com/ibispier/ibispier/fairqueue"
 )
 
 // TargetIncarnation identifies one incarnation of a target. A target that
@@ -146,13 +148,11 @@
 	byTarget map[TargetIncarnation]map[Ref]*Task
 	byHost   map[string]map[TargetIncarnation]struct{} // targets in byTarget, by the instance that they run on
 	liveJobs []*Job
-	queues   map[route]*Queue               // of the current configuration
+	queues   map[Route]*Queue               // of the current configuration
+	held     map[Route]fairqueue.Holding    // of the tasks in byTarget
 	changed  map[TargetIncarnation]struct{} // targets changed since TakeChanged
 }
 
-// route identifies a queue.
-type route struct{ host, prefix string }
-
 // Disturbance is an estimate of how much headroom a filling image takes from a
 // serving image when it uses a whole target. Coefficient is the logarithm of
 // the factor by which the tail latency grows.
@@ -181,6 +181,7 @@
 	st.byTarget = map[TargetIncarnation]map[Ref]*Task{}
 	st.byHost = map[string]map[TargetIncarnation]struct{}{}
 	st.changed = map[TargetIncarnation]struct{}{}
+	st.held = map[Route]fairqueue.Holding{}
 	st.liveJobs = nil
 	st.indexQueues()
 	for _, j := range st.Jobs {
@@ -219,10 +220,14 @@
 		st.byHost[t.Host][t.Target] = struct{}{}
 	}
 	tasks[r] = t
+	st.addHeld(r)
 	st.markChanged(t.Target)
 }
 
 func (st *Store) removePlaced(r Ref, t *Task) {
+	if _, placed := st.byTarget[t.Target][r]; placed {
+		st.removeHeld(r)
+	}
 	delete(st.byTarget[t.Target], r)
 	if len(st.byTarget[t.Target]) == 0 {
 		st.removeTarget(t.Target, t.Host)
@@ -295,17 +300,17 @@
 // QueueOf returns the current settings of the job's queue.
 // If the queue was removed, they are those at the time of submission.
 func (st *Store) QueueOf(j *Job) *Queue {
-	if q := st.queues[route{j.Queue.Host, j.Queue.Prefix}]; q != nil {
+	if q := st.queues[j.Queue.Route()]; q != nil {
 		return q
 	}
 	return &j.Queue
 }
 
 func (st *Store) indexQueues() {
-	st.queues = make(map[route]*Queue, len(st.Config.Queues))
+	st.queues = make(map[Route]*Queue, len(st.Config.Queues))
 	for i := range st.Config.Queues {
 		q := &st.Config.Queues[i]
-		st.queues[route{q.Host, q.Prefix}] = q
+		st.queues[q.Route()] = q
 	}
 }
 
