job/dispatch: shares between queues, off unless [jobs] queue_shares is set

Cause: queues of one service share its targets, and one that sends a burst takes the room from all others of its priority. Change: with the setting, a pass serves the queue of a priority that is furthest below its share first, in turns of 1% of the room. A queue stays in the pass until nothing of it fits, so what one does not use is lent. Metrics and a log line with hysteresis tell the shares.

--- a/daemon/control/jobs/duty.go
+++ b/daemon/control/jobs/duty.go
@@ -18,6 +18,7 @@
 	"github.com/ibispier/ibispier/job/dispatch"
 	"github.com/ibispier/ibispier/lease"
 	"github.com/ibispier/ibispier/ring"
+	"github.com/ibispier/ibispier/telemetry"
 )
 
 // Error is the class of all errors of this package.
@@ -39,6 +40,7 @@
 	Bootstrap bool          // whether this member creates the group if none exists
 	Limits    dispatch.Limits
 	Log       *zap.Logger
+	Metrics   *telemetry.Metrics // nil for none
 	// OnMembers receives the IDs of the control members whenever they change.
 	// It may be nil.
 	OnMembers func(ctx context.Context, ids []string) error
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -48,6 +48,7 @@
 	overdue  map[uint64]*batch // in flight for longer than proposalTimeout
 	reads    readindex.Queue
 	leader   *leadership // nil unless this member leads
+	shares   shareReport
 
 	membersChanged bool
 	snapshotWanted bool
@@ -65,6 +66,7 @@
 		origin:     origin,
 		inFlight:   map[uint64]*batch{},
 		overdue:    map[uint64]*batch{},
+		shares:     newShareReport(o.Metrics, o.Log),
 	}
 }
 
@@ -235,6 +237,7 @@
 	e.log.Info("leadership ended", zap.Uint64("term", e.leader.term))
 	l := e.leader
 	e.leader = nil
+	e.shares.reset()
 	waiting := []map[uint64]*batch{e.overdue, e.inFlight}
 	e.overdue, e.inFlight = map[uint64]*batch{}, map[uint64]*batch{}
 	for _, batches := range waiting {
@@ -262,6 +265,7 @@
 	e.expireLeases(now)
 	e.cleanUp(now)
 	e.logOccupancy(now)
+	e.reportShares(now)
 	e.storeDisturbances(now)
 	e.checkWaitingTargets(now)
 	e.leader.needsDispatch = true
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -66,8 +66,9 @@
 		Retention: s.Jobs.Retention,
 		MinVoters: 2*s.Jobs.ToleratedDiskLosses + 1,
 		Bootstrap: s.Jobs.Bootstrap && len(s.Cluster.Control) > 0 && s.Cluster.Control[0].ID == s.Daemon.ID,
-		Limits:    dispatch.DefaultLimits(),
+		Limits:    dispatchLimits(s.Jobs.QueueShares),
 		Log:       d.log,
+		Metrics:   d.telemetry.Metrics,
 		OnMembers: role.EnsureMembers,
 	}, role.Inputs, role.Updates)
 	role.AddCoreDuty("jobs", duty)
@@ -89,6 +90,16 @@
 	return role, role, nil
 }
 
+// dispatchLimits returns the limits of the placement policy with the shares of the
+// queues, which may be nil.
+func dispatchLimits(shares *settings.QueueShares) dispatch.Limits {
+	limits := dispatch.DefaultLimits()
+	if shares != nil {
+		limits.Shares = &dispatch.QueueShares{Weights: shares.Weights}
+	}
+	return limits
+}
+
 // newControlClient returns a client of the control members.
 func (d *Daemon) newControlClient(role wire.Role) *controlclient.Client {
 	o := controlclient.Options{
--- a/fairqueue/turns.go
+++ b/fairqueue/turns.go
@@ -28,9 +28,9 @@
 	return c.Pool.Level(c.Held, c.Weight)
 }
 
-// competesWith reports whether room for one contender is taken from the other at an
+// CompetesWith reports whether room for one contender is taken from the other at an
 // equal rank.
-func (c *Contender) competesWith(other *Contender) bool {
+func (c *Contender) CompetesWith(other *Contender) bool {
 	return c != other && c.Pool != nil && c.Pool == other.Pool && c.Rank == other.Rank
 }
 
@@ -58,7 +58,7 @@
 func (t *Turns) Limit(c *Contender) float64 {
 	limit := math.Inf(1)
 	for _, other := range t.contenders {
-		if c.competesWith(other) {
+		if c.CompetesWith(other) {
 			limit = min(limit, other.Level()+turnQuantum/c.Weight)
 		}
 	}
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/ibispier/ibispier/fairqueue"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/faults"
 )
@@ -36,6 +37,8 @@
 	// MaxTasksPerTarget bounds the tasks on one target, and so the size of its lists and
 	// of the reports about it. Tasks that reserve nothing would fill it without end.
 	MaxTasksPerTarget int
+	// Shares are the weights of the queues; nil for no shares.
+	Shares *QueueShares
 }
 
 // DefaultLimits returns the limits used in deployments.
@@ -61,12 +64,16 @@
 	// pendingOn contains the pending tasks with their steps by target, also by one that
 	// was removed and may return. Steps are kept, because the job may be finished
 	// meanwhile.
-	pendingOn map[job.TargetIncarnation]map[job.Ref]*job.Step
+	pendingOn     map[job.TargetIncarnation]map[job.Ref]*job.Step
+	pendingRoutes map[job.Ref]job.Route           // queues of the pending tasks, with shares
+	pendingHeld   map[job.Route]fairqueue.Holding // what the pending tasks hold, with shares
+	deferred      map[job.Route]uint64            // passes in which tasks of the queue found no room after its turn had ended
 }
 
 // New returns a dispatcher without targets.
 func New(l Limits) *Dispatcher {
-	return &Dispatcher{limits: l, byIncarnation: map[job.TargetIncarnation]*TargetState{}, byRack: map[string][]*TargetState{}, misfits: map[shape]uint64{}, pending: map[job.Ref]bool{}, pendingSteps: map[stepKey]int{}, pendingOn: map[job.TargetIncarnation]map[job.Ref]*job.Step{}}
+	return &Dispatcher{limits: l, byIncarnation: map[job.TargetIncarnation]*TargetState{}, byRack: map[string][]*TargetState{}, misfits: map[shape]uint64{}, pending: map[job.Ref]bool{}, pendingSteps: map[stepKey]int{}, pendingOn: map[job.TargetIncarnation]map[job.Ref]*job.Step{},
+		pendingRoutes: map[job.Ref]job.Route{}, pendingHeld: map[job.Route]fairqueue.Holding{}, deferred: map[job.Route]uint64{}}
 }
 
 // Input is everything that a decision depends on besides the targets.
@@ -96,6 +103,8 @@
 	starts             []job.Start
 	startedJobs        map[string]bool // jobs with starts in this pass
 	onlySuspended      map[shape]bool  // whether all targets that could run a shape are suspended
+	turn               *turn           // of the queue that is served, with shares; nil for no limit
+	marked             int             // number of starts that are marked as pending
 }
 
 func newPass(in Input, d *Dispatcher) *pass {
@@ -107,24 +116,35 @@
 func (d *Dispatcher) Run(in Input) []job.Start {
 	d.refresh(in.Store)
 	p := newPass(in, d)
-	for _, part := range p.orderedParts() {
+	parts := p.orderedParts()
+	if d.limits.Shares != nil {
+		p.serveByShares(parts)
+	} else {
+		p.serveInOrder(parts)
+	}
+	p.markPending()
+	return p.starts
+}
+
+func (p *pass) serveInOrder(parts []jobPart) {
+	for _, part := range parts {
 		if len(p.starts) >= p.maxStarts {
-			break
+			return
 		}
 		p.startPart(part)
-		if p.mayStartUnfiltered(part.job) {
-			p.startOneUnfiltered(part)
-		}
-		if p.mayProbe(part.job) {
-			p.startOneSuspended(part)
-		}
+		p.startBeyondFilters(part)
 	}
-	for _, s := range p.starts {
-		d.pending[s.Task] = true
-		d.pendingSteps[stepOf(s.Task)]++
-		d.setPending(s, &in.Store.Jobs[s.Task.Job].Spec.Steps[s.Task.Step])
+}
+
+// startBeyondFilters starts one task of a part whose job is idle where the filters for
+// filling tasks or the suspension of targets would forbid it.
+func (p *pass) startBeyondFilters(part jobPart) {
+	if p.mayStartUnfiltered(part.job) {
+		p.startOneUnfiltered(part)
+	}
+	if p.mayProbe(part.job) {
+		p.startOneSuspended(part)
 	}
-	return p.starts
 }
 
 // Settle ends the pending state of starts: the store has applied or refused them, or
@@ -136,6 +156,7 @@
 		if d.pendingSteps[key]--; d.pendingSteps[key] <= 0 {
 			delete(d.pendingSteps, key)
 		}
+		d.settleHeld(s)
 		if delete(d.pendingOn[s.Target], s.Task); len(d.pendingOn[s.Target]) == 0 {
 			delete(d.pendingOn, s.Target)
 		}
@@ -230,7 +251,7 @@
 }
 
 func (p *pass) startReady(part jobPart, occurrence, index int) {
-	if !p.hasWaiting(part.job, occurrence, index) {
+	if !p.hasWaiting(part.job, occurrence, index) || p.isTurnOver() {
 		return
 	}
 	step := readyStep{jobPart: part, queue: p.Store.QueueOf(part.job), ref: job.Ref{Job: part.job.Spec.ID, Occurrence: occurrence, Step: index}}
@@ -251,7 +272,7 @@
 	key := p.shapeOf(q, s, ref)
 	fitting := p.rank(p.candidates(key), q, s, ref)
 	for i := range p.readyTasks(r) {
-		if len(p.starts) >= p.maxStarts {
+		if len(p.starts) >= p.maxStarts || p.isTurnOver() {
 			return
 		}
 		if len(fitting) == 0 {
@@ -272,7 +293,7 @@
 	key := p.shapeOf(q, s, ref)
 	candidates := p.candidates(key)
 	for i := range p.readyTasks(r) {
-		if len(p.starts) >= p.maxStarts {
+		if len(p.starts) >= p.maxStarts || p.isTurnOver() {
 			return
 		}
 		ref.Index = i
--- a/job/dispatch/targets.go
+++ b/job/dispatch/targets.go
@@ -51,6 +51,7 @@
 	free         resource.Vector    // unreserved capacity
 	tasks        int                // number of tasks
 	idleCPU      int64              // millicores that filling tasks may still request
+	fillingMilli int64              // millicores that filling tasks request
 	serving      map[string]int     // number of serving tasks by image
 	fillingShare map[string]float64 // share of the processors requested by filling tasks, by image
 	pausedImages map[string]bool    // images with paused filling tasks
@@ -165,6 +166,7 @@
 // load reads the load of the target from the store.
 func (ts *TargetState) load(l Limits, st *job.Store) {
 	ts.free, ts.idleCPU, ts.tasks = ts.Capacity, ts.Capacity.CPUMilli, 0
+	ts.fillingMilli = 0
 	ts.serving, ts.fillingShare = map[string]int{}, map[string]float64{}
 	ts.pausedImages, ts.perStep = map[string]bool{}, map[stepKey]int{}
 	placed := st.TasksOn(ts.Incarnation)
@@ -195,6 +197,7 @@
 	switch {
 	case s.Filling:
 		ts.idleCPU -= s.Need.CPUMilli
+		ts.fillingMilli += s.Need.CPUMilli
 		ts.fillingShare[s.Image] += ts.cpuShare(s)
 	case s.Serves():
 		ts.idleCPU -= int64(l.ServingCPUShare * float64(s.Need.CPUMilli))
--- a/job/holdings.go
+++ b/job/holdings.go
@@ -28,6 +28,9 @@
 // HoldingQueues returns the queues whose tasks hold capacity.
 func (st *Store) HoldingQueues() map[Route]fairqueue.Holding { return maps.Clone(st.held) }
 
+// QueueAt returns the queue of the current configuration, or nil.
+func (st *Store) QueueAt(r Route) *Queue { return st.queues[r] }
+
 // addHeld accounts for a task that was placed, at the queue that its job was submitted to.
 func (st *Store) addHeld(r Ref) {
 	j := st.Jobs[r.Job]
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -21,6 +21,11 @@
 	return Vector{v.CPUMilli - other.CPUMilli, v.MemoryMiB - other.MemoryMiB, v.Accelerators - other.Accelerators}
 }
 
+// Times returns v multiplied by n.
+func (v Vector) Times(n int64) Vector {
+	return Vector{v.CPUMilli * n, v.MemoryMiB * n, v.Accelerators * n}
+}
+
 // Max returns the element-wise maximum of v and other.
 func (v Vector) Max(other Vector) Vector {
 	return Vector{max(v.CPUMilli, other.CPUMilli), max(v.MemoryMiB, other.MemoryMiB), max(v.Accelerators, other.Accelerators)}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -67,6 +67,7 @@
 		{"jobs", "lease", "duration", "4s", "lease of a target; once it has expired, the work of the target starts elsewhere", duration(&s.Jobs.Lease, 1, 60)},
 		{"jobs", "max_lease_ms", "ms", "", "longest lease that a target takes, 10000 if empty; role agent", optional(integer(&s.Jobs.MaxLeaseMillis, 1, 600_000))},
 		{"jobs", "retention", "duration", "4m", "time that the state of a finished job, or the cancel of an unknown one, is kept", duration(&s.Jobs.Retention, 1, 86400)},
+		{"jobs", "queue_shares", "list", "", "shares of the queues of one priority when room is short: empty for none, or equal, followed by the weights of queues that differ from 1; role control", queueShares(&s.Jobs.QueueShares)},
 
 		{"platform", "front", "ip:port", "", "address for callers of the platform; role entry", optional(address(&s.Platform.CallerListen))},
 		{"platform", "ready", "ip:port", "", "address for readiness checks; role entry", optional(address(&s.Platform.ReadinessListen))},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -129,6 +129,12 @@
 	Lease               time.Duration
 	MaxLeaseMillis      int64 // longest lease that a target takes; 0 if unknown
 	Retention           time.Duration
+	QueueShares         *QueueShares // nil for none
+}
+
+// QueueShares are the weights of the queues of jobs that compete for targets.
+type QueueShares struct {
+	Weights map[string]float64 // by path prefix, or by host and path prefix; others have 1
 }
 
 // Platform holds the addresses of the interfaces to the users' platform.
