--- a/job/store_test.go
+++ b/job/store_test.go
@@ -28,6 +28,7 @@
 		s := Step{
 			Count: rapid.IntRange(1, 3).Draw(t, "count"), Need: resource.Vector{CPUMilli: 1000},
 			Gang: rapid.Bool().Draw(t, "gang"), Lasting: rapid.IntRange(0, 4).Draw(t, "lasting") == 0,
+			Filling: rapid.Bool().Draw(t, "filling"),
 		}
 		s.Gang = s.Gang && !s.Lasting
 		if i > 0 && rapid.Bool().Draw(t, "depends") {
@@ -52,7 +53,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) {
 				id := fmt.Sprintf("%016x", rapid.IntRange(1, 4).Draw(t, "id"))
-				st.Apply(&Command{Submit: []*Submission{{Spec: testSpec(t, id), Queue: Queue{Attempts: 2}}}})
+				prefix := rapid.SampledFrom([]string{"/a/", "/b/"}).Draw(t, "queue")
+				st.Apply(&Command{Submit: []*Submission{{Spec: testSpec(t, id), Queue: Queue{Prefix: prefix, Attempts: 2}}}})
 			},
 			"cancel": func(t *rapid.T) {
 				id := fmt.Sprintf("%016x", rapid.IntRange(1, 4).Draw(t, "id"))
@@ -121,7 +123,10 @@
 			"zone": func(t *rapid.T) {
 				st.Apply(&Command{Zones: []ZoneChange{{Zone: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "zone"), Out: rapid.Bool().Draw(t, "out")}}})
 			},
-			"": func(t *rapid.T) { o.check(t, st) },
+			"": func(t *rapid.T) {
+				o.check(t, st)
+				checkHeld(t, st)
+			},
 		})
 	})
 }
