control/jobs: tests of the report of the shares

Cause: metrics and log lines of the shares had no tests. Change: tests of the hysteresis, of the bound of the series and of the end of a leadership.

--- a/daemon/control/jobs/shares_test.go
+++ b/daemon/control/jobs/shares_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/dispatch"
+	"github.com/ibispier/ibispier/telemetry"
 )
 
 func sharedLimits() dispatch.Limits {
@@ -94,3 +99,77 @@
 		}
 	}
 }
+
+// Guards against a log line for every task that starts or ends around the share of a
+// queue, against a line while nobody waits, and against shares that a member still shows
+// after it has ceased to lead.
+func TestShareReport(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	m := telemetry.NewMetrics()
+	r := newShareReport(m, zap.New(core))
+	share := func(prefix string, held float64, waiting bool) dispatch.QueueShare {
+		return dispatch.QueueShare{Route: job.Route{Host: "h", Prefix: prefix}, Service: "s", Held: held, Due: 0.5, Waiting: waiting, Deferred: 3}
+	}
+	for _, step := range []struct {
+		held    float64
+		waiting bool
+		lines   int
+	}{
+		{0.9, false, 0}, // lent: the other has no work
+		{0.52, true, 0}, // within the margin
+		{0.7, true, 1},
+		{0.52, true, 1}, // still above
+		{0.7, true, 1},
+		{0.5, true, 2}, // ended
+		{0.52, true, 2},
+		{0.7, true, 3},
+		{0.7, false, 4}, // the other does not wait any more
+	} {
+		r.update([]dispatch.QueueShare{share("/a/", step.held, true), share("/b/", 1-step.held, step.waiting)})
+		if logs.Len() != step.lines {
+			t.Fatalf("held %g, other waits %v: %d lines, want %d", step.held, step.waiting, logs.Len(), step.lines)
+		}
+	}
+	text := func() string {
+		var b strings.Builder
+		if err := m.Write(&b); err != nil {
+			t.Fatal(err)
+		}
+		return b.String()
+	}
+	for _, want := range []string{`ibispier_queue_share_held{queue="h/a/"} 0.7`, `ibispier_queue_share_due{queue="h/b/"} 0.5`, `ibispier_queue_deferred_passes_total{queue="h/a/"} 3`} {
+		if !strings.Contains(text(), want) {
+			t.Errorf("%q is missing in:\n%s", want, text())
+		}
+	}
+	r.reset()
+	if want := `ibispier_queue_share_held{queue="h/a/"} 0`; !strings.Contains(text(), want+"\n") {
+		t.Errorf("%q is missing after the end of the leadership in:\n%s", want, text())
+	}
+}
+
+// Guards against a series and a log line for each of thousands of queues.
+func TestShareReportIsBounded(t *testing.T) {
+	r := newShareReport(telemetry.NewMetrics(), zap.NewNop())
+	for i := range 2 * maxShareQueues {
+		r.update([]dispatch.QueueShare{{Route: job.Route{Prefix: fmt.Sprintf("/%d/", i)}, Held: 1, Due: 1}})
+	}
+	if len(r.queues) != maxShareQueues {
+		t.Errorf("%d queues with metrics, want %d", len(r.queues), maxShareQueues)
+	}
+}
+
+// Guards against a report that is not published while the engine leads, or that lists
+// nothing although queues hold room.
+func TestLeaderReportsShares(t *testing.T) {
+	f := newFleetWith(3, sharedLimits())
+	f.play(rates{quick: 4, filling: 1}, 3*time.Second)
+	if len(f.e.shares.queues) != 2 {
+		t.Fatalf("%d queues with shares, want 2", len(f.e.shares.queues))
+	}
+	for route, g := range f.e.shares.queues {
+		if g.due.Load() == 0 {
+			t.Errorf("no share is due to %v", route)
+		}
+	}
+}
