--- a/job/dispatch/aging.go
+++ b/job/dispatch/aging.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/ibispier/ibispier/fairqueue"
@@ -18,44 +19,65 @@
 	agedShare = 0.25
 )
 
-// agedFirst moves the parts of aged jobs to the front of their queues, in the order of
-// acceptance. It depends on the log and the wall clock alone, so a new leader decides
-// the same.
-func (p *pass) agedFirst(parts []jobPart) []jobPart {
-	aged := p.agedHoldings()
-	if len(aged) == 0 {
-		return parts
-	}
-	isFirst := func(part jobPart) bool {
-		held, any := aged[part.job.Queue.Route()]
-		return any && !part.failed && p.isAged(part.job) && p.mayHoldMore(part.job, held)
-	}
-	first := slices.DeleteFunc(slices.Clone(parts), func(part jobPart) bool { return !isFirst(part) })
-	slices.SortStableFunc(first, func(x, y jobPart) int { return int(int64(x.job.Order) - int64(y.job.Order)) })
-	for _, part := range parts {
-		if !isFirst(part) {
-			first = append(first, part)
-		}
-	}
-	return first
+// agedJobs are the live jobs that have waited too long.
+type agedJobs struct {
+	jobs []*job.Job                      // in the order of acceptance
+	held map[job.Route]fairqueue.Holding // what those of each queue hold, for queues with any
+	all  map[job.Route]fairqueue.Holding // what these queues hold
 }
 
-// agedHoldings returns what the aged jobs of each queue hold, for queues with any.
-func (p *pass) agedHoldings() map[job.Route]fairqueue.Holding {
-	var aged map[job.Route]fairqueue.Holding
+// agedJobs returns the aged jobs. They follow from the log and the wall clock alone, so a
+// new leader decides the same.
+func (p *pass) agedJobs() agedJobs {
+	var aged agedJobs
 	for _, j := range p.Store.LiveJobs() {
 		if !p.isAged(j) {
 			continue
 		}
-		if aged == nil {
-			aged = map[job.Route]fairqueue.Holding{}
+		if aged.jobs == nil {
+			aged.held, aged.all = map[job.Route]fairqueue.Holding{}, map[job.Route]fairqueue.Holding{}
 		}
+		aged.jobs = append(aged.jobs, j)
 		route := j.Queue.Route()
-		aged[route] = aged[route].Add(p.holdingOf(j))
+		aged.held[route] = aged.held[route].Add(p.holdingOf(j))
+		aged.all[route] = p.heldBy(p.Store, route)
 	}
 	return aged
 }
 
+// mayHoldMore reports whether the aged jobs of the queue hold at most agedShare of what
+// the queue holds.
+func (a *agedJobs) mayHoldMore(r job.Route) bool {
+	held, all := a.held[r], a.all[r]
+	part := held.Reserved.DominantShare(all.Reserved)
+	if all.FillingMilli > 0 {
+		part = max(part, float64(held.FillingMilli)/float64(all.FillingMilli))
+	}
+	return part <= agedShare
+}
+
+// agedFirst moves the parts of aged jobs to the front of their queues, in the order of
+// acceptance.
+func (p *pass) agedFirst(parts []jobPart, aged agedJobs) []jobPart {
+	if len(aged.jobs) == 0 {
+		return parts
+	}
+	isAged := map[*job.Job]bool{}
+	for _, j := range aged.jobs {
+		isAged[j] = aged.mayHoldMore(j.Queue.Route())
+	}
+	var first, others []jobPart
+	for _, part := range parts {
+		if isAged[part.job] && !part.failed {
+			first = append(first, part)
+		} else {
+			others = append(others, part)
+		}
+	}
+	slices.SortStableFunc(first, func(x, y jobPart) int { return cmp.Compare(x.job.Order, y.job.Order) })
+	return append(first, others...)
+}
+
 // isAged reports whether the job has waited beyond agedFactor times its objective. Jobs
 // that last or have a schedule have no objective; their deadlines put them first.
 func (p *pass) isAged(j *job.Job) bool {
@@ -89,19 +111,3 @@
 	}
 	return held
 }
-
-// mayHoldMore reports whether the aged jobs of the queue of the job hold at most
-// agedShare of what the queue holds.
-func (p *pass) mayHoldMore(j *job.Job, aged fairqueue.Holding) bool {
-	all := p.heldBy(p.Store, j.Queue.Route())
-	return agedPart(aged, all) <= agedShare
-}
-
-// agedPart returns the dominant part that the aged jobs hold of what the queue holds.
-func agedPart(aged, all fairqueue.Holding) float64 {
-	part := aged.Reserved.DominantShare(all.Reserved)
-	if all.FillingMilli > 0 {
-		part = max(part, float64(aged.FillingMilli)/float64(all.FillingMilli))
-	}
-	return part
-}
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -67,6 +67,7 @@
 	pendingOn     map[job.TargetIncarnation]map[job.Ref]*job.Step
 	pendingRoutes map[job.Ref]job.Route           // queues of the pending tasks, with shares
 	pendingHeld   map[job.Route]fairqueue.Holding // what the pending tasks hold, with shares
+	setAside      []*TargetState                  // targets that are set aside for an aged job
 	deferred      map[job.Route]uint64            // passes in which tasks of the queue found no room after its turn had ended
 }
 
@@ -106,10 +107,11 @@
 	turn               *turn           // of the queue that is served, with shares; nil for no limit
 	marked             int             // number of starts that are marked as pending
 	reserved           reservedShares
+	pools              map[string]*fairqueue.Pool // rooms at the begin of the pass, by service
 }
 
 func newPass(in Input, d *Dispatcher) *pass {
-	return &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts, startedJobs: map[string]bool{}, onlySuspended: map[shape]bool{}}
+	return &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts, startedJobs: map[string]bool{}, onlySuspended: map[shape]bool{}, pools: map[string]*fairqueue.Pool{}}
 }
 
 // Run returns the starts for the ready tasks. They are pending until Settle is
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -15,6 +15,7 @@
 	accepted     Rejection = ""
 	NotStartable Rejection = "not_startable"
 	Suspended    Rejection = "suspended"
+	SetAside     Rejection = "set_aside"
 	OtherService Rejection = "other_service"
 	NoRoom       Rejection = "no_room"
 	TaskLimit    Rejection = "task_limit"
@@ -32,6 +33,8 @@
 		return NotStartable
 	case ts.suspended && !p.probing:
 		return Suspended
+	case isSetAside(ts, s, ref):
+		return SetAside
 	case !servesQueue(ts, q):
 		return OtherService
 	case !fits(ts, s):
--- a/job/dispatch/misfits.go
+++ b/job/dispatch/misfits.go
@@ -29,6 +29,8 @@
 	probing    bool    // suspended targets are used
 	step       stepKey // of a step with a limit per target
 	gang       int     // number of tasks that start together or not at all
+	aged       string  // job that targets are set aside for
+	lasting    bool    // of lasting tasks, while targets are set aside
 }
 
 // change is an entry of the log of changed targets.
@@ -49,6 +51,10 @@
 	if s.Gang {
 		key.gang = s.Count
 	}
+	key.lasting = s.Lasting && len(p.setAside) > 0
+	if p.hasSetAside(ref.Job) {
+		key.aged = ref.Job
+	}
 	return key
 }
 
--- a/job/dispatch/shares.go
+++ b/job/dispatch/shares.go
@@ -63,7 +63,9 @@
 // order stays. Each part is tried until a task of it fits nowhere, as without shares,
 // so no room stays empty that the work of any queue could use.
 func (p *pass) serveByShares(parts []jobPart) {
-	contenders := p.contenders(p.agedFirst(parts))
+	aged := p.agedJobs()
+	p.setRoomAside(aged)
+	contenders := p.contenders(p.agedFirst(parts, aged))
 	byBase := map[*fairqueue.Contender]*contender{}
 	bases := make([]*fairqueue.Contender, len(contenders))
 	for i, c := range contenders {
@@ -170,11 +172,10 @@
 // setPools sets the pools of the contenders that have a competitor. Without one, the
 // room need not be summed up over the targets.
 func (p *pass) setPools(all []*contender, queues map[group]int) {
-	pools := map[string]*fairqueue.Pool{}
 	for _, c := range all {
 		q := p.Store.QueueOf(c.parts[0].job)
 		if queues[groupOf(q)] > 1 && !c.restarts {
-			c.Pool = p.pool(pools, q.Service)
+			c.Pool = p.pool(p.pools, q.Service)
 		}
 	}
 }
--- a/job/dispatch/targets.go
+++ b/job/dispatch/targets.go
@@ -47,11 +47,15 @@
 	// suspended is true for a target that is suspended because its runs fail. It is
 	// used only for tasks that would otherwise wait for good.
 	suspended bool
+	// setAsideFor is the only job whose tasks start on the target, besides lasting ones;
+	// empty for none.
+	setAsideFor string
 
 	free         resource.Vector    // unreserved capacity
 	tasks        int                // number of tasks
 	idleCPU      int64              // millicores that filling tasks may still request
 	fillingMilli int64              // millicores that filling tasks request
+	lasting      resource.Vector    // reserved by lasting tasks
 	serving      map[string]int     // number of serving tasks by image
 	fillingShare map[string]float64 // share of the processors requested by filling tasks, by image
 	pausedImages map[string]bool    // images with paused filling tasks
@@ -114,6 +118,7 @@
 		return
 	}
 	ts.removed = true
+	d.forgetSetAside(ts)
 	delete(d.byIncarnation, t)
 	d.targets = slices.Delete(d.targets, ts.position, ts.position+1)
 	d.renumber()
@@ -166,7 +171,7 @@
 // load reads the load of the target from the store.
 func (ts *TargetState) load(l Limits, st *job.Store) {
 	ts.free, ts.idleCPU, ts.tasks = ts.Capacity, ts.Capacity.CPUMilli, 0
-	ts.fillingMilli = 0
+	ts.fillingMilli, ts.lasting = 0, resource.Vector{}
 	ts.serving, ts.fillingShare = map[string]int{}, map[string]float64{}
 	ts.pausedImages, ts.perStep = map[string]bool{}, map[stepKey]int{}
 	placed := st.TasksOn(ts.Incarnation)
@@ -191,6 +196,9 @@
 func (ts *TargetState) reserve(l Limits, ref job.Ref, s *job.Step) {
 	ts.tasks++
 	ts.free = ts.free.Sub(s.Reserved())
+	if s.Lasting {
+		ts.lasting = ts.lasting.Add(s.Reserved())
+	}
 	if s.MaxPerTarget > 0 {
 		ts.perStep[stepOf(ref)]++
 	}
