job/dispatch: tests of set aside room and of restarts that failed to see a mutation

Cause: without the own shape of the aged job, without the change that is recorded when room is released, and with a pool for restarts, all tests still passed. Change: a test for each of the first two, a third queue in the last. A turn without a start ends the part, so that no pass can repeat it for ever. Targets that are removed need no step of their own.

--- a/job/dispatch/setaside.go
+++ b/job/dispatch/setaside.go
@@ -147,8 +147,3 @@
 func (d *Dispatcher) hasSetAside(id string) bool {
 	return slices.ContainsFunc(d.setAside, func(ts *TargetState) bool { return ts.setAsideFor == id })
 }
-
-// forgetSetAside drops the mark of a target that was removed.
-func (d *Dispatcher) forgetSetAside(ts *TargetState) {
-	d.setAside = slices.DeleteFunc(d.setAside, func(other *TargetState) bool { return other == ts })
-}
--- a/job/dispatch/setaside_test.go
+++ b/job/dispatch/setaside_test.go
@@ -108,3 +108,60 @@
 		}
 	}
 }
+
+// fullTargets returns a fixture whose eight targets hold two tasks of 25 cores each, an
+// aged job of one task of 60 cores, and the target that is set aside for it.
+func fullTargets(t *testing.T) (*fixture, *Dispatcher, string, *TargetState) {
+	w := newFixture(8)
+	w.submitTo("/a/", 0, 0, job.Step{Count: 16, Need: cores(25), EstimateMillis: 1000})
+	d := w.withShares(nil)
+	starts := d.Run(w.input())
+	w.store.Apply(&job.Command{Starts: starts})
+	d.Settle(starts)
+	large := w.submitTo("/a/", 0, time.Minute, job.Step{Count: 1, Need: cores(60), EstimateMillis: 1000})
+	d.Run(w.input())
+	for _, ts := range d.targets {
+		if ts.setAsideFor == large {
+			return w, d, large, ts
+		}
+	}
+	t.Fatal("no target is set aside")
+	return nil, nil, "", nil
+}
+
+// endOn ends count tasks on the target.
+func (w *fixture) endOn(d *Dispatcher, ts *TargetState, count int) {
+	for ref, task := range w.store.TasksOn(ts.Incarnation) {
+		if count--; count < 0 {
+			break
+		}
+		number := w.store.LastEndNumber(ts.Incarnation) + 1
+		w.store.Apply(&job.Command{Ends: []job.End{{Target: ts.Incarnation, Number: number, Task: ref, Run: task.Run, Outcome: job.RunDone}}})
+	}
+	d.TasksChanged(ts.Incarnation)
+}
+
+// Guards against an aged job that is passed over on the target set aside for it, because
+// a task of the same shape from another queue was tried first and found no room.
+func TestSetAsideRoomIsFoundAfterAnEqualTask(t *testing.T) {
+	w, d, large, ts := fullTargets(t)
+	w.submitTo("/b/", 0, 0, job.Step{Count: 1, Need: cores(60), EstimateMillis: 1000})
+	w.endOn(d, ts, 2)
+	if starts := d.Run(w.input()); len(starts) != 1 || starts[0].Task.Job != large {
+		t.Errorf("starts %v, want the aged job", starts)
+	}
+}
+
+// Guards against tasks that are passed over on a target after it is no longer set aside.
+func TestReleasedRoomIsFound(t *testing.T) {
+	w, d, large, ts := fullTargets(t)
+	small := w.submitTo("/b/", 0, 0, job.Step{Count: 1, Need: cores(20), EstimateMillis: 1000})
+	w.endOn(d, ts, 1)
+	if starts := d.Run(w.input()); len(starts) != 0 {
+		t.Fatalf("starts %v on a target that is set aside", starts)
+	}
+	w.store.Apply(&job.Command{Cancel: []string{large}})
+	if starts := d.Run(w.input()); len(starts) != 1 || starts[0].Task.Job != small {
+		t.Errorf("starts %v after the aged job was cancelled, want the small one", starts)
+	}
+}
--- a/job/dispatch/shares.go
+++ b/job/dispatch/shares.go
@@ -94,6 +94,7 @@
 	p.turn = t
 	p.startPart(part)
 	p.turn = nil
+	t.cut = t.cut && len(p.starts) > before // a turn without a start must not be repeated
 	if !t.cut {
 		p.startBeyondFilters(part)
 		c.parts = c.parts[1:]
--- a/job/dispatch/shares_test.go
+++ b/job/dispatch/shares_test.go
@@ -130,6 +130,7 @@
 	w.store.Apply(&job.Command{Ends: []job.End{end}})
 	d.TasksChanged(lost.Target)
 	w.submitTo("/burst/", 0, time.Second, tasksOf(300))
+	w.submitTo("/other/", 0, time.Second, tasksOf(300))
 	if counts := w.countByQueue(d.Run(w.input())); len(starts) != 8 || counts["/lasting/"] != 1 {
 		t.Errorf("%d starts, then %v, want 8 and the lost task first", len(starts), counts)
 	}
--- a/job/dispatch/targets.go
+++ b/job/dispatch/targets.go
@@ -118,7 +118,6 @@
 		return
 	}
 	ts.removed = true
-	d.forgetSetAside(ts)
 	delete(d.byIncarnation, t)
 	d.targets = slices.Delete(d.targets, ts.position, ts.position+1)
 	d.renumber()
