--- a/daemon/control/jobs/shares_test.go
+++ b/daemon/control/jobs/shares_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// playBurst plays a steady load that needs 30% of the room, and beside it a burst of
+// playBurst plays a steady load that needs 28% of the room, and beside it a burst of
 // another queue of the same priority that needs all of it for 15 s.
 func playBurst(targets int, limits dispatch.Limits) *fleet {
 	scale := float64(targets) / 11
