--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -49,6 +49,7 @@
 	reads    readindex.Queue
 	leader   *leadership // nil unless this member leads
 	gauges   refusalGauges
+	shares   shareReport
 
 	membersChanged bool
 	snapshotWanted bool
@@ -66,6 +67,7 @@
 		origin:     origin,
 		inFlight:   map[uint64]*batch{},
 		overdue:    map[uint64]*batch{},
+		shares:     newShareReport(o.Metrics, o.Log),
 	}
 }
 
@@ -238,6 +240,7 @@
 	e.log.Info("leadership ended", zap.Uint64("term", e.leader.term))
 	l := e.leader
 	e.leader = nil
+	e.shares.reset()
 	waiting := []map[uint64]*batch{e.overdue, e.inFlight}
 	e.overdue, e.inFlight = map[uint64]*batch{}, map[uint64]*batch{}
 	for _, batches := range waiting {
@@ -265,6 +268,7 @@
 	e.expireLeases(now)
 	e.cleanUp(now)
 	e.logOccupancy(now)
+	e.reportShares(now)
 	e.storeDisturbances(now)
 	e.planMoves(now)
 	e.checkWaitingTargets(now)
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -91,15 +91,18 @@
 	return role, role, nil
 }
 
-// newControlClient returns a client of the control members.
 // dispatchLimits returns the placement policy that the settings ask for.
 func dispatchLimits(s settings.Jobs) dispatch.Limits {
 	l := dispatch.DefaultLimits()
 	l.PostponeLarge, l.AvoidDisturbance, l.MoveSlowed = s.PostponeLarge, s.AvoidDisturbance, s.MoveSlowed
 	l.FillingCPUShare = float64(s.FillingPercent) / 100
+	if s.QueueShares != nil {
+		l.Shares = &dispatch.QueueShares{Weights: s.QueueShares.Weights}
+	}
 	return l
 }
 
+// newControlClient returns a client of the control members.
 func (d *Daemon) newControlClient(role wire.Role) *controlclient.Client {
 	o := controlclient.Options{
 		Local:             link.Identity{Role: role, ID: d.settings.Daemon.ID, Zone: d.settings.Daemon.Zone},
--- a/job/config.go
+++ b/job/config.go
@@ -66,7 +66,7 @@
 	if c.Version == 0 {
 		add(WholeConfig, "version is missing")
 	}
-	routes := map[route]string{}
+	routes := map[Route]string{}
 	for i, q := range c.Queues {
 		if !slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == q.Service }) {
 			add(i, "unknown service %q", q.Service)
@@ -74,11 +74,11 @@
 		if q.TimeoutMillis <= 0 {
 			add(i, "timeout is %d ms", q.TimeoutMillis)
 		}
-		if other, taken := routes[route{q.Host, q.Prefix}]; taken {
+		if other, taken := routes[q.Route()]; taken {
 			add(i, "host and prefix belong to queue %q", other)
 			continue
 		}
-		routes[route{q.Host, q.Prefix}] = q.Name
+		routes[q.Route()] = q.Name
 	}
 	return faults
 }
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/ibispier/ibispier/fairqueue"
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/faults"
 )
@@ -43,6 +44,8 @@
 	// MaxTasksPerTarget bounds the tasks on one target, and so the size of its lists and
 	// of the reports about it. Tasks that reserve nothing would fill it without end.
 	MaxTasksPerTarget int
+	// Shares are the weights of the queues; nil for no shares.
+	Shares *QueueShares
 }
 
 // DefaultLimits returns the limits used in deployments.
@@ -69,12 +72,17 @@
 	// pendingOn contains the pending tasks with their steps by target, also by one that
 	// was removed and may return. Steps are kept, because the job may be finished
 	// meanwhile.
-	pendingOn map[job.TargetIncarnation]map[job.Ref]*job.Step
+	pendingOn     map[job.TargetIncarnation]map[job.Ref]*job.Step
+	pendingRoutes map[job.Ref]job.Route           // queues of the pending tasks, with shares
+	pendingHeld   map[job.Route]fairqueue.Holding // what the pending tasks hold, with shares
+	setAside      []*TargetState                  // targets that are set aside for an aged job
+	deferred      map[job.Route]uint64            // passes in which tasks of the queue found no room after its turn had ended
 }
 
 // New returns a dispatcher without targets.
 func New(l Limits) *Dispatcher {
-	return &Dispatcher{limits: l, byIncarnation: map[job.TargetIncarnation]*TargetState{}, byRack: map[string][]*TargetState{}, misfits: map[shape]uint64{}, pending: map[job.Ref]bool{}, pendingSteps: map[stepKey]int{}, pendingOn: map[job.TargetIncarnation]map[job.Ref]*job.Step{}}
+	return &Dispatcher{limits: l, byIncarnation: map[job.TargetIncarnation]*TargetState{}, byRack: map[string][]*TargetState{}, misfits: map[shape]uint64{}, pending: map[job.Ref]bool{}, pendingSteps: map[stepKey]int{}, pendingOn: map[job.TargetIncarnation]map[job.Ref]*job.Step{},
+		pendingRoutes: map[job.Ref]job.Route{}, pendingHeld: map[job.Route]fairqueue.Holding{}, deferred: map[job.Route]uint64{}}
 }
 
 // Input is everything that a decision depends on besides the targets.
@@ -108,10 +116,16 @@
 	startedJobs        map[string]bool // jobs with starts in this pass
 	postponed          int             // parts that are delayed
 	onlySuspended      map[shape]bool  // whether all targets that could run a shape are suspended
+	turn               *turn           // of the queue that is served, with shares; nil for no limit
+	turnState          turn            // what turn points to
+	marked             int             // number of starts that are marked as pending
+	reserved           reservedShares
+	suspension         suspension
+	pools              map[string]*fairqueue.Pool // rooms at the begin of the pass, by service
 }
 
 func newPass(in Input, d *Dispatcher) *pass {
-	return &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts, startedJobs: map[string]bool{}, onlySuspended: map[shape]bool{}}
+	return &pass{Input: in, Dispatcher: d, maxStarts: d.limits.MaxStarts, startedJobs: map[string]bool{}, onlySuspended: map[shape]bool{}, pools: map[string]*fairqueue.Pool{}}
 }
 
 // Run returns the starts for the ready tasks. They are pending until Settle is
@@ -119,25 +133,36 @@
 func (d *Dispatcher) Run(in Input) []job.Start {
 	d.refresh(in.Store)
 	p := newPass(in, d)
-	for _, part := range p.orderedParts() {
+	parts := p.orderedParts()
+	if d.limits.Shares != nil {
+		p.serveByShares(parts)
+	} else {
+		p.serveInOrder(parts)
+	}
+	p.markPending()
+	d.postponed = p.postponed
+	return p.starts
+}
+
+func (p *pass) serveInOrder(parts []jobPart) {
+	for _, part := range parts {
 		if len(p.starts) >= p.maxStarts {
-			break
+			return
 		}
 		p.startPart(part)
-		if p.mayStartUnfiltered(part.job) {
-			p.startOneUnfiltered(part)
-		}
-		if p.mayProbe(part.job) {
-			p.startOneSuspended(part)
-		}
+		p.startBeyondFilters(part)
 	}
-	d.postponed = p.postponed
-	for _, s := range p.starts {
-		d.pending[s.Task] = true
-		d.pendingSteps[stepOf(s.Task)]++
-		d.setPending(s, &in.Store.Jobs[s.Task.Job].Spec.Steps[s.Task.Step])
+}
+
+// startBeyondFilters starts one task of a part whose job is idle where the filters for
+// filling tasks or the suspension of targets would forbid it.
+func (p *pass) startBeyondFilters(part jobPart) {
+	if p.mayStartUnfiltered(part.job) {
+		p.startOneUnfiltered(part)
+	}
+	if p.mayProbe(part.job) {
+		p.startOneSuspended(part)
 	}
-	return p.starts
 }
 
 // Settle ends the pending state of starts: the store has applied or refused them, or
@@ -149,6 +174,7 @@
 		if d.pendingSteps[key]--; d.pendingSteps[key] <= 0 {
 			delete(d.pendingSteps, key)
 		}
+		d.settleHeld(s)
 		if delete(d.pendingOn[s.Target], s.Task); len(d.pendingOn[s.Target]) == 0 {
 			delete(d.pendingOn, s.Target)
 		}
@@ -180,12 +206,31 @@
 	return float64(total-free) / float64(total)
 }
 
+// reservedShares holds results of ReservedCPUShare, which stay the same until the next
+// start. With a backlog, hundreds of idle jobs ask for them in one pass.
+type reservedShares struct {
+	starts    int
+	byService map[string]float64
+}
+
+func (p *pass) reservedCPUShare(service string) float64 {
+	if p.reserved.byService == nil || p.reserved.starts != len(p.starts) {
+		p.reserved = reservedShares{len(p.starts), map[string]float64{}}
+	}
+	share, known := p.reserved.byService[service]
+	if !known {
+		share = p.ReservedCPUShare(service)
+		p.reserved.byService[service] = share
+	}
+	return share
+}
+
 // mayStartUnfiltered reports whether a task of the job may start although the filters for
 // filling tasks reject it: the job is idle, it has no start in this pass and none is
 // pending, and less than LowReservationShare of the processor time of its service is
 // reserved.
 func (p *pass) mayStartUnfiltered(j *job.Job) bool {
-	return !p.startedJobs[j.Spec.ID] && p.IdleJobs[j.Spec.ID] && !p.hasPending(j) && p.ReservedCPUShare(p.Store.QueueOf(j).Service) < p.limits.LowReservationShare
+	return !p.startedJobs[j.Spec.ID] && p.IdleJobs[j.Spec.ID] && !p.hasPending(j) && p.reservedCPUShare(p.Store.QueueOf(j).Service) < p.limits.LowReservationShare
 }
 
 // hasPending reports whether a start of the job is pending.
@@ -243,7 +288,7 @@
 }
 
 func (p *pass) startReady(part jobPart, occurrence, index int) {
-	if !p.hasWaiting(part.job, occurrence, index) {
+	if !p.hasWaiting(part.job, occurrence, index) || p.isTurnOver() {
 		return
 	}
 	step := readyStep{jobPart: part, queue: p.Store.QueueOf(part.job), ref: job.Ref{Job: part.job.Spec.ID, Occurrence: occurrence, Step: index}}
@@ -264,7 +309,7 @@
 	key := p.shapeOf(q, s, ref)
 	fitting := p.rank(p.candidates(key), q, s, ref)
 	for i := range p.readyTasks(r) {
-		if len(p.starts) >= p.maxStarts {
+		if len(p.starts) >= p.maxStarts || p.isTurnOver() {
 			return
 		}
 		if len(fitting) == 0 {
@@ -285,7 +330,7 @@
 	key := p.shapeOf(q, s, ref)
 	candidates := p.candidates(key)
 	for i := range p.readyTasks(r) {
-		if len(p.starts) >= p.maxStarts {
+		if len(p.starts) >= p.maxStarts || p.isTurnOver() {
 			return
 		}
 		ref.Index = i
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -134,8 +134,14 @@
 	PostponeLarge    bool
 	AvoidDisturbance bool
 	MoveSlowed       bool
-	FillingPercent   int  // of the idle processor time
-	RefuseHopeless   bool // refuse submissions that surely cannot be done in time
+	FillingPercent   int          // of the idle processor time
+	RefuseHopeless   bool         // refuse submissions that surely cannot be done in time
+	QueueShares      *QueueShares // nil for none
+}
+
+// QueueShares are the weights of the queues of jobs that compete for targets.
+type QueueShares struct {
+	Weights map[string]float64 // by path prefix, or by host and path prefix; others have 1
 }
 
 // Platform holds the addresses of the interfaces to the users' platform.
