job: second run of a speculative task in the state machine

Cause: a step that is marked speculative allows a second run of a task that takes far longer than its siblings, and nothing uses it. Change: Start.Copy places a second run beside a placed task, on another instance, under the next run number. Task.Copy holds it. The first end as done completes the task and the other run holds its room as Stopping until its end or the loss of its target is applied; any other end leaves the other run. A copy may start only if both runs may fail within the attempts, so that no start can be carried out after the last one.

--- a/job/apply.go
+++ b/job/apply.go
@@ -22,6 +22,7 @@
 	Run    int
 	Target TargetIncarnation
 	Host   string `json:",omitempty"` // instance that the target runs on
+	Copy   bool   `json:",omitempty"` // a second run beside the one that is placed
 }
 
 // End reports the end of a run. Number is the target's sequence number of the
@@ -176,6 +177,9 @@
 		case Placed:
 			t.State = Stopping
 			st.markChanged(t.Target)
+			if t.Copy != nil {
+				st.markChanged(t.Copy.Target)
+			}
 		case Ready:
 			t.State = Ended
 		}
@@ -190,23 +194,30 @@
 	}
 }
 
-// isRunning reports whether a task of the job holds capacity.
+// isRunning reports whether a run of the job holds capacity.
 func (j *Job) isRunning() bool {
 	running := false
-	j.eachTask(func(_ Ref, t *Task) { running = running || t.HoldsCapacity() })
+	j.eachTask(func(_ Ref, t *Task) { running = running || t.HoldsCapacity() || t.Copy != nil })
 	return running
 }
 
 // startRun places a task, unless the start is outdated.
 func (st *Store) startRun(s *Start) {
 	j, t := st.Find(s.Task)
-	if t == nil || t.State != Ready || s.Run <= t.Run || !j.IsLive() {
+	if t == nil || s.Run <= t.LatestRun() || !j.IsLive() {
+		return
+	}
+	if s.Copy {
+		st.startCopy(j, t, s)
+		return
+	}
+	if t.State != Ready {
 		return
 	}
 	j.Started = true
 	t.State, t.Run, t.Target, t.Host = Placed, s.Run, s.Target, s.Host
 	j.Occurrences[s.Task.Occurrence][s.Task.Step].Waiting--
-	st.addPlaced(s.Task, t)
+	st.addPlaced(s.Task, t, t.Target, t.Host)
 }
 
 // endRun applies the end of a run. The end of an earlier run has no effect,
@@ -221,13 +232,15 @@
 		return
 	}
 	switch {
+	case t.Copy != nil:
+		st.endRunOfTwo(j, t, e)
 	case t.HoldsCapacity() && t.Run == e.Run:
 		// Run numbers are never reused, so the target need not match: a start in
 		// flight during a crash may run on the target's next incarnation, which
 		// then reports the end.
-		st.removePlaced(e.Task, t)
+		st.removePlaced(e.Task, t.Target, t.Host)
 		st.finishRun(j, t, e)
-	case t.State == Ready && t.Run == e.Run && e.Outcome == RunDone:
+	case t.State == Ready && e.Outcome == RunDone && t.maySettle(e.Run):
 		j.Occurrences[e.Task.Occurrence][e.Task.Step].Waiting--
 		t.State = Placed
 		st.finishRun(j, t, e)
@@ -314,7 +327,7 @@
 	case Ready:
 		state.Waiting--
 	case Placed:
-		st.removePlaced(r, t)
+		st.removePlaced(r, t.Target, t.Host)
 	default:
 		return
 	}
@@ -325,20 +338,27 @@
 // adoptRun moves a run to the incarnation of its target that executes it.
 func (st *Store) adoptRun(a Adoption) {
 	_, t := st.Find(a.Task)
-	if t == nil || !t.HoldsCapacity() || t.Run != a.Run {
-		return
+	switch {
+	case t == nil:
+	case t.Copy != nil:
+		st.adoptRunOfTwo(a, t)
+	case t.HoldsCapacity() && t.Run == a.Run:
+		st.removePlaced(a.Task, t.Target, t.Host)
+		t.Target = a.Target
+		st.addPlaced(a.Task, t, t.Target, t.Host)
 	}
-	st.removePlaced(a.Task, t)
-	t.Target = a.Target
-	st.addPlaced(a.Task, t)
 }
 
 // loseTarget makes the tasks of a target whose lease has expired ready again.
 func (st *Store) loseTarget(target TargetIncarnation) {
 	host := ""
 	for r, t := range st.byTarget[target] {
-		host = t.Host
 		j := st.Jobs[r.Job]
+		if t.Copy != nil {
+			host = st.loseRunOfTwo(j, t, target)
+			continue
+		}
+		host = t.Host
 		if t.State == Stopping {
 			t.State = Ended
 			st.dropEndedTasks(j)
--- a/job/spec.go
+++ b/job/spec.go
@@ -49,6 +49,11 @@
 // latency target.
 func (s *Step) Serves() bool { return s.Lasting && s.TailTargetMillis > 0 }
 
+// MayCopy reports whether a task of the step may have a copy: a second run beside the
+// first. The tasks of a gang end together and lasting tasks never, so a copy of one has
+// no end to wait for; filling tasks are slow because of the tasks beside them.
+func (s *Step) MayCopy() bool { return s.Speculative && !s.Gang && !s.Lasting && !s.Filling }
+
 // Reserved returns the resources that a task reserves on its target. A filling
 // task reserves memory but no processor time.
 func (s *Step) Reserved() resource.Vector {
--- a/job/store.go
+++ b/job/store.go
@@ -27,14 +27,19 @@
 // Task is the state of one task.
 type Task struct {
 	State      TaskState         `json:",omitempty"`
-	Run        int               `json:",omitempty"` // number of the latest start
+	Run        int               `json:",omitempty"` // number of the run on Target; see LatestRun
 	Failures   int               `json:",omitempty"`
 	Target     TargetIncarnation `json:",omitzero"`
 	Host       string            `json:",omitempty"` // instance that the target runs on
 	Checkpoint string            `json:",omitempty"`
+	// Copy is a second run. Beside a Placed task it competes for the first end; in all
+	// other states it is being stopped and still holds capacity.
+	Copy *Copy `json:",omitempty"`
+	// CopiedRun is the number of the latest start of a copy, 0 if there was none.
+	CopiedRun int `json:",omitempty"`
 }
 
-// HoldsCapacity reports whether the task holds capacity on its target.
+// HoldsCapacity reports whether the run on Target holds capacity.
 func (t *Task) HoldsCapacity() bool { return t.State == Placed || t.State == Stopping }
 
 // StepState is the state of the tasks of one step in one occurrence.
@@ -125,8 +130,9 @@
 
 // Store is the complete state of the state machine.
 //
-// Invariants: a task is placed on at most one target; byTarget contains exactly
-// the tasks that are Placed or Stopping; liveJobs contains exactly the live
+// Invariants: a task is placed on at most one target, and on one more if it has a
+// copy; byTarget contains exactly the tasks that are Placed or Stopping, and the copies;
+// copies is the number of copies; liveJobs contains exactly the live
 // jobs in the order of acceptance; a job that is not live and has no task in
 // byTarget has no occurrences; no ID is in both Jobs and Tombstones.
 type Store struct {
@@ -145,6 +151,7 @@
 
 	byTarget map[TargetIncarnation]map[Ref]*Task
 	byHost   map[string]map[TargetIncarnation]struct{} // targets in byTarget, by the instance that they run on
+	copies   int
 	liveJobs []*Job
 	queues   map[route]*Queue               // of the current configuration
 	changed  map[TargetIncarnation]struct{} // targets changed since TakeChanged
@@ -181,12 +188,15 @@
 	st.byTarget = map[TargetIncarnation]map[Ref]*Task{}
 	st.byHost = map[string]map[TargetIncarnation]struct{}{}
 	st.changed = map[TargetIncarnation]struct{}{}
-	st.liveJobs = nil
+	st.liveJobs, st.copies = nil, 0
 	st.indexQueues()
 	for _, j := range st.Jobs {
 		j.eachTask(func(r Ref, t *Task) {
 			if t.HoldsCapacity() {
-				st.addPlaced(r, t)
+				st.addPlaced(r, t, t.Target, t.Host)
+			}
+			if t.Copy != nil {
+				st.addCopy(r, t)
 			}
 		})
 		if j.IsLive() {
@@ -208,26 +218,26 @@
 	}
 }
 
-func (st *Store) addPlaced(r Ref, t *Task) {
-	tasks := st.byTarget[t.Target]
+func (st *Store) addPlaced(r Ref, t *Task, target TargetIncarnation, host string) {
+	tasks := st.byTarget[target]
 	if tasks == nil {
 		tasks = map[Ref]*Task{}
-		st.byTarget[t.Target] = tasks
-		if st.byHost[t.Host] == nil {
-			st.byHost[t.Host] = map[TargetIncarnation]struct{}{}
+		st.byTarget[target] = tasks
+		if st.byHost[host] == nil {
+			st.byHost[host] = map[TargetIncarnation]struct{}{}
 		}
-		st.byHost[t.Host][t.Target] = struct{}{}
+		st.byHost[host][target] = struct{}{}
 	}
 	tasks[r] = t
-	st.markChanged(t.Target)
+	st.markChanged(target)
 }
 
-func (st *Store) removePlaced(r Ref, t *Task) {
-	delete(st.byTarget[t.Target], r)
-	if len(st.byTarget[t.Target]) == 0 {
-		st.removeTarget(t.Target, t.Host)
+func (st *Store) removePlaced(r Ref, target TargetIncarnation, host string) {
+	delete(st.byTarget[target], r)
+	if len(st.byTarget[target]) == 0 {
+		st.removeTarget(target, host)
 	}
-	st.markChanged(t.Target)
+	st.markChanged(target)
 }
 
 // removeTarget removes a target from the indexes. All its tasks are on one host.
@@ -252,7 +262,8 @@
 // LiveJobs returns the live jobs in the order of acceptance.
 func (st *Store) LiveJobs() []*Job { return st.liveJobs }
 
-// TasksOn returns the tasks that hold capacity on the target.
+// TasksOn returns the tasks of which a run holds capacity on the target; see
+// Task.RunOn.
 func (st *Store) TasksOn(target TargetIncarnation) map[Ref]*Task { return st.byTarget[target] }
 
 // SupersededTargets returns the incarnations on the host that started before by
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -15,13 +15,30 @@
 // oracle is a simple reference model of the store: it tracks only the active
 // runs and the tasks that are done.
 type oracle struct {
-	placed   map[Ref]Start
+	placed   map[placedRun]Start
+	latest   map[Ref]int // highest run number
 	done     map[Ref]bool
 	failures map[Ref]int
 	finished map[string]State
 	refused  map[string]bool // IDs that were cancelled before a job had them
 }
 
+// placedRun identifies a run that holds capacity.
+type placedRun struct {
+	task Ref
+	run  int
+}
+
+// runsOf returns the runs of the task that hold capacity.
+func (o *oracle) runsOf(r Ref) (runs []Start) {
+	for key, s := range o.placed {
+		if key.task == r {
+			runs = append(runs, s)
+		}
+	}
+	return runs
+}
+
 func testSpec(t *rapid.T, id string) Spec {
 	spec := Spec{ID: id, OccurrenceCount: rapid.SampledFrom([]int{0, 0, 2}).Draw(t, "occurrences")}
 	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
@@ -30,6 +47,7 @@
 			Gang: rapid.Bool().Draw(t, "gang"), Lasting: rapid.IntRange(0, 4).Draw(t, "lasting") == 0,
 		}
 		s.Gang = s.Gang && !s.Lasting
+		s.Speculative = rapid.Bool().Draw(t, "speculative")
 		if i > 0 && rapid.Bool().Draw(t, "depends") {
 			s.After = []int{i - 1}
 		}
@@ -40,13 +58,15 @@
 
 // Compares the store with the oracle over random commands. Guards against a
 // task that runs twice at a time or again after it is done, steps out of order,
-// attempts beyond the limit, jobs reported completed too early, indexes that
+// attempts beyond the limit, a task that is not speculative with two runs or a
+// speculative one with three or with two on one target, run numbers that are used
+// twice, room that is free before a run has ended, jobs reported completed too early, indexes that
 // differ from the state, and a job that is accepted after its cancelling. A snapshot must
 // keep the zones out of service, the acknowledged ends, all jobs and the tombstones.
 func TestBookAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		st := NewStore()
-		o := &oracle{placed: map[Ref]Start{}, done: map[Ref]bool{}, failures: map[Ref]int{}, finished: map[string]State{}, refused: map[string]bool{}}
+		o := &oracle{placed: map[placedRun]Start{}, latest: map[Ref]int{}, done: map[Ref]bool{}, failures: map[Ref]int{}, finished: map[string]State{}, refused: map[string]bool{}}
 		numbers := map[TargetIncarnation]uint64{}
 		targets := []TargetIncarnation{{"a", 1}, {"b", 1}, {"b", 2}}
 		t.Repeat(map[string]func(*rapid.T){
@@ -74,8 +94,14 @@
 					o.start(t, st, j, rapid.SampledFrom(targets).Draw(t, "life"))
 				}
 			},
+			"copy": func(t *rapid.T) {
+				for _, j := range st.LiveJobs() {
+					o.copy(t, st, j, rapid.SampledFrom(targets).Draw(t, "life"))
+				}
+			},
 			"end": func(t *rapid.T) {
-				for r, s := range o.placed {
+				for key, s := range o.placed {
+					r := key.task
 					if !rapid.Bool().Draw(t, "ends") {
 						continue
 					}
@@ -86,7 +112,7 @@
 						e.Number = 0
 						numbers[s.Target]--
 					}
-					o.end(st, e)
+					o.end(t, st, e)
 					st.Apply(&Command{Ends: []End{e}})
 					st.Apply(&Command{Ends: []End{e}}) // reports may be repeated
 				}
@@ -142,25 +168,46 @@
 			}
 			run := 0
 			for i := range state.Tasks {
-				run = max(run, state.Tasks[i].Run+1)
+				run = max(run, state.Tasks[i].LatestRun()+1)
 			}
 			for i := range state.Tasks {
 				ref := Ref{j.Spec.ID, k, s, i}
 				if state.Tasks[i].State != Ready {
 					continue
 				}
-				if _, twice := o.placed[ref]; twice || o.done[ref] {
+				if len(o.runsOf(ref)) > 0 || o.done[ref] {
 					t.Fatalf("%v is ready and placed or done", ref)
 				}
 				start := Start{Task: ref, Run: run, Target: target}
 				st.Apply(&Command{Starts: []Start{start}})
 				st.Apply(&Command{Starts: []Start{{Task: ref, Run: run + 1, Target: TargetIncarnation{"c", 1}}}}) // outdated: must be ignored
-				o.placed[ref] = start
+				o.place(t, start)
 			}
 		}
 	}
 }
 
+// place notes a start that must have been applied.
+func (o *oracle) place(t *rapid.T, s Start) {
+	if s.Run <= o.latest[s.Task] {
+		t.Fatalf("%v: run %d follows run %d", s.Task, s.Run, o.latest[s.Task])
+	}
+	o.latest[s.Task] = s.Run
+	o.placed[placedRun{s.Task, s.Run}] = s
+}
+
+// copy starts a copy of every task, which must be ignored where none may start.
+func (o *oracle) copy(t *rapid.T, st *Store, j *Job, target TargetIncarnation) {
+	j.eachTask(func(r Ref, task *Task) {
+		step, runs := &j.Spec.Steps[r.Step], o.runsOf(r)
+		start := Start{Task: r, Run: task.LatestRun() + 1, Target: target, Copy: true}
+		st.Apply(&Command{Starts: []Start{start}})
+		if step.Speculative && !step.Gang && !step.Lasting && len(runs) == 1 && !o.done[r] && o.failures[r] == 0 && runs[0].Target.ID != target.ID {
+			o.place(t, start)
+		}
+	})
+}
+
 func (o *oracle) checkOrder(t *rapid.T, j *Job, k, s int) {
 	for _, dependency := range j.Spec.Steps[s].After {
 		for i := range j.Spec.Steps[dependency].Count {
@@ -171,24 +218,31 @@
 	}
 }
 
-func (o *oracle) end(st *Store, e End) {
+func (o *oracle) end(t *rapid.T, st *Store, e End) {
 	j := st.Jobs[e.Task.Job]
 	step := &j.Spec.Steps[e.Task.Step]
 	live := j.IsLive()
-	delete(o.placed, e.Task)
+	delete(o.placed, placedRun{e.Task, e.Run})
 	switch {
-	case !live:
+	case !live || o.done[e.Task]:
 	case e.Outcome == RunDone && !step.Lasting:
 		for i := range step.Count {
 			ref := Ref{e.Task.Job, e.Task.Occurrence, e.Task.Step, i}
 			if step.Gang || i == e.Task.Index {
 				o.done[ref] = true
-				delete(o.placed, ref)
+			}
+			for _, s := range o.runsOf(ref) {
+				if step.Gang {
+					delete(o.placed, placedRun{ref, s.Run})
+				}
 			}
 		}
 	case e.Outcome == RunFailed && !step.Lasting:
 		o.failures[e.Task]++
 		if o.failures[e.Task] >= 2 {
+			if len(o.runsOf(e.Task)) > 0 {
+				t.Fatalf("%v: attempts used up while a run is active", e.Task)
+			}
 			o.finished[e.Task.Job] = Failed
 		}
 	}
@@ -199,8 +253,12 @@
 	for _, target := range st.OccupiedTargets() {
 		for r, task := range st.TasksOn(target) {
 			held++
-			if s, known := o.placed[r]; !known || s.Target != target || s.Run != task.Run {
-				t.Fatalf("%v is held by %v, the oracle says %v", r, target, s)
+			run, state := task.RunOn(target)
+			if s, known := o.placed[placedRun{r, run}]; !known || s.Target != target {
+				t.Fatalf("run %d of %v is held by %v, the oracle says %v", run, r, target, s)
+			}
+			if stopping := o.done[r] || !st.Jobs[r.Job].IsLive(); (state == Stopping) != stopping {
+				t.Fatalf("run %d of %v is in state %d, to be stopped: %v", run, r, state, stopping)
 			}
 		}
 	}
