job/dispatch, job/stragglers: decide which stragglers get a copy, and where

Cause: a step waits for its slowest task, and some tasks take seven times as long as their siblings. Change: stragglers.Tracker measures the runs of speculative steps from the committed starts and ends that its leader has seen and names those that last twice the median, 300 ms at least beyond it, once three quarters of the step are done. The dispatcher places copies after all other starts of a pass, on another instance and beside the data, 5% of the tasks at most with those in flight, and none in a service where a first run waits for room or nine tenths of the processor time are reserved. Without stragglers a decision is as before. Measured: go test ./job/... passes. Twelve trials, each a change of a line that was taken back, fail a test: copies in flight not counted, waiting tasks or reserved share ignored, filling tasks of less important queues counted or those of equal ones not, tasks that no target can run counted, copies far from their data, runs far from theirs copied, the copy on the target of the first run, unseen starts measured, no least excess, half of the step done.

--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -57,7 +57,8 @@
 	changes       []change         // latest changes of targets
 	lastChange    uint64
 	pending       map[job.Ref]bool // tasks whose start was returned by Run and is not settled
-	pendingSteps  map[stepKey]int  // number of pending tasks by step
+	pendingSteps  map[stepKey]int  // number of pending tasks by step, without copies
+	pendingCopies int
 	// pendingOn contains the pending tasks with their steps by target, also by one that
 	// was removed and may return. Steps are kept, because the job may be finished
 	// meanwhile.
@@ -84,6 +85,7 @@
 	// be nil.
 	FailedTasks func(faults.Step) map[job.Ref]*faults.FailedTask
 	SteadyNow   time.Time // on the clock of the holds of FailedTasks
+	Stragglers  []Straggler
 }
 
 // pass is the state of one decision.
@@ -119,12 +121,22 @@
 			p.startOneSuspended(part)
 		}
 	}
-	for _, s := range p.starts {
+	d.setAllPending(in.Store, p.starts)
+	copies := p.startCopies()
+	d.setAllPending(in.Store, copies)
+	return append(p.starts, copies...)
+}
+
+func (d *Dispatcher) setAllPending(st *job.Store, starts []job.Start) {
+	for _, s := range starts {
 		d.pending[s.Task] = true
-		d.pendingSteps[stepOf(s.Task)]++
-		d.setPending(s, &in.Store.Jobs[s.Task.Job].Spec.Steps[s.Task.Step])
+		if s.Copy {
+			d.pendingCopies++ // its task is not among those that wait
+		} else {
+			d.pendingSteps[stepOf(s.Task)]++
+		}
+		d.setPending(s, &st.Jobs[s.Task.Job].Spec.Steps[s.Task.Step])
 	}
-	return p.starts
 }
 
 // Settle ends the pending state of starts: the store has applied or refused them, or
@@ -132,9 +144,10 @@
 func (d *Dispatcher) Settle(starts []job.Start) {
 	for _, s := range starts {
 		delete(d.pending, s.Task)
-		key := stepOf(s.Task)
-		if d.pendingSteps[key]--; d.pendingSteps[key] <= 0 {
-			delete(d.pendingSteps, key)
+		if s.Copy {
+			d.pendingCopies--
+		} else {
+			d.settleStep(stepOf(s.Task))
 		}
 		if delete(d.pendingOn[s.Target], s.Task); len(d.pendingOn[s.Target]) == 0 {
 			delete(d.pendingOn, s.Target)
@@ -143,6 +156,12 @@
 	}
 }
 
+func (d *Dispatcher) settleStep(key stepKey) {
+	if d.pendingSteps[key]--; d.pendingSteps[key] <= 0 {
+		delete(d.pendingSteps, key)
+	}
+}
+
 func (d *Dispatcher) setPending(s job.Start, step *job.Step) {
 	if d.pendingOn[s.Target] == nil {
 		d.pendingOn[s.Target] = map[job.Ref]*job.Step{}
@@ -259,7 +278,7 @@
 			return
 		}
 		ref.Index = i
-		p.placeTask(fitting[0].target, ref, s, tasks[i].Run+1)
+		p.placeTask(fitting[0].target, ref, s, tasks[i].LatestRun()+1)
 		p.updateBest(&fitting, q, s, ref)
 	}
 }
@@ -281,7 +300,7 @@
 			p.recordMisfit(key)
 			return
 		}
-		p.placeTask(ts, ref, s, tasks[i].Run+1)
+		p.placeTask(ts, ref, s, tasks[i].LatestRun()+1)
 	}
 }
 
--- a/job/dispatch/gangs.go
+++ b/job/dispatch/gangs.go
@@ -21,7 +21,7 @@
 	}
 	run := 0
 	for i := range state.Tasks {
-		run = max(run, state.Tasks[i].Run+1)
+		run = max(run, state.Tasks[i].LatestRun()+1)
 	}
 	if s.SameRack {
 		for _, rack := range p.racks {
