--- a/daemon/control/jobs/dispatching.go
+++ b/daemon/control/jobs/dispatching.go
@@ -25,6 +25,7 @@
 	}
 	in := e.dispatchInput(now)
 	in.IdleJobs = e.leader.idleJobs(now, e.store)
+	in.Stragglers = e.leader.findStragglers(now, e.store)
 	starts := e.leader.dispatcher.Run(in)
 	if len(starts) == 0 {
 		return
--- a/daemon/control/jobs/duty.go
+++ b/daemon/control/jobs/duty.go
@@ -37,11 +37,14 @@
 	Retention time.Duration // how long a finished job or a tombstone is kept
 	MinVoters int           // number of voters below which a new group accepts no requests
 	Bootstrap bool          // whether this member creates the group if none exists
+	Copies    bool          // whether stragglers of speculative steps get copies
 	Limits    dispatch.Limits
 	Log       *zap.Logger
 	// OnMembers receives the IDs of the control members whenever they change.
 	// It may be nil.
 	OnMembers func(ctx context.Context, ids []string) error
+	// CopyCounters count the copies. It may be zero.
+	CopyCounters CopyCounters
 }
 
 // now reads a clock that keeps running while the instance is suspended and is
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -124,6 +124,7 @@
 	e.store.Apply(c)
 	if e.leader != nil {
 		e.leader.afterApply(e.store, c)
+		e.recordCopies(c)
 	} else {
 		e.store.TakeChanged() // a new leader starts with the whole store
 	}
@@ -202,7 +203,7 @@
 func (e *engine) startLeadership(now time.Time, term uint64) {
 	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
 		zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Uint64("manifest", e.store.Config.Version))
-	e.leader = newLeadership(e.log, term, e.options.Lease, e.options.Limits, e.store)
+	e.leader = newLeadership(e.log, term, e.options, e.store)
 	e.ensureSessions(now)
 	e.confirmLeadership(now)
 }
--- a/daemon/control/jobs/failures.go
+++ b/daemon/control/jobs/failures.go
@@ -15,19 +15,28 @@
 // cannot work fails soon after its start.
 const provenRun = 2 * time.Second
 
-// recordStart notes when a lasting task was started.
-func (l *leadership) recordStart(now time.Time, st *job.Store, ref job.Ref) {
-	if j := st.Jobs[ref.Job]; j != nil && ref.Step < len(j.Spec.Steps) && j.Spec.Steps[ref.Step].Lasting {
-		l.startedAt[ref] = now
+// recordStart notes when a lasting task, or one that may have a copy, was started.
+func (l *leadership) recordStart(now time.Time, st *job.Store, s *job.Start) {
+	j := st.Jobs[s.Task.Job]
+	if j == nil || s.Task.Step >= len(j.Spec.Steps) {
+		return
+	}
+	switch step := &j.Spec.Steps[s.Task.Step]; {
+	case step.Lasting:
+		l.startedAt[s.Task] = now
+	case step.MayCopy():
+		l.measureStart(now, s)
 	}
 }
 
 // recordOutcome attributes the outcome of a run that is about to be applied.
 func (l *leadership) recordOutcome(now time.Time, st *job.Store, end *job.End) {
+	l.measureEnd(now, end)
 	j, t := st.Find(end.Task)
-	if t == nil || t.Run != end.Run {
+	if t == nil || t.Run != end.Run && !t.IsPlaced(end.Run) {
 		return
 	}
+	l.recordRace(t, end)
 	lasting := j.Spec.Steps[end.Task.Step].Lasting
 	startedAt, known := l.startedAt[end.Task]
 	delete(l.startedAt, end.Task)
@@ -63,6 +72,9 @@
 			if tasks[i].HoldsCapacity() && tasks[i].Target != apart {
 				targets[tasks[i].Target] = struct{}{}
 			}
+			if other := tasks[i].Copy; other != nil && other.Target != apart {
+				targets[other.Target] = struct{}{}
+			}
 		}
 	}
 	return len(targets)
@@ -73,7 +85,10 @@
 	ended := func(id string) bool { j := st.Jobs[id]; return j == nil || !j.IsLive() }
 	l.faults.ForgetSteps(ended)
 	maps.DeleteFunc(l.startedAt, func(ref job.Ref, _ time.Time) bool { return ended(ref.Job) })
-	maps.DeleteFunc(l.unsentStarts, func(ref job.Ref, _ int) bool { return ended(ref.Job) })
+	maps.DeleteFunc(l.unsentStarts, func(key runKey, _ bool) bool { return ended(key.task.Job) })
+	if l.stragglers != nil {
+		l.stragglers.Forget(ended)
+	}
 	for target, s := range l.sessions {
 		maps.DeleteFunc(s.sentStops, func(ref job.Ref, _ sentOrder) bool { return ended(ref.Job) && st.TasksOn(target)[ref] == nil })
 	}
--- a/daemon/control/jobs/fleet_test.go
+++ b/daemon/control/jobs/fleet_test.go
@@ -51,6 +51,7 @@
 	planned int
 	busy    time.Duration
 	index   uint64
+	term    uint64
 	jobs    int
 	starts  int
 
@@ -62,6 +63,8 @@
 	failTask    func(job.Ref) bool       // whether the runs of a task fail after failingRun; may be nil
 	stall       map[string]bool          // by image, whether its runs make no progress
 	refused     int
+	lifeOf      func(job.Ref, int) time.Duration   // life of a run that would last taskOfQuick; may be nil
+	loseAnswer  func(controlapi.TargetOrders) bool // whether an answer to an agent is lost; may be nil
 }
 
 type event struct {
@@ -96,11 +99,19 @@
 	seen    uint64
 	due     bool // a report is on its way
 	stalled map[job.Ref]bool
+	silent  bool      // its reports do not arrive
+	sentAt  time.Time // of the newest report
+	leased  time.Time // end of its lease
+	crashed bool      // replaced by the next incarnation
 }
 
-func newFleet(targets int) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 2)), queueOf: map[string]string{}, submittedAt: map[string]time.Time{}, firstStart: map[string]time.Duration{}, lastingRuns: map[job.Ref]int{}}
-	f.e = newEngine(Options{Lease: testTerms, Retention: 2 * time.Minute, MinVoters: 3, Limits: dispatch.DefaultLimits(), Log: zap.NewNop()}, 1, f.offer)
+func newFleet(targets int, change ...func(*Options)) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), term: 1, random: rand.New(rand.NewPCG(1, 2)), queueOf: map[string]string{}, submittedAt: map[string]time.Time{}, firstStart: map[string]time.Duration{}, lastingRuns: map[job.Ref]int{}}
+	o := Options{Lease: testTerms, Retention: 2 * time.Minute, MinVoters: 3, Limits: dispatch.DefaultLimits(), Log: zap.NewNop()}
+	for _, c := range change {
+		c(&o)
+	}
+	f.e = newEngine(o, 1, f.offer)
 	f.update(replica.Update{Status: &replica.Status{IsLeader: true, Term: 1, Members: voters(5)}})
 	f.runFor(time.Second)
 	config := job.Config{Version: 1, Services: []job.Service{{Name: "s"}}, Source: []byte("{}")}
@@ -114,14 +125,17 @@
 	}
 	f.request(controlapi.OpManifest, &controlapi.ManifestRequest{Config: config}, &recorder{})
 	for i := range targets {
-		a := &fakeAgent{f: f, target: job.TargetIncarnation{ID: fmt.Sprintf("t%04d", i), Born: 1}, number: i, running: map[job.Ref]int{}, stalled: map[job.Ref]bool{}}
-		f.agents = append(f.agents, a)
-		a.report()
+		f.agents = append(f.agents, f.newAgent(i, 1))
+		f.agents[i].report()
 	}
 	f.runFor(2 * time.Second)
 	return f
 }
 
+func (f *fleet) newAgent(number int, born int64) *fakeAgent {
+	return &fakeAgent{f: f, target: job.TargetIncarnation{ID: fmt.Sprintf("t%04d", number), Born: born}, number: number, running: map[job.Ref]int{}, stalled: map[job.Ref]bool{}}
+}
+
 // measured adds the time of a call into the engine to busy.
 func (f *fleet) measured(call func()) {
 	start := time.Now()
@@ -139,9 +153,13 @@
 func (f *fleet) offer(in replica.Input) error {
 	switch {
 	case in.Propose != nil:
+		term := f.term
 		f.after(commitDelay, func() {
+			if f.term != term {
+				return // lost with its leader
+			}
 			f.index++
-			f.update(replica.Update{Entries: []consensus.Entry{{Index: f.index, Term: 1, Data: in.Propose}}})
+			f.update(replica.Update{Entries: []consensus.Entry{{Index: f.index, Term: term, Data: in.Propose}}})
 		})
 	case in.ReadContext != 0:
 		f.after(confirmDelay, func() {
@@ -233,14 +251,40 @@
 	}
 }
 
+// changeLeader has the engine lead anew. Entries that are not committed are lost.
+func (f *fleet) changeLeader() {
+	f.term++
+	f.update(replica.Update{Status: &replica.Status{IsLeader: true, Term: f.term, Members: voters(5)}})
+}
+
+// crash replaces an agent by one with the next incarnation of its target.
+func (f *fleet) crash(number int) {
+	f.agents[number].crashed = true
+	next := f.newAgent(number, f.agents[number].target.Born+1)
+	f.agents[number] = next
+	f.after(100*time.Millisecond, next.report)
+}
+
+// silence keeps an agent from reporting until its lease has expired, which ends its runs.
+func (f *fleet) silence(number int) {
+	a := f.agents[number]
+	a.silent = true
+	f.after(a.leased.Sub(f.now), func() {
+		for ref, run := range a.running {
+			a.end(ref, run, job.RunLeaseExpired)
+		}
+	})
+	f.after(testTerms.SafeExpiry()+time.Second, func() { a.silent = false; a.report() })
+}
+
 // report sends what the agent knows.
 func (a *fakeAgent) report() {
-	if a.due {
+	if a.due || a.silent || a.crashed {
 		return
 	}
 	a.due = true
 	a.f.after(reportDelay/2, func() {
-		a.due = false
+		a.due, a.sentAt = false, a.f.now
 		r := &controlapi.TargetReport{
 			Incarnation: a.target, Host: a.target.ID, Service: "s", Zone: fmt.Sprintf("z%d", a.number%5), Rack: fmt.Sprintf("r%d", a.number/8),
 			Labels: a.labels, Capacity: resource.Vector{CPUMilli: 64_000, MemoryMiB: 256_000}, Agent: 1, Seen: a.seen, LeaseWanted: true,
@@ -260,11 +304,21 @@
 	if ok && orders.Number == 0 {
 		return // superseded by a newer report
 	}
+	if a.f.loseAnswer != nil && a.f.loseAnswer(orders) {
+		a.f.after(reportDelay, a.report)
+		return
+	}
 	a.f.after(reportDelay/2, func() { a.handle(orders) })
 }
 
 func (a *fakeAgent) handle(orders controlapi.TargetOrders) {
+	if a.silent || a.crashed {
+		return
+	}
 	a.seen = max(a.seen, orders.Number)
+	if orders.LeaseMillis > 0 {
+		a.leased = a.sentAt.Add(testTerms.TTL)
+	}
 	a.ends = slices.DeleteFunc(a.ends, func(e job.End) bool { return e.Number <= orders.EndWatermark })
 	for _, s := range orders.Starts {
 		if a.running[s.Task] >= s.Run {
@@ -289,19 +343,26 @@
 		case s.Filling:
 			a.f.after(taskOfFilling, func() { a.end(s.Task, s.Run, job.RunDone) })
 		case s.TailTargetMillis == 0:
-			a.f.after(taskOfQuick, func() { a.end(s.Task, s.Run, job.RunDone) })
+			life := taskOfQuick
+			if a.f.lifeOf != nil {
+				life = a.f.lifeOf(s.Task, s.Run)
+			}
+			a.f.after(life, func() { a.end(s.Task, s.Run, job.RunDone) })
 		default:
 			a.f.lastingRuns[s.Task] = s.Run
 		}
 	}
 	for _, s := range orders.Stops {
+		if s.Unreported && a.running[s.Task] != s.Run { // its start was lost
+			a.ends = append(a.ends, job.End{Task: s.Task, Run: s.Run, Outcome: job.RunRejected})
+		}
 		a.end(s.Task, s.Run, job.RunStopped)
 	}
 	a.report()
 }
 
 func (a *fakeAgent) end(task job.Ref, run int, outcome job.Outcome) {
-	if a.running[task] != run {
+	if a.running[task] != run || a.crashed {
 		return
 	}
 	delete(a.running, task)
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -10,6 +10,7 @@
 	"github.com/ibispier/ibispier/job"
 	"github.com/ibispier/ibispier/job/dispatch"
 	"github.com/ibispier/ibispier/job/faults"
+	"github.com/ibispier/ibispier/job/stragglers"
 	"github.com/ibispier/ibispier/lease"
 )
 
@@ -20,8 +21,8 @@
 	leaseTiming       lease.Timing
 	confirmed         bool // all entries of earlier leaders are applied
 	sessions          map[job.TargetIncarnation]*session
-	proposedEnds      map[job.Ref]int                // runs whose end is proposed
-	unsentStarts      map[job.Ref]int                // runs committed in this term whose start was not sent yet
+	proposedEnds      map[runKey]bool                // runs whose end is proposed
+	unsentStarts      map[runKey]bool                // runs committed in this term whose start was not sent yet
 	proposedLosses    map[job.TargetIncarnation]bool // targets whose loss is proposed
 	finishedAt        map[string]time.Time           // when this leader first saw that a job is finished, or a tombstone
 	nextForgotten     time.Time                      // when the next of them is past the retention time
@@ -34,11 +35,21 @@
 	cleanedAt         time.Time             // when cleanUp last ran
 	occupancyLoggedAt time.Time             // time of the last occupancy log line
 	waitingSince      map[job.Ref]time.Time // since when steps are waiting, by their first task
-	missingRuns       map[job.Ref]int       // runs that the reports did not show at the last occupancy log line
+	missingRuns       map[runKey]bool       // runs that the reports did not show at the last occupancy log line
 	estimatesStoredAt time.Time             // time of the last entry with estimates
 	faults            *faults.Tracker
 	newestReports     map[string]reportKey  // by host
 	startedAt         map[job.Ref]time.Time // when the start of a lasting task was committed in this term
+	stragglers        *stragglers.Tracker   // nil if there are no copies
+	stragglersFoundAt time.Time             // when stragglers were last looked for
+	copyCounters      CopyCounters
+	settledRaces      map[job.Ref]bool // tasks with two runs of which one is done by the command that is about to be applied
+}
+
+// runKey identifies a run. A task may have two at a time.
+type runKey struct {
+	task job.Ref
+	run  int
 }
 
 // reportKey identifies a report among those from one instance.
@@ -82,21 +93,24 @@
 	return o.run == run && now.Sub(o.sentAt) < resendAfter
 }
 
-func newLeadership(log *zap.Logger, term uint64, timing lease.Timing, limits dispatch.Limits, st *job.Store) *leadership {
+func newLeadership(log *zap.Logger, term uint64, o Options, st *job.Store) *leadership {
 	return &leadership{
 		log:            log,
 		term:           term,
-		leaseTiming:    timing,
+		leaseTiming:    o.Lease,
 		sessions:       map[job.TargetIncarnation]*session{},
-		proposedEnds:   map[job.Ref]int{},
-		unsentStarts:   map[job.Ref]int{},
+		proposedEnds:   map[runKey]bool{},
+		unsentStarts:   map[runKey]bool{},
 		proposedLosses: map[job.TargetIncarnation]bool{},
 		finishedAt:     map[string]time.Time{},
 		disturbances:   newDisturbanceTable(st),
-		dispatcher:     dispatch.New(limits),
+		dispatcher:     dispatch.New(o.Limits),
 		faults:         faults.NewTracker(),
 		newestReports:  map[string]reportKey{},
 		startedAt:      map[job.Ref]time.Time{},
+		stragglers:     newStragglers(o),
+		copyCounters:   o.CopyCounters,
+		settledRaces:   map[job.Ref]bool{},
 	}
 }
 
@@ -126,13 +140,12 @@
 // beforeApply updates the leader's state for a command that is about to be
 // applied.
 func (l *leadership) beforeApply(now time.Time, st *job.Store, c *job.Command) {
+	clear(l.settledRaces)
 	watermarks := map[job.TargetIncarnation]uint64{} // with the ends before in the command
 	for i := range c.Ends {
 		end := &c.Ends[i]
 		last := max(watermarks[end.Target], st.LastEndNumber(end.Target))
-		if l.proposedEnds[end.Task] == end.Run {
-			delete(l.proposedEnds, end.Task)
-		}
+		delete(l.proposedEnds, runKey{end.Task, end.Run})
 		s := l.sessions[end.Target]
 		if s == nil {
 			continue
@@ -147,8 +160,8 @@
 		}
 	}
 	for i := range c.Starts {
-		l.unsentStarts[c.Starts[i].Task] = c.Starts[i].Run
-		l.recordStart(now, st, c.Starts[i].Task)
+		l.unsentStarts[runKey{c.Starts[i].Task, c.Starts[i].Run}] = true
+		l.recordStart(now, st, &c.Starts[i])
 	}
 }
 
--- a/daemon/control/jobs/orders.go
+++ b/daemon/control/jobs/orders.go
@@ -133,10 +133,11 @@
 // Sending a start again is safe, because a target starts a run at most once. A
 // restarted agent needs the order to tell serving from filling tasks.
 func (e *engine) needsStart(now time.Time, s *session, ref job.Ref, t *job.Task) bool {
-	if t.State != job.Placed || s.runs[ref] == t.Run && !s.adopted[ref] || e.leader.proposedEnds[ref] == t.Run {
+	run, state := t.RunOn(s.target)
+	if state != job.Placed || s.runs[ref] == run && !s.adopted[ref] || e.leader.proposedEnds[runKey{ref, run}] {
 		return false
 	}
-	return !s.sentStarts[ref].isPending(now, t.Run)
+	return !s.sentStarts[ref].isPending(now, run)
 }
 
 // startOrders returns the starts that must be sent to the target, as many as fit into
@@ -152,7 +153,7 @@
 		orders = e.fitStarts(s, orders)
 	}
 	for _, o := range orders {
-		delete(e.leader.unsentStarts, o.Task)
+		delete(e.leader.unsentStarts, runKey{o.Task, o.Run})
 		s.sentStarts[o.Task] = sentOrder{run: o.Run, orderNumber: s.orderNumber, sentAt: now}
 	}
 	return orders
@@ -161,12 +162,13 @@
 func (e *engine) startOrder(s *session, ref job.Ref, t *job.Task) controlapi.StartOrder {
 	j := e.store.Jobs[ref.Job]
 	step := &j.Spec.Steps[ref.Step]
+	run, _ := t.RunOn(s.target)
 	return controlapi.StartOrder{
 		Task:             ref,
-		Run:              t.Run,
+		Run:              run,
 		Payload:          j.Spec.Payload,
 		Checkpoint:       t.Checkpoint,
-		Again:            e.leader.unsentStarts[ref] != t.Run || s.adopted[ref],
+		Again:            !e.leader.unsentStarts[runKey{ref, run}] || s.adopted[ref],
 		Filling:          step.Filling,
 		CPUMilli:         step.Need.CPUMilli,
 		Image:            step.Image,
@@ -180,22 +182,27 @@
 // paused for maxPause. A stopped task continues from its checkpoint, possibly
 // on a more suitable target.
 func (e *engine) needsStop(now time.Time, s *session, ref job.Ref, run int) bool {
-	if e.leader.proposedEnds[ref] == run || s.sentStops[ref].isPending(now, run) {
+	if e.leader.proposedEnds[runKey{ref, run}] || s.sentStops[ref].isPending(now, run) {
 		return false
 	}
 	if since, paused := s.pausedSince[ref]; paused && now.Sub(since) >= maxPause || s.stalledRuns[ref] {
 		return true
 	}
 	_, t := e.store.Find(ref)
-	return t == nil || t.State != job.Placed || t.Run != run || t.Target != s.target
+	if t == nil {
+		return true
+	}
+	placed, state := t.RunOn(s.target)
+	return state != job.Placed || placed != run
 }
 
-// needsUnreportedStop reports whether the run of a task whose job has ended must be stopped
-// although the reports do not show it. Its start may not have been ordered or may still
+// needsUnreportedStop reports whether the run of a task whose job has ended, or of which
+// another run is done, must be stopped although the reports do not show it. Its start may not have been ordered or may still
 // be carried out; the agent reports that it never starts, which releases its room.
 func (e *engine) needsUnreportedStop(now time.Time, s *session, ref job.Ref, t *job.Task) bool {
 	_, reported := s.runs[ref] // also an earlier run, which is stopped first
-	return t.State == job.Stopping && !reported && e.leader.proposedEnds[ref] != t.Run && !s.sentStops[ref].isPending(now, t.Run)
+	run, state := t.RunOn(s.target)
+	return state == job.Stopping && !reported && !e.leader.proposedEnds[runKey{ref, run}] && !s.sentStops[ref].isPending(now, run)
 }
 
 // stopOrders returns the stops that must be sent to the target, maxStops at most. Those
@@ -209,7 +216,8 @@
 	}
 	for ref, t := range e.store.TasksOn(s.target) {
 		if len(orders) < maxStops && e.needsUnreportedStop(now, s, ref, t) {
-			orders = append(orders, controlapi.StopOrder{Task: ref, Run: t.Run, Unreported: true})
+			run, _ := t.RunOn(s.target)
+			orders = append(orders, controlapi.StopOrder{Task: ref, Run: run, Unreported: true})
 		}
 	}
 	for _, o := range orders {
--- a/daemon/control/jobs/progress.go
+++ b/daemon/control/jobs/progress.go
@@ -149,17 +149,19 @@
 // logMissingRuns logs the targets on which tasks hold capacity whose runs their reports
 // do not show, with what this leader believes of the target.
 func (e *engine) logMissingRuns(now time.Time) {
-	missing := map[job.Ref]int{}
+	missing := map[runKey]bool{}
 	for _, target := range e.store.OccupiedTargets() {
 		s := e.leader.session(now, target)
 		var tasks []string
 		for ref, t := range e.store.TasksOn(target) {
-			if s.runs[ref] == t.Run {
+			run, state := t.RunOn(target)
+			if s.runs[ref] == run {
 				continue
 			}
-			missing[ref] = t.Run
-			if e.leader.missingRuns[ref] == t.Run {
-				tasks = append(tasks, ref.String()+"#"+strconv.Itoa(t.Run)+e.missingState(now, s, ref, t))
+			key := runKey{ref, run}
+			missing[key] = true
+			if e.leader.missingRuns[key] {
+				tasks = append(tasks, ref.String()+"#"+strconv.Itoa(run)+e.missingState(now, s, key, state))
 			}
 		}
 		if len(tasks) > 0 {
@@ -182,13 +184,13 @@
 }
 
 // missingState tells why the start of a missing run is not ordered again now.
-func (e *engine) missingState(now time.Time, s *session, ref job.Ref, t *job.Task) string {
+func (e *engine) missingState(now time.Time, s *session, key runKey, state job.TaskState) string {
 	switch {
-	case t.State == job.Stopping:
+	case state == job.Stopping:
 		return ":stopping"
-	case e.leader.proposedEnds[ref] == t.Run:
+	case e.leader.proposedEnds[key]:
 		return ":end_proposed"
-	case s.sentStarts[ref].isPending(now, t.Run):
+	case s.sentStarts[key.task].isPending(now, key.run):
 		return ":ordered"
 	default:
 		return ":due"
--- a/daemon/control/jobs/targets.go
+++ b/daemon/control/jobs/targets.go
@@ -120,19 +120,19 @@
 	watermark := max(e.store.LastEndNumber(s.target), s.proposedWatermark)
 	var ended []string
 	for _, end := range s.report.Ends {
-		if end.Number > 0 && end.Number <= watermark || end.Number == 0 && e.leader.proposedEnds[end.Task] == end.Run {
+		if end.Number > 0 && end.Number <= watermark || end.Number == 0 && e.leader.proposedEnds[runKey{end.Task, end.Run}] {
 			continue
 		}
 		end.Target = s.target
 		if end.Number > 0 {
 			end.Previous, watermark = watermark, end.Number
 		}
-		e.leader.proposedEnds[end.Task] = end.Run
+		e.leader.proposedEnds[runKey{end.Task, end.Run}] = true
 		s.proposedWatermark = max(s.proposedWatermark, end.Number)
 		ended = append(ended, end.Task.String()+"#"+strconv.Itoa(end.Run)+":"+string(end.Outcome))
 		e.addPart(func(c *job.Command) { c.Ends = append(c.Ends, end) }, nil, func() {
 			if e.leader != nil {
-				delete(e.leader.proposedEnds, end.Task)
+				delete(e.leader.proposedEnds, runKey{end.Task, end.Run})
 				s.proposedWatermark = 0
 			}
 		})
@@ -146,7 +146,7 @@
 func (e *engine) recordStalled(now time.Time, s *session) {
 	for ref := range s.stalledRuns {
 		j, t := e.store.Find(ref)
-		if t == nil || t.State != job.Placed || t.Run != s.runs[ref] {
+		if t == nil || !t.IsPlaced(s.runs[ref]) {
 			continue
 		}
 		lasting := j.Spec.Steps[ref.Step].Lasting
@@ -196,11 +196,12 @@
 // executes.
 func (e *engine) adoptRuns(s *session, earlier job.TargetIncarnation) {
 	for ref, t := range e.store.TasksOn(earlier) {
-		if s.runs[ref] != t.Run {
+		run, _ := t.RunOn(earlier)
+		if s.runs[ref] != run {
 			continue
 		}
-		a := job.Adoption{Task: ref, Run: t.Run, Target: s.target}
-		e.log.Info("run adopted", zap.Stringer("task", ref), zap.Int("run", t.Run), zap.String("target", s.target.ID),
+		a := job.Adoption{Task: ref, Run: run, Target: s.target}
+		e.log.Info("run adopted", zap.Stringer("task", ref), zap.Int("run", run), zap.String("target", s.target.ID),
 			zap.Int64("born", s.target.Born), zap.Int64("placed_born", earlier.Born))
 		e.addPart(func(c *job.Command) { c.Adopted = append(c.Adopted, a) }, nil, nil)
 	}
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -67,6 +67,11 @@
 		MinVoters: 2*s.Jobs.ToleratedDiskLosses + 1,
 		Bootstrap: s.Jobs.Bootstrap && len(s.Cluster.Control) > 0 && s.Cluster.Control[0].ID == s.Daemon.ID,
 		Limits:    dispatch.DefaultLimits(),
+		Copies:    s.Jobs.Copies,
+		CopyCounters: jobs.CopyCounters{
+			Started: d.telemetry.Metrics.Counter("ibispier_copies_started_total"),
+			Won:     d.telemetry.Metrics.Counter("ibispier_copies_won_total"),
+		},
 		Log:       d.log,
 		OnMembers: role.EnsureMembers,
 	}, role.Inputs, role.Updates)
--- a/job/dispatch/copies.go
+++ b/job/dispatch/copies.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// maxCopyShare bounds the copies, as a share of the tasks on all targets. With three
-	// stragglers of a hundred tasks that get a copy each, about 3% are copies.
-	maxCopyShare = 0.05
+	// maxCopyShare bounds the copies, as a share of the tasks on all targets. If three of a
+	// hundred tasks get a copy, about 3% of the runs are copies; three times as many leave
+	// room for stragglers that come together.
+	maxCopyShare = 0.1
 	// maxReservedForCopies is the share of the reserved processor time of a service from
 	// which no copies start, so that the first runs that arrive next find room.
 	maxReservedForCopies = 0.9
--- a/settings/check.go
+++ b/settings/check.go
@@ -26,6 +26,8 @@
 		return missing("platform", "control or target", "an agent serves a target")
 	case !s.Jobs.Enabled && s.HasRole(RoleAgent) && len(s.Cluster.Entries) == 0:
 		return missing("cluster", "entries", "an agent needs the addresses of the entry instances")
+	case s.Jobs.Copies && !s.Jobs.Enabled:
+		return missing("jobs", "enabled", "copies are part of jobs")
 	case s.HasRole(RoleAgent) && s.Agent.TargetURL != "" && s.Agent.Service == "":
 		return missing("agent", "service", "a target serves a service")
 	}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -67,6 +67,7 @@
 		{"jobs", "lease", "duration", "4s", "lease of a target; once it has expired, the work of the target starts elsewhere", duration(&s.Jobs.Lease, 1, 60)},
 		{"jobs", "max_lease_ms", "ms", "", "longest lease that a target takes, 10000 if empty; role agent", optional(integer(&s.Jobs.MaxLeaseMillis, 1, 600_000))},
 		{"jobs", "retention", "duration", "4m", "time that the state of a finished job, or the cancel of an unknown one, is kept", duration(&s.Jobs.Retention, 1, 86400)},
+		{"jobs", "copies", "bool", "false", "start copies of stragglers where the step allows it; role control", boolean(&s.Jobs.Copies)},
 
 		{"platform", "front", "ip:port", "", "address for callers of the platform; role entry", optional(address(&s.Platform.CallerListen))},
 		{"platform", "ready", "ip:port", "", "address for readiness checks; role entry", optional(address(&s.Platform.ReadinessListen))},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -129,6 +129,7 @@
 	Lease               time.Duration
 	MaxLeaseMillis      int64 // longest lease that a target takes; 0 if unknown
 	Retention           time.Duration
+	Copies              bool // start copies of stragglers where the step allows it
 }
 
 // Platform holds the addresses of the interfaces to the users' platform.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -32,6 +32,7 @@
 		{"no id", strings.Replace(validSettings, "id = e1", "", 1), "section=daemon key=id: missing"},
 		{"no zone", strings.Replace(validSettings, "zone = a", "", 1), "section=daemon key=zone: missing"},
 		{"agent without entries", strings.Replace(validSettings, "entry", "agent", 1), "section=cluster key=entries: missing"},
+		{"copies without jobs", validSettings + "\n[jobs]\ncopies = true\n", "section=jobs key=enabled: missing"},
 		{"stranger", strings.Replace(validSettings, "entry", "control", 1) + "[cluster]\ncontrol = c2@127.0.0.1:1\n", "section=cluster key=control"},
 		{"member twice", validSettings + "[cluster]\ncontrol = c2@127.0.0.1:1, c2@127.0.0.1:2\n", "section=cluster key=control"},
 		{"several lines", validSettings + "[agent]\nservice = \"\"\"a\nb\"\"\"\n", "section=agent key=service: \"a\\nb\" has several lines"},
