--- a/daemon/control/jobs/orders.go
+++ b/daemon/control/jobs/orders.go
@@ -197,8 +197,9 @@
 }
 
 // needsUnreportedStop reports whether the run of a task whose job has ended, or of which
-// another run is done, must be stopped although the reports do not show it. Its start may not have been ordered or may still
-// be carried out; the agent reports that it never starts, which releases its room.
+// another run is done, must be stopped although the reports do not show it. Its start may
+// not have been ordered or may still be carried out; the agent reports that it never
+// starts, which releases its room.
 func (e *engine) needsUnreportedStop(now time.Time, s *session, ref job.Ref, t *job.Task) bool {
 	_, reported := s.runs[ref] // also an earlier run, which is stopped first
 	run, state := t.RunOn(s.target)
