job: the test of adoption sees both runs on one target

Cause: with the check for the other run taken out of adoptRunOfTwo, no test failed: the second adoption of the test moved the run on, and took the room of the other run from the index. Change: the test counts the targets that hold room. Measured: it fails with the check taken out, and go test ./job passes with it.

--- a/job/copy_test.go
+++ b/job/copy_test.go
@@ -67,8 +67,8 @@
 		st, ref, task := copiedTask()
 		next := TargetIncarnation{ID: copyTargets[i].ID, Born: 2}
 		st.Apply(&Command{Adopted: []Adoption{{ref, i + 1, copyTargets[1-i]}, {ref, i + 1, next}}, Lost: []TargetIncarnation{copyTargets[i]}})
-		if run, state := task.RunOn(next); run != i+1 || state != Placed || st.Copies() != 1 {
-			t.Errorf("run %d: %d in state %d on the next incarnation, %d copies", i+1, run, state, st.Copies())
+		if run, state := task.RunOn(next); run != i+1 || state != Placed || len(st.OccupiedTargets()) != 2 {
+			t.Errorf("run %d: %d in state %d on the next incarnation, room is held on %v", i+1, run, state, st.OccupiedTargets())
 		}
 	}
 }
