--- a/daemon/control/jobs/duty.go
+++ b/daemon/control/jobs/duty.go
@@ -38,6 +38,7 @@
 	Retention time.Duration // how long a finished job or a tombstone is kept
 	MinVoters int           // number of voters below which a new group accepts no requests
 	Bootstrap bool          // whether this member creates the group if none exists
+	Copies    bool          // whether stragglers of speculative steps get copies
 	Limits    dispatch.Limits
 	// RefuseHopeless has submissions refused that surely cannot be done in time.
 	RefuseHopeless bool
--- a/daemon/control/jobs/engine.go
+++ b/daemon/control/jobs/engine.go
@@ -128,6 +128,7 @@
 	if e.leader != nil {
 		e.leader.afterApply(e.store, c)
 		e.recordFinished(time.Now())
+		e.recordCopies(c)
 	} else {
 		e.store.TakeChanged() // a new leader starts with the whole store
 	}
@@ -206,7 +207,7 @@
 func (e *engine) startLeadership(now time.Time, term uint64) {
 	e.log.Info("leadership started", zap.Uint64("term", term), zap.Uint64("applied", e.applied),
 		zap.Int("live_jobs", len(e.store.LiveJobs())), zap.Uint64("manifest", e.store.Config.Version))
-	e.leader = newLeadership(e.log, term, e.options.Lease, e.options.Limits, e.store)
+	e.leader = newLeadership(e.log, term, e.options, e.store)
 	e.leader.refusals = newRefusals(now, e.options.RefuseHopeless)
 	e.ensureSessions(now)
 	e.confirmLeadership(now)
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -69,6 +69,7 @@
 		Limits:         dispatchLimits(s.Jobs),
 		Metrics:        d.telemetry.Metrics,
 		RefuseHopeless: s.Jobs.RefuseHopeless,
+		Copies:         s.Jobs.Copies,
 		Log:            d.log,
 		OnMembers:      role.EnsureMembers,
 	}, role.Inputs, role.Updates)
--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -68,7 +68,8 @@
 	lastChange    uint64
 	postponed     int              // jobs that the latest decision has delayed
 	pending       map[job.Ref]bool // tasks whose start was returned by Run and is not settled
-	pendingSteps  map[stepKey]int  // number of pending tasks by step
+	pendingSteps  map[stepKey]int  // number of pending tasks by step, without copies
+	pendingCopies int
 	// pendingOn contains the pending tasks with their steps by target, also by one that
 	// was removed and may return. Steps are kept, because the job may be finished
 	// meanwhile.
@@ -102,7 +103,8 @@
 	SteadyNow   time.Time // on the clock of the holds of FailedTasks
 	// WorkRate returns the processor time in millicores that is worked off in a pool while
 	// work waits, or 0 if it is unknown. It is called only if Limits.PostponeLarge is set.
-	WorkRate func(Pool) float64
+	WorkRate   func(Pool) float64
+	Stragglers []Straggler
 }
 
 // pass is the state of one decision.
@@ -141,7 +143,9 @@
 	}
 	p.markPending()
 	d.postponed = p.postponed
-	return p.starts
+	copies := p.startCopies()
+	p.markCopiesPending(copies)
+	return append(p.starts, copies...)
 }
 
 func (p *pass) serveInOrder(parts []jobPart) {
@@ -170,9 +174,10 @@
 func (d *Dispatcher) Settle(starts []job.Start) {
 	for _, s := range starts {
 		delete(d.pending, s.Task)
-		key := stepOf(s.Task)
-		if d.pendingSteps[key]--; d.pendingSteps[key] <= 0 {
-			delete(d.pendingSteps, key)
+		if s.Copy {
+			d.pendingCopies--
+		} else {
+			d.settleStep(stepOf(s.Task))
 		}
 		d.settleHeld(s)
 		if delete(d.pendingOn[s.Target], s.Task); len(d.pendingOn[s.Target]) == 0 {
@@ -182,6 +187,12 @@
 	}
 }
 
+func (d *Dispatcher) settleStep(key stepKey) {
+	if d.pendingSteps[key]--; d.pendingSteps[key] <= 0 {
+		delete(d.pendingSteps, key)
+	}
+}
+
 func (d *Dispatcher) setPending(s job.Start, step *job.Step) {
 	if d.pendingOn[s.Target] == nil {
 		d.pendingOn[s.Target] = map[job.Ref]*job.Step{}
@@ -317,7 +328,7 @@
 			return
 		}
 		ref.Index = i
-		p.placeTask(fitting[0].target, ref, s, tasks[i].Run+1)
+		p.placeTask(fitting[0].target, ref, s, tasks[i].LatestRun()+1)
 		p.updateBest(&fitting, q, s, ref)
 	}
 }
@@ -339,7 +350,7 @@
 			p.recordMisfit(key)
 			return
 		}
-		p.placeTask(ts, ref, s, tasks[i].Run+1)
+		p.placeTask(ts, ref, s, tasks[i].LatestRun()+1)
 	}
 }
 
--- a/job/store.go
+++ b/job/store.go
@@ -29,14 +29,19 @@
 // Task is the state of one task.
 type Task struct {
 	State      TaskState         `json:",omitempty"`
-	Run        int               `json:",omitempty"` // number of the latest start
+	Run        int               `json:",omitempty"` // number of the run on Target; see LatestRun
 	Failures   int               `json:",omitempty"`
 	Target     TargetIncarnation `json:",omitzero"`
 	Host       string            `json:",omitempty"` // instance that the target runs on
 	Checkpoint string            `json:",omitempty"`
+	// Copy is a second run. Beside a Placed task it competes for the first end; in all
+	// other states it is being stopped and still holds capacity.
+	Copy *Copy `json:",omitempty"`
+	// CopiedRun is the number of the latest start of a copy, 0 if there was none.
+	CopiedRun int `json:",omitempty"`
 }
 
-// HoldsCapacity reports whether the task holds capacity on its target.
+// HoldsCapacity reports whether the run on Target holds capacity.
 func (t *Task) HoldsCapacity() bool { return t.State == Placed || t.State == Stopping }
 
 // StepState is the state of the tasks of one step in one occurrence.
@@ -127,8 +132,9 @@
 
 // Store is the complete state of the state machine.
 //
-// Invariants: a task is placed on at most one target; byTarget contains exactly
-// the tasks that are Placed or Stopping; liveJobs contains exactly the live
+// Invariants: a task is placed on at most one target, and on one more if it has a
+// copy; byTarget contains exactly the tasks that are Placed or Stopping, and the copies;
+// copies is the number of copies; liveJobs contains exactly the live
 // jobs in the order of acceptance; a job that is not live and has no task in
 // byTarget has no occurrences; no ID is in two of Jobs, Tombstones and
 // Refusals.
@@ -151,6 +157,7 @@
 
 	byTarget map[TargetIncarnation]map[Ref]*Task
 	byHost   map[string]map[TargetIncarnation]struct{} // targets in byTarget, by the instance that they run on
+	copies   int
 	liveJobs []*Job
 	queues   map[Route]*Queue               // of the current configuration
 	held     map[Route]fairqueue.Holding    // of the tasks in byTarget
@@ -186,12 +193,15 @@
 	st.byHost = map[string]map[TargetIncarnation]struct{}{}
 	st.changed = map[TargetIncarnation]struct{}{}
 	st.held = map[Route]fairqueue.Holding{}
-	st.liveJobs = nil
+	st.liveJobs, st.copies = nil, 0
 	st.indexQueues()
 	for _, j := range st.Jobs {
 		j.eachTask(func(r Ref, t *Task) {
 			if t.HoldsCapacity() {
-				st.addPlaced(r, t)
+				st.addPlaced(r, t, t.Target, t.Host)
+			}
+			if t.Copy != nil {
+				st.addCopy(r, t)
 			}
 		})
 		if j.IsLive() {
@@ -213,30 +223,32 @@
 	}
 }
 
-func (st *Store) addPlaced(r Ref, t *Task) {
-	tasks := st.byTarget[t.Target]
+func (st *Store) addPlaced(r Ref, t *Task, target TargetIncarnation, host string) {
+	tasks := st.byTarget[target]
 	if tasks == nil {
 		tasks = map[Ref]*Task{}
-		st.byTarget[t.Target] = tasks
-		if st.byHost[t.Host] == nil {
-			st.byHost[t.Host] = map[TargetIncarnation]struct{}{}
+		st.byTarget[target] = tasks
+		if st.byHost[host] == nil {
+			st.byHost[host] = map[TargetIncarnation]struct{}{}
 		}
-		st.byHost[t.Host][t.Target] = struct{}{}
+		st.byHost[host][target] = struct{}{}
+	}
+	if tasks[r] == nil {
+		st.addHeld(r)
 	}
 	tasks[r] = t
-	st.addHeld(r)
-	st.markChanged(t.Target)
+	st.markChanged(target)
 }
 
-func (st *Store) removePlaced(r Ref, t *Task) {
-	if _, placed := st.byTarget[t.Target][r]; placed {
+func (st *Store) removePlaced(r Ref, target TargetIncarnation, host string) {
+	if st.byTarget[target][r] != nil {
 		st.removeHeld(r)
 	}
-	delete(st.byTarget[t.Target], r)
-	if len(st.byTarget[t.Target]) == 0 {
-		st.removeTarget(t.Target, t.Host)
+	delete(st.byTarget[target], r)
+	if len(st.byTarget[target]) == 0 {
+		st.removeTarget(target, host)
 	}
-	st.markChanged(t.Target)
+	st.markChanged(target)
 }
 
 // removeTarget removes a target from the indexes. All its tasks are on one host.
@@ -261,7 +273,8 @@
 // LiveJobs returns the live jobs in the order of acceptance.
 func (st *Store) LiveJobs() []*Job { return st.liveJobs }
 
-// TasksOn returns the tasks that hold capacity on the target.
+// TasksOn returns the tasks of which a run holds capacity on the target; see
+// Task.RunOn.
 func (st *Store) TasksOn(target TargetIncarnation) map[Ref]*Task { return st.byTarget[target] }
 
 // SupersededTargets returns the incarnations on the host that started before by
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -137,6 +137,7 @@
 	FillingPercent   int          // of the idle processor time
 	RefuseHopeless   bool         // refuse submissions that surely cannot be done in time
 	QueueShares      *QueueShares // nil for none
+	Copies           bool         // start copies of stragglers where the step allows it
 }
 
 // QueueShares are the weights of the queues of jobs that compete for targets.
