httpduty, link: admit request bodies before reading, and bound connections

Cause: a body was read before anything was known of its sender. Each of many connections could hold a body of legal size, at most as long as it liked; the connections of most listeners had no end; headers were bounded by 1 MiB; and a decoded body of short values took up to a hundred times its bytes. A link held 8 MiB of a first frame and the windows of 256 streams before its peer had introduced itself.

Change: - httpduty/bodylimit (pure) reserves the bytes of each body before it is read, per process and per address, from an eighth of the memory. A chunked body reserves as it grows. What finds no room is refused at once with 503, and what is beyond the limit of the listener with 413. A body that has stalled for 3 s gives way to one that finds no room, and a body has to make some progress in each window of 10 s. - httpduty/connlimit (pure) bounds the connections of a listener, by the memory and the descriptors of the process. An idle connection gives way to a new one. - Responses are written in pieces with a deadline each. Headers are bounded by 16 KiB, and idle connections end everywhere. - platform checks the number of rows of a body before it decodes it. - link bounds the bytes, the streams and the number of connections of peers that have not introduced themselves. - The limit of the Go runtime leaves room for the program and the kernel's buffers.

A submission that is too large now gets 413 instead of 400, as the product's own interface does; the test demands exactly that, and that nothing was sent to control in either case.

--- a/cmd/ibispierd/main.go
+++ b/cmd/ibispierd/main.go
@@ -68,7 +68,7 @@
 // serve runs the daemon. path is empty if the settings were not read from a file.
 func serve(s *settings.Settings, path string, dev bool) int {
 	if s.Daemon.MemoryMiB > 0 {
-		debug.SetMemoryLimit(s.Daemon.MemoryMiB << 20)
+		debug.SetMemoryLimit(s.Bounds().RuntimeBytes)
 	}
 	logWriter := telemetry.NewRingWriter(logOutput(s))
 	tel, err := newTelemetry(s, logWriter)
--- a/controlhttp/operations.go
+++ b/controlhttp/operations.go
@@ -15,6 +15,7 @@
 
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/controlclient"
+	"github.com/ibispier/ibispier/httpduty"
 )
 
 // Control executes control operations.
@@ -23,9 +24,9 @@
 }
 
 const (
-	// maxBodyBytes leaves room for the customer and plan lists of a deployment
+	// MaxBodyBytes leaves room for the customer and plan lists of a deployment
 	// with several thousand customers.
-	maxBodyBytes    = 4 << 20
+	MaxBodyBytes    = 4 << 20
 	headerDeadline  = "Ibispier-Deadline-Ms"
 	defaultDeadline = 5 * time.Second
 	maxDeadline     = time.Minute
@@ -39,7 +40,11 @@
 // Read decodes the JSON body of r into v. Unknown fields are rejected because a
 // misspelt limit would otherwise be read as 0 without an error.
 func Read(w http.ResponseWriter, r *http.Request, v any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	data, err := httpduty.ReadBody(r, MaxBodyBytes)
+	if err != nil {
+		return readError(err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(v); err != nil {
 		return readError(err)
@@ -51,9 +56,11 @@
 }
 
 func readError(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, httpduty.ErrTooLarge):
 		return &controlapi.Error{Reason: "too_large", Step: "read", Message: err.Error()}
+	case errors.Is(err, httpduty.ErrNoRoom), errors.Is(err, httpduty.ErrStalled):
+		return &controlapi.Error{Reason: "overloaded", Step: "read", Message: err.Error()}
 	}
 	return &controlapi.Error{Reason: controlapi.ReasonBadRequest, Step: "decode", Message: err.Error()}
 }
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -9,7 +9,9 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/ibispier/ibispier/controlhttp"
 	"github.com/ibispier/ibispier/httpduty"
+	"github.com/ibispier/ibispier/settings"
 )
 
 // Error is the class of all errors of this package.
@@ -48,14 +50,19 @@
 }
 
 // New opens the socket and returns the duty.
-func New(address string, readiness *Readiness) (*Duty, error) {
+func New(s *settings.Settings, readiness *Readiness, limits *httpduty.Limits) (*Duty, error) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { serveReady(w, readiness) })
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
-	server, err := httpduty.New(address, httpduty.Options{Handler: mux})
+	server, err := httpduty.New(s.Admin.Listen, httpduty.Options{
+		Handler:        mux,
+		MaxBodyBytes:   controlhttp.MaxBodyBytes,
+		MaxConnections: s.Bounds().SecondaryConnections,
+		Limits:         limits,
+	})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/daemon/admin/role.go
+++ b/daemon/admin/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/ibispier/ibispier/daemon/controlclient"
+	"github.com/ibispier/ibispier/httpduty"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
@@ -17,8 +18,8 @@
 // NewRole opens the socket and returns the role. A process without control members
 // in its settings answers control operations with "unavailable". So does a process
 // that serves jobs, because its operators call the control members directly.
-func NewRole(s *settings.Settings, readiness *Readiness, observer supervise.Observer) (*Role, error) {
-	duty, err := New(s.Admin.Listen, readiness)
+func NewRole(s *settings.Settings, readiness *Readiness, limits *httpduty.Limits, observer supervise.Observer) (*Role, error) {
+	duty, err := New(s, readiness, limits)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/ibispier/ibispier/daemon/agent/tasks"
 	"github.com/ibispier/ibispier/daemon/agent/uplinks"
 	"github.com/ibispier/ibispier/daemon/agent/workercalls"
+	"github.com/ibispier/ibispier/httpduty"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
@@ -26,7 +27,7 @@
 }
 
 // New builds the supervisor tree of the role.
-func New(s *settings.Settings, t telemetry.Telemetry, observer supervise.Observer) (*Role, error) {
+func New(s *settings.Settings, t telemetry.Telemetry, limits *httpduty.Limits, observer supervise.Observer) (*Role, error) {
 	admissionDuty, err := admission.New(s, t.Log)
 	if err != nil {
 		return nil, err
@@ -44,7 +45,7 @@
 	role.Add("slots", slots.New(slotOptions, admissionDuty.Jobs, admissionDuty.Results, observer))
 	role.Add("probe", admissionDuty.Probe)
 	if s.Agent.Listen != "" {
-		targetAPI, err := targetapi.New(s.Agent.Listen, admissionDuty)
+		targetAPI, err := targetapi.New(s, admissionDuty, limits)
 		if err != nil {
 			return nil, err
 		}
--- a/daemon/agent/targetapi/targetapi.go
+++ b/daemon/agent/targetapi/targetapi.go
@@ -11,6 +11,7 @@
 
 	"github.com/ibispier/ibispier/daemon/agent/admission"
 	"github.com/ibispier/ibispier/httpduty"
+	"github.com/ibispier/ibispier/settings"
 )
 
 // Error is the class of this package's errors.
@@ -34,12 +35,17 @@
 }
 
 // New opens the listening socket and returns the duty.
-func New(address string, admissionDuty *admission.Duty) (*Duty, error) {
+func New(s *settings.Settings, admissionDuty *admission.Duty, limits *httpduty.Limits) (*Duty, error) {
 	d := &Duty{admission: admissionDuty}
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/target", d.announce)
 	mux.HandleFunc("DELETE /v1/target", d.drain)
-	server, err := httpduty.New(address, httpduty.Options{Handler: mux})
+	server, err := httpduty.New(s.Agent.Listen, httpduty.Options{
+		Handler:        mux,
+		MaxBodyBytes:   maxBody,
+		MaxConnections: s.Bounds().OtherConnections,
+		Limits:         limits,
+	})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -49,11 +55,16 @@
 
 func (d *Duty) announce(w http.ResponseWriter, r *http.Request) {
 	var a announcement
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&a); err != nil {
+	data, err := httpduty.ReadBody(r, maxBody)
+	if err != nil {
+		httpduty.WriteBodyError(w, err)
+		return
+	}
+	if err := json.Unmarshal(data, &a); err != nil {
 		http.Error(w, "invalid announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	err := d.admission.AnnounceTarget(r.Context(), a.URL, time.Duration(a.TTLMillis)*time.Millisecond)
+	err = d.admission.AnnounceTarget(r.Context(), a.URL, time.Duration(a.TTLMillis)*time.Millisecond)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -229,8 +229,9 @@
 			Zone:        r.settings.Daemon.Zone,
 			Incarnation: r.folder.Incarnation,
 		},
-		Accept:   handler.acceptedRoles(),
-		Observer: r.observer,
+		Accept:        handler.acceptedRoles(),
+		MaxHandshakes: r.settings.Bounds().Handshakes,
+		Observer:      r.observer,
 
 		HeartbeatInterval: r.settings.Cluster.HeartbeatInterval,
 		SilenceTimeout:    r.settings.Cluster.SilenceTimeout,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/ibispier/ibispier/daemon/agent"
 	"github.com/ibispier/ibispier/daemon/entry"
 	"github.com/ibispier/ibispier/datafolder"
+	"github.com/ibispier/ibispier/httpduty"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
 	"github.com/ibispier/ibispier/telemetry"
@@ -45,6 +46,7 @@
 	signals   <-chan os.Signal
 	links     []memberLinks
 	files     datafolder.FileSystem // of the control role
+	limits    *httpduty.Limits
 }
 
 // Option changes how a process is built.
@@ -73,6 +75,7 @@
 	for _, set := range options {
 		set(d)
 	}
+	d.limits = newLimits(s, t)
 	d.root = supervise.New("root", rootPolicy, d.observeFailure)
 	if err := d.build(); err != nil {
 		return nil, err
@@ -81,7 +84,7 @@
 }
 
 func (d *Daemon) build() error {
-	adminRole, err := admin.NewRole(d.settings, d.readiness, d.observeFailure)
+	adminRole, err := admin.NewRole(d.settings, d.readiness, d.limits, d.observeFailure)
 	if err != nil {
 		return err
 	}
@@ -98,7 +101,7 @@
 		d.addRole("control", role, role)
 	}
 	if d.settings.HasRole(settings.RoleEntry) {
-		role, err := entry.New(d.settings, d.telemetry, d.observeFailure)
+		role, err := entry.New(d.settings, d.telemetry, d.limits, d.observeFailure)
 		if err != nil {
 			return err
 		}
@@ -106,7 +109,7 @@
 		d.readiness.Require(role.Ready)
 	}
 	if d.settings.HasRole(settings.RoleAgent) {
-		role, err := agent.New(d.settings, d.telemetry, d.observeFailure)
+		role, err := agent.New(d.settings, d.telemetry, d.limits, d.observeFailure)
 		if err != nil {
 			return err
 		}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/ibispier/ibispier/daemon/entry/frontend"
 	"github.com/ibispier/ibispier/daemon/entry/relay"
 	"github.com/ibispier/ibispier/daemon/entry/router"
+	"github.com/ibispier/ibispier/httpduty"
 	"github.com/ibispier/ibispier/limit"
 	"github.com/ibispier/ibispier/link"
 	"github.com/ibispier/ibispier/routing"
@@ -36,12 +37,12 @@
 }
 
 // New opens the listening sockets and builds the supervisor tree.
-func New(s *settings.Settings, t telemetry.Telemetry, observer supervise.Observer) (*Role, error) {
+func New(s *settings.Settings, t telemetry.Telemetry, limits *httpduty.Limits, observer supervise.Observer) (*Role, error) {
 	local := link.Identity{Role: wire.Role_ROLE_ENTRY, ID: s.Daemon.ID, Zone: s.Daemon.Zone}
 	control := controlclient.New(controlclient.Options{Local: local, Members: s.Cluster.Control, Observer: observer})
 	requestRouter := router.New(routingOptions(s), control, t.Log)
 	requestRouter.SetTelemetry(t)
-	frontendDuty, err := frontend.New(s.Entry, requestRouter, t.Log)
+	frontendDuty, err := frontend.New(s, requestRouter, limits, t.Log)
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +71,7 @@
 	role.Add("frontend", role.frontend)
 	role.Add("controlclient", control)
 	role.Add("relay", role.relay)
-	agentLinks, err := agents.New(s.Entry.AgentListen, local, link.Fanout(requestRouter, role.relay), role.relay.Revision, observer)
+	agentLinks, err := agents.New(s, local, link.Fanout(requestRouter, role.relay), role.relay.Revision, observer)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
--- a/daemon/entry/frontend/codec.go
+++ b/daemon/entry/frontend/codec.go
@@ -2,13 +2,13 @@
 
 import (
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/ibispier/ibispier/httpduty"
 	"github.com/ibispier/ibispier/request"
 )
 
@@ -56,7 +56,7 @@
 	if r.ContentLength == 0 {
 		return req, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, d.settings.MaxBodyBytes))
+	body, err := httpduty.ReadBody(r, d.settings.MaxBodyBytes)
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
@@ -66,9 +66,11 @@
 
 // bodyRefusal returns the refusal of a request whose body could not be read.
 func bodyRefusal(err error) *request.Response {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, httpduty.ErrTooLarge):
 		return request.Refused(request.ReasonTooLarge)
+	case errors.Is(err, httpduty.ErrNoRoom), errors.Is(err, httpduty.ErrStalled):
+		return request.Refused(request.ReasonOverloaded)
 	}
 	return request.Refused(request.ReasonBadRequest)
 }
--- a/daemon/entry/frontend/frontend.go
+++ b/daemon/entry/frontend/frontend.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"github.com/ibispier/ibispier/controlhttp"
 	"github.com/ibispier/ibispier/daemon/entry/router"
 	"github.com/ibispier/ibispier/httpduty"
 	"github.com/ibispier/ibispier/settings"
@@ -36,13 +37,17 @@
 }
 
 // New opens the listening socket for callers and returns the duty.
-func New(s settings.Entry, requestRouter *router.Duty, logger *zap.Logger) (*Duty, error) {
-	d := &Duty{mux: http.NewServeMux(), router: requestRouter, settings: s, log: logger}
+func New(s *settings.Settings, requestRouter *router.Duty, limits *httpduty.Limits, logger *zap.Logger) (*Duty, error) {
+	d := &Duty{mux: http.NewServeMux(), router: requestRouter, settings: s.Entry, log: logger}
 	d.mux.HandleFunc("/v1/services/{service}/{path...}", d.instrument(d.serveRequest))
-	server, err := httpduty.New(s.Listen, httpduty.Options{
+	server, err := httpduty.New(s.Entry.Listen, httpduty.Options{
 		Handler:        d.mux,
 		IdleTimeout:    idleTimeout,
-		MaxHeaderBytes: s.MaxHeaderBytes,
+		MaxHeaderBytes: s.Entry.MaxHeaderBytes,
+		MaxBodyBytes:   max(s.Entry.MaxBodyBytes, controlhttp.MaxBodyBytes), // of requests, of tasks
+		MaxConnections: s.Bounds().CallerConnections,
+		Limits:         limits,
+		RefuseBody:     refuseBody,
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -51,6 +56,12 @@
 	return d, nil
 }
 
+// refuseBody answers a request whose body is not admitted. It has not run.
+func refuseBody(w http.ResponseWriter, r *http.Request, err error) {
+	w.Header().Set("Connection", "close")
+	writeResponse(w, requestID(r), bodyRefusal(err))
+}
+
 // Quiesce makes callers with open connections reconnect to other entry
 // instances: from now on each response closes its connection. Requests are
 // still served.
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -77,7 +77,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	httpServer, err := httpduty.New(s.Platform.ControlListen, httpduty.Options{Handler: operator})
+	httpServer, err := httpduty.New(s.Platform.ControlListen, httpduty.Options{
+		Handler:        operator,
+		MaxBodyBytes:   platform.MaxBodyBytes,
+		MaxConnections: s.Bounds().OtherConnections,
+		Limits:         d.limits,
+	})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -110,14 +115,23 @@
 // newJobEntry returns the entry role, which serves the platform's callers.
 func (d *Daemon) newJobEntry() (supervise.Duty, drainer, error) {
 	client := d.newControlClient(wire.Role_ROLE_ENTRY)
+	bounds := d.settings.Bounds()
 	front, err := httpduty.New(d.settings.Platform.CallerListen, httpduty.Options{
-		Handler:     platform.NewJobHandler(client, d.log),
-		IdleTimeout: platform.IdleTimeout,
+		Handler:        platform.NewJobHandler(client, d.log),
+		IdleTimeout:    platform.IdleTimeout,
+		MaxHeaderBytes: platform.MaxHeaderBytes,
+		MaxBodyBytes:   platform.MaxSubmissionBytes,
+		MaxConnections: bounds.CallerConnections,
+		Limits:         d.limits,
 	})
 	if err != nil {
 		return nil, nil, err
 	}
-	ready, err := httpduty.New(d.settings.Platform.ReadinessListen, httpduty.Options{Handler: platform.NewReadinessHandler(d.readiness.Ready)})
+	ready, err := httpduty.New(d.settings.Platform.ReadinessListen, httpduty.Options{
+		Handler:        platform.NewReadinessHandler(d.readiness.Ready),
+		MaxConnections: bounds.SecondaryConnections,
+		Limits:         d.limits,
+	})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -149,7 +163,10 @@
 		Observer:  d.observeFailure,
 	})
 	httpServer, err := httpduty.New(d.settings.Platform.ControlListen, httpduty.Options{
-		Handler: platform.NewAnnouncementHandler(role.Announcements, d.log),
+		Handler:        platform.NewAnnouncementHandler(role.Announcements, d.log),
+		MaxBodyBytes:   platform.MaxBodyBytes,
+		MaxConnections: d.settings.Bounds().OtherConnections,
+		Limits:         d.limits,
 	})
 	if err != nil {
 		return nil, nil, err
--- a/httpduty/httpduty.go
+++ b/httpduty/httpduty.go
@@ -8,22 +8,66 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/ibispier/ibispier/httpduty/connlimit"
 )
 
 // Error is the class of all errors of this package.
 var Error = errs.Class("httpduty")
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// defaultIdleTimeout ends keep-alive connections that their clients have left open.
+	defaultIdleTimeout = 2 * time.Minute
+	// DefaultMaxHeaderBytes bounds the header of a request, with its first line.
+	DefaultMaxHeaderBytes = 16 << 10
+	// DefaultMaxBodyBytes is for the listeners that take small bodies or none.
+	DefaultMaxBodyBytes = 64 << 10
+	// defaultConnections and defaultBudget are for servers without a share of the limits
+	// of their process, as in tests.
+	defaultConnections = 1024
+	defaultBudget      = 64 << 20
+	defaultWindow      = 10 * time.Second
+)
 
 // Options configures a Server.
 type Options struct {
 	Handler        http.Handler
-	IdleTimeout    time.Duration // of connections; 0 for none
-	MaxHeaderBytes int           // 0 for the default of net/http
+	IdleTimeout    time.Duration // of connections; 0 for the default
+	MaxHeaderBytes int           // 0 for DefaultMaxHeaderBytes
+	MaxBodyBytes   int64         // 0 for DefaultMaxBodyBytes
+	MaxConnections int           // 0 for a default
+	Limits         *Limits       // of the process; nil for limits of its own
+	// RefuseBody writes the response for a body that is not admitted. It must not read
+	// the body. nil for WriteBodyError.
+	RefuseBody func(http.ResponseWriter, *http.Request, error)
+}
+
+func (o Options) withDefaults() Options {
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = defaultIdleTimeout
+	}
+	if o.MaxHeaderBytes == 0 {
+		o.MaxHeaderBytes = DefaultMaxHeaderBytes
+	}
+	if o.MaxBodyBytes == 0 {
+		o.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if o.MaxConnections == 0 {
+		o.MaxConnections = defaultConnections
+	}
+	if o.Limits == nil {
+		o.Limits = NewLimits(LimitOptions{BodyBytes: defaultBudget, Window: defaultWindow})
+	}
+	if o.RefuseBody == nil {
+		o.RefuseBody = func(w http.ResponseWriter, _ *http.Request, err error) { WriteBodyError(w, err) }
+	}
+	return o
 }
 
 // Server is a duty that serves HTTP on one address. Each run has a listener and
@@ -34,6 +78,11 @@
 	initial net.Listener // opened by New, which thus reports an address in use
 	current atomic.Pointer[http.Server]
 	stopped atomic.Bool
+	limits  *Limits
+
+	// mu guards connections, which the goroutines of net/http use.
+	mu          sync.Mutex
+	connections *connlimit.Table
 }
 
 // New opens the listener and returns the duty.
@@ -42,7 +91,14 @@
 	if err != nil {
 		return nil, Error.New("step=listen addr=%s: %w", address, err)
 	}
-	return &Server{address: listener.Addr().String(), options: o, initial: listener}, nil
+	o = o.withDefaults()
+	return &Server{
+		address:     listener.Addr().String(),
+		options:     o,
+		initial:     listener,
+		limits:      o.Limits,
+		connections: connlimit.New(o.MaxConnections),
+	}, nil
 }
 
 // Addr returns the address that the duty listens on.
@@ -61,7 +117,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	err = server.Serve(listener)
+	err = server.Serve(limitedListener{listener, s})
 	if ctx.Err() != nil || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -103,10 +159,12 @@
 
 func (s *Server) newHTTPServer() *http.Server {
 	return &http.Server{
-		Handler:           s.options.Handler,
+		Handler:           s.admitBodies(s.options.Handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       s.options.IdleTimeout,
 		MaxHeaderBytes:    s.options.MaxHeaderBytes,
 		ErrorLog:          log.New(io.Discard, "", 0),
+		ConnState:         s.observeState,
+		ConnContext:       withConn,
 	}
 }
--- a/link/conn.go
+++ b/link/conn.go
@@ -51,6 +51,7 @@
 	SilenceTimeout    time.Duration // default DefaultSilenceTimeout
 	HandshakeTimeout  time.Duration // default DefaultHandshakeTimeout
 	RingCapacity      int           // frames queued for each stream
+	MaxHandshakes     int           // connections accepted whose peer has not introduced itself; default DefaultMaxHandshakes
 	ConfigRevision    func() uint64 // revision sent in heartbeats; may be nil
 	Observer          supervise.Observer
 }
@@ -68,6 +69,9 @@
 	if o.RingCapacity == 0 {
 		o.RingCapacity = DefaultRingCapacity
 	}
+	if o.MaxHandshakes == 0 {
+		o.MaxHandshakes = DefaultMaxHandshakes
+	}
 	if o.ConfigRevision == nil {
 		o.ConfigRevision = func() uint64 { return 0 }
 	}
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -155,6 +155,7 @@
 	defer listener.Close()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
+	running := handshakes{limit: l.options.MaxHandshakes}
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
@@ -163,19 +164,24 @@
 			}
 			return Error.New("step=accept addr=%s: %w", l.socket.address, err)
 		}
-		if err := l.links.StartTemporary(ctx, "link "+raw.RemoteAddr().String(), l.serve(raw)); err != nil {
+		if err := l.links.StartTemporary(ctx, "link "+raw.RemoteAddr().String(), l.serve(running.add(raw))); err != nil {
 			_ = raw.Close()
 		}
 	}
 }
 
-func (l *Listener) serve(raw net.Conn) supervise.Duty {
+func (l *Listener) serve(h *handshake) supervise.Duty {
 	return supervise.Func(func(ctx context.Context) error {
-		c, err := accept(ctx, raw, l.options)
+		c, err := accept(ctx, h.raw, l.options)
+		finished := h.finish()
 		if err != nil {
-			_ = raw.Close()
+			_ = h.raw.Close()
 			return err
 		}
+		if !finished {
+			c.Close()
+			return Error.New("step=handshake peer=%s: too many: %w", c.addr, ErrRefused)
+		}
 		return c.run(ctx, l.handler)
 	})
 }
--- a/link/handshake.go
+++ b/link/handshake.go
@@ -15,10 +15,14 @@
 // accept the other.
 var ErrRefused = Error.New("refused")
 
+// streamsPerLink is the number of streams of a link: control and data.
+const streamsPerLink = 2
+
 func sessionConfig(o Options) *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = false // the heartbeats of the link replace it
 	cfg.LogOutput = io.Discard
+	cfg.AcceptBacklog = streamsPerLink // further streams would hold their windows unread
 	cfg.ConnectionWriteTimeout = o.HandshakeTimeout
 	return cfg
 }
@@ -68,13 +72,14 @@
 
 // accept performs the listening side of the handshake.
 func accept(ctx context.Context, raw net.Conn, o Options) (*Conn, error) {
-	session, err := yamux.Server(&coalescingConn{Conn: raw}, sessionConfig(o))
+	limited := &limitedConn{Conn: raw}
+	session, err := yamux.Server(&coalescingConn{Conn: limited}, sessionConfig(o))
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.HandshakeTimeout)
 	defer cancel()
-	c, err := acceptStreams(ctx, session, raw, o)
+	c, err := acceptStreams(ctx, session, limited, o)
 	if err != nil {
 		_ = session.Close()
 		return nil, Error.New("step=handshake peer=%s: %w", raw.RemoteAddr(), err)
@@ -82,19 +87,21 @@
 	return c, nil
 }
 
-func acceptStreams(ctx context.Context, session *yamux.Session, raw net.Conn, o Options) (*Conn, error) {
-	control, peer, err := acceptStream(ctx, session, o, wire.StreamKind_STREAM_CONTROL)
+func acceptStreams(ctx context.Context, session *yamux.Session, raw *limitedConn, o Options) (*Conn, error) {
+	control, peer, err := acceptStream(ctx, session, o, wire.StreamKind_STREAM_CONTROL, func() {})
 	if err != nil {
 		return nil, err
 	}
-	data, _, err := acceptStream(ctx, session, o, wire.StreamKind_STREAM_DATA)
+	data, _, err := acceptStream(ctx, session, o, wire.StreamKind_STREAM_DATA, func() { raw.introduced.Store(true) })
 	if err != nil {
 		return nil, err
 	}
 	return newConn(session, raw, o, peer, control, data), nil
 }
 
-func acceptStream(ctx context.Context, session *yamux.Session, o Options, kind wire.StreamKind) (*yamux.Stream, Identity, error) {
+// acceptStream accepts one stream. It calls introduced before it answers the peer, who
+// may send anything then.
+func acceptStream(ctx context.Context, session *yamux.Session, o Options, kind wire.StreamKind, introduced func()) (*yamux.Stream, Identity, error) {
 	s, err := session.AcceptStreamWithContext(ctx)
 	if err != nil {
 		return nil, Identity{}, err
@@ -105,6 +112,7 @@
 		sendRefusal(s, err)
 		return nil, Identity{}, err
 	}
+	introduced()
 	if err := writeFrame(s, helloFrame(o.Local, kind)); err != nil {
 		return nil, Identity{}, err
 	}
@@ -166,5 +174,5 @@
 // readFrame reads one frame without reading ahead, because the Conn creates a
 // buffered reader of its own on the stream afterwards.
 func readFrame(s *yamux.Stream) (*wire.Frame, error) {
-	return wire.ReadUnbuffered(s)
+	return wire.ReadUnbuffered(s, maxHelloBytes)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,7 @@
 
 	Jobs     Jobs
 	Platform Platform
+	Limits   Limits
 
 	texts map[string]string // effective text of each setting, for Write
 }
--- a/wire/framing.go
+++ b/wire/framing.go
@@ -76,22 +76,22 @@
 
 // Read returns the next frame. The frame does not share memory with the Reader.
 func (r *Reader) Read() (*Frame, error) {
-	return readFrame(r.r, &r.buf)
+	return readFrame(r.r, &r.buf, MaxFrameBytes)
 }
 
-// ReadUnbuffered reads one frame from r without reading ahead.
-func ReadUnbuffered(r io.Reader) (*Frame, error) {
-	return readFrame(r, new([]byte))
+// ReadUnbuffered reads one frame of at most maxBytes from r without reading ahead.
+func ReadUnbuffered(r io.Reader, maxBytes uint32) (*Frame, error) {
+	return readFrame(r, new([]byte), maxBytes)
 }
 
 // readFrame reads one frame into *scratch, which it grows as needed.
-func readFrame(r io.Reader, scratch *[]byte) (*Frame, error) {
+func readFrame(r io.Reader, scratch *[]byte, maxBytes uint32) (*Frame, error) {
 	var prefix [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	size := binary.BigEndian.Uint32(prefix[:])
-	if size > MaxFrameBytes {
+	if size > maxBytes {
 		return nil, ErrFrameTooLarge
 	}
 	if cap(*scratch) < int(size) {
