--- a/settings/keys.go
+++ b/settings/keys.go
@@ -54,7 +54,7 @@
 
 		{"limits", "body_mb", "MiB", "", "request bodies that the process holds at once; an eighth of daemon.memory if empty, and 5 at least", optional(integer(&s.Limits.BodyMiB, minBodyMiB, 1<<16))},
 		{"limits", "connections", "connections", "", "connections of clients to all listeners; if empty, as many as half of daemon.memory holds at 48 KiB each; always under three quarters of the descriptors", optional(integer(&s.Limits.Connections, minConnections, 1<<20))},
-		{"limits", "descriptors", "descriptors", "", "descriptors that the process may open; the limit of the system if empty, or if that is lower", optional(integer(&s.Limits.Descriptors, 64, 1<<20))},
+		{"limits", "descriptors", "descriptors", "", "descriptors that the process may open; the limit of the system if empty or 0, or if that is lower", optional(integer(&s.Limits.Descriptors, 0, 1<<20))},
 		{"limits", "body_window", "duration", "10s", "time in which 4 KiB of a request body, or its end, must arrive", duration(&s.Limits.BodyWindow, 3, 600)},
 
 		{"admin", "listen", "ip:port", "127.0.0.1:8081", "address for operators", address(&s.Admin.Listen)},
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -15,7 +15,7 @@
 	// assumedMemoryMiB and assumedDescriptors stand for unknown limits.
 	assumedMemoryMiB   = 1024
 	assumedDescriptors = 1024
-	// The limit of the runtime does not cover the program itself, 13 MiB resident, nor the
+	// The limit of the runtime does not cover the program itself, measured: 16 MiB resident, nor the
 	// bytes that the kernel holds for connections, so a part is kept back for them.
 	programMiB  = 16
 	kernelShare = 8
@@ -25,7 +25,7 @@
 	// minBodyMiB leaves room for one body of the largest size of any listener, 4 MiB.
 	minBodyMiB = 5
 	// connectionShare is the part of the memory for connections, each of which takes
-	// connectionBytes with the largest header of a caller. Measured: 20 kB while idle.
+	// connectionBytes with the largest header of a caller. Measured while idle: 21 KiB.
 	connectionShare = 2
 	connectionBytes = 48 << 10
 	// A quarter of the descriptors and ownDescriptors more are kept back for links and
