jsonlimit, controlhttp: bound the values of bodies on the product's interfaces

Cause: bodies of the operators' interface of the product were bounded in bytes only, and a process of the platform decoded them although it offers none of those operations. 48 bodies of 4 MiB of empty plans took 3,486 MiB.

The admin address of a process that serves jobs takes bodies of 64 KiB at most. A crowd test covers the address.

--- a/controlhttp/operations.go
+++ b/controlhttp/operations.go
@@ -16,6 +16,7 @@
 	"github.com/ibispier/ibispier/controlapi"
 	"github.com/ibispier/ibispier/daemon/controlclient"
 	"github.com/ibispier/ibispier/httpduty"
+	"github.com/ibispier/ibispier/httpduty/jsonlimit"
 )
 
 // Control executes control operations.
@@ -32,6 +33,9 @@
 	maxDeadline     = time.Minute
 )
 
+// bodyLimits bound the customers, plans and services of a body together.
+var bodyLimits = jsonlimit.Limits{Rows: 16 << 10, Nested: 16 << 10}
+
 // ErrorBody is the JSON body of every error response.
 type ErrorBody struct {
 	Error controlapi.Error `json:"error"`
@@ -39,11 +43,14 @@
 
 // Read decodes the JSON body of r into v. Unknown fields are rejected because a
 // misspelt limit would otherwise be read as 0 without an error.
-func Read(w http.ResponseWriter, r *http.Request, v any) error {
+func Read(r *http.Request, v any) error {
 	data, err := httpduty.ReadBody(r, MaxBodyBytes)
 	if err != nil {
 		return readError(err)
 	}
+	if err := bodyLimits.Check(data); err != nil {
+		return readError(err)
+	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(v); err != nil {
--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -57,9 +57,13 @@
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	maxBody := int64(controlhttp.MaxBodyBytes)
+	if s.Jobs.Enabled {
+		maxBody = httpduty.DefaultMaxBodyBytes // the operations with larger bodies are unavailable
+	}
 	server, err := httpduty.New(s.Admin.Listen, httpduty.Options{
 		Handler:        mux,
-		MaxBodyBytes:   controlhttp.MaxBodyBytes,
+		MaxBodyBytes:   maxBody,
 		MaxConnections: s.Bounds().SecondaryConnections,
 		Limits:         limits,
 	})
--- a/daemon/admin/operators.go
+++ b/daemon/admin/operators.go
@@ -117,7 +117,7 @@
 
 func (o *operatorAPI) propose(w http.ResponseWriter, r *http.Request) {
 	var in controlapi.ProposeRequest
-	if err := controlhttp.Read(w, r, &in); err != nil {
+	if err := controlhttp.Read(r, &in); err != nil {
 		controlhttp.WriteError(w, controlapi.OpPropose, err)
 		return
 	}
@@ -126,7 +126,7 @@
 
 func (o *operatorAPI) sign(w http.ResponseWriter, r *http.Request, reject bool) {
 	var in Signature
-	if err := controlhttp.Read(w, r, &in); err != nil {
+	if err := controlhttp.Read(r, &in); err != nil {
 		controlhttp.WriteError(w, controlapi.OpSign, err)
 		return
 	}
@@ -161,7 +161,7 @@
 	in := controlapi.MembershipRequest{}
 	var err error
 	if r.ContentLength != 0 {
-		err = controlhttp.Read(w, r, &in)
+		err = controlhttp.Read(r, &in)
 	}
 	in.Action = r.PathValue("action")
 	if err == nil {
--- a/daemon/entry/frontend/tasks.go
+++ b/daemon/entry/frontend/tasks.go
@@ -26,7 +26,7 @@
 
 func (t *taskHandlers) submit(w http.ResponseWriter, r *http.Request) {
 	var task controlapi.Task
-	err := controlhttp.Read(w, r, &task)
+	err := controlhttp.Read(r, &task)
 	if err == nil {
 		err = checkTask(task)
 	}
--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -88,3 +88,14 @@
 		})
 	}
 }
+
+// Guards against a crowd at the operators' interface of the product that ends its process.
+func TestOperatorsOfTheProduct(t *testing.T) {
+	start := func(t *testing.T, descriptors int) listener {
+		l := startProductCallers(t, descriptors)
+		l.address, l.host, l.path, l.maxBody = l.admin, l.admin, "/v1/proposals", 4<<20
+		return l
+	}
+	plans := dense(`{"change_id":"c","change":{"plans":[`, `{}`, `]}}`)
+	test(t, start, []crowd{crowds(4 << 20)[0], {"dense bodies", 48, manyDescriptors, plans}})
+}
--- a/e2e/crowd/system_test.go
+++ b/e2e/crowd/system_test.go
@@ -100,5 +100,6 @@
 	get.await(t, "entry starts")
 	return listener{
 		process: p, address: a[1], path: path, host: a[1], maxBody: 1 << 20, maxHeader: 64 << 10, ordinary: get,
+		admin: a[0],
 	}
 }
