bench: pass no limits to the agent of the scale test

Cause: agent.New takes the limits of the process since bodies are admitted before they are read, and the scale test of bench did not compile with that. Change: the test passes none, which gives its server limits of its own. The scale test itself was not run.

--- a/bench/scale_test.go
+++ b/bench/scale_test.go
@@ -70,7 +70,7 @@
 	for _, e := range c.Entries {
 		s.Cluster.Entries = append(s.Cluster.Entries, e.LinkAddress)
 	}
-	role, err := agent.New(s, telemetry.Telemetry{Log: zap.NewNop()}, nil)
+	role, err := agent.New(s, telemetry.Telemetry{Log: zap.NewNop()}, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
