control/jobs, job/dispatch, httpduty: findings of the reviews

Cause: two developers who had not written the parts reviewed the merged code. A job that no target can run held the place of the overdue one; a moved task could move again at once; moves ignored gangs and lasting tasks; room that is set aside blocked idle jobs; a copy overwrote its first run in the meter; the forecast of refusals follows an order that other settings change. A few slow senders could hold the room for large bodies, large bodies behind one address kept small ones out, a body that the handler does not read held its connection for 10 s, and a full listener cut bodies of others. Change: as the findings propose; refuse_hopeless excludes postpone_large and queue_shares.

--- a/daemon/control/jobs/backlog.go
+++ b/daemon/control/jobs/backlog.go
@@ -64,7 +64,7 @@
 		}
 		s, q := &j.Spec.Steps[start.Task.Step], st.QueueOf(j)
 		r.backlogs.meter.Started(now, start.Task, backlog.Run{
-			Number: start.Run, Pool: poolOf(q, s), Queue: q.Name, Cores: float64(s.Need.CPUMilli) / 1000, EstimateMillis: s.EstimateMillis,
+			Number: start.Run, Pool: poolOf(q, s), Queue: q.Name, Cores: float64(s.Need.CPUMilli) / 1000, EstimateMillis: s.EstimateMillis, Copy: start.Copy,
 		})
 	}
 }
@@ -250,7 +250,7 @@
 	}
 	v.meter.Sample(now, samples, func(ref job.Ref, run int) bool {
 		_, t := e.store.Find(ref)
-		return t != nil && t.HoldsCapacity() && t.Run == run
+		return t != nil && (t.IsPlaced(run) || t.HoldsCapacity() && t.Run == run)
 	})
 	e.showDrain(samples)
 }
--- a/daemon/control/jobs/failures.go
+++ b/daemon/control/jobs/failures.go
@@ -88,7 +88,10 @@
 	ended := func(id string) bool { j := st.Jobs[id]; return j == nil || !j.IsLive() }
 	l.faults.ForgetSteps(ended)
 	maps.DeleteFunc(l.startedAt, func(ref job.Ref, _ time.Time) bool { return ended(ref.Job) })
-	maps.DeleteFunc(l.unsentStarts, func(key runKey, _ bool) bool { return ended(key.task.Job) })
+	maps.DeleteFunc(l.unsentStarts, func(key runKey, _ bool) bool {
+		_, t := st.Find(key.task)
+		return ended(key.task.Job) || t == nil || !t.IsPlaced(key.run)
+	})
 	if l.stragglers != nil {
 		l.stragglers.Forget(ended)
 	}
--- a/daemon/control/jobs/leadership.go
+++ b/daemon/control/jobs/leadership.go
@@ -44,6 +44,7 @@
 	startedAt         map[job.Ref]time.Time // when the start of a lasting task was committed in this term
 	moves             map[job.Ref]int       // runs that are stopped to start elsewhere
 	movesPlannedAt    time.Time
+	movedAt           map[job.Ref]time.Time            // when tasks were last moved
 	workRates         map[dispatch.Pool]*overload.Rate // work done in this term
 	ending            map[string]endingJob             // jobs that the command being applied may finish
 	refusals          *refusals                        // holds of refused IDs, and the measurements that decide on refusals
@@ -116,6 +117,7 @@
 		faults:         faults.NewTracker(),
 		newestReports:  map[string]reportKey{},
 		startedAt:      map[job.Ref]time.Time{},
+		movedAt:        map[job.Ref]time.Time{},
 		workRates:      map[dispatch.Pool]*overload.Rate{},
 		ending:         map[string]endingJob{},
 		stragglers:     newStragglers(o),
--- a/daemon/control/jobs/moves.go
+++ b/daemon/control/jobs/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +18,9 @@
 	// moveInterval is the time between two decisions on moves. It is short beside a run
 	// and long beside the time in which the stop of a move is reported.
 	moveInterval = 200 * time.Millisecond
+	// moveRest is how long a task stays after a move before it is moved again, so that one
+	// that is slowed down everywhere works in between.
+	moveRest = 2 * time.Second
 	// maxMovesLogged bounds the tasks named in one line.
 	maxMovesLogged = 8
 )
@@ -54,11 +58,16 @@
 		if s := l.sessions[t.Target]; s != nil {
 			l.queueCheck(s)
 		}
-		if l.moves[ref] != t.Run && len(logged) < maxMovesLogged {
+		if l.moves[ref] == t.Run {
+			continue
+		}
+		l.movedAt[ref] = now
+		if len(logged) < maxMovesLogged {
 			logged = append(logged, ref.String())
 		}
 	}
 	l.moves = moves
+	maps.DeleteFunc(l.movedAt, func(_ job.Ref, at time.Time) bool { return now.Sub(at) >= moveRest })
 	if len(logged) > 0 {
 		e.options.Metrics.Counter("ibispier_jobs_moves_total").Inc(int64(len(moves)))
 		e.log.Info("slowed tasks moved", zap.Int("slowed", len(slowed)), zap.Int("moved", len(moves)), zap.Strings("tasks", logged))
@@ -66,7 +75,8 @@
 }
 
 // movableTasks returns the tasks that have been slowed down for long enough. One without
-// checkpoints loses its work by a move, so only a pause of maxPause is reason enough.
+// checkpoints loses its work by a move, a member of a gang that of the others, and one that
+// lasts counts as away meanwhile, so only a pause of maxPause is reason enough for those.
 func (e *engine) movableTasks(now time.Time) []job.Ref {
 	var movable []job.Ref
 	for _, s := range e.leader.sessions {
@@ -75,8 +85,13 @@
 			if t == nil || t.State != job.Placed || t.Target != s.target || t.Run != s.runs[ref] {
 				continue
 			}
+			if _, rests := e.leader.movedAt[ref]; rests && e.leader.moves[ref] != t.Run {
+				continue
+			}
+			step := &j.Spec.Steps[ref.Step]
+			mayLeave := step.Checkpoints && !step.Gang && !step.Lasting
 			pausedSince, paused := s.pausedSince[ref]
-			if j.Spec.Steps[ref.Step].Checkpoints && now.Sub(since) >= minSlowed || paused && now.Sub(pausedSince) >= maxPause {
+			if mayLeave && now.Sub(since) >= minSlowed || paused && now.Sub(pausedSince) >= maxPause {
 				movable = append(movable, ref)
 			}
 		}
--- a/httpduty/body.go
+++ b/httpduty/body.go
@@ -42,8 +42,14 @@
 			return
 		}
 		defer s.limits.release(body.reservation)
-		r.Body = body
-		next.ServeHTTP(w, r)
+		// net/http knows its own type of body in its request, and answers at once where the
+		// handler has not read it. So the handler gets a copy.
+		admitted := *r
+		admitted.Body = body
+		next.ServeHTTP(w, &admitted)
+		if body.err == nil { // not read to its end, which net/http waits for
+			_ = c.SetReadDeadline(time.Now().Add(refusalTime))
+		}
 	})
 }
 
--- a/httpduty/bodylimit/bodylimit.go
+++ b/httpduty/bodylimit/bodylimit.go
@@ -15,9 +15,11 @@
 	// SmallBytes bounds the bodies that may use the last sixteenth of the budget, so that
 	// large bodies do not keep ordinary requests out. Most submissions are smaller.
 	SmallBytes = 16 << 10
-	// ProgressBytes counts as progress of a body. Fewer bytes do not, so that a sender
-	// of single bytes does not keep its reservation.
+	// ProgressBytes, and progressShare of the reservation, count as progress of a body.
+	// Fewer bytes do not, so that a sender of single bytes, or of a large body in small
+	// pieces, does not keep its reservation for long.
 	ProgressBytes = 4 << 10
+	progressShare = 32
 	// StallTime is how long a body may make no progress before it gives way to another
 	// one that finds no room. A lost packet is usually sent again within that time.
 	StallTime = 3 * time.Second
@@ -31,9 +33,10 @@
 }
 
 // NewLimits returns the limits for a budget of that many bytes. Many clients may share
-// an address behind a load balancer, so an address may hold almost everything.
+// an address behind a load balancer, so an address may hold almost everything: all large
+// bodies, and half of what is kept for small ones.
 func NewLimits(total int64) Limits {
-	return Limits{Total: total, Large: total - total/16, PerAddress: total - total/16}
+	return Limits{Total: total, Large: total - total/16, PerAddress: total - total/32}
 }
 
 // Body is a body with a reservation.
@@ -89,7 +92,7 @@
 // as progress together with those before.
 func (b *Budget) Progress(now time.Time, body *Body, bytes int64) bool {
 	body.progress += bytes
-	if body.progress < ProgressBytes || body.waiting == nil {
+	if body.progress < max(ProgressBytes, body.bytes/progressShare) || body.waiting == nil {
 		return false
 	}
 	body.progress, body.moved = 0, now
@@ -119,10 +122,10 @@
 	}
 }
 
-// DisplaceStalled releases the body whose last progress is the longest ago, if it has
-// stalled, and returns it; otherwise nil.
-func (b *Budget) DisplaceStalled(now time.Time) *Body {
-	return b.displace(now, func(*Body) bool { return true })
+// DisplaceStalled releases the body, of those that may give way, whose last progress is
+// the longest ago, if it has stalled, and returns it; otherwise nil.
+func (b *Budget) DisplaceStalled(now time.Time, gives func(*Body) bool) *Body {
+	return b.displace(now, gives)
 }
 
 // reserve raises the reservation of body to bytes, for which stalled bodies give way.
--- a/httpduty/conn.go
+++ b/httpduty/conn.go
@@ -48,6 +48,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending side. net/http looks for it: without it, the client of a
+// refused body may see a reset in place of the refusal.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // limitedListener accepts connections up to the limit of the server.
 type limitedListener struct {
 	net.Listener
@@ -77,7 +86,7 @@
 	}
 	c := &conn{Conn: raw, server: s, address: address}
 	displaced := s.add(c)
-	if c.entry == nil && s.limits.displaceStalled() {
+	if c.entry == nil && s.limits.displaceStalled(s) {
 		displaced = s.add(c)
 	}
 	if c.entry == nil {
--- a/httpduty/limits.go
+++ b/httpduty/limits.go
@@ -105,10 +105,10 @@
 	l.budget.Release(body)
 }
 
-// displaceStalled closes the connection of one stalled body, if there is one.
-func (l *Limits) displaceStalled() bool {
+// displaceStalled closes the connection of one stalled body on the server, if there is one.
+func (l *Limits) displaceStalled(s *Server) bool {
 	l.mu.Lock()
-	body := l.budget.DisplaceStalled(time.Now())
+	body := l.budget.DisplaceStalled(time.Now(), func(b *bodylimit.Body) bool { return b.Owner.(*conn).server == s })
 	l.mu.Unlock()
 	if body == nil {
 		return false
--- a/job/backlog/meter.go
+++ b/job/backlog/meter.go
@@ -61,6 +61,7 @@
 	Queue          string
 	Cores          float64
 	EstimateMillis int64
+	Copy           bool // of a task with another run
 }
 
 // Meter measures the drain of each pool and the ratio of real to estimated run times of
@@ -104,8 +105,12 @@
 // MeasuredFor returns for how long the meter has measured.
 func (m *Meter) MeasuredFor(now time.Time) time.Duration { return now.Sub(m.since) }
 
-// Started notes that a run was started.
+// Started notes that a run was started. A copy beside an active run is not measured: the
+// first run tells how long the task takes, also if the copy ends before it.
 func (m *Meter) Started(now time.Time, ref job.Ref, r Run) {
+	if r.Copy && m.running[ref] != nil {
+		return
+	}
 	m.running[ref] = &activeRun{Run: r, startedAt: now, creditedAt: now}
 }
 
--- a/job/dispatch/filters.go
+++ b/job/dispatch/filters.go
@@ -34,7 +34,7 @@
 		return NotStartable
 	case ts.suspended && !p.probing:
 		return Suspended
-	case isSetAside(ts, s, ref):
+	case !p.skipFillingFilters && isSetAside(ts, s, ref):
 		return SetAside
 	case !servesQueue(ts, q):
 		return OtherService
--- a/job/dispatch/misfits.go
+++ b/job/dispatch/misfits.go
@@ -25,7 +25,7 @@
 	reserved   resource.Vector
 	cpuMilli   int64
 	filling    bool
-	unfiltered bool    // the filters for filling tasks are ignored
+	unfiltered bool    // the filters for filling tasks, and room that is set aside, are ignored
 	probing    bool    // suspended targets are used
 	step       stepKey // of a step with a limit per target
 	gang       int     // number of tasks that start together or not at all
@@ -42,8 +42,9 @@
 func (p *pass) shapeOf(q *job.Queue, s *job.Step, ref job.Ref) shape {
 	key := shape{service: q.Service, label: s.Label, reserved: s.Reserved(), cpuMilli: s.Need.CPUMilli, filling: s.Filling}
 	key.probing = p.probing
+	key.unfiltered = p.skipFillingFilters
 	if s.Filling {
-		key.image, key.unfiltered = s.Image, p.skipFillingFilters
+		key.image = s.Image
 	}
 	if s.MaxPerTarget > 0 {
 		key.step = stepOf(ref)
--- a/job/dispatch/postpone.go
+++ b/job/dispatch/postpone.go
@@ -40,9 +40,22 @@
 	return work
 }
 
-// mayPostpone reports whether the part belongs to a job with an objective.
-func mayPostpone(r *rankedPart) bool {
-	return !r.failed && r.job.Spec.OccurrenceCount == 0 && !r.job.Spec.Steps[0].Lasting
+// mayPostpone reports whether the part belongs to a job with an objective that waits for
+// room. One that no target could run even if it were empty takes no room from others.
+func (p *pass) mayPostpone(r *rankedPart) bool {
+	return !r.failed && r.job.Spec.OccurrenceCount == 0 && !r.job.Spec.Steps[0].Lasting && p.couldRun(r.job)
+}
+
+// couldRun reports whether some target could run a waiting task of the job if it were
+// empty.
+func (p *pass) couldRun(j *job.Job) bool {
+	q := p.Store.QueueOf(j)
+	for s := range j.Spec.Steps {
+		if p.waitsForRoom(j, q, 0, s) {
+			return true
+		}
+	}
+	return false
 }
 
 // postpone marks the parts that are delayed because not all can be in time, and the
@@ -67,7 +80,7 @@
 func (p *pass) postponeGroup(group []rankedPart, ahead map[Pool]int64) {
 	members := map[Pool][]*rankedPart{}
 	for i := range group {
-		if r := &group[i]; mayPostpone(r) {
+		if r := &group[i]; p.mayPostpone(r) {
 			pool := poolOf(r.job, p.Store.QueueOf(r.job))
 			members[pool] = append(members[pool], r)
 		}
@@ -99,20 +112,26 @@
 	return overload.Job{DueMillis: due, PathMillis: criticalPathMillis(r.job, true, p.limits.MinPace), Work: openWork(r.job)}
 }
 
-// markOverdue marks the job of each priority that has waited longest, measured by its
-// objective, if it has waited for more than overdueFactor times as long.
+// competitors are the jobs of one priority that compete for the same room.
+type competitors struct {
+	Pool
+	priority int
+}
+
+// markOverdue marks, among the jobs that compete, the one that has waited longest, measured
+// by its objective, if it has waited for more than overdueFactor times as long.
 func (p *pass) markOverdue(ranked []rankedPart) {
-	most := map[int]float64{}
-	oldest := map[int]*rankedPart{}
+	most := map[competitors]float64{}
+	oldest := map[competitors]*rankedPart{}
 	for i := range ranked {
 		r := &ranked[i]
-		if !mayPostpone(r) {
+		q := p.Store.QueueOf(r.job)
+		if r.objective != missed || !p.mayPostpone(r) {
 			continue
 		}
-		objective := max(objectiveMillis(r.job, p.Store.QueueOf(r.job)), 1)
-		waited := float64(p.Now.UnixMilli()-r.job.AtMillis) / float64(objective)
-		if waited > overdueFactor && waited > most[r.priority] {
-			most[r.priority], oldest[r.priority] = waited, r
+		waited := float64(p.Now.UnixMilli()-r.job.AtMillis) / float64(max(objectiveMillis(r.job, q), 1))
+		if key := (competitors{poolOf(r.job, q), r.priority}); waited > overdueFactor && waited > most[key] {
+			most[key], oldest[key] = waited, r
 		}
 	}
 	for _, r := range oldest {
--- a/job/dispatch/postpone_test.go
+++ b/job/dispatch/postpone_test.go
@@ -80,6 +80,20 @@
 	}
 }
 
+// Guards against a job that no target can run, and that for ever has the place of the
+// overdue job.
+func TestOverdueJobThatNoTargetCanRunHasNoPlace(t *testing.T) {
+	w := newFixture(1)
+	unfit := fillingStep(4)
+	unfit.Label = "none"
+	w.submit(2, 95*time.Second, unfit)
+	overdue := w.submit(2, 90*time.Second, fillingStep(4))
+	submitBurst(w)
+	if starts := w.runWith(postponingLimits(), 64_000); len(starts) == 0 || starts[0].Task.Job != overdue {
+		t.Fatalf("starts %v, want the overdue job that can run first", starts)
+	}
+}
+
 // Guards against a filling task beside a serving image that it disturbs strongly, while
 // another target with as much idle processor time serves one that it hardly disturbs.
 func TestFillingTaskTakesLittleHeadroom(t *testing.T) {
--- a/settings/check.go
+++ b/settings/check.go
@@ -32,6 +32,9 @@
 		return missing("agent", "service", "a target serves a service")
 	case s.Jobs.RefuseHopeless && !(s.Jobs.Enabled && s.HasRole(RoleControl)):
 		return Error.New("file=%s section=jobs key=refuse_hopeless: only control members with jobs.enabled refuse submissions", path)
+	case s.Jobs.RefuseHopeless && (s.Jobs.PostponeLarge || s.Jobs.QueueShares != nil):
+		// The forecast of a refusal follows the order of deadlines.
+		return Error.New("file=%s section=jobs key=refuse_hopeless: excludes postpone_large and queue_shares", path)
 	}
 	return s.checkMembers(path)
 }
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -76,7 +76,7 @@
 		{"jobs", "lease", "duration", "4s", "lease of a target; once it has expired, the work of the target starts elsewhere", duration(&s.Jobs.Lease, 1, 60)},
 		{"jobs", "max_lease_ms", "ms", "", "longest lease that a target takes, 10000 if empty; role agent", optional(integer(&s.Jobs.MaxLeaseMillis, 1, 600_000))},
 		{"jobs", "retention", "duration", "4m", "time that the state of a finished job, or the cancel of an unknown one, is kept", duration(&s.Jobs.Retention, 1, 86400)},
-		{"jobs", "refuse_hopeless", "bool", "false", "refuse submissions that surely cannot be done in time, with a Retry-After; role control", boolean(&s.Jobs.RefuseHopeless)},
+		{"jobs", "refuse_hopeless", "bool", "false", "refuse submissions that surely cannot be done in time, with a Retry-After; excludes postpone_large and queue_shares; role control", boolean(&s.Jobs.RefuseHopeless)},
 		{"jobs", "queue_shares", "list", "", "shares of the queues of one priority when room is short: empty for none, or equal, followed by the weights of queues that differ from 1; role control", queueShares(&s.Jobs.QueueShares)},
 		{"jobs", "copies", "bool", "false", "start copies of stragglers where the step allows it; role control", boolean(&s.Jobs.Copies)},
 
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -42,7 +42,7 @@
 	otherShare = 4
 	// maxHandshakes bounds the links whose peer has not introduced itself yet. After a
 	// restart of a control member, all instances connect within a second.
-	maxHandshakes   = 256
+	maxHandshakes   = 512
 	handshakesShare = 8
 )
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -36,6 +36,7 @@
 		{"stranger", strings.Replace(validSettings, "entry", "control", 1) + "[cluster]\ncontrol = c2@127.0.0.1:1\n", "section=cluster key=control"},
 		{"member twice", validSettings + "[cluster]\ncontrol = c2@127.0.0.1:1, c2@127.0.0.1:2\n", "section=cluster key=control"},
 		{"several lines", validSettings + "[agent]\nservice = \"\"\"a\nb\"\"\"\n", "section=agent key=service: \"a\\nb\" has several lines"},
+		{"refusing in another order", strings.Replace(validSettings, "entry", "control", 1) + "[cluster]\ncontrol = e1@127.0.0.1:1\n[platform]\ncontrol = 127.0.0.1:2\n[jobs]\nenabled = true\nrefuse_hopeless = true\npostpone_large = true\n", "section=jobs key=refuse_hopeless"},
 		{"refusing without jobs", strings.Replace(validSettings, "entry", "control", 1) + "[cluster]\ncontrol = e1@127.0.0.1:1\n[jobs]\nrefuse_hopeless = true\n", "section=jobs key=refuse_hopeless"},
 		{"no value", validSettings + "[entry]\nnonsense\n", "nonsense"},
 	}
