--- a/daemon/control/jobs/moves.go
+++ b/daemon/control/jobs/moves.go
@@ -51,7 +51,7 @@
 		return
 	}
 	moves := map[job.Ref]int{}
-	var logged []string
+	var started []string
 	for _, ref := range append(l.dispatcher.Moves(e.dispatchInput(now), slowed), e.memoryHolders(now)...) {
 		_, t := e.store.Find(ref)
 		moves[ref] = t.Run
@@ -62,15 +62,14 @@
 			continue
 		}
 		l.movedAt[ref] = now
-		if len(logged) < maxMovesLogged {
-			logged = append(logged, ref.String())
-		}
+		started = append(started, ref.String())
 	}
 	l.moves = moves
 	maps.DeleteFunc(l.movedAt, func(_ job.Ref, at time.Time) bool { return now.Sub(at) >= moveRest })
-	if len(logged) > 0 {
-		e.options.Metrics.Counter("ibispier_jobs_moves_total").Inc(int64(len(moves)))
-		e.log.Info("slowed tasks moved", zap.Int("slowed", len(slowed)), zap.Int("moved", len(moves)), zap.Strings("tasks", logged))
+	if len(started) > 0 {
+		e.options.Metrics.Counter("ibispier_jobs_moves_total").Inc(int64(len(started)))
+		e.log.Info("slowed tasks moved", zap.Int("slowed", len(slowed)), zap.Int("moved", len(started)),
+			zap.Strings("tasks", started[:min(len(started), maxMovesLogged)]))
 	}
 }
 
