httpduty, settings: fixed buffers of the kernel for connections

Operators saw: clients that the process refuses, or whose requests it is still working on, send on, and what arrives counts towards the memory of the machine until the process is killed at its limit.

Cause: the kernel sizes the buffers of a connection by itself. It takes 128 KiB of requests from the start, several MiB once the connection has carried data, and up to 4 MiB of responses that nobody reads. The limits of the process only counted what it had read.

Change: package tcplisten opens listeners with buffers of a fixed size. A quarter of the memory is for them, and the limit of the Go runtime and the number of connections are derived accordingly. A connection of a caller takes up to 48 KiB. Operators and a target have few connections with up to 384 KiB each, since their bodies have up to 4 MiB.

--- a/daemon/admin/admin.go
+++ b/daemon/admin/admin.go
@@ -61,10 +61,12 @@
 	if s.Jobs.Enabled {
 		maxBody = httpduty.DefaultMaxBodyBytes // the operations with larger bodies are unavailable
 	}
+	bounds := s.Bounds().Secondary
 	server, err := httpduty.New(s.Admin.Listen, httpduty.Options{
 		Handler:        mux,
 		MaxBodyBytes:   maxBody,
-		MaxConnections: s.Bounds().SecondaryConnections,
+		MaxConnections: bounds.Connections,
+		Socket:         bounds.Socket,
 		Limits:         limits,
 	})
 	if err != nil {
--- a/daemon/agent/targetapi/targetapi.go
+++ b/daemon/agent/targetapi/targetapi.go
@@ -40,10 +40,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/target", d.announce)
 	mux.HandleFunc("DELETE /v1/target", d.drain)
+	bounds := s.Bounds().Others
 	server, err := httpduty.New(s.Agent.Listen, httpduty.Options{
 		Handler:        mux,
 		MaxBodyBytes:   maxBody,
-		MaxConnections: s.Bounds().OtherConnections,
+		MaxConnections: bounds.Connections,
+		Socket:         bounds.Socket,
 		Limits:         limits,
 	})
 	if err != nil {
--- a/daemon/entry/frontend/frontend.go
+++ b/daemon/entry/frontend/frontend.go
@@ -40,12 +40,14 @@
 func New(s *settings.Settings, requestRouter *router.Duty, limits *httpduty.Limits, logger *zap.Logger) (*Duty, error) {
 	d := &Duty{mux: http.NewServeMux(), router: requestRouter, settings: s.Entry, log: logger}
 	d.mux.HandleFunc("/v1/services/{service}/{path...}", d.instrument(d.serveRequest))
+	bounds := s.Bounds().Callers
 	server, err := httpduty.New(s.Entry.Listen, httpduty.Options{
 		Handler:        d.mux,
 		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: s.Entry.MaxHeaderBytes,
 		MaxBodyBytes:   max(s.Entry.MaxBodyBytes, controlhttp.MaxBodyBytes), // of requests, of tasks
-		MaxConnections: s.Bounds().CallerConnections,
+		MaxConnections: bounds.Connections,
+		Socket:         bounds.Socket,
 		Limits:         limits,
 		RefuseBody:     refuseBody,
 	})
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -80,10 +80,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	bounds := s.Bounds().Others
 	httpServer, err := httpduty.New(s.Platform.ControlListen, httpduty.Options{
 		Handler:        operator,
 		MaxBodyBytes:   platform.MaxBodyBytes,
-		MaxConnections: s.Bounds().OtherConnections,
+		MaxConnections: bounds.Connections,
+		Socket:         bounds.Socket,
 		Limits:         d.limits,
 	})
 	if err != nil {
@@ -135,7 +137,8 @@
 		IdleTimeout:    platform.IdleTimeout,
 		MaxHeaderBytes: platform.MaxHeaderBytes,
 		MaxBodyBytes:   platform.MaxSubmissionBytes,
-		MaxConnections: bounds.CallerConnections,
+		MaxConnections: bounds.Callers.Connections,
+		Socket:         bounds.Callers.Socket,
 		Limits:         d.limits,
 	})
 	if err != nil {
@@ -143,7 +146,8 @@
 	}
 	ready, err := httpduty.New(d.settings.Platform.ReadinessListen, httpduty.Options{
 		Handler:        platform.NewReadinessHandler(d.readiness.Ready),
-		MaxConnections: bounds.SecondaryConnections,
+		MaxConnections: bounds.Secondary.Connections,
+		Socket:         bounds.Secondary.Socket,
 		Limits:         d.limits,
 	})
 	if err != nil {
@@ -176,10 +180,12 @@
 		Telemetry: d.telemetry,
 		Observer:  d.observeFailure,
 	})
+	bounds := d.settings.Bounds().Others
 	httpServer, err := httpduty.New(d.settings.Platform.ControlListen, httpduty.Options{
 		Handler:        platform.NewAnnouncementHandler(role.Announcements, d.log),
 		MaxBodyBytes:   platform.MaxBodyBytes,
-		MaxConnections: d.settings.Bounds().OtherConnections,
+		MaxConnections: bounds.Connections,
+		Socket:         bounds.Socket,
 		Limits:         d.limits,
 	})
 	if err != nil {
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -18,8 +18,9 @@
 		s.Limits.Descriptors = system
 	}
 	b := s.Bounds()
-	t.Log.Info("client limits", zap.Int64("body_bytes", b.BodyBytes), zap.Int("caller_connections", b.CallerConnections),
-		zap.Int("other_connections", b.OtherConnections), zap.Int("secondary_connections", b.SecondaryConnections),
+	t.Log.Info("client limits", zap.Int64("body_bytes", b.BodyBytes), zap.Int("caller_connections", b.Callers.Connections),
+		zap.Int("other_connections", b.Others.Connections), zap.Int("secondary_connections", b.Secondary.Connections),
+		zap.Int("caller_receive_bytes", b.Callers.Socket.ReceiveBytes), zap.Int("other_receive_bytes", b.Others.Socket.ReceiveBytes),
 		zap.Int("handshakes", b.Handshakes), zap.Int("descriptors", s.Limits.Descriptors))
 	return httpduty.NewLimits(httpduty.LimitOptions{BodyBytes: b.BodyBytes, Window: s.Limits.BodyWindow, Telemetry: t})
 }
--- a/httpduty/httpduty.go
+++ b/httpduty/httpduty.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/ibispier/ibispier/httpduty/connlimit"
+	"github.com/ibispier/ibispier/tcplisten"
 )
 
 // Error is the class of all errors of this package.
@@ -42,7 +43,8 @@
 	MaxHeaderBytes int           // 0 for DefaultMaxHeaderBytes
 	MaxBodyBytes   int64         // 0 for DefaultMaxBodyBytes
 	MaxConnections int           // 0 for a default
-	Limits         *Limits       // of the process; nil for limits of its own
+	Socket         tcplisten.Options
+	Limits         *Limits // of the process; nil for limits of its own
 	// RefuseBody writes the response for a body that is not admitted. It must not read
 	// the body. nil for WriteBodyError.
 	RefuseBody func(http.ResponseWriter, *http.Request, error)
@@ -87,7 +89,7 @@
 
 // New opens the listener and returns the duty.
 func New(address string, o Options) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := tcplisten.Listen(address, o.Socket)
 	if err != nil {
 		return nil, Error.New("step=listen addr=%s: %w", address, err)
 	}
@@ -150,7 +152,7 @@
 		s.initial = nil
 		return listener, nil
 	}
-	listener, err := net.Listen("tcp", s.address)
+	listener, err := tcplisten.Listen(s.address, s.options.Socket)
 	if err != nil {
 		return nil, Error.New("step=listen addr=%s: %w", s.address, err)
 	}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -53,7 +53,7 @@
 		{"permit", "ttl", "duration", "2s", "length of a zone permit", duration(&s.Permit.TTL, 0.1, 3)},
 
 		{"limits", "body_mb", "MiB", "", "request bodies that the process holds at once; an eighth of daemon.memory if empty, and 5 at least", optional(integer(&s.Limits.BodyMiB, minBodyMiB, 1<<16))},
-		{"limits", "connections", "connections", "", "connections of clients to all listeners; if empty, as many as half of daemon.memory holds at 48 KiB each; always under three quarters of the descriptors", optional(integer(&s.Limits.Connections, minConnections, 1<<20))},
+		{"limits", "connections", "connections", "", "connections of clients to all listeners; if empty, as many as have 48 KiB each in the buffers of the kernel, which may take a quarter of daemon.memory; always under three quarters of the descriptors", optional(integer(&s.Limits.Connections, minConnections, 1<<20))},
 		{"limits", "descriptors", "descriptors", "", "descriptors that the process may open; the limit of the system if empty or 0, or if that is lower", optional(integer(&s.Limits.Descriptors, 0, 1<<20))},
 		{"limits", "body_window", "duration", "10s", "time in which 4 KiB of a request body, or its end, must arrive", duration(&s.Limits.BodyWindow, 3, 600)},
 
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/ibispier/ibispier/tcplisten"
+)
 
 // Limits bounds what the clients of a process hold together. 0 derives a value from the
 // memory or the descriptors of the process.
@@ -15,10 +19,11 @@
 	// assumedMemoryMiB and assumedDescriptors stand for unknown limits.
 	assumedMemoryMiB   = 1024
 	assumedDescriptors = 1024
-	// The limit of the runtime does not cover the program itself, measured: 16 MiB resident, nor the
-	// bytes that the kernel holds for connections, so a part is kept back for them.
+	// programMiB is resident beside what the runtime counts, measured. kernelShare is the
+	// part of the memory for what the kernel holds for connections. The runtime gets
+	// neither.
 	programMiB  = 16
-	kernelShare = 8
+	kernelShare = 4
 	// bodyShare is the part of the memory for bodies. While a body is decoded it takes
 	// several times its size.
 	bodyShare = 8
@@ -28,6 +33,15 @@
 	// connectionBytes with the largest header of a caller. Measured while idle: 21 KiB.
 	connectionShare = 2
 	connectionBytes = 48 << 10
+	// callerBufferBytes is what the kernel may hold for a connection of a caller. Most
+	// requests and responses fit, and a body of 256 KiB arrives in about 12 round trips.
+	callerBufferBytes = 48 << 10
+	// minBufferBytes still takes the header of an ordinary request. maxBufferBytes carries
+	// a body of 4 MiB over a long link at the rate that links to other members have.
+	minBufferBytes = 12 << 10
+	maxBufferBytes = 384 << 10
+	// A third of a buffer is for responses, which are smaller than requests.
+	sendShare = 3
 	// A quarter of the descriptors and ownDescriptors more are kept back for links and
 	// files.
 	ownDescriptors = 32
@@ -37,8 +51,10 @@
 	// use, and secondaryShare its part of all connections.
 	maxSecondary   = 64
 	secondaryShare = 8
-	// otherShare is the part of all connections for operators and for targets. Links
-	// need the descriptors of a control member.
+	// maxOther bounds the connections of operators, of whom at most eight send an order at
+	// once, and of a target. They are few, so that each may have a large buffer. otherShare
+	// is their part of all connections.
+	maxOther   = 64
 	otherShare = 4
 	// maxHandshakes bounds the links whose peer has not introduced itself yet. After a
 	// restart of a control member, all instances connect within a second.
@@ -46,14 +62,20 @@
 	handshakesShare = 8
 )
 
+// Listener bounds what the clients of one listener hold.
+type Listener struct {
+	Connections int
+	Socket      tcplisten.Options
+}
+
 // Bounds are the limits of a process, divided among its listeners.
 type Bounds struct {
-	RuntimeBytes         int64 // of the Go runtime
-	BodyBytes            int64 // of all request bodies
-	CallerConnections    int
-	OtherConnections     int // of operators, or of the target
-	SecondaryConnections int // to each of the addresses for readiness and administration
-	Handshakes           int // of links whose peer has not introduced itself
+	RuntimeBytes int64 // of the Go runtime
+	BodyBytes    int64 // of all request bodies
+	Callers      Listener
+	Others       Listener // of operators, or of the target
+	Secondary    Listener // each of the addresses for readiness and administration
+	Handshakes   int      // of links whose peer has not introduced itself
 }
 
 // Bounds returns the limits of the process, derived where the settings give none.
@@ -69,18 +91,38 @@
 	if body == 0 {
 		body = max(memory/bodyShare, minBodyMiB)
 	}
+	b := Bounds{
+		RuntimeBytes: max(memory-memory/kernelShare-programMiB, memory/2) << 20,
+		BodyBytes:    body << 20,
+		Handshakes:   max(min(maxHandshakes, descriptors/handshakesShare), 1),
+	}
+	b.divide(s, memory<<20, descriptors)
+	return b
+}
+
+// divide divides the connections, and what the kernel may hold for them, among the
+// listeners of the process.
+func (b *Bounds) divide(s *Settings, memoryBytes int64, descriptors int) {
+	kernelBytes := memoryBytes / kernelShare
 	connections := s.Limits.Connections
 	if connections == 0 {
-		connections = int(memory << 20 / connectionShare / connectionBytes)
+		connections = int(min(memoryBytes/connectionShare/connectionBytes, kernelBytes/callerBufferBytes))
 	}
 	connections = max(min(connections, descriptors*3/4-ownDescriptors), minConnections)
-	secondary := min(maxSecondary, connections/secondaryShare)
-	return Bounds{
-		RuntimeBytes:         max(memory-memory/kernelShare-programMiB, memory/2) << 20,
-		BodyBytes:            body << 20,
-		CallerConnections:    connections - 2*secondary,
-		OtherConnections:     connections / otherShare,
-		SecondaryConnections: secondary,
-		Handshakes:           max(min(maxHandshakes, descriptors/handshakesShare), 1),
-	}
+	secondary, other := min(maxSecondary, connections/secondaryShare), min(maxOther, connections/otherShare)
+	forCallers := connections - 2*secondary
+	buffer := min(kernelBytes/int64(connections), callerBufferBytes)
+	b.Secondary = newListener(secondary, buffer)
+	b.Callers = newListener(forCallers, buffer)
+	b.Others = newListener(other, min(kernelBytes/2/int64(other), maxBufferBytes))
+}
+
+// newListener returns the bounds of a listener whose connections have buffers of that
+// size together.
+func newListener(connections int, bufferBytes int64) Listener {
+	buffer := int(max(bufferBytes, minBufferBytes))
+	return Listener{Connections: connections, Socket: tcplisten.Options{
+		ReceiveBytes: buffer - buffer/sendShare,
+		SendBytes:    buffer / sendShare,
+	}}
 }
--- a/settings/limits_test.go
+++ b/settings/limits_test.go
@@ -30,19 +30,49 @@
 	}
 }
 
-// Guards against limits that use up the memory or the descriptors of a process.
+// Guards against limits that use up the memory or the descriptors of a process, with the
+// listeners of one role.
 func TestDerivedLimitsKeepResourcesBack(t *testing.T) {
-	for _, memory := range []int64{0, 64, 152, 284, 4096} {
-		for _, descriptors := range []int{0, 256, 1024, 4100, 1 << 20} {
-			s := Settings{Daemon: Daemon{MemoryMiB: memory}, Limits: Limits{Descriptors: descriptors}}
-			b := s.Bounds()
-			connections := b.CallerConnections + 2*b.SecondaryConnections
-			if connections <= 0 || b.OtherConnections <= 0 || descriptors > 0 && connections > descriptors*3/4 {
-				t.Errorf("memory=%d descriptors=%d: %+v", memory, descriptors, b)
-			}
-			if held := b.BodyBytes + int64(connections)*connectionBytes; memory > 0 && held > memory<<20*3/4 {
-				t.Errorf("memory=%d descriptors=%d: clients hold %d bytes", memory, descriptors, held)
+	for _, roles := range [][]string{{RoleEntry}, {RoleAgent}} {
+		for _, memory := range []int64{0, 64, 152, 284, 4096} {
+			for _, descriptors := range []int{0, 256, 1024, 4100, 1 << 20} {
+				s := Settings{Daemon: Daemon{Roles: roles, MemoryMiB: memory}, Limits: Limits{Descriptors: descriptors}}
+				checkResources(t, &s)
 			}
 		}
 	}
 }
+
+func checkResources(t *testing.T, s *Settings) {
+	t.Helper()
+	memoryBytes, descriptors := s.Daemon.MemoryMiB<<20, s.Limits.Descriptors
+	b := s.Bounds()
+	listeners := []Listener{b.Secondary, b.Secondary}
+	if s.HasRole(RoleEntry) {
+		listeners = append(listeners, b.Callers)
+	}
+	if s.HasRole(RoleControl) || s.HasRole(RoleAgent) {
+		listeners = append(listeners, b.Others)
+	}
+	connections, kernelBytes := 0, 0
+	for _, l := range listeners {
+		if l.Connections <= 0 || l.Socket.ReceiveBytes <= 0 || l.Socket.SendBytes <= 0 {
+			t.Errorf("roles=%v memory=%d descriptors=%d: %+v", s.Daemon.Roles, s.Daemon.MemoryMiB, descriptors, l)
+		}
+		connections += l.Connections
+		kernelBytes += l.Connections * (l.Socket.ReceiveBytes + l.Socket.SendBytes)
+	}
+	if descriptors > 0 && connections > descriptors*3/4 {
+		t.Errorf("roles=%v memory=%d descriptors=%d: %d connections", s.Daemon.Roles, s.Daemon.MemoryMiB, descriptors, connections)
+	}
+	if memoryBytes == 0 {
+		return
+	}
+	if held := b.BodyBytes + int64(connections)*connectionBytes; held > memoryBytes*3/4 {
+		t.Errorf("roles=%v memory=%d descriptors=%d: clients hold %d bytes", s.Daemon.Roles, s.Daemon.MemoryMiB, descriptors, held)
+	}
+	if held := b.RuntimeBytes + programMiB<<20 + int64(kernelBytes); held > memoryBytes {
+		t.Errorf("roles=%v memory=%d descriptors=%d: runtime, program and kernel hold %d bytes, %d of them for connections",
+			s.Daemon.Roles, s.Daemon.MemoryMiB, descriptors, held, kernelBytes)
+	}
+}
