httpduty, settings: short listen queues

Operators saw: a process that was suspended, or slow to accept, had up to 4,096 connections in its listen queue. The kernel receives for each of them, and a crowd that comes back again and again keeps the queue full.

Cause: package net takes the largest queue that the system allows.

Change: the queue of a listener is a quarter of its connections, and has its part of the memory for buffers.

--- a/settings/limits.go
+++ b/settings/limits.go
@@ -42,6 +42,8 @@
 	maxBufferBytes = 384 << 10
 	// A third of a buffer is for responses, which are smaller than requests.
 	sendShare = 3
+	// The listen queue of a listener is a quarter of its connections.
+	backlogShare = 4
 	// A quarter of the descriptors and ownDescriptors more are kept back for links and
 	// files.
 	ownDescriptors = 32
@@ -106,17 +108,21 @@
 	kernelBytes := memoryBytes / kernelShare
 	connections := s.Limits.Connections
 	if connections == 0 {
-		connections = int(min(memoryBytes/connectionShare/connectionBytes, kernelBytes/callerBufferBytes))
+		connections = int(min(memoryBytes/connectionShare/connectionBytes, kernelBytes/withBacklog(callerBufferBytes)))
 	}
 	connections = max(min(connections, descriptors*3/4-ownDescriptors), minConnections)
 	secondary, other := min(maxSecondary, connections/secondaryShare), min(maxOther, connections/otherShare)
 	forCallers := connections - 2*secondary
-	buffer := min(kernelBytes/int64(connections), callerBufferBytes)
+	buffer := min(kernelBytes/withBacklog(int64(connections)), callerBufferBytes)
 	b.Secondary = newListener(secondary, buffer)
 	b.Callers = newListener(forCallers, buffer)
-	b.Others = newListener(other, min(kernelBytes/2/int64(other), maxBufferBytes))
+	b.Others = newListener(other, min(kernelBytes/2/withBacklog(int64(other)), maxBufferBytes))
 }
 
+// withBacklog returns the number or the bytes of connections together with those of the
+// listen queue.
+func withBacklog(n int64) int64 { return n + n/backlogShare }
+
 // newListener returns the bounds of a listener whose connections have buffers of that
 // size together.
 func newListener(connections int, bufferBytes int64) Listener {
@@ -124,5 +130,6 @@
 	return Listener{Connections: connections, Socket: tcplisten.Options{
 		ReceiveBytes: buffer - buffer/sendShare,
 		SendBytes:    buffer / sendShare,
+		Backlog:      max(connections/backlogShare, 1),
 	}}
 }
--- a/settings/limits_test.go
+++ b/settings/limits_test.go
@@ -56,11 +56,11 @@
 	}
 	connections, kernelBytes := 0, 0
 	for _, l := range listeners {
-		if l.Connections <= 0 || l.Socket.ReceiveBytes <= 0 || l.Socket.SendBytes <= 0 {
+		if l.Connections <= 0 || l.Socket.Backlog <= 0 || l.Socket.ReceiveBytes <= 0 || l.Socket.SendBytes <= 0 {
 			t.Errorf("roles=%v memory=%d descriptors=%d: %+v", s.Daemon.Roles, s.Daemon.MemoryMiB, descriptors, l)
 		}
 		connections += l.Connections
-		kernelBytes += l.Connections * (l.Socket.ReceiveBytes + l.Socket.SendBytes)
+		kernelBytes += l.Connections*(l.Socket.ReceiveBytes+l.Socket.SendBytes) + l.Socket.Backlog*l.Socket.ReceiveBytes
 	}
 	if descriptors > 0 && connections > descriptors*3/4 {
 		t.Errorf("roles=%v memory=%d descriptors=%d: %d connections", s.Daemon.Roles, s.Daemon.MemoryMiB, descriptors, connections)
--- a/tcplisten/tcplisten.go
+++ b/tcplisten/tcplisten.go
@@ -20,6 +20,7 @@
 type Options struct {
 	ReceiveBytes int // received and not yet read, of one connection
 	SendBytes    int // sent and not yet acknowledged, of one connection
+	Backlog      int // connections that the process has not accepted yet
 }
 
 // bufferFactor is by how much the kernel enlarges a buffer size that it is given, for
@@ -36,6 +37,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	o.setBacklog(listener)
 	return listener, nil
 }
 
@@ -49,3 +51,17 @@
 		_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_SNDBUF, o.SendBytes/bufferFactor)
 	}
 }
+
+// setBacklog changes the length of the listen queue, for which package net takes the
+// largest that the system allows. It ignores errors like setBuffers.
+func (o Options) setBacklog(listener net.Listener) {
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok || o.Backlog == 0 {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), o.Backlog) })
+}
