settings, link: divide the kernel's buffers among roles and links

Operators saw: peers that connect to the address for links again and again took up to 158 MiB beside the limit of the process, and so did a process of several roles (228 MiB).

Cause: the listen queue of links had no bound of the process, and the number of running handshakes followed from the descriptors alone, while the kernel receives 128 KiB for each. A process with several roles gave each of its listeners the limits of a process with one.

Change: what the kernel may hold is divided among callers, operators and targets, and links, as far as the process serves them. The listen queue of links and the running handshakes get half of the part of links each.

--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -130,7 +130,7 @@
 		_ = folder.Close()
 		return supervise.Fatal(Error.New("step=open path=%s: data folder was replaced while running", folder.Path))
 	}
-	socket, err := link.Listen(r.settings.Control.Listen)
+	socket, err := link.Listen(r.settings.Control.Listen, r.settings.Bounds().Links)
 	if err != nil {
 		_ = folder.Close()
 		return Error.Wrap(err)
--- a/daemon/control/server/server_test.go
+++ b/daemon/control/server/server_test.go
@@ -14,6 +14,7 @@
 	"github.com/ibispier/ibispier/ring"
 	"github.com/ibispier/ibispier/settings"
 	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/tcplisten"
 	"github.com/ibispier/ibispier/wire"
 )
 
@@ -21,7 +22,7 @@
 // No response is sent if it returns nil.
 func startMember(t *testing.T, tree *supervise.Supervisor, id string, serve func(*applier.Request) *applier.Response) settings.Member {
 	t.Helper()
-	socket, err := link.Listen("127.0.0.1:0")
+	socket, err := link.Listen("127.0.0.1:0", tcplisten.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/entry/agents/agents.go
+++ b/daemon/entry/agents/agents.go
@@ -12,7 +12,7 @@
 // links. revision returns the configuration revision in force, which the links
 // report to the agents.
 func New(s *settings.Settings, local link.Identity, h link.Handler, revision func() uint64, observer supervise.Observer) (*supervise.Supervisor, error) {
-	socket, err := link.Listen(s.Entry.AgentListen)
+	socket, err := link.Listen(s.Entry.AgentListen, s.Bounds().Links)
 	if err != nil {
 		return nil, err
 	}
--- a/link/dialer.go
+++ b/link/dialer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/tcplisten"
 )
 
 // Bounds of the delay before the next dial attempt, without jitter.
@@ -92,17 +93,18 @@
 // Listener, because a closed one cannot be used again after a restart.
 type Socket struct {
 	address  string
+	options  tcplisten.Options
 	listener net.Listener
 }
 
 // Listen opens a socket, so that an address in use is reported before any duty
 // runs.
-func Listen(address string) (*Socket, error) {
-	listener, err := net.Listen("tcp", address)
+func Listen(address string, o tcplisten.Options) (*Socket, error) {
+	listener, err := tcplisten.Listen(address, o)
 	if err != nil {
 		return nil, Error.New("step=listen addr=%s: %w", address, err)
 	}
-	return &Socket{address: listener.Addr().String(), listener: listener}, nil
+	return &Socket{address: listener.Addr().String(), options: o, listener: listener}, nil
 }
 
 // Addr returns the address that the socket listens on.
@@ -115,7 +117,7 @@
 		s.listener = nil
 		return listener, nil
 	}
-	listener, err := net.Listen("tcp", s.address)
+	listener, err := tcplisten.Listen(s.address, s.options)
 	if err != nil {
 		return nil, Error.New("step=listen addr=%s: %w", s.address, err)
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ibispier/ibispier/supervise"
+	"github.com/ibispier/ibispier/tcplisten"
 	"github.com/ibispier/ibispier/wire"
 )
 
@@ -74,7 +75,7 @@
 
 func openSocket(t *testing.T) *Socket {
 	t.Helper()
-	socket, err := Listen("127.0.0.1:0")
+	socket, err := Listen("127.0.0.1:0", tcplisten.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -42,6 +42,9 @@
 	maxBufferBytes = 384 << 10
 	// A third of a buffer is for responses, which are smaller than requests.
 	sendShare = 3
+	// linkBufferBytes is what the kernel receives for a link whose peer has not introduced
+	// itself. Links carry snapshots between regions, so their buffers are left to the system.
+	linkBufferBytes = 128 << 10
 	// The listen queue of a listener is a quarter of its connections.
 	backlogShare = 4
 	// A quarter of the descriptors and ownDescriptors more are kept back for links and
@@ -77,7 +80,8 @@
 	Callers      Listener
 	Others       Listener // of operators, or of the target
 	Secondary    Listener // each of the addresses for readiness and administration
-	Handshakes   int      // of links whose peer has not introduced itself
+	Links        tcplisten.Options
+	Handshakes   int // of links whose peer has not introduced itself
 }
 
 // Bounds returns the limits of the process, derived where the settings give none.
@@ -96,7 +100,6 @@
 	b := Bounds{
 		RuntimeBytes: max(memory-memory/kernelShare-programMiB, memory/2) << 20,
 		BodyBytes:    body << 20,
-		Handshakes:   max(min(maxHandshakes, descriptors/handshakesShare), 1),
 	}
 	b.divide(s, memory<<20, descriptors)
 	return b
@@ -105,7 +108,10 @@
 // divide divides the connections, and what the kernel may hold for them, among the
 // listeners of the process.
 func (b *Bounds) divide(s *Settings, memoryBytes int64, descriptors int) {
-	kernelBytes := memoryBytes / kernelShare
+	callers, others := s.HasRole(RoleEntry), s.HasRole(RoleControl) || s.HasRole(RoleAgent)
+	links := s.HasRole(RoleControl) || s.Entry.AgentListen != ""
+	kernelBytes := memoryBytes / kernelShare / max(count(callers, others, links), 1)
+
 	connections := s.Limits.Connections
 	if connections == 0 {
 		connections = int(min(memoryBytes/connectionShare/connectionBytes, kernelBytes/withBacklog(callerBufferBytes)))
@@ -113,10 +119,31 @@
 	connections = max(min(connections, descriptors*3/4-ownDescriptors), minConnections)
 	secondary, other := min(maxSecondary, connections/secondaryShare), min(maxOther, connections/otherShare)
 	forCallers := connections - 2*secondary
+	if others {
+		forCallers -= other
+	}
 	buffer := min(kernelBytes/withBacklog(int64(connections)), callerBufferBytes)
 	b.Secondary = newListener(secondary, buffer)
 	b.Callers = newListener(forCallers, buffer)
 	b.Others = newListener(other, min(kernelBytes/2/withBacklog(int64(other)), maxBufferBytes))
+	b.divideLinks(int(kernelBytes/linkBufferBytes), descriptors)
+}
+
+// divideLinks divides the buffers for links between those that are not accepted yet and
+// those whose peer has not introduced itself.
+func (b *Bounds) divideLinks(buffers, descriptors int) {
+	b.Links = tcplisten.Options{Backlog: max(buffers/2, 1)}
+	b.Handshakes = max(min(buffers/2, maxHandshakes, descriptors/handshakesShare), 1)
+}
+
+func count(conditions ...bool) int64 {
+	var n int64
+	for _, c := range conditions {
+		if c {
+			n++
+		}
+	}
+	return n
 }
 
 // withBacklog returns the number or the bytes of connections together with those of the
--- a/settings/limits_test.go
+++ b/settings/limits_test.go
@@ -31,9 +31,11 @@
 }
 
 // Guards against limits that use up the memory or the descriptors of a process, with the
-// listeners of one role.
+// listeners of any roles.
 func TestDerivedLimitsKeepResourcesBack(t *testing.T) {
-	for _, roles := range [][]string{{RoleEntry}, {RoleAgent}} {
+	for _, roles := range [][]string{
+		{RoleEntry}, {RoleControl}, {RoleAgent}, {RoleEntry, RoleControl}, {RoleEntry, RoleControl, RoleAgent},
+	} {
 		for _, memory := range []int64{0, 64, 152, 284, 4096} {
 			for _, descriptors := range []int{0, 256, 1024, 4100, 1 << 20} {
 				s := Settings{Daemon: Daemon{Roles: roles, MemoryMiB: memory}, Limits: Limits{Descriptors: descriptors}}
@@ -62,6 +64,9 @@
 		connections += l.Connections
 		kernelBytes += l.Connections*(l.Socket.ReceiveBytes+l.Socket.SendBytes) + l.Socket.Backlog*l.Socket.ReceiveBytes
 	}
+	if s.HasRole(RoleControl) {
+		kernelBytes += (b.Links.Backlog + b.Handshakes) * linkBufferBytes
+	}
 	if descriptors > 0 && connections > descriptors*3/4 {
 		t.Errorf("roles=%v memory=%d descriptors=%d: %d connections", s.Daemon.Roles, s.Daemon.MemoryMiB, descriptors, connections)
 	}
