--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -65,6 +65,7 @@
 	DependsOn    []int  `json:"dependsOn,omitempty"`
 	Lasts        bool   `json:"longRunning,omitempty"`
 	Requirements string `json:"requirements,omitempty"`
+	Image        string `json:"image,omitempty"`
 }
 
 type submission struct {
